--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,137 @@
+// Package client reaches the entry hosts of catkingap over HTTP.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/catkingap/catkingap/entry"
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/job"
+	"github.com/catkingap/catkingap/outcome"
+	"github.com/catkingap/catkingap/resource"
+	"github.com/catkingap/catkingap/timeline"
+)
+
+// Client calls the API of an entry host.
+type Client struct {
+	http *http.Client
+	url  string
+}
+
+// New returns a client of the entry host at the base URL.
+func New(h *http.Client, base string) *Client {
+	return &Client{http: h, url: base}
+}
+
+// Submit submits a job and waits for its outcome. An error is an
+// *outcome.Error.
+func (c *Client) Submit(ctx context.Context, s *job.Submission) (entry.JobAnswer, error) {
+	var answer entry.JobAnswer
+	body, err := json.Marshal(s)
+	if err != nil {
+		return answer, outcome.New(outcome.NotRun, outcome.Invalid, "%v", err)
+	}
+	err = c.do(ctx, http.MethodPost, "/v1/jobs", nil, body, &answer)
+	return answer, err
+}
+
+// Cancel gives up a job.
+func (c *Client) Cancel(ctx context.Context, j ident.Job) error {
+	return c.do(ctx, http.MethodDelete, "/v1/jobs/"+url.PathEscape(string(j.Team))+"/"+url.PathEscape(string(j.Key)), nil, nil, nil)
+}
+
+// Call sends a request to a service and returns the whole answer.
+func (c *Client) Call(ctx context.Context, call entry.Call) ([]byte, error) {
+	header := http.Header{}
+	header.Set(entry.HeaderTeam, string(call.Team))
+	header.Set(entry.HeaderIdempotent, strconv.FormatBool(call.Idempotent))
+	if call.Timeout > 0 {
+		header.Set(entry.HeaderTimeout, strconv.FormatInt(call.Timeout.Milliseconds(), 10))
+	}
+	var answer json.RawMessage
+	err := c.do(ctx, http.MethodPost, "/v1/services/"+url.PathEscape(string(call.Service))+"/call", header, call.Body, &answer)
+	return answer, err
+}
+
+// Put creates or replaces a resource and returns its new state.
+func (c *Client) Put(ctx context.Context, o resource.Object) (resource.Object, error) {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return o, err
+	}
+	err = c.do(ctx, http.MethodPut, resourcePath(o.Kind, o.Name), nil, body, &o)
+	return o, err
+}
+
+// Get returns a resource.
+func (c *Client) Get(ctx context.Context, k resource.Kind, name string) (resource.Object, error) {
+	var o resource.Object
+	err := c.do(ctx, http.MethodGet, resourcePath(k, name), nil, nil, &o)
+	return o, err
+}
+
+// Timeline returns the events of the host that f selects.
+func (c *Client) Timeline(ctx context.Context, f timeline.Filter) ([]timeline.Event, error) {
+	query := url.Values{"team": {string(f.Team)}, "job": {string(f.Job)}, "service": {string(f.Service)}}
+	var events []timeline.Event
+	err := c.do(ctx, http.MethodGet, "/v1/timeline?"+query.Encode(), nil, nil, &events)
+	return events, err
+}
+
+// Ready returns nil if the host takes requests.
+func (c *Client) Ready(ctx context.Context) error {
+	return c.do(ctx, http.MethodGet, "/readyz", nil, nil, nil)
+}
+
+func resourcePath(k resource.Kind, name string) string {
+	return "/v1/resources/" + url.PathEscape(string(k)) + "/" + url.PathEscape(name)
+}
+
+// do sends one request and decodes the answer into answer unless it is nil.
+func (c *Client) do(ctx context.Context, method, path string, header http.Header, body []byte, answer any) error {
+	request, err := http.NewRequestWithContext(ctx, method, c.url+path, bytes.NewReader(body))
+	if err != nil {
+		return outcome.New(outcome.NotRun, outcome.Invalid, "%v", err)
+	}
+	request.GetBody = nil
+	for k, v := range header {
+		request.Header[k] = v
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		var operation *net.OpError
+		if errors.As(err, &operation) && operation.Op == "dial" {
+			return outcome.New(outcome.NotRun, outcome.Unreachable, "%v", err).After(time.Second)
+		}
+		return outcome.New(outcome.Unknown, outcome.LinkLost, "%v", err).After(time.Second)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return outcome.New(outcome.Unknown, outcome.LinkLost, "the answer was cut: %v", err).After(time.Second)
+	}
+	if response.StatusCode >= http.StatusBadRequest {
+		var failure entry.ErrorAnswer
+		if json.Unmarshal(data, &failure) != nil || failure.Error == nil {
+			return outcome.New(outcome.Unknown, outcome.Internal, "the host answered %s", response.Status)
+		}
+		return failure.Error
+	}
+	if answer == nil || len(data) == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(data, answer); err != nil {
+		return outcome.New(outcome.Unknown, outcome.WrongAnswer, "%v", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/callcmd.go
@@ -0,0 +1,43 @@
+package cmd
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"github.com/catkingap/catkingap/entry"
+	"github.com/catkingap/catkingap/ident"
+)
+
+func (c *Config) newCallCmd() *cobra.Command {
+	var call entry.Call
+	var team string
+	command := &cobra.Command{
+		Use:   "call SERVICE",
+		Short: "Send the standard input to a service and print the answer",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			call.Team, call.Service = ident.Team(team), ident.Service(args[0])
+			return c.runCallCmd(command, call)
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&team, "team", "", "team that calls")
+	flags.BoolVar(&call.Idempotent, "idempotent", false, "the request may run more than once")
+	return command
+}
+
+func (c *Config) runCallCmd(command *cobra.Command, call entry.Call) error {
+	body, err := io.ReadAll(c.stdin)
+	if err != nil {
+		return err
+	}
+	call.Body, call.Timeout = body, c.timeout
+	answer, err := c.newClient().Call(command.Context(), call)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(c.stdout, "%s\n", answer)
+	return err
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,393 @@
+// Package demo runs the whole path in one process on loopback: stand-ins for
+// the platform and the backend servers, entry hosts in three data centres and
+// a client that checks each answer.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/fx"
+
+	"github.com/catkingap/catkingap/client"
+	"github.com/catkingap/catkingap/entry"
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/job"
+	"github.com/catkingap/catkingap/network"
+	"github.com/catkingap/catkingap/outcome"
+	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/repairlog"
+	"github.com/catkingap/catkingap/resource"
+	"github.com/catkingap/catkingap/settings"
+	"github.com/catkingap/catkingap/standin"
+)
+
+// Config builds a Demo.
+type Config struct {
+	// Progress receives lines about what happens.
+	Progress io.Writer
+	// Log receives the logs of the entry hosts.
+	Log io.Writer
+	// Cross makes a backend server give one wrong answer.
+	Cross bool
+}
+
+// The sizes of the demo.
+const (
+	serversPerCentre = 2
+	slots            = 8
+	tasks            = 520
+	smallTasks       = 40
+	seed             = 20261204
+	outage           = 3 * time.Second
+	writeTime        = 4 * time.Millisecond
+	membershipLag    = 2 * time.Second
+	readyTimeout     = 10 * time.Second
+	jobTimeout       = 30 * time.Second
+	retryPause       = 200 * time.Millisecond
+	poolName         = "groyne-log"
+	teamName         = "kusweg"
+)
+
+// speeds are the speeds of the backend servers of each data centre.
+var speeds = [serversPerCentre]float64{1, 0.6}
+
+var dataCentres = []ident.DataCentre{"coast-a", "coast-b", "coast-c"}
+
+// Demo is a running set of stand-ins and entry hosts.
+type Demo struct {
+	config   Config
+	platform *standin.Platform
+	address  string
+	backends []*standin.Backend
+	servers  []*http.Server
+	hosts    []*host
+}
+
+// host is one entry host of the demo.
+type host struct {
+	settings settings.Settings
+	app      *fx.App
+	network  *network.Severable
+	client   *client.Client
+}
+
+// Summary is what the demo found.
+type Summary struct {
+	Tasks     int     `json:"tasks"`
+	Starts    int     `json:"starts"`
+	Doubled   int     `json:"doubled"`
+	Missing   int     `json:"missing"`
+	Wrong     int     `json:"wrong"`
+	OverIdeal float64 `json:"responseOverIdeal"`
+	// Wasted counts messages to backend servers that were refused as not run.
+	Wasted int `json:"wastedMessages"`
+}
+
+// Holds returns an error that names what does not hold.
+func (s Summary) Holds() error {
+	if s.Doubled == 0 && s.Missing == 0 && s.Wrong == 0 && s.Starts == s.Tasks {
+		return nil
+	}
+	return errors.Newf("%d tasks: %d starts, %d doubled, %d missing, %d wrong", s.Tasks, s.Starts, s.Doubled, s.Missing, s.Wrong)
+}
+
+// Run runs the demo and returns its summary.
+func Run(ctx context.Context, c Config) (Summary, error) {
+	d := &Demo{config: c}
+	defer d.stop()
+	if err := d.start(ctx); err != nil {
+		return Summary{}, err
+	}
+	return d.work(ctx)
+}
+
+func (d *Demo) say(format string, args ...any) {
+	fmt.Fprintf(d.config.Progress, format+"\n", args...)
+}
+
+func (d *Demo) serve(h http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
+	d.servers = append(d.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+func (d *Demo) start(ctx context.Context) error {
+	var err error
+	d.platform = standin.NewPlatform(standin.PlatformConfig{WriteTime: writeTime, MembershipLag: membershipLag})
+	if d.address, err = d.serve(d.platform.Handler()); err != nil {
+		return err
+	}
+	for i, centre := range dataCentres {
+		if err := d.startHost(ctx, ident.Host(fmt.Sprintf("entry-%d", i+1)), centre); err != nil {
+			return err
+		}
+	}
+	if err := d.declare(ctx); err != nil {
+		return err
+	}
+	for _, h := range d.hosts {
+		if err := waitReady(ctx, h.client); err != nil {
+			return err
+		}
+	}
+	d.say("%d entry hosts in %d data centres serve %d backend servers", len(d.hosts), len(dataCentres), len(d.backends))
+	return nil
+}
+
+func (d *Demo) startHost(ctx context.Context, name ident.Host, centre ident.DataCentre) error {
+	h := &host{settings: settings.Default(), network: network.NewSeverable(network.Real{DialTimeout: entry.ConnectTimeout})}
+	h.settings.Host, h.settings.DataCentre = name, centre
+	h.settings.Listen = settings.Listen{API: "127.0.0.1:0", Peer: "127.0.0.1:0"}
+	base := "http://" + d.address
+	h.settings.Platform.Table, h.settings.Platform.Objects, h.settings.Platform.Membership = base, base+"/objects", base+"/members"
+	h.settings.ConfigPoll = settings.Duration(100 * time.Millisecond)
+	h.settings.UnreadyTime = 0
+	var listeners entry.Listeners
+	h.app = entry.New(entry.Options{Settings: h.settings, Log: d.config.Log, Network: h.network}, fx.Populate(&listeners))
+	if err := h.app.Start(ctx); err != nil {
+		return err
+	}
+	api := listeners.API.Addr().String()
+	h.client = client.New(&http.Client{Transport: &http.Transport{}}, "http://"+api)
+	d.platform.Members.Set(platform.TargetGroup{Targets: []string{listeners.Peer.Addr().String()}, Labels: map[string]string{
+		platform.LabelID: string(name), platform.LabelRole: string(platform.EntryHost), platform.LabelAPI: api,
+		platform.LabelDataCentre: string(centre), platform.LabelState: string(platform.Live),
+	}})
+	d.hosts = append(d.hosts, h)
+	return nil
+}
+
+// declare creates the backend servers and the resources.
+func (d *Demo) declare(ctx context.Context) error {
+	objects := []resource.Object{
+		{Kind: resource.KindTeam, Name: teamName, Spec: encode(resource.TeamSpec{})},
+		{Kind: resource.KindPool, Name: poolName, Spec: encode(resource.PoolSpec{})},
+		{Kind: resource.KindService, Name: poolName, Spec: encode(resource.ServiceSpec{Pool: poolName, TimeoutMS: 10_000})},
+	}
+	for i, centre := range dataCentres {
+		for k, speed := range speeds {
+			name := fmt.Sprintf("runner-%d-%d", i+1, k+1)
+			b := standin.NewBackend(standin.BackendConfig{Name: name, Slots: slots, Speed: speed, Work: Work})
+			address, err := d.serve(b.Handler())
+			if err != nil {
+				return err
+			}
+			d.backends = append(d.backends, b)
+			objects = append(objects, resource.Object{Kind: resource.KindBackendServer, Name: name, Spec: encode(resource.BackendServerSpec{
+				Pool: poolName, Address: address, DataCentre: centre, Slots: slots,
+			})})
+		}
+	}
+	for _, o := range objects {
+		if _, err := d.hosts[0].client.Put(ctx, o); err != nil {
+			return errors.Wrapf(err, "%s %s", o.Kind, o.Name)
+		}
+	}
+	return nil
+}
+
+// Work is the work of the demo's backend servers.
+func Work(body []byte) ([]byte, time.Duration, error) {
+	var l repairlog.Log
+	if err := json.Unmarshal(body, &l); err != nil {
+		return nil, 0, err
+	}
+	answer, err := repairlog.Answer(body)
+	return answer, l.RunTime(), err
+}
+
+func encode(spec any) json.RawMessage {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func waitReady(ctx context.Context, c *client.Client) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		err := c.Ready(ctx)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(err, "entry host is not ready")
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// Submission returns a job of logs.
+func Submission(key ident.JobKey, logs []repairlog.Log) *job.Submission {
+	s := &job.Submission{Job: ident.Job{Team: teamName, Key: key}, Pool: poolName}
+	for i, l := range logs {
+		s.Tasks = append(s.Tasks, job.Task{
+			Index: ident.TaskIndex(i), Payload: encode(l), DeclaredMB: l.DeclaredMB, DeclaredMS: l.DeclaredMS,
+		})
+	}
+	return s
+}
+
+// submit submits a job to the hosts in turn until it has an outcome.
+func (d *Demo) submit(ctx context.Context, s *job.Submission, first int) (entry.JobAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
+	defer cancel()
+	for i := first; ; i++ {
+		answer, err := d.hosts[i%len(d.hosts)].client.Submit(ctx, s)
+		failure := outcome.From(err)
+		if err == nil || failure.RetryAfter == 0 {
+			return answer, err
+		}
+		d.say("  %s: %v; the client asks the next host", s.Key, failure)
+		select {
+		case <-ctx.Done():
+			return answer, err
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+// work runs the jobs and the faults.
+func (d *Demo) work(ctx context.Context) (Summary, error) {
+	logs := repairlog.Generate(seed, tasks+smallTasks)
+	large := Submission("tide-2026-12-03", logs[:tasks])
+	small := Submission("school-order-7", logs[tasks:])
+	if d.config.Cross {
+		d.backends[0].Faults.Set(standin.Faults{Mode: standin.Cross, Count: 2})
+	}
+	began := time.Now()
+	var smallAnswer entry.JobAnswer
+	var smallErr error
+	var waiting sync.WaitGroup
+	waiting.Go(func() {
+		time.Sleep(time.Second)
+		d.say("entry-3 is killed while a client waits for it")
+		waiting.Go(func() {
+			smallAnswer, smallErr = d.submit(ctx, small, 2)
+		})
+		time.Sleep(5 * time.Millisecond)
+		d.kill(2)
+		time.Sleep(retryPause)
+		d.say("the platform is away for %s", outage)
+		d.platform.SetFaults(standin.Faults{Mode: standin.Refuse})
+		time.Sleep(outage)
+		d.platform.SetFaults(standin.Faults{})
+		d.say("the platform is back")
+	})
+	d.say("%s: %d tasks go to entry-1", large.Key, tasks)
+	answer, err := d.submit(ctx, large, 0)
+	took := time.Since(began)
+	waiting.Wait()
+	if err != nil {
+		return Summary{}, errors.Wrapf(err, "job %s", large.Key)
+	}
+	d.say("%s: %s after %s", large.Key, answer.State, took.Round(time.Millisecond))
+	summary := d.judge(large, answer)
+	summary.OverIdeal = float64(took) / float64(d.ideal(logs[:tasks]))
+	d.judgeSmall(&summary, small, smallAnswer, smallErr)
+	return summary, nil
+}
+
+// ideal returns the time that the work itself needs on all slots.
+func (d *Demo) ideal(logs []repairlog.Log) time.Duration {
+	var total time.Duration
+	var longest time.Duration
+	for _, l := range logs {
+		total += l.RunTime()
+		longest = max(longest, l.RunTime())
+	}
+	capacity := 0.0
+	for _, speed := range speeds {
+		capacity += speed * slots * float64(len(dataCentres))
+	}
+	return max(longest, time.Duration(float64(total)/capacity))
+}
+
+// judge counts what the backend servers' own logs and the answers show.
+func (d *Demo) judge(s *job.Submission, answer entry.JobAnswer) Summary {
+	summary := Summary{Tasks: len(s.Tasks)}
+	starts := d.starts(s.Job)
+	for _, t := range s.Tasks {
+		count := starts[ident.Task{Job: s.Job, Index: t.Index}.String()]
+		summary.Starts += count
+		if count > 1 {
+			summary.Doubled++
+		}
+	}
+	answered := map[ident.TaskIndex]bool{}
+	for _, a := range answer.Answers {
+		answered[a.Index] = true
+		if int(a.Index) >= len(s.Tasks) || repairlog.Check(s.Tasks[a.Index].Payload, a.Answer) != nil {
+			summary.Wrong++
+		}
+	}
+	summary.Missing = len(s.Tasks) - len(answered)
+	for _, b := range d.backends {
+		summary.Wasted += b.Refused()
+	}
+	return summary
+}
+
+// judgeSmall checks the job whose entry host was killed: it may fail, but
+// never partially, and nothing of it starts twice.
+func (d *Demo) judgeSmall(summary *Summary, s *job.Submission, answer entry.JobAnswer, err error) {
+	for _, count := range d.starts(s.Job) {
+		if count > 1 {
+			summary.Doubled++
+		}
+	}
+	if err != nil {
+		d.say("%s: failed whole: %v", s.Key, err)
+		return
+	}
+	part := d.judge(s, answer)
+	summary.Wrong += part.Wrong
+	summary.Missing += part.Missing
+	d.say("%s: %s", s.Key, answer.State)
+}
+
+// starts counts the starts of each task of a job.
+func (d *Demo) starts(j ident.Job) map[string]int {
+	counts := map[string]int{}
+	for _, b := range d.backends {
+		for _, s := range b.Starts() {
+			if len(s.Task) > len(j.String()) && s.Task[:len(j.String())+1] == j.String()+"/" {
+				counts[s.Task]++
+			}
+		}
+	}
+	return counts
+}
+
+// kill cuts all sockets of a host at once.
+func (d *Demo) kill(i int) {
+	d.hosts[i].network.Sever()
+	d.platform.Members.Remove(string(d.hosts[i].settings.Host))
+}
+
+func (d *Demo) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	for _, h := range d.hosts {
+		_ = h.app.Stop(ctx)
+	}
+	for _, s := range d.servers {
+		s.Close()
+	}
+}
--- /dev/null
+++ b/entry/api.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"expvar"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gin-gonic/gin"
+
+	"github.com/catkingap/catkingap/outcome"
+	"github.com/catkingap/catkingap/resource"
+	"github.com/catkingap/catkingap/settings"
+	"github.com/catkingap/catkingap/timeline"
+)
+
+// API serves callers and operators over HTTP.
+type API struct {
+	settings settings.Settings
+	store    *resource.Store
+	jobs     *Jobs
+	services *Services
+	ring     *timeline.Ring
+	unready  atomic.Bool
+}
+
+func newAPI(s settings.Settings, store *resource.Store, j *Jobs, services *Services, r *timeline.Ring) *API {
+	return &API{settings: s, store: store, jobs: j, services: services, ring: r}
+}
+
+// ErrorAnswer is the body of each answer that is an error.
+type ErrorAnswer struct {
+	Error *outcome.Error `json:"error"`
+}
+
+// Handler returns the HTTP handler.
+func (a *API) Handler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	router := gin.New()
+	router.GET("/healthz", func(c *gin.Context) { c.Status(http.StatusNoContent) })
+	router.GET("/readyz", a.ready)
+	router.GET("/debug/vars", gin.WrapH(expvar.Handler()))
+	a.routeJobs(router)
+	a.routeResources(router)
+	a.routeServices(router)
+	a.routeTimeline(router)
+	return router
+}
+
+func (a *API) setUnready() { a.unready.Store(true) }
+
+// ready answers 204 once a configuration is in force and until shutdown.
+func (a *API) ready(c *gin.Context) {
+	if a.unready.Load() || a.store.Snapshot().Revision == 0 {
+		c.Status(http.StatusServiceUnavailable)
+		return
+	}
+	c.Status(http.StatusNoContent)
+}
+
+func refuse(c *gin.Context, e *outcome.Error) {
+	if e.RetryAfter > 0 {
+		c.Header("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	c.JSON(e.Status(), ErrorAnswer{Error: e})
+}
+
+// body reads the whole body of a request or refuses the request.
+func (a *API) body(c *gin.Context) ([]byte, bool) {
+	limit := a.settings.Limits.BodyBytes
+	data, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, limit))
+	if err == nil {
+		return data, true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		refuse(c, outcome.New(outcome.NotRun, outcome.TooLarge, "the body is larger than %d bytes", limit))
+		return nil, false
+	}
+	refuse(c, outcome.New(outcome.NotRun, outcome.Invalid, "the body was cut: %v", err))
+	return nil, false
+}
--- /dev/null
+++ b/entry/apijobs.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/job"
+	"github.com/catkingap/catkingap/outcome"
+)
+
+// JobAnswer is the answer to a submission.
+type JobAnswer struct {
+	ident.Job
+	State   job.State      `json:"state"`
+	Answers []job.Answer   `json:"answers,omitempty"`
+	Error   *outcome.Error `json:"error,omitempty"`
+}
+
+// routeJobs adds the paths of jobs.
+func (a *API) routeJobs(r *gin.Engine) {
+	r.POST("/v1/jobs", a.submit)
+	r.GET("/v1/jobs/:team/:key", a.getJob)
+	r.DELETE("/v1/jobs/:team/:key", a.cancelJob)
+}
+
+func (a *API) submit(c *gin.Context) {
+	data, ok := a.body(c)
+	if !ok {
+		return
+	}
+	var s job.Submission
+	if err := json.Unmarshal(data, &s); err != nil {
+		refuse(c, outcome.New(outcome.NotRun, outcome.Invalid, "the body is not a job: %v", err))
+		return
+	}
+	o := a.jobs.Submit(c.Request.Context(), &s)
+	if o.State != job.Complete {
+		refuse(c, o.Error)
+		return
+	}
+	c.JSON(http.StatusOK, JobAnswer{Job: s.Job, State: o.State, Answers: o.Answers})
+}
+
+func jobOf(c *gin.Context) ident.Job {
+	return ident.Job{Team: ident.Team(c.Param("team")), Key: ident.JobKey(c.Param("key"))}
+}
+
+func (a *API) getJob(c *gin.Context) {
+	row, _, err := a.jobs.Read(c.Request.Context(), jobOf(c))
+	if err != nil {
+		refuse(c, outcome.New(outcome.NotRun, outcome.StoreDown, "%v", err).After(storeRetry))
+		return
+	}
+	if row == nil {
+		refuse(c, outcome.New(outcome.NotRun, outcome.NotFound, "there is no job %s", jobOf(c)))
+		return
+	}
+	c.JSON(http.StatusOK, row)
+}
+
+func (a *API) cancelJob(c *gin.Context) {
+	if !a.jobs.Cancel(jobOf(c)) {
+		refuse(c, outcome.New(outcome.NotRun, outcome.NotFound, "this host holds no job %s", jobOf(c)))
+		return
+	}
+	c.Status(http.StatusAccepted)
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,208 @@
+// Package entry is the daemon of an entry host: it takes jobs and requests
+// from callers, dispatches them to backend servers and answers.
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/catkingap/catkingap/backend"
+	"github.com/catkingap/catkingap/commit"
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/job"
+	"github.com/catkingap/catkingap/network"
+	"github.com/catkingap/catkingap/peer"
+	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/resource"
+	"github.com/catkingap/catkingap/settings"
+	"github.com/catkingap/catkingap/timeline"
+)
+
+// The times and bounds that are the same on each entry host.
+const (
+	// ConnectTimeout bounds the time to open a connection.
+	ConnectTimeout     = time.Second
+	idleTimeout        = 90 * time.Second
+	platformIdle       = 8
+	peerWriteTimeout   = 2 * time.Second
+	commitMaxRows      = 400
+	commitInFlight     = 2
+	busyPause          = 5 * time.Millisecond
+	remoteDelay        = 3 * time.Millisecond
+	headerReadTimeout  = 10 * time.Second
+	storeRetry         = time.Second
+	settleReadInterval = 100 * time.Millisecond
+)
+
+// Listeners holds the open sockets of the daemon.
+type Listeners struct {
+	API  net.Listener
+	Peer net.Listener
+}
+
+// Identity is who this process is.
+type Identity struct {
+	job.Holder
+	DataCentre ident.DataCentre
+}
+
+// Options builds the daemon's fx application.
+type Options struct {
+	Settings settings.Settings
+	// Log receives the log as JSON lines.
+	Log io.Writer
+	// Network opens the sockets of the daemon.
+	Network network.Network
+}
+
+// New returns the fx application of one entry host, with more options added.
+func New(o Options, more ...fx.Option) *fx.App {
+	return fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(o.Settings),
+		fx.Provide(
+			func() network.Network { return o.Network },
+			func(s settings.Settings) (log.Interface, error) { return newLogger(o.Log, s) },
+			newIdentity,
+			newRing,
+			newListeners,
+			newPlatformClient,
+			newTable,
+			newObjects,
+			newMembership,
+			newBatcher,
+			resource.NewStore,
+			newLinks,
+			newSender,
+			newDirectory,
+			newDispatcher,
+			newJobs,
+			newServices,
+			newAPI,
+		),
+		fx.Invoke(runBackground, runPeer, runAPI),
+		// The hooks of the life cycle bound themselves by the settings.
+		fx.StopTimeout(time.Duration(o.Settings.ShutdownTimeout)+time.Duration(o.Settings.UnreadyTime)+time.Second),
+		fx.Options(more...),
+	)
+}
+
+func newLogger(w io.Writer, s settings.Settings) (log.Interface, error) {
+	level, err := log.ParseLevel(s.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	logger := &log.Logger{Handler: json.New(w), Level: level}
+	return logger.WithFields(log.Fields{"host": string(s.Host), "dataCentre": string(s.DataCentre)}), nil
+}
+
+func newIdentity(s settings.Settings) Identity {
+	return Identity{Holder: job.Holder{Host: s.Host, Boot: ident.NewToken()}, DataCentre: s.DataCentre}
+}
+
+func newRing(s settings.Settings) *timeline.Ring {
+	return timeline.NewRing(s.Host, time.Now(), s.Limits.TimelineEvents)
+}
+
+func newListeners(s settings.Settings, n network.Network) (Listeners, error) {
+	api, err := n.Listen(s.Listen.API)
+	if err != nil {
+		return Listeners{}, errors.Wrap(err, "listen.api")
+	}
+	link, err := n.Listen(s.Listen.Peer)
+	if err != nil {
+		api.Close()
+		return Listeners{}, errors.Wrap(err, "listen.peer")
+	}
+	return Listeners{API: api, Peer: link}, nil
+}
+
+// newPlatformClient returns the HTTP client for all services of the platform.
+func newPlatformClient(s settings.Settings, n network.Network) *http.Client {
+	return &http.Client{
+		Timeout:   time.Duration(s.Platform.Timeout),
+		Transport: &http.Transport{DialContext: n.DialContext, MaxIdleConnsPerHost: platformIdle, IdleConnTimeout: idleTimeout},
+	}
+}
+
+func newTable(s settings.Settings, c *http.Client) platform.Table {
+	return platform.NewRemoteTable(c, s.Platform.Table)
+}
+
+func newObjects(s settings.Settings, c *http.Client) platform.Objects {
+	return platform.NewRemoteObjects(c, s.Platform.Objects)
+}
+
+func newMembership(s settings.Settings, c *http.Client) platform.Membership {
+	return platform.NewRemoteMembership(c, s.Platform.Membership)
+}
+
+func newBatcher(s settings.Settings, t platform.Table) *commit.Batcher {
+	return commit.NewBatcher(commit.Config{
+		Table:    t,
+		Timeout:  time.Duration(s.Platform.Timeout),
+		MaxRows:  commitMaxRows,
+		InFlight: commitInFlight,
+	})
+}
+
+func newLinks(l log.Interface, n network.Network) *peer.Links {
+	return peer.NewLinks(peer.Config{Logger: l, Network: n, WriteTimeout: peerWriteTimeout})
+}
+
+func newSender(s settings.Settings, n network.Network) backend.Sender {
+	return backend.NewClient(backend.ClientConfig{
+		Network:     n,
+		Connections: s.Limits.Connections,
+		IdleTimeout: idleTimeout,
+	})
+}
+
+// runPeer serves the links to other entry hosts.
+func runPeer(life fx.Lifecycle, l Listeners, links *peer.Links, jobs *Jobs) {
+	jobs.register(links)
+	life.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go func() { _ = links.Serve(l.Peer) }()
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			l.Peer.Close()
+			links.Close()
+			return nil
+		},
+	})
+}
+
+// runAPI serves callers and operators, and shuts down gracefully.
+func runAPI(life fx.Lifecycle, s settings.Settings, l Listeners, api *API, jobs *Jobs, ring *timeline.Ring, logger log.Interface) {
+	server := &http.Server{Handler: api.Handler(), ReadHeaderTimeout: headerReadTimeout}
+	life.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			ring.Add(time.Now(), timeline.Event{Kind: timeline.Started})
+			logger.WithFields(log.Fields{"api": l.API.Addr().String(), "peer": l.Peer.Addr().String()}).Info("listening")
+			go func() { _ = server.Serve(l.API) }()
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			ring.Add(time.Now(), timeline.Event{Kind: timeline.ShutdownBegun})
+			api.setUnready()
+			time.Sleep(time.Duration(s.UnreadyTime))
+			ctx, cancel := context.WithTimeout(ctx, time.Duration(s.ShutdownTimeout))
+			defer cancel()
+			if err := server.Shutdown(ctx); err != nil {
+				return errors.Wrap(err, "open requests")
+			}
+			return errors.Wrap(jobs.wait(ctx), "open jobs")
+		},
+	})
+}
--- /dev/null
+++ b/integration/doc.go
@@ -0,0 +1,3 @@
+// Package integration tests the built binary as real processes behind a proxy
+// that injects faults.
+package integration
--- /dev/null
+++ b/integration/harness_test.go
@@ -0,0 +1,385 @@
+package integration
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/Shopify/toxiproxy"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/catkingap/catkingap/client"
+	"github.com/catkingap/catkingap/demo"
+	"github.com/catkingap/catkingap/entry"
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/job"
+	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/repairlog"
+	"github.com/catkingap/catkingap/resource"
+	"github.com/catkingap/catkingap/standin"
+)
+
+// binary is the path of the binary under test.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	logrus.SetOutput(io.Discard)
+	folder, err := os.MkdirTemp("", "catkingap")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(folder)
+	binary = filepath.Join(folder, "catkingap")
+	build := exec.Command("go", "build", "-o", binary, "github.com/catkingap/catkingap")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, output)
+		return 1
+	}
+	return m.Run()
+}
+
+const (
+	startTimeout = 20 * time.Second
+	testTimeout  = 60 * time.Second
+	pollPause    = 20 * time.Millisecond
+	teamName     = "kusweg"
+	poolName     = "groyne-log"
+	serviceName  = "groyne-log"
+)
+
+// process is one process of the binary.
+type process struct {
+	t       *testing.T
+	command *exec.Cmd
+	lines   chan string
+	exited  chan struct{}
+	mutex   sync.Mutex
+	output  bytes.Buffer
+}
+
+// start starts the binary. Both output streams are read line by line.
+func start(t *testing.T, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, command: exec.Command(binary, args...), lines: make(chan string, 4096), exited: make(chan struct{})}
+	reader, writer := io.Pipe()
+	p.command.Stdout, p.command.Stderr = writer, writer
+	if err := p.command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		scanner := bufio.NewScanner(reader)
+		scanner.Buffer(nil, 1<<20)
+		for scanner.Scan() {
+			p.mutex.Lock()
+			p.output.WriteString(scanner.Text() + "\n")
+			p.mutex.Unlock()
+			select {
+			case p.lines <- scanner.Text():
+			default:
+			}
+		}
+	}()
+	go func() {
+		_ = p.command.Wait()
+		writer.Close()
+		close(p.exited)
+	}()
+	t.Cleanup(func() {
+		p.signal(syscall.SIGKILL)
+		<-p.exited
+		if t.Failed() {
+			p.mutex.Lock()
+			defer p.mutex.Unlock()
+			t.Logf("output of %s:\n%s", strings.Join(args, " "), p.output.String())
+		}
+	})
+	return p
+}
+
+// signal sends a signal. A process that has ended ignores it.
+func (p *process) signal(s syscall.Signal) {
+	_ = p.command.Process.Signal(s)
+}
+
+// line waits for an output line that contains text and returns it.
+func (p *process) line(text string) string {
+	p.t.Helper()
+	timeout := time.After(startTimeout)
+	for {
+		select {
+		case l := <-p.lines:
+			if strings.Contains(l, text) {
+				return l
+			}
+		case <-p.exited:
+			p.t.Fatalf("process ended before it printed %q", text)
+		case <-timeout:
+			p.t.Fatalf("process did not print %q", text)
+		}
+	}
+}
+
+// proxy forwards one address and can inject faults.
+type proxy struct {
+	t *testing.T
+	*toxiproxy.Proxy
+}
+
+// newProxy starts a proxy in front of upstream.
+func newProxy(t *testing.T, upstream string) *proxy {
+	t.Helper()
+	p := toxiproxy.NewProxy()
+	p.Name, p.Listen, p.Upstream = t.Name()+upstream, "127.0.0.1:0", upstream
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Stop)
+	return &proxy{t: t, Proxy: p}
+}
+
+// silence lets connections stand but drops all data in one direction:
+// "upstream" (towards the server) or "downstream".
+func (p *proxy) silence(stream string) {
+	p.t.Helper()
+	body := fmt.Sprintf(`{"name":"silence-%s","type":"timeout","stream":%q,"attributes":{"timeout":0}}`, stream, stream)
+	if _, err := p.Toxics.AddToxicJson(strings.NewReader(body)); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// heal removes all faults.
+func (p *proxy) heal() {
+	p.Toxics.ResetToxics()
+}
+
+// entryHost is one entry host process and the proxies around it.
+type entryHost struct {
+	*process
+	name     ident.Host
+	api      string
+	client   *client.Client
+	platform *proxy
+	peer     *proxy
+}
+
+// backendServer is one backend server process and the proxy in front of it.
+type backendServer struct {
+	*process
+	name  string
+	url   string
+	proxy *proxy
+}
+
+// clusterConfig builds a cluster.
+type clusterConfig struct {
+	hosts    int
+	backends int
+	slots    int
+	// settings is added to the settings of each host.
+	settings string
+}
+
+// cluster is a running set of real processes.
+type cluster struct {
+	t        *testing.T
+	is       *is.I
+	platform string
+	hosts    []*entryHost
+	backends []*backendServer
+}
+
+// newCluster starts the platform, the backend servers and the entry hosts, one
+// data centre a host in turn of three, and declares the resources.
+func newCluster(t *testing.T, c clusterConfig) *cluster {
+	t.Helper()
+	k := &cluster{t: t, is: is.New(t)}
+	platformProcess := start(t, "standin", "platform")
+	k.platform = strings.TrimPrefix(platformProcess.line("listening"), "listening ")
+	for i := range c.hosts {
+		k.startHost(fmt.Sprintf("entry-%d", i+1), c)
+	}
+	k.declare(resource.KindTeam, teamName, resource.TeamSpec{})
+	k.declare(resource.KindPool, poolName, resource.PoolSpec{})
+	k.declare(resource.KindService, serviceName, resource.ServiceSpec{Pool: poolName})
+	for i := range c.backends {
+		k.startBackend(fmt.Sprintf("runner-%d", i+1), c.slots)
+	}
+	for _, h := range k.hosts {
+		k.eventually("ready", func() bool { return h.client.Ready(t.Context()) == nil })
+		k.eventually("configured", func() bool {
+			_, err := h.client.Get(t.Context(), resource.KindBackendServer, fmt.Sprintf("runner-%d", c.backends))
+			return err == nil
+		})
+	}
+	return k
+}
+
+var centres = []string{"coast-a", "coast-b", "coast-c"}
+
+// startHost starts an entry host and lists it as a member.
+func (k *cluster) startHost(name string, c clusterConfig) *entryHost {
+	k.t.Helper()
+	h := &entryHost{name: ident.Host(name), platform: newProxy(k.t, k.platform)}
+	centre := centres[len(k.hosts)%len(centres)]
+	base := "http://" + h.platform.Listen
+	file := filepath.Join(k.t.TempDir(), name+".yaml")
+	text := fmt.Sprintf("host: %s\ndataCentre: %s\nlisten: {api: '127.0.0.1:0', peer: '127.0.0.1:0'}\n"+
+		"platform: {table: '%s', objects: '%s/objects', membership: '%s/members'}\nunreadyTime: 200ms\n%s",
+		name, centre, base, base, base, c.settings)
+	k.is.NoErr(os.WriteFile(file, []byte(text), 0o600))
+	h.process = start(k.t, "entry", "--settings", file)
+	var listening struct {
+		Fields struct{ API, Peer string }
+	}
+	k.is.NoErr(json.Unmarshal([]byte(h.line(`"listening"`)), &listening))
+	h.api = "http://" + listening.Fields.API
+	h.client = client.New(&http.Client{Transport: &http.Transport{}}, h.api)
+	h.peer = newProxy(k.t, listening.Fields.Peer)
+	k.list(platform.TargetGroup{Targets: []string{h.peer.Listen}, Labels: map[string]string{
+		platform.LabelID: name, platform.LabelRole: string(platform.EntryHost), platform.LabelAPI: listening.Fields.API,
+		platform.LabelDataCentre: centre, platform.LabelState: string(platform.Live),
+	}})
+	k.hosts = append(k.hosts, h)
+	return h
+}
+
+// startBackend starts a backend server and declares it.
+func (k *cluster) startBackend(name string, slots int) *backendServer {
+	k.t.Helper()
+	p := start(k.t, "standin", "backend", "--name", name, "--slots", fmt.Sprint(slots))
+	address := strings.TrimPrefix(p.line("listening"), "listening ")
+	b := &backendServer{process: p, name: name, url: "http://" + address, proxy: newProxy(k.t, address)}
+	k.declare(resource.KindBackendServer, name, resource.BackendServerSpec{
+		Pool: poolName, Address: b.proxy.Listen, DataCentre: ident.DataCentre(centres[len(k.backends)%len(centres)]), Slots: slots,
+	})
+	k.backends = append(k.backends, b)
+	return b
+}
+
+// declare creates a resource by way of the first entry host.
+func (k *cluster) declare(kind resource.Kind, name string, spec any) {
+	k.t.Helper()
+	data, err := json.Marshal(spec)
+	k.is.NoErr(err)
+	_, err = k.hosts[0].client.Put(k.t.Context(), resource.Object{Kind: kind, Name: name, Spec: data})
+	k.is.NoErr(err)
+}
+
+// list adds or replaces a member of the membership list.
+func (k *cluster) list(g platform.TargetGroup) {
+	k.t.Helper()
+	k.put("http://"+k.platform+"/members", g)
+}
+
+// faults sets the fault switches at a URL of a stand-in.
+func (k *cluster) faults(url string, f standin.Faults) {
+	k.t.Helper()
+	k.put(url, f)
+}
+
+// tableFaults sets the fault switches of the table.
+func (k *cluster) tableFaults(f standin.Faults) {
+	k.t.Helper()
+	k.faults("http://"+k.platform+"/table"+standin.PathFaults, f)
+}
+
+func (k *cluster) put(url string, value any) {
+	k.t.Helper()
+	data, err := json.Marshal(value)
+	k.is.NoErr(err)
+	request, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(data))
+	k.is.NoErr(err)
+	response, err := http.DefaultClient.Do(request)
+	k.is.NoErr(err)
+	response.Body.Close()
+	k.is.Equal(response.StatusCode, http.StatusNoContent)
+}
+
+// eventually waits until f returns true.
+func (k *cluster) eventually(what string, f func() bool) {
+	k.t.Helper()
+	deadline := time.Now().Add(testTimeout)
+	for !f() {
+		if time.Now().After(deadline) {
+			k.t.Fatalf("not %s within %s", what, testTimeout)
+		}
+		time.Sleep(pollPause)
+	}
+}
+
+// starts counts the starts of each task, from the logs of all backend servers.
+func (k *cluster) starts() map[string]int {
+	k.t.Helper()
+	counts := map[string]int{}
+	for _, b := range k.backends {
+		response, err := http.Get(b.url + "/starts")
+		k.is.NoErr(err)
+		starts, err := standin.DecodeStarts(response.Body)
+		response.Body.Close()
+		k.is.NoErr(err)
+		for _, s := range starts {
+			counts[s.Task]++
+		}
+	}
+	return counts
+}
+
+// submission returns a job of n repair logs made from seed. Run times are
+// replaced by run unless it is zero.
+func submission(key string, seed uint64, n int, run time.Duration) *job.Submission {
+	logs := repairlog.Generate(seed, n)
+	for i := range logs {
+		if run > 0 {
+			logs[i].RunTimeMS = int(run.Milliseconds())
+		}
+	}
+	return demo.Submission(ident.JobKey(key), logs)
+}
+
+// submit submits a job to a host.
+func (k *cluster) submit(h *entryHost, s *job.Submission) (entry.JobAnswer, error) {
+	ctx, cancel := context.WithTimeout(k.t.Context(), testTimeout)
+	defer cancel()
+	return h.client.Submit(ctx, s)
+}
+
+// checkWhole checks each answer of a job against its own task, and that each
+// task started exactly once.
+func (k *cluster) checkWhole(s *job.Submission, answer entry.JobAnswer) {
+	k.t.Helper()
+	k.is.Equal(answer.State, job.Complete)
+	k.is.Equal(len(answer.Answers), len(s.Tasks))
+	starts := k.starts()
+	for i, a := range answer.Answers {
+		k.is.Equal(int(a.Index), i)
+		k.is.NoErr(repairlog.Check(s.Tasks[i].Payload, a.Answer))
+		k.is.Equal(starts[ident.Task{Job: s.Job, Index: a.Index}.String()], 1)
+	}
+}
+
+// checkOnce checks that no task of any job started more than once.
+func (k *cluster) checkOnce() {
+	k.t.Helper()
+	for task, count := range k.starts() {
+		if task != "" && count > 1 {
+			k.t.Errorf("task %s started %d times", task, count)
+		}
+	}
+}
--- /dev/null
+++ b/resource/resource.go
@@ -0,0 +1,155 @@
+// Package resource defines what operators declare: teams, services, pools and
+// backend servers. It keeps them in the platform's table and builds the
+// snapshot that the path of a request reads.
+package resource
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/catkingap/catkingap/ident"
+)
+
+// Kind is the kind of a resource.
+type Kind string
+
+// The kinds of resources.
+const (
+	KindBackendServer Kind = "backendServer"
+	KindPool          Kind = "pool"
+	KindService       Kind = "service"
+	KindTeam          Kind = "team"
+)
+
+// Object is a resource of any kind.
+type Object struct {
+	Kind     Kind              `json:"kind"`
+	Name     string            `json:"name"`
+	Revision ident.Revision    `json:"revision"`
+	Labels   map[string]string `json:"labels,omitempty"`
+	Spec     json.RawMessage   `json:"spec"`
+}
+
+// BackendServerSpec declares one backend server or worker.
+type BackendServerSpec struct {
+	Pool       ident.Pool       `json:"pool"`
+	Address    string           `json:"address"`
+	DataCentre ident.DataCentre `json:"dataCentre"`
+	// Slots is the number of tasks that the server runs at once.
+	Slots int `json:"slots"`
+	// MemoryMB is the memory of the server. Zero means that it is not known.
+	MemoryMB int `json:"memoryMb,omitempty"`
+	// Drain asks for the server to get no new work.
+	Drain bool `json:"drain,omitempty"`
+}
+
+// PoolSpec declares a pool of backend servers.
+type PoolSpec struct {
+	// QueueTasks bounds the tasks that wait on one entry host.
+	QueueTasks int `json:"queueTasks,omitempty"`
+}
+
+// ServiceSpec declares a service and the pool behind it.
+type ServiceSpec struct {
+	Pool ident.Pool `json:"pool"`
+	// TimeoutMS bounds a request that brings no timeout of its own, in
+	// milliseconds.
+	TimeoutMS int `json:"timeoutMs,omitempty"`
+	// Hedge allows a second copy of slow idempotent requests.
+	Hedge bool `json:"hedge,omitempty"`
+}
+
+// TeamSpec declares a team and its quota.
+type TeamSpec struct {
+	// Weight is the team's share of a contended pool. Zero means one.
+	Weight int `json:"weight,omitempty"`
+	// TasksPerSecond bounds the task starts. Zero means no bound.
+	TasksPerSecond float64 `json:"tasksPerSecond,omitempty"`
+	// QueueTasks bounds the team's tasks that wait on one entry host.
+	QueueTasks int `json:"queueTasks,omitempty"`
+}
+
+// Server is a backend server in a snapshot.
+type Server struct {
+	Name ident.Server
+	BackendServerSpec
+}
+
+// Snapshot is the configuration in force at one revision. It is never changed
+// after it was built.
+type Snapshot struct {
+	Revision ident.Revision
+	// Applied is when this host put the snapshot in force.
+	Applied  time.Time
+	Pools    map[ident.Pool]PoolSpec
+	Servers  map[ident.Pool][]Server
+	Services map[ident.Service]ServiceSpec
+	Teams    map[ident.Team]TeamSpec
+	Objects  map[Kind]map[string]Object
+}
+
+// Build returns the snapshot of objects at revision. Objects that can not be
+// decoded are reported and left out.
+func Build(now time.Time, revision ident.Revision, objects []Object) (*Snapshot, error) {
+	s := &Snapshot{
+		Revision: revision,
+		Applied:  now,
+		Pools:    map[ident.Pool]PoolSpec{},
+		Servers:  map[ident.Pool][]Server{},
+		Services: map[ident.Service]ServiceSpec{},
+		Teams:    map[ident.Team]TeamSpec{},
+		Objects:  map[Kind]map[string]Object{},
+	}
+	var failed error
+	for _, o := range objects {
+		if err := s.add(o); err != nil {
+			failed = errors.CombineErrors(failed, errors.Wrapf(err, "%s %s", o.Kind, o.Name))
+			continue
+		}
+		if s.Objects[o.Kind] == nil {
+			s.Objects[o.Kind] = map[string]Object{}
+		}
+		s.Objects[o.Kind][o.Name] = o
+	}
+	return s, failed
+}
+
+func (s *Snapshot) add(o Object) error {
+	switch o.Kind {
+	case KindBackendServer:
+		spec, err := decode[BackendServerSpec](o.Spec)
+		if err != nil {
+			return err
+		}
+		s.Servers[spec.Pool] = append(s.Servers[spec.Pool], Server{Name: ident.Server(o.Name), BackendServerSpec: spec})
+	case KindPool:
+		spec, err := decode[PoolSpec](o.Spec)
+		if err != nil {
+			return err
+		}
+		s.Pools[ident.Pool(o.Name)] = spec
+	case KindService:
+		spec, err := decode[ServiceSpec](o.Spec)
+		if err != nil {
+			return err
+		}
+		s.Services[ident.Service(o.Name)] = spec
+	case KindTeam:
+		spec, err := decode[TeamSpec](o.Spec)
+		if err != nil {
+			return err
+		}
+		s.Teams[ident.Team(o.Name)] = spec
+	default:
+		return errors.Newf("unknown kind %q", o.Kind)
+	}
+	return nil
+}
+
+func decode[T any](data json.RawMessage) (T, error) {
+	var spec T
+	err := json.Unmarshal(data, &spec)
+	return spec, err
+}
--- /dev/null
+++ b/standin/backend.go
@@ -0,0 +1,150 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/catkingap/catkingap/backend"
+	"github.com/catkingap/catkingap/outcome"
+)
+
+// Start is one entry of a backend server's own log of starts.
+type Start struct {
+	Server  string    `json:"server"`
+	Task    string    `json:"task"`
+	Request string    `json:"request"`
+	At      time.Time `json:"at"`
+	Done    bool      `json:"done"`
+}
+
+// BackendConfig builds a Backend.
+type BackendConfig struct {
+	Name  string
+	Slots int
+	// Speed divides the run time of tasks. Zero means one.
+	Speed float64
+	// Work computes the answer and the run time from the body of a request.
+	Work func(body []byte) (answer []byte, runTime time.Duration, err error)
+}
+
+// Backend is a stand-in for a backend server.
+type Backend struct {
+	Faults Switch
+
+	config   BackendConfig
+	slots    chan struct{}
+	mutex    sync.Mutex
+	starts   []Start
+	previous []byte
+	refused  int
+}
+
+// NewBackend returns a backend server that has started nothing yet.
+func NewBackend(c BackendConfig) *Backend {
+	if c.Speed == 0 {
+		c.Speed = 1
+	}
+	return &Backend{config: c, slots: make(chan struct{}, c.Slots)}
+}
+
+// Starts returns the log of starts.
+func (b *Backend) Starts() []Start {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return append([]Start{}, b.starts...)
+}
+
+// Refused returns how many requests were refused as not run.
+func (b *Backend) Refused() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.refused
+}
+
+// Handler returns the HTTP handler of the server.
+func (b *Backend) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+backend.PathRun, b.Faults.guard(b.serveRun))
+	mux.HandleFunc("GET /starts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, b.Starts()) })
+	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.Handle("PUT "+PathFaults, &b.Faults)
+	return mux
+}
+
+func (b *Backend) serveRun(w http.ResponseWriter, r *http.Request, f Faults) {
+	if f.Mode == Drain {
+		w.Header().Set(backend.HeaderLeaving, "true")
+		b.refuse(w, "leaving")
+		return
+	}
+	select {
+	case b.slots <- struct{}{}:
+	default:
+		b.refuse(w, "all slots taken")
+		return
+	}
+	defer func() { <-b.slots }()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	index := b.logStart(r)
+	w.Header().Set(backend.HeaderRequest, r.Header.Get(backend.HeaderRequest))
+	answer, runTime, err := b.config.Work(body)
+	if err != nil || f.Mode == FailAll {
+		http.Error(w, "task failed", http.StatusInternalServerError)
+		return
+	}
+	slowdown := f.Slowdown
+	if slowdown == 0 {
+		slowdown = 1
+	}
+	time.Sleep(time.Duration(float64(runTime) * slowdown / b.config.Speed))
+	answer = b.logDone(index, answer, f.Mode)
+	w.Header().Set(backend.HeaderDigest, backend.Digest(answer))
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(answer)
+}
+
+func (b *Backend) refuse(w http.ResponseWriter, reason string) {
+	b.mutex.Lock()
+	b.refused++
+	b.mutex.Unlock()
+	w.Header().Set(backend.HeaderOutcome, string(outcome.NotRun))
+	http.Error(w, reason, http.StatusServiceUnavailable)
+}
+
+func (b *Backend) logStart(r *http.Request) int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.starts = append(b.starts, Start{
+		Server:  b.config.Name,
+		Task:    r.Header.Get(backend.HeaderTask),
+		Request: r.Header.Get(backend.HeaderRequest),
+		At:      time.Now(),
+	})
+	return len(b.starts) - 1
+}
+
+// logDone marks a start as done and returns the answer to send.
+func (b *Backend) logDone(index int, answer []byte, mode Mode) []byte {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.starts[index].Done = true
+	previous := b.previous
+	b.previous = answer
+	if mode == Cross && previous != nil {
+		return previous
+	}
+	return answer
+}
+
+// DecodeStarts reads a log of starts as Handler serves it.
+func DecodeStarts(r io.Reader) ([]Start, error) {
+	var starts []Start
+	err := json.NewDecoder(r).Decode(&starts)
+	return starts, err
+}
--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,166 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/catkingap/catkingap/platform"
+)
+
+// Objects is a stand-in for the platform's object store.
+type Objects struct {
+	Faults Switch
+
+	mutex   sync.Mutex
+	objects map[string][]byte
+}
+
+// Register adds the store's paths to mux.
+func (o *Objects) Register(mux *http.ServeMux) {
+	mux.HandleFunc("PUT /objects/{key...}", o.Faults.guard(func(w http.ResponseWriter, r *http.Request, _ Faults) {
+		data, err := io.ReadAll(r.Body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		o.mutex.Lock()
+		defer o.mutex.Unlock()
+		o.objects[r.PathValue("key")] = data
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	mux.HandleFunc("GET /objects/{key...}", o.Faults.guard(func(w http.ResponseWriter, r *http.Request, _ Faults) {
+		o.mutex.Lock()
+		data, ok := o.objects[r.PathValue("key")]
+		o.mutex.Unlock()
+		if !ok {
+			http.NotFound(w, r)
+			return
+		}
+		_, _ = w.Write(data)
+	}))
+	mux.Handle("PUT /object-store"+PathFaults, &o.Faults)
+}
+
+// Members is a stand-in for the membership list. Changes show up after a lag.
+type Members struct {
+	Faults Switch
+	// Lag is the time after which a change is visible.
+	Lag time.Duration
+
+	mutex   sync.Mutex
+	members map[string]version
+	now     func() time.Time
+}
+
+// version is the present and the coming state of a member.
+type version struct {
+	previous platform.TargetGroup
+	listed   bool
+	current  platform.TargetGroup
+	removed  bool
+	from     time.Time
+}
+
+// Set adds or replaces a member.
+func (m *Members) Set(g platform.TargetGroup) {
+	m.change(g, false)
+}
+
+// Remove takes a member off the list.
+func (m *Members) Remove(id string) {
+	m.change(platform.TargetGroup{Labels: map[string]string{platform.LabelID: id}}, true)
+}
+
+func (m *Members) change(g platform.TargetGroup, removed bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	now := m.now()
+	id := g.Labels[platform.LabelID]
+	v, known := m.members[id]
+	previous, listed := v.visible(now)
+	from := now.Add(m.Lag)
+	if !known {
+		// A new member is listed at once, so that tests start quickly.
+		from = now
+	}
+	m.members[id] = version{previous: previous, listed: listed, current: g, removed: removed, from: from}
+}
+
+func (v version) visible(now time.Time) (platform.TargetGroup, bool) {
+	if now.Before(v.from) {
+		return v.previous, v.listed
+	}
+	return v.current, !v.removed && v.current.Targets != nil
+}
+
+// Register adds the list's paths to mux.
+func (m *Members) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET /members", m.Faults.guard(func(w http.ResponseWriter, _ *http.Request, _ Faults) {
+		m.mutex.Lock()
+		defer m.mutex.Unlock()
+		now := m.now()
+		groups := []platform.TargetGroup{}
+		for _, v := range m.members {
+			if g, ok := v.visible(now); ok {
+				groups = append(groups, g)
+			}
+		}
+		writeJSON(w, groups)
+	}))
+	mux.HandleFunc("PUT /members", func(w http.ResponseWriter, r *http.Request) {
+		var g platform.TargetGroup
+		if err := json.NewDecoder(r.Body).Decode(&g); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		m.Set(g)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("DELETE /members/{id}", func(w http.ResponseWriter, r *http.Request) {
+		m.Remove(r.PathValue("id"))
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.Handle("PUT /membership"+PathFaults, &m.Faults)
+}
+
+// PlatformConfig builds a Platform.
+type PlatformConfig struct {
+	WriteTime     time.Duration
+	MembershipLag time.Duration
+}
+
+// Platform holds the stand-ins of all the platform's services.
+type Platform struct {
+	Table   *Table
+	Objects *Objects
+	Members *Members
+}
+
+// NewPlatform returns a platform without any rows, objects and members.
+func NewPlatform(c PlatformConfig) *Platform {
+	return &Platform{
+		Table:   NewTable(c.WriteTime),
+		Objects: &Objects{objects: map[string][]byte{}},
+		Members: &Members{Lag: c.MembershipLag, members: map[string]version{}, now: time.Now},
+	}
+}
+
+// Handler returns the HTTP handler of all services.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	p.Table.Register(mux)
+	p.Objects.Register(mux)
+	p.Members.Register(mux)
+	return mux
+}
+
+// SetFaults sets the faults of all services.
+func (p *Platform) SetFaults(f Faults) {
+	p.Table.keepStale()
+	p.Table.Faults.Set(f)
+	p.Objects.Faults.Set(f)
+	p.Members.Faults.Set(f)
+}
