Adopt the jobs of lost hosts and keep outcomes at a mirror

Cause: a job whose holder died never ended, and an outcome that could not be recorded was never told. The demo waited 30 s for the job of the killed host.

Now a holder writes an index row beside its claim and a heartbeat row each second. lease.Monitor counts the silence of a run only while its own access to the table works, has it probed over the peer link, and gives each job to one survivor by rendezvous hashing. Accepted jobs are adopted with epoch + 1 and run, started ones end failed with code holderLost. Safety rests on the conditional writes alone.

An outcome that is not recorded within 300 ms goes to a mirror, another entry host that the row names; callers are answered once it has it. A successor asks the mirror of a started row first and so either gets the outcome or fences the epoch. Rows without the intent are never mirrored, since a successor runs them without asking. Claim and intent are one write if the pool has room.

Refusals of resubmissions say unknown, a claim that can not be settled answers its callers after 1 s and goes on in the background, stale reads decide nothing.

Found by the property test on the way: names of writes repeated between two machines of the same job on the same run, so that a later machine took an earlier one's row for its own and started tasks again. Each machine now has names of its own.

Ruled out: reads that settle a write by absence (a stale read ended the job).

--- a/client/client.go
+++ b/client/client.go
@@ -45,6 +45,39 @@
 	return answer, err
 }
 
+// Retry says how SubmitAny goes on after an attempt without an outcome.
+type Retry struct {
+	// Pause is the time between two attempts.
+	Pause time.Duration
+	// Notify is told of each attempt without an outcome.
+	Notify func(*outcome.Error)
+}
+
+// SubmitAny submits a job to hosts in turn until it has an outcome or ctx
+// ends. Once an attempt may have run, the next ones say that they are
+// resubmissions.
+func SubmitAny(ctx context.Context, hosts []*Client, s *job.Submission, r Retry) (entry.JobAnswer, error) {
+	attempt := *s
+	for i := 0; ; i++ {
+		answer, err := hosts[i%len(hosts)].Submit(ctx, &attempt)
+		failure := outcome.From(err)
+		if err == nil || failure.RetryAfter == 0 {
+			return answer, err
+		}
+		if failure.Kind != outcome.NotRun {
+			attempt.Resubmission = true
+		}
+		if r.Notify != nil {
+			r.Notify(failure)
+		}
+		select {
+		case <-ctx.Done():
+			return answer, err
+		case <-time.After(r.Pause):
+		}
+	}
+}
+
 // Cancel gives up a job.
 func (c *Client) Cancel(ctx context.Context, j ident.Job) error {
 	return c.do(ctx, http.MethodDelete, "/v1/jobs/"+url.PathEscape(string(j.Team))+"/"+url.PathEscape(string(j.Key)), nil, nil, nil)
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -77,6 +77,7 @@
 	app      *fx.App
 	network  *network.Severable
 	client   *client.Client
+	killed   bool
 }
 
 // Summary is what the demo found.
@@ -248,19 +249,13 @@
 func (d *Demo) submit(ctx context.Context, s *job.Submission, first int) (entry.JobAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
 	defer cancel()
-	for i := first; ; i++ {
-		answer, err := d.hosts[i%len(d.hosts)].client.Submit(ctx, s)
-		failure := outcome.From(err)
-		if err == nil || failure.RetryAfter == 0 {
-			return answer, err
-		}
-		d.say("  %s: %v; the client asks the next host", s.Key, failure)
-		select {
-		case <-ctx.Done():
-			return answer, err
-		case <-time.After(retryPause):
-		}
+	hosts := make([]*client.Client, 0, len(d.hosts))
+	for i := range d.hosts {
+		hosts = append(hosts, d.hosts[(first+i)%len(d.hosts)].client)
 	}
+	return client.SubmitAny(ctx, hosts, s, client.Retry{Pause: retryPause, Notify: func(e *outcome.Error) {
+		d.say("  %s: %v; the client asks the next host", s.Key, e)
+	}})
 }
 
 // work runs the jobs and the faults.
@@ -377,6 +372,7 @@
 
 // kill cuts all sockets of a host at once.
 func (d *Demo) kill(i int) {
+	d.hosts[i].killed = true
 	d.hosts[i].network.Sever()
 	d.platform.Members.Remove(string(d.hosts[i].settings.Host))
 }
@@ -385,7 +381,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
 	defer cancel()
 	for _, h := range d.hosts {
-		_ = h.app.Stop(ctx)
+		if !h.killed {
+			_ = h.app.Stop(ctx)
+		}
 	}
 	for _, s := range d.servers {
 		s.Close()
--- a/entry/apijobs.go
+++ b/entry/apijobs.go
@@ -62,8 +62,8 @@
 }
 
 func (a *API) cancelJob(c *gin.Context) {
-	if !a.jobs.Cancel(jobOf(c)) {
-		refuse(c, outcome.New(outcome.NotRun, outcome.NotFound, "this host holds no job %s", jobOf(c)))
+	if !a.jobs.Cancel(c.Request.Context(), jobOf(c)) {
+		refuse(c, outcome.New(outcome.NotRun, outcome.NotFound, "no host holds job %s", jobOf(c)))
 		return
 	}
 	c.Status(http.StatusAccepted)
--- /dev/null
+++ b/entry/jobrow.go
@@ -0,0 +1,159 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/job"
+	"github.com/catkingap/catkingap/outcome"
+	"github.com/catkingap/catkingap/platform"
+)
+
+const (
+	keyJobs = "job/"
+	// keyHeld starts the index rows of jobs that have not ended, by holder.
+	keyHeld = "held/"
+	// inlineAnswersBytes bounds the answers that are kept in the job's row.
+	inlineAnswersBytes = 64 << 10
+	// inlinePayloadBytes bounds the tasks that are kept in an accepted row.
+	inlinePayloadBytes = 16 << 10
+)
+
+// heldPrefix returns the prefix of the index rows of one holder.
+func heldPrefix(h job.Holder) string {
+	return keyHeld + string(h.Host) + "/" + h.Boot + "/"
+}
+
+// encodeWrite returns the conditional write of a job's row and its index row.
+func (j *Jobs) encodeWrite(a job.Write) (platform.Write, error) {
+	key := keyJobs + a.Row.Job.String()
+	w := platform.Write{Conditions: []platform.Condition{{Key: key, Revision: a.Condition}}}
+	kept, err := j.keepAnswers(a.Row)
+	if err != nil {
+		return w, err
+	}
+	a.Row.Outcome = kept
+	value, err := json.Marshal(a.Row)
+	if err != nil {
+		return w, err
+	}
+	w.Puts = []platform.Put{{Key: key, Value: value}}
+	index := heldPrefix(a.Row.Holder) + a.Row.Job.String()
+	if a.Previous != (job.Holder{}) && a.Previous != a.Row.Holder {
+		w.Deletes = append(w.Deletes, heldPrefix(a.Previous)+a.Row.Job.String())
+	}
+	if a.Row.State.Ended() {
+		w.Deletes = append(w.Deletes, index)
+		return w, nil
+	}
+	if a.Condition == 0 || len(w.Deletes) > 0 {
+		id, err := json.Marshal(a.Row.Job)
+		if err != nil {
+			return w, err
+		}
+		w.Puts = append(w.Puts, platform.Put{Key: index, Value: id})
+	}
+	return w, nil
+}
+
+// keepAnswers moves answers that are too large for the row to the object store
+// and returns the outcome for the row.
+func (j *Jobs) keepAnswers(row job.Row) (*job.Outcome, error) {
+	if row.Outcome == nil || len(row.Outcome.Answers) == 0 {
+		return row.Outcome, nil
+	}
+	data, err := json.Marshal(row.Outcome.Answers)
+	if err != nil || len(data) <= inlineAnswersBytes {
+		return row.Outcome, err
+	}
+	object := "answers/" + row.Job.String() + "/" + row.Operation
+	if err := j.objects.Put(context.Background(), object, data); err != nil {
+		return nil, errors.Wrap(err, "answers")
+	}
+	return &job.Outcome{State: row.Outcome.State, Object: object}, nil
+}
+
+// load returns o with its answers if they are in the object store.
+func (j *Jobs) load(ctx context.Context, o job.Outcome) job.Outcome {
+	if o.Object == "" {
+		return o
+	}
+	data, err := j.objects.Get(context.WithoutCancel(ctx), o.Object)
+	if err == nil {
+		err = json.Unmarshal(data, &o.Answers)
+	}
+	if err != nil {
+		return failed(outcome.New(outcome.Unknown, outcome.StoreDown, "the answers can not be read: %v", err).After(storeRetry))
+	}
+	o.Object = ""
+	return o
+}
+
+// placePayload returns where an accepted row keeps its tasks: in the row if
+// they are small, else in an object.
+func placePayload(s *job.Submission) ([]job.Task, string) {
+	size := 0
+	for _, t := range s.Tasks {
+		size += len(t.Payload)
+	}
+	if size <= inlinePayloadBytes {
+		return s.Tasks, ""
+	}
+	return nil, "payload/" + s.Job.String() + "/" + ident.NewToken()
+}
+
+// keepPayload stores the tasks of an accepted job, beside its claim.
+func (j *Jobs) keepPayload(object string, tasks []job.Task) {
+	data, err := json.Marshal(tasks)
+	if err == nil {
+		err = j.objects.Put(context.Background(), object, data)
+	}
+	if err != nil {
+		j.logger.WithError(err).Warn("payload not stored")
+	}
+}
+
+// loadPayload returns the submission of an accepted row, or nil if its tasks
+// were not stored whole.
+func (j *Jobs) loadPayload(ctx context.Context, row *job.Row) (*job.Submission, error) {
+	tasks := row.Payload
+	if row.PayloadObject != "" {
+		data, err := j.objects.Get(ctx, row.PayloadObject)
+		var missing *platform.NotFoundError
+		if errors.As(err, &missing) {
+			return nil, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if json.Unmarshal(data, &tasks) != nil {
+			return nil, nil
+		}
+	}
+	s := row.Submission(tasks)
+	if len(tasks) != row.Tasks || s.Digest() != row.Digest {
+		return nil, nil
+	}
+	return s, nil
+}
+
+func (j *Jobs) read(ctx context.Context, id ident.Job) (*job.Row, ident.Revision, error) {
+	found, _, err := j.table.Get(ctx, keyJobs+id.String())
+	if err != nil || found == nil {
+		return nil, 0, err
+	}
+	return decodeRow(found), found.Revision, nil
+}
+
+func decodeRow(r *platform.Row) *job.Row {
+	var row job.Row
+	if err := json.Unmarshal(r.Value, &row); err != nil {
+		return &job.Row{State: job.Failed, Outcome: &job.Outcome{
+			State: job.Failed, Error: outcome.New(outcome.Unknown, outcome.Internal, "the job's row can not be read: %v", err),
+		}}
+	}
+	return &row
+}
--- /dev/null
+++ b/entry/mirror.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/job"
+	"github.com/catkingap/catkingap/peer"
+)
+
+const (
+	kindMirrorAsk  = peer.Kind("mirrorAsk")
+	kindMirrorKeep = peer.Kind("mirrorKeep")
+)
+
+// MirrorKeep asks a run to keep the outcome of a row and to record it.
+type MirrorKeep struct {
+	Mirror    job.Holder     `msgpack:"mirror"`
+	Row       job.Row        `msgpack:"row"`
+	Condition ident.Revision `msgpack:"condition"`
+}
+
+// MirrorKept answers a MirrorKeep.
+type MirrorKept struct {
+	Kept bool `msgpack:"kept"`
+}
+
+// MirrorAsk asks a run for the outcome of an epoch of a job.
+type MirrorAsk struct {
+	Mirror job.Holder  `msgpack:"mirror"`
+	Job    ident.Job   `msgpack:"job"`
+	Epoch  ident.Epoch `msgpack:"epoch"`
+}
+
+// MirrorAnswer answers a MirrorAsk. Outcome is nil if the run has none and
+// never will accept one.
+type MirrorAnswer struct {
+	Outcome *job.Outcome `msgpack:"outcome"`
+}
+
+// mirror keeps outcomes for other hosts and reaches the mirrors of this one.
+type mirror struct {
+	jobs *Jobs
+
+	mutex sync.Mutex
+	state *job.Mirror
+}
+
+func newMirror(j *Jobs) *mirror {
+	return &mirror{jobs: j, state: job.NewMirror()}
+}
+
+// answerKeep keeps an outcome and starts to record it. A run that is not the
+// one asked for refuses: it never will have the outcome.
+func (m *mirror) answerKeep(_ context.Context, k MirrorKeep) (MirrorKept, error) {
+	if k.Mirror != m.jobs.identity.Holder {
+		return MirrorKept{}, nil
+	}
+	m.mutex.Lock()
+	before := m.state.Kept()
+	kept := m.state.Keep(k.Row)
+	added := m.state.Kept() > before
+	m.mutex.Unlock()
+	if added {
+		go m.record(k)
+	}
+	return MirrorKept{Kept: kept}, nil
+}
+
+// record records an outcome in the holder's place and then forgets it.
+func (m *mirror) record(k MirrorKeep) {
+	machine := job.NewRecorder(m.jobs.machineConfig(nil), k.Row, k.Condition)
+	r := m.jobs.newRunning(k.Row.Job, nil, k.Row.Digest, time.Time{}, machine)
+	r.loop()
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.state.Forget(k.Row.Job, k.Row.Epoch)
+}
+
+// answerAsk gives the outcome of a lost holder or fences its epoch. A run that
+// is not the one asked for has none: the run asked for is gone.
+func (m *mirror) answerAsk(_ context.Context, a MirrorAsk) (MirrorAnswer, error) {
+	if a.Mirror != m.jobs.identity.Holder {
+		return MirrorAnswer{}, nil
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return MirrorAnswer{Outcome: m.state.Ask(a.Job, a.Epoch)}, nil
+}
+
+// keep executes a KeepMirror action.
+func (m *mirror) keep(a job.KeepMirror) job.Event {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	request := MirrorKeep{Mirror: a.Row.Mirror, Row: a.Row, Condition: a.Condition}
+	answer, err := call[MirrorKeep, MirrorKept](ctx, m.jobs, a.Row.Mirror, kindMirrorKeep, request)
+	if err != nil {
+		return job.MirrorUnreachable{}
+	}
+	return job.MirrorKept{Kept: answer.Kept}
+}
+
+// ask executes an AskMirror action. A mirror without an answer counts as gone
+// only if neither the membership list nor its heartbeat shows its run.
+func (m *mirror) ask(a job.AskMirror) job.Event {
+	time.Sleep(a.After)
+	request := MirrorAsk{Mirror: a.Row.Mirror, Job: a.Row.Job, Epoch: a.Row.Epoch}
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	if a.Row.Mirror == m.jobs.identity.Holder {
+		answer, _ := m.answerAsk(ctx, request)
+		return job.MirrorAnswered{Outcome: answer.Outcome}
+	}
+	answer, err := call[MirrorAsk, MirrorAnswer](ctx, m.jobs, a.Row.Mirror, kindMirrorAsk, request)
+	if err == nil {
+		return job.MirrorAnswered{Outcome: answer.Outcome}
+	}
+	_, listed := m.jobs.directory.Host(a.Row.Mirror.Host)
+	if !listed && m.jobs.watch.isGone(a.Row.Mirror) {
+		return job.MirrorAnswered{}
+	}
+	return job.MirrorUnreachable{}
+}
--- a/job/job.go
+++ b/job/job.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/catkingap/catkingap/ident"
@@ -33,6 +34,9 @@
 	Pool     ident.Pool `json:"pool" msgpack:"pool"`
 	Deadline time.Time  `json:"deadline,omitzero" msgpack:"deadline"`
 	Tasks    []Task     `json:"tasks" msgpack:"tasks"`
+	// Resubmission is true if the client has sent this job before, so that an
+	// earlier attempt may have run.
+	Resubmission bool `json:"resubmission,omitempty" msgpack:"resubmission,omitempty"`
 }
 
 // Check returns why the submission can not be accepted, or nil.
@@ -40,6 +44,8 @@
 	switch {
 	case s.Team == "" || s.Key == "" || s.Pool == "":
 		return outcome.New(outcome.NotRun, outcome.Invalid, "team, key and pool must be set")
+	case strings.Contains(string(s.Team), "/"):
+		return outcome.New(outcome.NotRun, outcome.Invalid, "team %q contains a slash", s.Team)
 	case len(s.Tasks) == 0:
 		return outcome.New(outcome.NotRun, outcome.Invalid, "a job needs at least one task")
 	case len(s.Tasks) > MaxTasks:
@@ -60,6 +66,28 @@
 	return nil
 }
 
+// Fit returns an outcome that names a task whose declared memory is above that
+// of each server, or nil. Memory holds the megabytes of the pool's servers;
+// zero means that a server's memory is not known.
+func (s *Submission) Fit(memory []int) *outcome.Error {
+	largest := 0
+	for _, m := range memory {
+		if m == 0 {
+			return nil
+		}
+		largest = max(largest, m)
+	}
+	if largest == 0 {
+		return nil
+	}
+	for _, t := range s.Tasks {
+		if t.DeclaredMB > largest {
+			return outcome.New(outcome.NotRun, outcome.NoFit, "task %d needs %d MB and the largest server has %d MB", t.Index, t.DeclaredMB, largest)
+		}
+	}
+	return nil
+}
+
 // Digest returns a digest of all that defines the job's work.
 func (s *Submission) Digest() string {
 	hash := sha256.New()
@@ -122,16 +150,28 @@
 // Row is a job as the table keeps it.
 type Row struct {
 	ident.Job
-	Digest string      `json:"digest"`
-	Pool   ident.Pool  `json:"pool"`
-	Holder Holder      `json:"holder"`
+	Digest string     `json:"digest"`
+	Pool   ident.Pool `json:"pool"`
+	Holder Holder     `json:"holder"`
+	// Mirror is the run that keeps the outcome while the table can not be
+	// written. It is zero if there is none.
+	Mirror Holder      `json:"mirror,omitzero"`
 	Epoch  ident.Epoch `json:"epoch"`
 	State  State       `json:"state"`
 	Tasks  int         `json:"tasks"`
 	// Operation identifies the write that made this version of the row.
 	Operation string    `json:"operation"`
 	Deadline  time.Time `json:"deadline,omitzero"`
-	Outcome   *Outcome  `json:"outcome,omitempty"`
+	// Payload holds the tasks of an accepted job if they are small, and
+	// PayloadObject names the object that holds them otherwise.
+	Payload       []Task   `json:"payload,omitempty"`
+	PayloadObject string   `json:"payloadObject,omitempty"`
+	Outcome       *Outcome `json:"outcome,omitempty"`
+}
+
+// Submission returns the submission of an accepted row with its tasks.
+func (r *Row) Submission(tasks []Task) *Submission {
+	return &Submission{Job: r.Job, Pool: r.Pool, Deadline: r.Deadline, Tasks: tasks}
 }
 
 // fail returns the outcome of a job that ends with e.
--- /dev/null
+++ b/job/job_test.go
@@ -0,0 +1,99 @@
+package job
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/outcome"
+)
+
+func TestCheck(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	tests := map[string]struct {
+		change func(*Submission)
+		code   outcome.Code
+	}{
+		"whole":                {change: func(*Submission) {}},
+		"no tasks":             {change: func(s *Submission) { s.Tasks = nil }, code: outcome.Invalid},
+		"as many as allowed":   {change: func(s *Submission) { s.Tasks = modelSubmission("x", MaxTasks).Tasks }},
+		"too many tasks":       {change: func(s *Submission) { s.Tasks = modelSubmission("x", MaxTasks+1).Tasks }, code: outcome.TooLarge},
+		"doubled index":        {change: func(s *Submission) { s.Tasks[1].Index = 0 }, code: outcome.Invalid},
+		"negative index":       {change: func(s *Submission) { s.Tasks[1].Index = -1 }, code: outcome.Invalid},
+		"index out of range":   {change: func(s *Submission) { s.Tasks[1].Index = 2 }, code: outcome.Invalid},
+		"deadline now":         {change: func(s *Submission) { s.Deadline = now }, code: outcome.DeadlinePassed},
+		"deadline past":        {change: func(s *Submission) { s.Deadline = now.Add(-time.Second) }, code: outcome.DeadlinePassed},
+		"deadline to come":     {change: func(s *Submission) { s.Deadline = now.Add(time.Second) }},
+		"team with a slash":    {change: func(s *Submission) { s.Team = "a/b" }, code: outcome.Invalid},
+		"no key":               {change: func(s *Submission) { s.Key = "" }, code: outcome.Invalid},
+		"no pool":              {change: func(s *Submission) { s.Pool = "" }, code: outcome.Invalid},
+		"no team":              {change: func(s *Submission) { s.Team = "" }, code: outcome.Invalid},
+		"key may have a slash": {change: func(s *Submission) { s.Key = "a/b" }},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := modelSubmission("tide", 2)
+			tt.change(s)
+			e := s.Check(now)
+			if tt.code == "" {
+				is.Equal(e, nil)
+				return
+			}
+			is.Equal(e.Code, tt.code)
+			is.Equal(e.Kind, outcome.NotRun)
+			is.Equal(e.RetryAfter, time.Duration(0))
+		})
+	}
+}
+
+func TestFit(t *testing.T) {
+	tests := map[string]struct {
+		memory []int
+		needs  int
+		fits   bool
+	}{
+		"fits the largest":        {memory: []int{100, 200}, needs: 200, fits: true},
+		"fits none":               {memory: []int{100, 200}, needs: 201},
+		"one server not known":    {memory: []int{100, 0}, needs: 201, fits: true},
+		"no servers":              {needs: 201, fits: true},
+		"nothing declared":        {memory: []int{100}, fits: true},
+		"a single server is full": {memory: []int{100}, needs: 100, fits: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := modelSubmission("tide", 3)
+			s.Tasks[2].DeclaredMB = tt.needs
+			e := s.Fit(tt.memory)
+			is.Equal(e == nil, tt.fits)
+			if e != nil {
+				is.Equal(e.Kind, outcome.NotRun)
+				is.Equal(e.Code, outcome.NoFit)
+			}
+		})
+	}
+}
+
+func TestRefuse(t *testing.T) {
+	tests := map[string]struct {
+		again bool
+		code  outcome.Code
+		kind  outcome.Kind
+	}{
+		"first attempt":                       {code: outcome.StoreDown, kind: outcome.NotRun},
+		"resubmission":                        {again: true, code: outcome.StoreDown, kind: outcome.Unknown},
+		"resubmission past its deadline":      {again: true, code: outcome.DeadlinePassed, kind: outcome.Unknown},
+		"resubmission that never was a job":   {again: true, code: outcome.Invalid, kind: outcome.NotRun},
+		"resubmission of a key in other hand": {again: true, code: outcome.Conflict, kind: outcome.NotRun},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := modelSubmission("tide", 1)
+			s.Resubmission = tt.again
+			is.Equal(s.Refuse(outcome.New(outcome.NotRun, tt.code, "no")).Kind, tt.kind)
+		})
+	}
+}
--- a/job/machine.go
+++ b/job/machine.go
@@ -8,110 +8,21 @@
 	"github.com/catkingap/catkingap/outcome"
 )
 
-// Event is something that happened to a job. Its types are Written,
-// WriteUnsure, ReadBack, ReadFailed, TaskEnded, Expired and CancelRequested.
-type Event interface{ event() }
-
-// Written tells the result of a Write action.
-type Written struct {
-	Applied  bool
-	Revision ident.Revision
-	// Current is the row that stood in the way if the write did not apply.
-	Current         *Row
-	CurrentRevision ident.Revision
-}
-
-// WriteUnsure tells that a Write action ended without an answer. NotSent is
-// true if it provably did not take effect.
-type WriteUnsure struct {
-	NotSent bool
-}
-
-// ReadBack tells the result of a Read action. Row is nil if there is none.
-type ReadBack struct {
-	Row      *Row
-	Revision ident.Revision
-}
-
-// ReadFailed tells that a Read action got no answer.
-type ReadFailed struct{}
-
-// TaskEnded tells that a task ended for good, with an answer or an error.
-type TaskEnded struct {
-	Index  ident.TaskIndex
-	Answer []byte
-	Error  *outcome.Error
-}
-
-// Expired tells that the deadline of the job has passed.
-type Expired struct{}
-
-// CancelRequested tells that the client gave the job up.
-type CancelRequested struct{}
-
-func (Written) event()         {}
-func (WriteUnsure) event()     {}
-func (ReadBack) event()        {}
-func (ReadFailed) event()      {}
-func (TaskEnded) event()       {}
-func (Expired) event()         {}
-func (CancelRequested) event() {}
-
-// Action is something that the caller must do for a job. Its types are Write,
-// Read, StartTasks, CancelTasks, Reply and Attach.
-type Action interface{ action() }
-
-// Write asks for a conditional write of the job's row.
-type Write struct {
-	Row Row
-	// Condition is the revision that the row must have.
-	Condition ident.Revision
-	// After delays the write.
-	After time.Duration
-}
-
-// Read asks for the job's row, to settle a write without an answer.
-type Read struct {
-	// After delays the read.
-	After time.Duration
-}
-
-// StartTasks asks to queue all tasks of the job.
-type StartTasks struct{}
-
-// CancelTasks asks to drop all tasks that have not started.
-type CancelTasks struct{}
-
-// Reply gives the callers the outcome of the job.
-type Reply struct {
-	Outcome Outcome
-	// Recorded is true if the table holds this outcome.
-	Recorded bool
-}
-
-// Attach asks to wait for the outcome that another holder will record.
-type Attach struct {
-	Row Row
-}
-
-func (Write) action()       {}
-func (Read) action()        {}
-func (StartTasks) action()  {}
-func (CancelTasks) action() {}
-func (Reply) action()       {}
-func (Attach) action()      {}
-
 // Phase is where the machine of a job stands.
 type Phase string
 
 // The phases of a job on its entry host.
 const (
-	// Claiming means that the row's creation is under way.
+	// Claiming means that the row's creation or adoption is under way.
 	Claiming Phase = "claiming"
+	// Waiting means that the job is accepted and its pool has no room.
+	Waiting Phase = "waiting"
 	// Intending means that the intent to start is being recorded.
 	Intending Phase = "intending"
 	// Running means that tasks are queued or run.
 	Running Phase = "running"
+	// Deciding means that the mirror of a lost holder is being asked.
+	Deciding Phase = "deciding"
 	// Recording means that the outcome is being recorded.
 	Recording Phase = "recording"
 	// Ended means that the machine has nothing more to do.
@@ -122,10 +33,28 @@
 
 // Config builds a Machine.
 type Config struct {
-	Self       Holder
+	Self Holder
+	// Operations starts the names of the machine's writes. It differs for each
+	// machine of all hosts.
+	Operations string
+	// Submission is nil for a job that is adopted without its tasks.
 	Submission *Submission
-	// ReadDelay is the pause between reads that settle a write.
+	// Mirror is the run that keeps the outcome while the table is away.
+	Mirror Holder
+	// Ready is true if the pool has room: the claim then records the intent to
+	// start too.
+	Ready bool
+	// Payload and PayloadObject are where an accepted row keeps its tasks.
+	Payload       []Task
+	PayloadObject string
+	// ReadDelay is the pause between tries to settle a write.
 	ReadDelay time.Duration
+	// MirrorAfter is the time after which an outcome that is not recorded goes
+	// to the mirror.
+	MirrorAfter time.Duration
+	// SettleTimeout is the time after which callers are told that the outcome
+	// is not known, while a write can not be settled.
+	SettleTimeout time.Duration
 	// StoreRetry is the time after which a caller may come back when the
 	// table can not be reached.
 	StoreRetry time.Duration
@@ -133,48 +62,119 @@
 
 // Machine is the state of one job on one entry host.
 type Machine struct {
-	config  Config
-	phase   Phase
-	row     Row
-	held    ident.Revision
-	writes  int
-	answers [][]byte
-	missing int
-	outcome *Outcome
+	config   Config
+	phase    Phase
+	row      Row
+	held     ident.Revision
+	previous Holder
+	writes   int
+	answers  [][]byte
+	missing  int
+	outcome  *Outcome
+	adopted  bool
+	// intended is true once the table holds the intent of this holder.
+	intended bool
 	// wasSent is true once a write of the present row may have taken effect.
 	wasSent bool
+	// answerBy is when callers are told that a write is not settled.
+	answerBy  time.Time
+	unsettled bool
+	// mirrorAt is when the outcome goes to the mirror.
+	mirrorAt  time.Time
+	mirroring bool
+	fenced    bool
+	replied   bool
 }
 
 // NewMachine returns a machine for a checked submission.
 func NewMachine(c Config) *Machine {
 	s := c.Submission
-	return &Machine{
-		config:  c,
-		phase:   Claiming,
-		answers: make([][]byte, len(s.Tasks)),
-		missing: len(s.Tasks),
-		row: Row{
-			Job:      s.Job,
-			Digest:   s.Digest(),
-			Pool:     s.Pool,
-			Holder:   c.Self,
-			Epoch:    1,
-			State:    Accepted,
-			Tasks:    len(s.Tasks),
-			Deadline: s.Deadline,
-		},
+	m := newMachine(c, Row{
+		Job:      s.Job,
+		Digest:   s.Digest(),
+		Pool:     s.Pool,
+		Epoch:    1,
+		Tasks:    len(s.Tasks),
+		Deadline: s.Deadline,
+	})
+	m.claim()
+	return m
+}
+
+// Adopt returns a machine that takes over the row of a lost holder, read at
+// revision held.
+func Adopt(c Config, row Row, held ident.Revision) *Machine {
+	m := newMachine(c, row)
+	m.held = held
+	m.adopted = true
+	m.previous = row.Holder
+	if row.State != Accepted {
+		m.phase = Deciding
+		return m
+	}
+	m.row.Epoch++
+	m.claim()
+	return m
+}
+
+// NewRecorder returns a machine of a mirror, which records the outcome of row
+// under the condition that the holder gave.
+func NewRecorder(c Config, row Row, held ident.Revision) *Machine {
+	m := newMachine(c, row)
+	m.held = held
+	m.adopted = true
+	m.outcome = row.Outcome
+	m.phase = Recording
+	m.replied = true
+	return m
+}
+
+func newMachine(c Config, row Row) *Machine {
+	m := &Machine{config: c, phase: Claiming, row: row}
+	if s := c.Submission; s != nil {
+		m.answers = make([][]byte, len(s.Tasks))
+		m.missing = len(s.Tasks)
+	}
+	return m
+}
+
+// claim prepares the row for this holder.
+func (m *Machine) claim() {
+	m.row.Holder, m.row.Mirror = m.config.Self, m.config.Mirror
+	m.row.State = Accepted
+	m.row.Payload, m.row.PayloadObject = m.config.Payload, m.config.PayloadObject
+	if m.config.Ready {
+		m.intend()
 	}
 }
 
+// intend changes the row so that it records the intent to start.
+func (m *Machine) intend() {
+	m.row.State = Started
+	m.row.Payload, m.row.PayloadObject = nil, ""
+}
+
 // Phase returns where the job stands.
 func (m *Machine) Phase() Phase { return m.phase }
 
 // Row returns the row that the machine wrote last or is writing.
 func (m *Machine) Row() Row { return m.row }
 
+// Unsettled returns true from a Tell action on until the write is settled.
+func (m *Machine) Unsettled() bool { return m.unsettled }
+
 // Start returns the first actions.
-func (m *Machine) Start(_ time.Time) []Action {
-	return m.write(0)
+func (m *Machine) Start(now time.Time) []Action {
+	switch {
+	case m.phase == Recording:
+		return m.write(0)
+	case m.phase == Deciding:
+		return m.askMirror(now)
+	case m.config.Submission == nil:
+		m.outcome = fail(outcome.New(outcome.NotRun, outcome.HolderLost, "the holder was lost before it stored the tasks"))
+		return m.record(now)
+	}
+	return append(m.write(0), m.bound(now, m.config.SettleTimeout))
 }
 
 // Step takes one event and returns the actions that follow from it.
@@ -186,53 +186,73 @@
 	case Written:
 		return m.written(now, e)
 	case WriteUnsure:
-		return m.unsure(now, e)
+		return m.unsure(e)
 	case ReadBack:
 		return m.readBack(now, e)
 	case ReadFailed:
-		return m.readFailed(now)
+		return []Action{Read{After: m.config.ReadDelay}}
+	case RoomMade:
+		return m.roomMade(now)
+	case StartRefused:
+		return m.startRefused(now, e)
 	case TaskEnded:
-		return m.taskEnded(e)
+		return m.taskEnded(now, e)
 	case Expired:
-		return m.abandon(outcome.New(outcome.Failed, outcome.DeadlinePassed, "the job's deadline passed"))
+		return m.abandon(now, outcome.New(m.abandonKind(), outcome.DeadlinePassed, "the job's deadline passed"))
 	case CancelRequested:
-		return m.abandon(outcome.New(outcome.Failed, outcome.Cancelled, "the job was cancelled"))
+		return m.abandon(now, outcome.New(m.abandonKind(), outcome.Cancelled, "the job was cancelled"))
+	case Woken:
+		return m.woken(now)
+	case MirrorKept, MirrorAnswered, MirrorUnreachable:
+		return m.mirrorEvent(now, e)
 	}
 	return nil
 }
 
+// bound sets the time by which callers are told, and returns the timer.
+func (m *Machine) bound(now time.Time, d time.Duration) Action {
+	m.answerBy = now.Add(d)
+	return Wake{After: d}
+}
+
 // write returns the action that writes the present row.
 func (m *Machine) write(after time.Duration) []Action {
 	m.writes++
-	m.row.Operation = m.config.Self.Boot + "-" + strconv.Itoa(m.writes)
+	m.row.Operation = m.config.Operations + "-" + strconv.Itoa(m.writes)
 	m.wasSent = false
-	return []Action{Write{Row: m.row, Condition: m.held, After: after}}
+	return m.rewrite(after)
+}
+
+// rewrite returns the action that writes the present row under the same
+// operation and condition once more; only one of the writes can take effect.
+func (m *Machine) rewrite(after time.Duration) []Action {
+	return []Action{Write{Row: m.row, Previous: m.previous, Condition: m.held, After: after}}
 }
 
 func (m *Machine) written(now time.Time, e Written) []Action {
 	if !e.Applied {
-		return m.lost(now, e.Current, e.CurrentRevision)
+		return m.lost(e.Current, e.CurrentRevision, now)
 	}
-	m.held = e.Revision
-	return m.advance()
+	return m.applied(now, e.Revision)
 }
 
-// advance moves on after the present row took effect.
-func (m *Machine) advance() []Action {
+// applied moves on after the present row took effect at a revision.
+func (m *Machine) applied(now time.Time, r ident.Revision) []Action {
+	m.held = r
+	m.previous = Holder{}
+	m.unsettled = false
 	switch m.phase {
-	case Claiming:
+	case Claiming, Intending:
+		m.intended = m.row.State == Started
 		if m.outcome != nil {
-			return m.record()
+			return m.record(now)
 		}
-		m.phase = Intending
-		m.row.State = Started
-		return m.write(0)
-	case Intending:
-		if m.outcome != nil {
-			return m.record()
+		if m.intended {
+			m.phase = Running
+			return []Action{StartTasks{}}
 		}
-		m.phase = Running
-		return []Action{StartTasks{}}
+		m.phase = Waiting
+		return []Action{AwaitRoom{}}
 	case Recording:
 		m.phase = Ended
 		return []Action{Reply{Outcome: *m.outcome, Recorded: true}}
@@ -240,44 +260,46 @@
 	return nil
 }
 
-// lost handles a write that met another row.
-func (m *Machine) lost(now time.Time, current *Row, revision ident.Revision) []Action {
-	if current == nil {
-		// The row is gone: nobody can start the job, and this host may not
-		// create it a second time after it was claimed.
-		return m.end(fail(outcome.New(outcome.Unknown, outcome.Internal, "the job's row was deleted")))
-	}
-	if current.Operation == m.row.Operation {
-		m.held = revision
-		return m.advance()
-	}
-	if current.Digest != m.row.Digest {
-		return m.end(fail(outcome.New(outcome.NotRun, outcome.Conflict, "key %s was used for another job", m.row.Key)))
+func (m *Machine) roomMade(now time.Time) []Action {
+	if m.phase != Waiting {
+		return nil
 	}
-	if current.State.Ended() && current.Outcome != nil {
+	m.phase = Intending
+	m.intend()
+	return append(m.write(0), m.bound(now, m.config.SettleTimeout))
+}
+
+// lost handles a write that met another row.
+func (m *Machine) lost(current *Row, revision ident.Revision, now time.Time) []Action {
+	switch {
+	case current == nil:
+		// Only rows of ended jobs are ever deleted.
+		return m.end(outcome.New(outcome.Unknown, outcome.Internal, "the job's row was deleted"))
+	case current.Operation == m.row.Operation:
+		return m.applied(now, revision)
+	case current.Digest != m.row.Digest:
+		return m.end(outcome.New(outcome.NotRun, outcome.Conflict, "key %s was used for another job", m.row.Key))
+	case current.State.Ended() && current.Outcome != nil:
 		return m.follow(Reply{Outcome: *current.Outcome, Recorded: true}, Ended)
 	}
-	_ = now
 	return m.follow(Attach{Row: *current}, Attached)
 }
 
 // follow gives the job up to the holder of another row.
 func (m *Machine) follow(a Action, p Phase) []Action {
-	actions := []Action{a}
-	if m.phase == Running || m.phase == Recording {
-		actions = []Action{CancelTasks{}, a}
-	}
 	m.phase = p
-	return actions
+	m.unsettled = false
+	return []Action{CancelTasks{}, a}
 }
 
-func (m *Machine) end(o *Outcome) []Action {
+func (m *Machine) end(e *outcome.Error) []Action {
 	m.phase = Ended
-	return []Action{Reply{Outcome: *o}}
+	m.unsettled = false
+	return []Action{Reply{Outcome: *fail(e)}}
 }
 
 // unsure handles a write without an answer.
-func (m *Machine) unsure(now time.Time, e WriteUnsure) []Action {
+func (m *Machine) unsure(e WriteUnsure) []Action {
 	if !e.NotSent {
 		m.wasSent = true
 		return []Action{Read{}}
@@ -285,35 +307,36 @@
 	if m.wasSent {
 		return []Action{Read{After: m.config.ReadDelay}}
 	}
-	switch m.phase {
-	case Claiming:
+	if m.phase == Claiming && !m.adopted {
 		refusal := outcome.New(outcome.NotRun, outcome.StoreDown, "the platform's table can not be reached")
-		return m.end(fail(refusal.After(m.config.StoreRetry)))
-	case Intending, Recording:
-		return m.write(m.config.ReadDelay)
+		return m.end(m.config.Submission.Refuse(refusal.After(m.config.StoreRetry)))
 	}
-	_ = now
-	return nil
+	return m.rewrite(m.config.ReadDelay)
 }
 
-// readBack settles a write without an answer.
+// readBack settles a write without an answer. A read that shows nothing newer
+// than what this holder wrote may be stale or too early: the write is then
+// repeated, and its condition decides.
 func (m *Machine) readBack(now time.Time, e ReadBack) []Action {
-	if e.Row == nil && m.phase == Claiming {
-		// The claim is not there yet, but may still arrive: write it again
-		// under the same condition, which only one of the two can meet.
-		return []Action{Write{Row: m.row, Condition: m.held, After: m.config.ReadDelay}}
+	if e.Row != nil && e.Row.Operation == m.row.Operation {
+		return m.applied(now, e.Revision)
 	}
-	if e.Revision == m.held {
-		return []Action{Write{Row: m.row, Condition: m.held, After: m.config.ReadDelay}}
+	if e.Row != nil && e.Revision > m.held {
+		return m.lost(e.Row, e.Revision, now)
 	}
-	return m.lost(now, e.Row, e.Revision)
+	return m.rewrite(m.config.ReadDelay)
 }
 
-func (m *Machine) readFailed(_ time.Time) []Action {
-	return []Action{Read{After: m.config.ReadDelay}}
+func (m *Machine) startRefused(now time.Time, e StartRefused) []Action {
+	if m.phase != Running {
+		return nil
+	}
+	reason := *e.Error
+	reason.Kind = outcome.NotRun
+	return m.abandon(now, &reason)
 }
 
-func (m *Machine) taskEnded(e TaskEnded) []Action {
+func (m *Machine) taskEnded(now time.Time, e TaskEnded) []Action {
 	if m.phase != Running || m.outcome != nil {
 		return nil
 	}
@@ -323,7 +346,7 @@
 			// The task did not run, but others of the job may have.
 			reason.Kind = outcome.Failed
 		}
-		return m.abandon(reason)
+		return m.abandon(now, reason)
 	}
 	if m.answers[e.Index] != nil {
 		return nil
@@ -338,27 +361,44 @@
 		answers = append(answers, Answer{Index: ident.TaskIndex(i), Answer: a})
 	}
 	m.outcome = &Outcome{State: Complete, Answers: answers}
-	return m.record()
+	return m.record(now)
+}
+
+// abandonKind returns what is known of the tasks of a job that is given up.
+func (m *Machine) abandonKind() outcome.Kind {
+	if m.phase == Running {
+		return outcome.Failed
+	}
+	return outcome.NotRun
 }
 
 // abandon ends the job with e. What has not started never starts.
-func (m *Machine) abandon(e *outcome.Error) []Action {
-	if m.outcome != nil {
+func (m *Machine) abandon(now time.Time, e *outcome.Error) []Action {
+	if m.outcome != nil || m.phase == Deciding {
 		return nil
 	}
 	m.outcome = fail(e)
 	switch m.phase {
 	case Claiming, Intending:
-		// The write under way settles first; advance then records the outcome.
-		return nil
+		// The write under way settles first and the outcome is recorded then.
+		return []Action{m.bound(now, m.config.MirrorAfter)}
+	case Running:
+		return append([]Action{CancelTasks{}}, m.record(now)...)
 	}
-	return append([]Action{CancelTasks{}}, m.record()...)
+	return m.record(now)
 }
 
-// record returns the action that records the outcome.
-func (m *Machine) record() []Action {
+// record returns the actions that record the outcome.
+func (m *Machine) record(now time.Time) []Action {
 	m.phase = Recording
 	m.row.State = m.outcome.State
 	m.row.Outcome = m.outcome
-	return m.write(0)
+	m.row.Payload, m.row.PayloadObject = nil, ""
+	actions := append(m.write(0), m.bound(now, m.config.SettleTimeout))
+	if m.row.Mirror == (Holder{}) || !m.intended {
+		// A successor asks the mirror of started rows only.
+		return actions
+	}
+	m.mirrorAt = now.Add(m.config.MirrorAfter)
+	return append(actions, Wake{After: m.config.MirrorAfter})
 }
