--- a/entry/adoption.go
+++ b/entry/adoption.go
@@ -149,12 +149,15 @@
 		}
 	}
 	w.mutex.Lock()
-	suspects := w.monitor.Observe(time.Now(), beats)
+	seen := w.monitor.Observe(time.Now(), beats)
 	if swept {
 		w.monitor.Orphaned(time.Now(), holders)
 	}
 	w.mutex.Unlock()
-	w.probe(ctx, suspects)
+	for _, b := range seen.Appeared {
+		w.jobs.ring.Add(time.Now(), timeline.Event{Kind: timeline.HostSeen, Detail: string(b.Host)})
+	}
+	w.probe(ctx, seen.Suspects)
 	w.mutex.Lock()
 	lost, live := w.monitor.Lost(), w.monitor.Live()
 	w.mutex.Unlock()
--- a/entry/jobrun.go
+++ b/entry/jobrun.go
@@ -91,7 +91,9 @@
 		if phase := r.machine.Phase(); phase == job.Ended || phase == job.Attached {
 			return
 		}
-		actions = r.machine.Step(time.Now(), <-r.events)
+		// The present time is that of the event, not that of the wait.
+		event := <-r.events
+		actions = r.machine.Step(time.Now(), event)
 	}
 }
 
--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -231,6 +231,13 @@
 	return k
 }
 
+// on returns the cluster for a subtest.
+func (k *cluster) on(t *testing.T) *cluster {
+	sub := *k
+	sub.t, sub.is = t, is.New(t)
+	return &sub
+}
+
 var centres = []string{"coast-a", "coast-b", "coast-c"}
 
 // startHost starts an entry host and lists it as a member.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -46,17 +46,25 @@
 	Heartbeat Heartbeat
 }
 
+// Observation is what one read of all heartbeats showed.
+type Observation struct {
+	// Appeared holds the runs that were not known before.
+	Appeared []Heartbeat
+	// Suspects holds the runs that must be probed.
+	Suspects []Heartbeat
+}
+
 // Monitor watches the heartbeats of all entry hosts.
 type Monitor struct {
 	config   Config
-	seen     map[ident.Host]*observation
+	seen     map[ident.Host]*record
 	lost     map[job.Holder]Lost
 	orphans  map[job.Holder]bool
 	lastRead time.Time
 }
 
-// observation is what is known of one host.
-type observation struct {
+// record is what is known of one host.
+type record struct {
 	Heartbeat
 	// silent is the time without an advance while this observer's own access
 	// to the table worked without a break.
@@ -67,28 +75,29 @@
 // NewMonitor returns a monitor that has seen nothing yet.
 func NewMonitor(c Config) *Monitor {
 	return &Monitor{
-		config: c, seen: map[ident.Host]*observation{}, lost: map[job.Holder]Lost{}, orphans: map[job.Holder]bool{},
+		config: c, seen: map[ident.Host]*record{}, lost: map[job.Holder]Lost{}, orphans: map[job.Holder]bool{},
 	}
 }
 
-// Observe takes a successful read of all heartbeats and returns those of runs
-// that must be probed.
-func (m *Monitor) Observe(now time.Time, beats []Heartbeat) []Heartbeat {
+// Observe takes a successful read of all heartbeats.
+func (m *Monitor) Observe(now time.Time, beats []Heartbeat) Observation {
 	gap := now.Sub(m.lastRead)
 	unbroken := !m.lastRead.IsZero() && gap <= m.config.MaxGap
 	m.lastRead = now
 	present := make(map[ident.Host]bool, len(beats))
-	var suspects []Heartbeat
+	var seen Observation
 	for _, b := range beats {
 		present[b.Host] = true
 		o := m.seen[b.Host]
 		switch {
 		case o == nil:
-			m.seen[b.Host] = &observation{Heartbeat: b}
+			m.seen[b.Host] = &record{Heartbeat: b}
+			seen.Appeared = append(seen.Appeared, b)
 			continue
 		case o.Boot != b.Boot:
 			m.lose(now, o, 0)
-			m.seen[b.Host] = &observation{Heartbeat: b}
+			m.seen[b.Host] = &record{Heartbeat: b}
+			seen.Appeared = append(seen.Appeared, b)
 			continue
 		case o.Counter != b.Counter || !unbroken:
 			o.lost = o.lost && o.Counter == b.Counter
@@ -97,7 +106,7 @@
 		}
 		o.silent += gap
 		if o.silent >= m.config.Bound && !o.lost && b.Host != m.config.Self.Host {
-			suspects = append(suspects, b)
+			seen.Suspects = append(seen.Suspects, b)
 		}
 	}
 	for host, o := range m.seen {
@@ -107,7 +116,7 @@
 		}
 	}
 	m.forget(now)
-	return suspects
+	return seen
 }
 
 // Interrupted tells that an access to the table failed: silence until now
@@ -132,7 +141,7 @@
 	m.lose(now, o, o.Revision)
 }
 
-func (m *Monitor) lose(now time.Time, o *observation, r ident.Revision) {
+func (m *Monitor) lose(now time.Time, o *record, r ident.Revision) {
 	o.lost = true
 	if _, known := m.lost[o.Holder]; known || o.Holder == m.config.Self {
 		return
@@ -162,7 +171,7 @@
 			continue
 		}
 		if m.orphans[h] {
-			m.lose(now, &observation{Heartbeat: Heartbeat{Holder: h}}, 0)
+			m.lose(now, &record{Heartbeat: Heartbeat{Holder: h}}, 0)
 		}
 		next[h] = true
 	}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -75,7 +75,7 @@
 					m.Interrupted()
 					continue
 				}
-				suspects += len(m.Observe(now, l.beats))
+				suspects += len(m.Observe(now, l.beats).Suspects)
 			}
 			is.Equal(suspects, tt.suspects)
 			is.Equal(len(m.Lost()), tt.lost)
