Group the table's writes within a budget

Cause: two transactions under way and 400 rows each were neither bounded by the table's write budget nor by what etcd takes in a transaction.

commit.Window decides purely: one transaction at a time, a token bucket of 300 transactions/s shared by the live hosts, at most 100 writes and 1 MiB, no key twice, and a pause after failures that doubles up to 250 ms.

--- a/commit/commit.go
+++ b/commit/commit.go
@@ -1,5 +1,5 @@
 // Package commit gathers conditional writes of one entry host into few
-// transactions of many rows.
+// transactions of many rows, within a budget of transactions per second.
 package commit
 
 import (
@@ -16,28 +16,25 @@
 	Table platform.Table
 	// Timeout bounds one transaction.
 	Timeout time.Duration
-	// MaxRows bounds the writes of one transaction.
-	MaxRows int
-	// InFlight bounds the transactions under way at once.
-	InFlight int
+	Window  WindowConfig
 }
 
-// Batcher sends writes in groups: while a transaction is under way, further
-// writes wait and go together in the next. It is safe for concurrent use.
+// Batcher sends writes in groups: while a transaction is under way or the
+// budget is spent, further writes wait and go together in the next. It is safe
+// for concurrent use.
 type Batcher struct {
-	// Transactions and Rows count what was sent.
+	// Transactions, Rows and Failures count what was sent.
 	Transactions atomic.Int64
 	Rows         atomic.Int64
+	Failures     atomic.Int64
 
-	config  Config
-	mutex   sync.Mutex
-	waiting []pending
-	flying  int
-}
-
-type pending struct {
-	write platform.Write
-	done  chan<- reply
+	config Config
+	mutex  sync.Mutex
+	window *Window
+	// writes and dones hold what waits, in the same order.
+	writes []platform.Write
+	dones  []chan<- reply
+	timer  *time.Timer
 }
 
 type reply struct {
@@ -47,7 +44,14 @@
 
 // NewBatcher returns a batcher.
 func NewBatcher(c Config) *Batcher {
-	return &Batcher{config: c}
+	return &Batcher{config: c, window: NewWindow(time.Now(), c.Window)}
+}
+
+// SetRate changes the budget of transactions per second.
+func (b *Batcher) SetRate(rate float64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.window.SetRate(time.Now(), rate)
 }
 
 // Commit sends w with others and returns its own result. The error is that of
@@ -55,7 +59,8 @@
 func (b *Batcher) Commit(ctx context.Context, w platform.Write) (platform.Result, error) {
 	done := make(chan reply, 1)
 	b.mutex.Lock()
-	b.waiting = append(b.waiting, pending{write: w, done: done})
+	b.writes = append(b.writes, w)
+	b.dones = append(b.dones, done)
 	b.send()
 	b.mutex.Unlock()
 	select {
@@ -66,37 +71,47 @@
 	}
 }
 
-// send starts transactions while there is something to send and room for it.
-// The caller holds the mutex.
+// send starts the next transaction if the window lets it go. The caller holds
+// the mutex.
 func (b *Batcher) send() {
-	for len(b.waiting) > 0 && b.flying < b.config.InFlight {
-		count := min(len(b.waiting), b.config.MaxRows)
-		group := b.waiting[:count:count]
-		b.waiting = b.waiting[count:]
-		b.flying++
-		go b.transact(group)
+	if b.timer != nil {
+		b.timer.Stop()
+		b.timer = nil
+	}
+	count, wait := b.window.Begin(time.Now(), b.writes)
+	if wait > 0 {
+		b.timer = time.AfterFunc(wait, func() {
+			b.mutex.Lock()
+			defer b.mutex.Unlock()
+			b.send()
+		})
+	}
+	if count == 0 {
+		return
 	}
+	writes, dones := b.writes[:count:count], b.dones[:count:count]
+	b.writes, b.dones = b.writes[count:], b.dones[count:]
+	go b.transact(writes, dones)
 }
 
-func (b *Batcher) transact(group []pending) {
+func (b *Batcher) transact(writes []platform.Write, dones []chan<- reply) {
 	ctx, cancel := context.WithTimeout(context.Background(), b.config.Timeout)
 	defer cancel()
-	writes := make([]platform.Write, 0, len(group))
-	for _, p := range group {
-		writes = append(writes, p.write)
-	}
 	b.Transactions.Add(1)
-	b.Rows.Add(int64(len(group)))
+	b.Rows.Add(int64(len(writes)))
 	results, err := b.config.Table.Commit(ctx, writes)
-	for i, p := range group {
+	if err != nil {
+		b.Failures.Add(1)
+	}
+	for i, done := range dones {
 		if err != nil {
-			p.done <- reply{err: err}
+			done <- reply{err: err}
 			continue
 		}
-		p.done <- reply{result: results[i]}
+		done <- reply{result: results[i]}
 	}
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.flying--
+	b.window.End(time.Now(), err != nil)
 	b.send()
 }
--- a/entry/adoption.go
+++ b/entry/adoption.go
@@ -161,6 +161,7 @@
 	w.mutex.Lock()
 	lost, live := w.monitor.Lost(), w.monitor.Live()
 	w.mutex.Unlock()
+	w.jobs.batcher.SetRate(tableWrites / float64(1+len(live)))
 	for _, l := range lost {
 		w.adopt(ctx, l, live)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -30,12 +30,20 @@
 // The times and bounds that are the same on each entry host.
 const (
 	// ConnectTimeout bounds the time to open a connection.
-	ConnectTimeout     = time.Second
-	idleTimeout        = 90 * time.Second
-	platformIdle       = 8
-	peerWriteTimeout   = 2 * time.Second
-	commitMaxRows      = 400
-	commitInFlight     = 2
+	ConnectTimeout   = time.Second
+	idleTimeout      = 90 * time.Second
+	platformIdle     = 8
+	peerWriteTimeout = 2 * time.Second
+	// commitMaxWrites and commitMaxBytes stay under the 128 operations and
+	// 1.5 MiB that etcd takes in a transaction by default.
+	commitMaxWrites = 100
+	commitMaxBytes  = 1 << 20
+	commitBurst     = 10
+	commitMinPause  = 20 * time.Millisecond
+	commitMaxPause  = 250 * time.Millisecond
+	// tableWrites is the share of the table's writes per second that all entry
+	// hosts together take.
+	tableWrites        = 300
 	busyPause          = 5 * time.Millisecond
 	remoteDelay        = 3 * time.Millisecond
 	headerReadTimeout  = 10 * time.Second
@@ -148,10 +156,16 @@
 
 func newBatcher(s settings.Settings, t platform.Table) *commit.Batcher {
 	return commit.NewBatcher(commit.Config{
-		Table:    t,
-		Timeout:  time.Duration(s.Platform.Timeout),
-		MaxRows:  commitMaxRows,
-		InFlight: commitInFlight,
+		Table:   t,
+		Timeout: time.Duration(s.Platform.Timeout),
+		Window: commit.WindowConfig{
+			Rate:      tableWrites,
+			Burst:     commitBurst,
+			MaxWrites: commitMaxWrites,
+			MaxBytes:  commitMaxBytes,
+			MinPause:  commitMinPause,
+			MaxPause:  commitMaxPause,
+		},
 	})
 }
 
