--- a/entry/adoption.go
+++ b/entry/adoption.go
@@ -62,6 +62,8 @@
 	monitor *lease.Monitor
 	counter uint64
 	swept   time.Time
+	// looked is when the heartbeats were last read.
+	looked time.Time
 }
 
 func newWatch(j *Jobs) *watch {
@@ -149,6 +151,8 @@
 		}
 	}
 	w.mutex.Lock()
+	away := !w.looked.IsZero() && time.Since(w.looked) > heartbeatBound
+	w.looked = time.Now()
 	seen := w.monitor.Observe(time.Now(), beats)
 	if swept {
 		w.monitor.Orphaned(time.Now(), holders)
@@ -157,6 +161,9 @@
 	for _, b := range seen.Appeared {
 		w.jobs.ring.Add(time.Now(), timeline.Event{Kind: timeline.HostSeen, Detail: string(b.Host)})
 	}
+	if away {
+		go w.jobs.review(ctx)
+	}
 	w.probe(ctx, seen.Suspects)
 	w.mutex.Lock()
 	lost, live := w.monitor.Lost(), w.monitor.Live()
@@ -167,6 +174,22 @@
 	}
 }
 
+// review looks at the rows of all held jobs after this host was paused or away
+// from the table for so long that others may have taken its jobs over.
+func (j *Jobs) review(ctx context.Context) {
+	j.mutex.Lock()
+	held := make([]*running, 0, len(j.held))
+	for _, r := range j.held {
+		held = append(held, r)
+	}
+	j.mutex.Unlock()
+	for _, r := range held {
+		if row, revision, err := j.read(ctx, r.id); err == nil && row != nil {
+			r.post(job.Noticed{Row: row, Revision: revision})
+		}
+	}
+}
+
 // probe asks silent runs directly whether they live.
 func (w *watch) probe(ctx context.Context, suspects []lease.Heartbeat) {
 	var probes sync.WaitGroup
--- a/integration/jobs_test.go
+++ b/integration/jobs_test.go
@@ -222,6 +222,8 @@
 		k.checkFailed(err, outcome.Failed, outcome.HolderLost)
 	}
 	k.checkOnce()
+	// A holder that wakes drops what it had queued.
+	k.is.True(k.startsOf(filler) < len(filler.Tasks)/2)
 }
 
 func TestResubmissionToOtherHosts(t *testing.T) {
--- a/job/event.go
+++ b/job/event.go
@@ -8,8 +8,8 @@
 )
 
 // Event is something that happened to a job. Its types are Written,
-// WriteUnsure, ReadBack, ReadFailed, RoomMade, StartRefused, TaskEnded,
-// Expired, CancelRequested, Woken, MirrorKept, MirrorAnswered and
+// WriteUnsure, ReadBack, ReadFailed, Noticed, RoomMade, StartRefused,
+// TaskEnded, Expired, CancelRequested, Woken, MirrorKept, MirrorAnswered and
 // MirrorUnreachable.
 type Event interface{ event() }
 
@@ -37,6 +37,12 @@
 // ReadFailed tells that a Read action got no answer.
 type ReadFailed struct{}
 
+// Noticed tells the row that a host found after it may have lost its lease.
+type Noticed struct {
+	Row      *Row
+	Revision ident.Revision
+}
+
 // RoomMade tells that the pool of a job that waits has room for its tasks.
 type RoomMade struct{}
 
@@ -80,6 +86,7 @@
 func (WriteUnsure) event()       {}
 func (ReadBack) event()          {}
 func (ReadFailed) event()        {}
+func (Noticed) event()           {}
 func (RoomMade) event()          {}
 func (StartRefused) event()      {}
 func (TaskEnded) event()         {}
--- a/job/machine.go
+++ b/job/machine.go
@@ -191,6 +191,8 @@
 		return m.readBack(now, e)
 	case ReadFailed:
 		return []Action{Read{After: m.config.ReadDelay}}
+	case Noticed:
+		return m.noticed(now, e)
 	case RoomMade:
 		return m.roomMade(now)
 	case StartRefused:
@@ -327,6 +329,18 @@
 	return m.rewrite(m.config.ReadDelay)
 }
 
+// noticed gives the job up if another holder has taken it over. A write under
+// way finds that out by itself.
+func (m *Machine) noticed(now time.Time, e Noticed) []Action {
+	if m.phase != Waiting && m.phase != Running {
+		return nil
+	}
+	if e.Row == nil || e.Revision <= m.held {
+		return nil
+	}
+	return m.lost(e.Row, e.Revision, now)
+}
+
 func (m *Machine) startRefused(now time.Time, e StartRefused) []Action {
 	if m.phase != Running {
 		return nil
--- a/job/property_test.go
+++ b/job/property_test.go
@@ -148,7 +148,11 @@
 	if k == nil || h.paused {
 		return
 	}
-	event := rapid.SampledFrom([]Event{Expired{}, CancelRequested{}, RoomMade{}, RoomMade{}, RoomMade{}}).Draw(r, "outside")
+	event := rapid.SampledFrom([]Event{Expired{}, CancelRequested{}, Noticed{}, RoomMade{}, RoomMade{}, RoomMade{}}).Draw(r, "outside")
+	if _, noticed := event.(Noticed); noticed && len(w.history[id]) > 0 {
+		v := w.history[id][rapid.IntRange(0, len(w.history[id])-1).Draw(r, "noticed")]
+		event = Noticed{Row: v.row, Revision: v.revision}
+	}
 	if _, room := event.(RoomMade); room && k.machine.Phase() != Waiting {
 		return
 	}
