--- a/integration/outage_test.go
+++ b/integration/outage_test.go
@@ -196,3 +196,73 @@
 	k.is.NoErr(got.err)
 	k.checkWhole(refused, got.answer)
 }
+
+// TestTroubleAtTheAdoption has the table in trouble while a survivor takes over
+// an accepted and a started job, twice in a row.
+func TestTroubleAtTheAdoption(t *testing.T) {
+	tests := map[string]standin.Faults{
+		"slow":          {Delay: 300 * time.Millisecond},
+		"loses answers": {Mode: standin.LoseAnswer},
+		"refuses":       {Mode: standin.Refuse},
+		"reads stale":   {Mode: standin.Stale},
+	}
+	for name, faults := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			k := newCluster(t, clusterConfig{hosts: 3, backends: 1, slots: 2})
+			k.awaitPeers()
+			filler, waiting := submission("filler", 31, 40, 300*time.Millisecond), submission("waiting", 32, 20, 20*time.Millisecond)
+			fillerEnd, waitingEnd := k.blocked(filler, waiting)
+			k.hosts[0].signal(syscall.SIGKILL)
+			for range 2 {
+				// The survivors find the loss after about 3 s of silence.
+				time.Sleep(2 * time.Second)
+				k.tableFaults(faults)
+				time.Sleep(1200 * time.Millisecond)
+				k.tableFaults(standin.Faults{})
+			}
+			e := k.within(waitingEnd, adoptionTimeout)
+			k.is.NoErr(e.err)
+			k.checkWhole(waiting, e.answer)
+			e = k.within(fillerEnd, adoptionTimeout)
+			k.checkFailed(e.err, outcome.Failed, outcome.HolderLost)
+			for _, h := range k.hosts[1:] {
+				answer, err := k.submit(h, waiting)
+				k.is.NoErr(err)
+				k.checkWhole(waiting, answer)
+			}
+			k.checkOnce()
+		})
+	}
+}
+
+// TestTroubleAtTheIntent has the table in trouble just when a job that waited
+// may start.
+func TestTroubleAtTheIntent(t *testing.T) {
+	k := newCluster(t, clusterConfig{hosts: 3, backends: 1, slots: 2})
+	k.awaitPeers()
+	tests := map[string]standin.Faults{
+		"slow":          {Delay: 300 * time.Millisecond},
+		"loses answers": {Mode: standin.LoseAnswer},
+		"refuses":       {Mode: standin.Refuse},
+		"silent":        {Mode: standin.Silent},
+		"reads stale":   {Mode: standin.Stale},
+	}
+	for name, faults := range tests {
+		t.Run(name, func(t *testing.T) {
+			k := k.on(t)
+			filler, waiting := submission("filler "+name, 33, 10, 200*time.Millisecond), submission("waiting "+name, 34, 10, 20*time.Millisecond)
+			fillerEnd, waitingEnd := k.blocked(filler, waiting)
+			k.tableFaults(faults)
+			// The filler's tasks end within 1 s, and the other job may start.
+			time.Sleep(2 * time.Second)
+			k.tableFaults(standin.Faults{})
+			for s, end := range map[*job.Submission]<-chan ended{filler: fillerEnd, waiting: waitingEnd} {
+				e := k.within(end, adoptionTimeout)
+				k.is.NoErr(e.err)
+				k.checkWhole(s, e.answer)
+			}
+		})
+	}
+	k.checkOnce()
+}
