Let the table's stand-in carry only its rate, and refuse what etcd refuses

Cause: the stand-in took any number of transactions a second and any number of rows in one, so nothing showed when the daemon asks too much of the table. The etcd API that it speaks refuses more than 128 operations on one level and a key written twice.

Change: the stand-in queues transactions beyond 400 a second, refuses both, and reads a range without an end as etcd does; a silent stand-in reads the body first, without which it never saw its client hang up and its server could not close (a test hung on that for ten minutes). The daemon groups at most 120 rows.

--- a/cmd/standincmd.go
+++ b/cmd/standincmd.go
@@ -56,7 +56,8 @@
 	}
 	flags := command.Flags()
 	flags.StringVar(&listen, "listen", "127.0.0.1:0", "address to listen on")
-	flags.DurationVar(&config.WriteTime, "write-time", 4*time.Millisecond, "time that a synced write takes")
+	flags.DurationVar(&config.Table.WriteTime, "write-time", 4*time.Millisecond, "time that a synced write takes")
+	flags.Float64Var(&config.Table.WritesPerSecond, "writes-per-second", 400, "transactions that the table carries; 0 for no limit")
 	flags.DurationVar(&config.MembershipLag, "membership-lag", 2*time.Second, "lag of the membership list")
 	return command
 }
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -48,6 +48,7 @@
 	seed             = 20261204
 	outage           = 3 * time.Second
 	writeTime        = 4 * time.Millisecond
+	writesPerSecond  = 400
 	membershipLag    = 2 * time.Second
 	readyTimeout     = 10 * time.Second
 	jobTimeout       = 30 * time.Second
@@ -126,7 +127,10 @@
 
 func (d *Demo) start(ctx context.Context) error {
 	var err error
-	d.platform = standin.NewPlatform(standin.PlatformConfig{WriteTime: writeTime, MembershipLag: membershipLag})
+	d.platform = standin.NewPlatform(standin.PlatformConfig{
+		Table:         standin.TableConfig{WriteTime: writeTime, WritesPerSecond: writesPerSecond},
+		MembershipLag: membershipLag,
+	})
 	if d.address, err = d.serve(d.platform.Handler()); err != nil {
 		return err
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,7 +34,7 @@
 	idleTimeout        = 90 * time.Second
 	platformIdle       = 8
 	peerWriteTimeout   = 2 * time.Second
-	commitMaxRows      = 400
+	commitMaxRows      = 120
 	commitInFlight     = 2
 	busyPause          = 5 * time.Millisecond
 	remoteDelay        = 3 * time.Millisecond
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -101,6 +102,9 @@
 		case Refuse:
 			http.Error(w, "refused", http.StatusServiceUnavailable)
 		case Silent:
+			// The server sees that the client hangs up only after it has read
+			// the whole body.
+			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 		case LoseAnswer:
 			next(discard{}, r, f)
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -128,7 +128,7 @@
 
 // PlatformConfig builds a Platform.
 type PlatformConfig struct {
-	WriteTime     time.Duration
+	Table         TableConfig
 	MembershipLag time.Duration
 }
 
@@ -142,7 +142,7 @@
 // NewPlatform returns a platform without any rows, objects and members.
 func NewPlatform(c PlatformConfig) *Platform {
 	return &Platform{
-		Table:   NewTable(c.WriteTime),
+		Table:   NewTable(c.Table),
 		Objects: &Objects{objects: map[string][]byte{}},
 		Members: &Members{Lag: c.MembershipLag, members: map[string]version{}, now: time.Now},
 	}
--- a/standin/table.go
+++ b/standin/table.go
@@ -9,16 +9,32 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/catkingap/catkingap/platform"
 )
 
+// maxOperations is the limit of etcd for the operations of one level of a
+// transaction.
+const maxOperations = 128
+
+// TableConfig builds a Table.
+type TableConfig struct {
+	// WriteTime is the time that a synced write takes.
+	WriteTime time.Duration
+	// WritesPerSecond is the number of transactions that the table carries.
+	// Zero means no limit.
+	WritesPerSecond float64
+}
+
 // Table is a stand-in for the platform's transactional table.
 type Table struct {
 	Faults Switch
-	// WriteTime is the time that a synced write takes.
-	WriteTime time.Duration
 
-	mutex    sync.Mutex
+	config TableConfig
+	mutex  sync.Mutex
+	// free is when the table has carried all transactions taken so far.
+	free     time.Time
 	rows     map[string]platform.KeyValue
 	stale    map[string]platform.KeyValue
 	revision platform.Int64
@@ -27,8 +43,8 @@
 }
 
 // NewTable returns an empty table.
-func NewTable(writeTime time.Duration) *Table {
-	return &Table{WriteTime: writeTime, rows: map[string]platform.KeyValue{}, revision: 1}
+func NewTable(c TableConfig) *Table {
+	return &Table{config: c, rows: map[string]platform.KeyValue{}, revision: 1}
 }
 
 // TableStatistics counts what the table has done.
@@ -72,8 +88,12 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if err := check(request, map[string]bool{}); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
 	t.writes.Add(1)
-	if !sleep(r.Context(), t.WriteTime) {
+	if !sleep(r.Context(), t.reserve(time.Now())) {
 		return
 	}
 	t.mutex.Lock()
@@ -100,6 +120,50 @@
 	writeJSON(w, response)
 }
 
+// reserve returns how long a transaction that arrives now takes.
+func (t *Table) reserve(now time.Time) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.config.WritesPerSecond <= 0 {
+		return t.config.WriteTime
+	}
+	if t.free.Before(now) {
+		t.free = now
+	}
+	wait := t.free.Sub(now)
+	t.free = t.free.Add(time.Duration(float64(time.Second) / t.config.WritesPerSecond))
+	return wait + t.config.WriteTime
+}
+
+// check refuses what etcd refuses: too many operations, or a key that is
+// written twice. Written collects the keys.
+func check(request platform.TxnRequest, written map[string]bool) error {
+	if max(len(request.Compare), len(request.Success), len(request.Failure)) > maxOperations {
+		return errors.New("too many operations in txn request")
+	}
+	for _, o := range request.Success {
+		var key []byte
+		switch {
+		case o.RequestTxn != nil:
+			if err := check(*o.RequestTxn, written); err != nil {
+				return err
+			}
+			continue
+		case o.RequestPut != nil:
+			key = o.RequestPut.Key
+		case o.RequestDeleteRange != nil:
+			key = o.RequestDeleteRange.Key
+		default:
+			continue
+		}
+		if written[string(key)] {
+			return errors.New("duplicate key given in txn request")
+		}
+		written[string(key)] = true
+	}
+	return nil
+}
+
 // apply executes a transaction. The caller holds the mutex.
 func (t *Table) apply(request platform.TxnRequest) platform.TxnResponse {
 	response := platform.TxnResponse{Header: platform.Header{Revision: t.revision}, Succeeded: true}
@@ -146,8 +210,10 @@
 		}
 		return response
 	}
+	// A range that ends with one zero byte has no end.
+	end := string(request.RangeEnd)
 	for k, kv := range rows {
-		if k >= string(request.Key) && k < string(request.RangeEnd) {
+		if k >= string(request.Key) && (k < end || end == "\x00") {
 			response.KVs = append(response.KVs, kv)
 		}
 	}
