Send on connections that never resend, and find silent ones

Cause: the shared http.Transport hides on which connection a request goes and may send it again by its own rules; an idle connection was trusted for 90 s; a refusal "notRun" counted without the echo of the request's id, so a crossed refusal would have sent a request that ran a second time; a 503 without an outcome counted as failed.

Idle connections carry nothing after 1 s without a byte. A busy connection that shows no byte for 10 s, or 8 times the longest run seen at the server, is checked by GET /health on a new connection: if that is answered the old one has gone silent and ends unknown, after three unanswered checks the server is lost.

Ruled out: a health request on the same idle connection (costs a round trip as a new connection does, and waits when it is silent); Expect: 100-continue (puts the head on the wire before the proof); a fixed bound without a check (a long task is no silence); TCP keepalive alone (a middlebox that acknowledges looks alive).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -41,6 +41,16 @@
 	headerReadTimeout  = 10 * time.Second
 	storeRetry         = time.Second
 	settleReadInterval = 100 * time.Millisecond
+
+	// serverIdleTimeout is the age beyond which an idle connection to a
+	// backend server carries no request.
+	serverIdleTimeout  = time.Second
+	serverCheckTimeout = time.Second
+	// serverSilence, or serverSilenceFactor times the longest run time of a
+	// server, is how long a busy connection may show no life.
+	serverSilence       = 10 * time.Second
+	serverSilenceFactor = 8
+	serverChecks        = 3
 )
 
 // Listeners holds the open sockets of the daemon.
@@ -161,9 +171,13 @@
 
 func newSender(s settings.Settings, n network.Network) backend.Sender {
 	return backend.NewClient(backend.ClientConfig{
-		Network:     n,
-		Connections: s.Limits.Connections,
-		IdleTimeout: idleTimeout,
+		Network:      n,
+		Connections:  s.Limits.Connections,
+		IdleTimeout:  serverIdleTimeout,
+		CheckTimeout: serverCheckTimeout,
+		Silence: backend.SilenceConfig{
+			Floor: serverSilence, Factor: serverSilenceFactor, Checks: serverChecks, CheckPause: serverCheckTimeout,
+		},
 	})
 }
 
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -42,6 +42,7 @@
 	QueueFull      Code = "queueFull"
 	QuotaExceeded  Code = "quotaExceeded"
 	Shutdown       Code = "shutdown"
+	Silent         Code = "silent"
 	StoreDown      Code = "storeDown"
 	TaskFailed     Code = "taskFailed"
 	TooLarge       Code = "tooLarge"
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -77,13 +77,13 @@
 func (b *Backend) serveRun(w http.ResponseWriter, r *http.Request, f Faults) {
 	if f.Mode == Drain {
 		w.Header().Set(backend.HeaderLeaving, "true")
-		b.refuse(w, "leaving")
+		b.refuse(w, r, "leaving")
 		return
 	}
 	select {
 	case b.slots <- struct{}{}:
 	default:
-		b.refuse(w, "all slots taken")
+		b.refuse(w, r, "all slots taken")
 		return
 	}
 	defer func() { <-b.slots }()
@@ -109,10 +109,12 @@
 	_, _ = w.Write(answer)
 }
 
-func (b *Backend) refuse(w http.ResponseWriter, reason string) {
+// refuse answers that the request did not run.
+func (b *Backend) refuse(w http.ResponseWriter, r *http.Request, reason string) {
 	b.mutex.Lock()
 	b.refused++
 	b.mutex.Unlock()
+	w.Header().Set(backend.HeaderRequest, r.Header.Get(backend.HeaderRequest))
 	w.Header().Set(backend.HeaderOutcome, string(outcome.NotRun))
 	http.Error(w, reason, http.StatusServiceUnavailable)
 }
