Answer requests truthfully when callers hang up, and refuse bad ones typed

Cause: a queued request whose caller hung up or whose time passed stayed in the queue and ended only when a slot came; a timeout header that was no number or negative was ignored; unknown paths, other methods and panics were answered in plain text.

Now the dispatcher and the one who waits claim the request with one compare-and-swap: withdrawn before it was taken it never goes out and is answered not run at once, taken it is answered unknown at the end of its context and runs once. The cause of the context gives the code, so that a shutdown that runs out of time uses the same path.

Ruled out: removing withdrawn requests from the queue at once (linear in the queue for each).

--- a/entry/api.go
+++ b/entry/api.go
@@ -40,6 +40,7 @@
 func (a *API) Handler() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	router := gin.New()
+	a.guard(router)
 	router.GET("/healthz", func(c *gin.Context) { c.Status(http.StatusNoContent) })
 	router.GET("/readyz", a.ready)
 	router.GET("/debug/vars", gin.WrapH(expvar.Handler()))
--- a/entry/apiservices.go
+++ b/entry/apiservices.go
@@ -8,6 +8,7 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/outcome"
 )
 
 // The headers of requests to services.
@@ -26,21 +27,49 @@
 }
 
 func (a *API) call(c *gin.Context) {
-	data, ok := a.body(c)
-	if !ok {
+	call := Call{Team: ident.Team(c.GetHeader(HeaderTeam)), Service: ident.Service(c.Param("name"))}
+	var invalid *outcome.Error
+	if call.Timeout, invalid = timeoutHeader(c.GetHeader(HeaderTimeout)); invalid != nil {
+		refuse(c, invalid)
 		return
 	}
-	timeout, _ := strconv.Atoi(c.GetHeader(HeaderTimeout))
-	answer, failure := a.services.Do(c.Request.Context(), Call{
-		Team:       ident.Team(c.GetHeader(HeaderTeam)),
-		Service:    ident.Service(c.Param("name")),
-		Idempotent: c.GetHeader(HeaderIdempotent) == "true",
-		Timeout:    time.Duration(timeout) * time.Millisecond,
-		Body:       data,
-	})
+	if call.Idempotent, invalid = idempotentHeader(c.GetHeader(HeaderIdempotent)); invalid != nil {
+		refuse(c, invalid)
+		return
+	}
+	var ok bool
+	if call.Body, ok = a.body(c); !ok {
+		return
+	}
+	answer, failure := a.services.Do(c.Request.Context(), call)
 	if failure != nil {
 		refuse(c, failure)
 		return
 	}
 	c.Data(http.StatusOK, "application/json", answer)
 }
+
+// timeoutHeader reads the value of HeaderTimeout. Zero means that the caller
+// gave none.
+func timeoutHeader(value string) (time.Duration, *outcome.Error) {
+	if value == "" {
+		return 0, nil
+	}
+	milliseconds, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || milliseconds <= 0 || milliseconds > maxTimeout.Milliseconds() {
+		return 0, outcome.New(outcome.NotRun, outcome.Invalid, "header %s: %q is not a number of milliseconds from 1 to %d",
+			HeaderTimeout, value, maxTimeout.Milliseconds())
+	}
+	return time.Duration(milliseconds) * time.Millisecond, nil
+}
+
+// idempotentHeader reads the value of HeaderIdempotent.
+func idempotentHeader(value string) (bool, *outcome.Error) {
+	switch value {
+	case "", "false":
+		return false, nil
+	case "true":
+		return true, nil
+	}
+	return false, outcome.New(outcome.NotRun, outcome.Invalid, "header %s: %q is neither true nor false", HeaderIdempotent, value)
+}
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -23,10 +23,14 @@
 	Task *ident.Task
 	// Service is set for a request to a service.
 	Service ident.Service
-	Body    []byte
-	// Done is called once, with the answer or an *outcome.Error.
+	// Idempotent is true if the request may run more than once.
+	Idempotent bool
+	Body       []byte
+	// Done is called once, with the answer or an *outcome.Error, unless the
+	// work was withdrawn.
 	Done func(backend.Reply, *outcome.Error)
 
+	claim
 	request ident.Request
 }
 
@@ -170,9 +174,13 @@
 // run sends one bound item and reports how it ended.
 func (q *poolQueue) run(b route.Binding[*Work]) {
 	w := b.Item
+	if !w.take() {
+		q.ended(b, 0, false)
+		return
+	}
 	if err := w.Context.Err(); err != nil {
 		q.ended(b, 0, false)
-		w.Done(backend.Reply{}, outcome.New(outcome.NotRun, outcome.DeadlinePassed, "no free slot in time"))
+		w.Done(backend.Reply{}, ended(w.Context, false))
 		return
 	}
 	start := time.Now()
@@ -207,6 +215,7 @@
 		q.pool.MarkLeaving(b.Server.Name)
 	}
 	q.pool.Ended(time.Now(), b.Server.Name, 0, false)
+	b.Item.release()
 	q.pool.Requeue(b.Queued, b.Item)
 	q.pump()
 }
--- a/entry/services.go
+++ b/entry/services.go
@@ -10,16 +10,24 @@
 	"github.com/catkingap/catkingap/resource"
 )
 
-// defaultTimeout bounds a request whose caller and service give no timeout.
-const defaultTimeout = 30 * time.Second
+const (
+	// defaultTimeout bounds a request whose caller and service give no
+	// timeout.
+	defaultTimeout = 30 * time.Second
+	// maxTimeout bounds the timeout that a caller may ask for.
+	maxTimeout = 10 * time.Minute
+	// deadlineRetry and shutdownRetry tell a caller when to come back.
+	deadlineRetry = time.Second
+	shutdownRetry = time.Second
+)
 
 // Call is one request to a service.
 type Call struct {
-	Team       ident.Team
-	Service    ident.Service
-	Idempotent bool
-	Timeout    time.Duration
-	Body       []byte
+	Team       ident.Team    `msgpack:"team"`
+	Service    ident.Service `msgpack:"service"`
+	Idempotent bool          `msgpack:"idempotent"`
+	Timeout    time.Duration `msgpack:"timeout"`
+	Body       []byte        `msgpack:"body"`
 }
 
 // Services takes requests to services.
@@ -33,37 +41,73 @@
 }
 
 // Do sends a request and waits for the whole answer. A request that is not
-// idempotent is put on a connection at most once.
+// idempotent is put on a connection at most once. When ctx ends, the request
+// ends at once: not run if it was not sent, else unknown.
 func (s *Services) Do(ctx context.Context, c Call) ([]byte, *outcome.Error) {
 	spec, ok := s.store.Snapshot().Services[c.Service]
 	if !ok {
 		return nil, outcome.New(outcome.NotRun, outcome.NotFound, "there is no service %s", c.Service)
 	}
-	timeout := c.Timeout
-	if timeout <= 0 {
-		timeout = time.Duration(spec.TimeoutMS) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, timeoutOf(c, spec))
+	defer cancel()
+	return s.wait(ctx, s.submit(ctx, c, spec.Pool))
+}
+
+// timeoutOf returns the time that a request has.
+func timeoutOf(c Call, spec resource.ServiceSpec) time.Duration {
+	if c.Timeout > 0 {
+		return c.Timeout
 	}
-	if timeout <= 0 {
-		timeout = defaultTimeout
+	if spec.TimeoutMS > 0 {
+		return time.Duration(spec.TimeoutMS) * time.Millisecond
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	type result struct {
-		reply   backend.Reply
-		failure *outcome.Error
+	return defaultTimeout
+}
+
+// submitted is a request on its way.
+type submitted struct {
+	work *Work
+	done chan result
+}
+
+// result is how a request ended.
+type result struct {
+	answer  []byte
+	failure *outcome.Error
+}
+
+// submit queues a request. A refusal is its result.
+func (s *Services) submit(ctx context.Context, c Call, pool ident.Pool) *submitted {
+	q := &submitted{done: make(chan result, 1)}
+	q.work = &Work{
+		Context:    ctx,
+		Team:       c.Team,
+		Pool:       pool,
+		Service:    c.Service,
+		Idempotent: c.Idempotent,
+		Body:       c.Body,
+		Done:       func(r backend.Reply, e *outcome.Error) { q.done <- result{r.Body, e} },
+	}
+	if refusal := s.dispatcher.Submit(q.work); refusal != nil {
+		q.done <- result{nil, refusal}
+	}
+	return q
+}
+
+// wait waits for the result of a request or the end of ctx.
+func (s *Services) wait(ctx context.Context, q *submitted) ([]byte, *outcome.Error) {
+	select {
+	case r := <-q.done:
+		return r.answer, r.failure
+	case <-ctx.Done():
+	}
+	if q.work.withdraw() {
+		return nil, ended(ctx, false)
 	}
-	done := make(chan result, 1)
-	refusal := s.dispatcher.Submit(&Work{
-		Context: ctx,
-		Team:    c.Team,
-		Pool:    spec.Pool,
-		Service: c.Service,
-		Body:    c.Body,
-		Done:    func(r backend.Reply, e *outcome.Error) { done <- result{r, e} },
-	})
-	if refusal != nil {
-		return nil, refusal
+	select {
+	case r := <-q.done:
+		return r.answer, r.failure
+	default:
+		return nil, ended(ctx, true)
 	}
-	r := <-done
-	return r.reply.Body, r.failure
 }
