Check settings whole, with lines, allowed values and contradictions

Cause: the strict decoder stopped at the first unknown key or wrong type and knew no line for a value out of range; addresses could be names, which the validator would have looked up; api and peer could share one address.

A file is now parsed to its tree and each key decoded on its own, so that all problems are told at once with file, line, key, what was found and what is allowed. Addresses are IP numbers.

--- a/cmd/config.go
+++ b/cmd/config.go
@@ -71,6 +71,7 @@
 		c.newCallCmd(),
 		c.newDemoCmd(),
 		c.newEntryCmd(),
+		c.newSettingsCmd(),
 		c.newStandinCmd(),
 		c.newSubmitCmd(),
 		c.newVersionCmd(),
--- /dev/null
+++ b/cmd/settingscmd.go
@@ -0,0 +1,76 @@
+package cmd
+
+import (
+	"fmt"
+
+	"github.com/goccy/go-yaml"
+	"github.com/spf13/cobra"
+
+	"github.com/catkingap/catkingap/settings"
+)
+
+func (c *Config) newSettingsCmd() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "settings",
+		Short: "Check or show the settings of an entry host",
+		Args:  usageArgs(cobra.NoArgs),
+		RunE:  func(command *cobra.Command, _ []string) error { return command.Help() },
+	}
+	command.AddCommand(
+		&cobra.Command{
+			Use:   "check FILE",
+			Short: "Say all that is wrong with a file of settings",
+			Args:  usageArgs(cobra.ExactArgs(1)),
+			RunE:  func(_ *cobra.Command, args []string) error { return c.runSettingsCheckCmd(args[0]) },
+		},
+		&cobra.Command{
+			Use:   "default",
+			Short: "Print the default settings",
+			Args:  usageArgs(cobra.NoArgs),
+			RunE:  func(*cobra.Command, []string) error { return c.writeSettings(settings.Default()) },
+		},
+		&cobra.Command{
+			Use:   "show FILE",
+			Short: "Print all settings that a file puts in force, defaults included",
+			Args:  usageArgs(cobra.ExactArgs(1)),
+			RunE:  func(_ *cobra.Command, args []string) error { return c.runSettingsShowCmd(args[0]) },
+		},
+	)
+	return command
+}
+
+func (c *Config) runSettingsCheckCmd(file string) error {
+	if _, err := settings.Load(file); err != nil {
+		return &usageError{err}
+	}
+	_, err := fmt.Fprintf(c.stdout, "%s: ok\n", file)
+	return err
+}
+
+func (c *Config) runSettingsShowCmd(file string) error {
+	s, err := settings.Load(file)
+	if err != nil {
+		return &usageError{err}
+	}
+	return c.writeSettings(s)
+}
+
+// writeSettings prints settings as YAML.
+func (c *Config) writeSettings(s settings.Settings) error {
+	data, err := yaml.Marshal(s)
+	if err != nil {
+		return err
+	}
+	_, err = c.stdout.Write(data)
+	return err
+}
+
+// usageArgs marks the errors of an argument check as the user's.
+func usageArgs(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(command *cobra.Command, args []string) error {
+		if err := check(command, args); err != nil {
+			return &usageError{err}
+		}
+		return nil
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -2,15 +2,11 @@
 package settings
 
 import (
-	"fmt"
 	"os"
-	"reflect"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/go-playground/validator/v10"
-	"github.com/goccy/go-yaml"
 
 	"github.com/catkingap/catkingap/ident"
 )
@@ -33,17 +29,21 @@
 // Listen holds the addresses that the daemon listens on.
 type Listen struct {
 	// API is the address for callers and operators.
-	API string `yaml:"api" validate:"required,tcp_addr"`
+	API string `yaml:"api" validate:"ip_port"`
 	// Peer is the address for other entry hosts.
-	Peer string `yaml:"peer" validate:"required,tcp_addr"`
+	Peer string `yaml:"peer" validate:"ip_port"`
 }
 
 // Platform holds the URLs of the platform's services.
 type Platform struct {
-	Table      string   `yaml:"table" validate:"required,http_url"`
-	Objects    string   `yaml:"objects" validate:"required,http_url"`
-	Membership string   `yaml:"membership" validate:"required,http_url"`
-	Timeout    Duration `yaml:"timeout" validate:"min=10ms,max=60s"`
+	// Table is the base URL of the transactional table.
+	Table string `yaml:"table" validate:"ip_url"`
+	// Objects is the base URL of the object store.
+	Objects string `yaml:"objects" validate:"ip_url"`
+	// Membership is the URL of the membership list.
+	Membership string `yaml:"membership" validate:"ip_url"`
+	// Timeout bounds one call of a service of the platform.
+	Timeout Duration `yaml:"timeout" validate:"min=10ms,max=60s"`
 }
 
 // Limits bounds what the daemon takes.
@@ -97,17 +97,6 @@
 	}
 }
 
-// InvalidError lists all that is wrong with settings.
-type InvalidError struct {
-	File     string
-	Problems []string
-}
-
-// Error implements error.
-func (e *InvalidError) Error() string {
-	return e.File + ": " + strings.Join(e.Problems, "; ")
-}
-
 // Load reads and checks the settings in a file.
 func Load(file string) (Settings, error) {
 	data, err := os.ReadFile(file)
@@ -116,33 +105,3 @@
 	}
 	return Parse(file, data)
 }
-
-// Parse reads and checks settings. File names their source in errors.
-func Parse(file string, data []byte) (Settings, error) {
-	s := Default()
-	if err := yaml.UnmarshalWithOptions(data, &s, yaml.Strict()); err != nil {
-		return s, &InvalidError{File: file, Problems: []string{yaml.FormatError(err, false, false)}}
-	}
-	return s, Check(file, s)
-}
-
-// Check returns an *InvalidError that lists all problems, or nil.
-func Check(file string, s Settings) error {
-	check := validator.New(validator.WithRequiredStructEnabled())
-	check.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("yaml") })
-	check.RegisterCustomTypeFunc(func(v reflect.Value) any { return time.Duration(v.Int()) }, Duration(0))
-	err := check.Struct(s)
-	if err == nil {
-		return nil
-	}
-	var failures validator.ValidationErrors
-	if !errors.As(err, &failures) {
-		return err
-	}
-	invalid := &InvalidError{File: file}
-	for _, f := range failures {
-		_, key, _ := strings.Cut(f.Namespace(), ".")
-		invalid.Problems = append(invalid.Problems, fmt.Sprintf("%s: %v is not allowed (%s %s)", key, f.Value(), f.Tag(), f.Param()))
-	}
-	return invalid
-}
