--- /dev/null
+++ b/timeline/timeline_test.go
@@ -0,0 +1,78 @@
+package timeline
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/ident"
+)
+
+var start = time.Date(2026, 12, 4, 5, 0, 0, 0, time.UTC)
+
+func taskEvent(i int) Event {
+	task := ident.TaskIndex(i)
+	return Event{
+		Kind: TaskStarted, Team: "kusweg", Job: ident.JobKey(fmt.Sprintf("tide-%d", i/500)), Task: &task,
+		Request: ident.Request(fmt.Sprintf("0123456789abcdef-%d", i)), Server: "runner-1-1",
+	}
+}
+
+func BenchmarkRingAdd(b *testing.B) {
+	r := NewRing("entry-1", start, 20_000)
+	e := taskEvent(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Add(start, e)
+	}
+}
+
+func BenchmarkRingAddParallel(b *testing.B) {
+	r := NewRing("entry-1", start, 20_000)
+	e := taskEvent(1)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			r.Add(start, e)
+		}
+	})
+}
+
+// BenchmarkRingMemory reports the bytes of one kept event with the strings and
+// the index that it alone refers to.
+func BenchmarkRingMemory(b *testing.B) {
+	const size = 20_000
+	for b.Loop() {
+		before := heap()
+		r := NewRing("entry-1", start, size)
+		for i := range 2 * size {
+			r.Add(start, taskEvent(i))
+		}
+		b.ReportMetric(float64(heap()-before)/size, "bytes/event")
+		runtime.KeepAlive(r)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func TestRingIsBounded(t *testing.T) {
+	is := is.New(t)
+	r := NewRing("entry-1", start, 100)
+	for i := range 250 {
+		r.Add(start.Add(time.Duration(i)*time.Second), taskEvent(i))
+	}
+	events := r.Events(Filter{})
+	is.Equal(len(events), 100)
+	for i, e := range events {
+		is.Equal(e.Sequence, uint64(150+i))
+		is.Equal(e.Monotonic, time.Duration(150+i)*time.Second)
+	}
+}
