Show one time line of all entry hosts that can be reached

GET /v1/timeline asks all entry hosts of the membership list over their peer links, estimates each clock from the times of the call, and merges. Hosts that do not answer within 2 s are named. catkingap timeline prints it as text, JSON or YAML; /v1/timeline/local has the events of one host.

Row events now carry epoch and revision, applied configurations their revision.

go test ./entry -run TestMergedTimeline: a job run on one host and attached to at another, with the third cut off, is one view that marks the third. Red before: the path answered with the events of the asked host alone.

--- a/client/client.go
+++ b/client/client.go
@@ -80,14 +80,32 @@
 	return o, err
 }
 
-// Timeline returns the events of the host that f selects.
+// Timeline returns the events of the host alone that f selects.
 func (c *Client) Timeline(ctx context.Context, f timeline.Filter) ([]timeline.Event, error) {
-	query := url.Values{"team": {string(f.Team)}, "job": {string(f.Job)}, "service": {string(f.Service)}}
 	var events []timeline.Event
-	err := c.do(ctx, http.MethodGet, "/v1/timeline?"+query.Encode(), nil, nil, &events)
+	err := c.do(ctx, http.MethodGet, "/v1/timeline/local?"+timelineQuery(f), nil, nil, &events)
 	return events, err
 }
 
+// MergedTimeline returns the events of all hosts that f selects, as the host
+// sees them.
+func (c *Client) MergedTimeline(ctx context.Context, f timeline.Filter) (timeline.View, error) {
+	var view timeline.View
+	err := c.do(ctx, http.MethodGet, "/v1/timeline?"+timelineQuery(f), nil, nil, &view)
+	return view, err
+}
+
+func timelineQuery(f timeline.Filter) string {
+	query := url.Values{"host": {string(f.Host)}, "team": {string(f.Team)}, "job": {string(f.Job)}, "service": {string(f.Service)}}
+	spans := map[string]time.Time{"since": f.Since, "until": f.Until}
+	for name, wall := range spans {
+		if !wall.IsZero() {
+			query.Set(name, wall.Format(time.RFC3339Nano))
+		}
+	}
+	return query.Encode()
+}
+
 // Ready returns nil if the host takes requests.
 func (c *Client) Ready(ctx context.Context) error {
 	return c.do(ctx, http.MethodGet, "/readyz", nil, nil, nil)
--- a/cmd/config.go
+++ b/cmd/config.go
@@ -74,6 +74,7 @@
 		c.newSettingsCmd(),
 		c.newStandinCmd(),
 		c.newSubmitCmd(),
+		c.newTimelineCmd(),
 		c.newVersionCmd(),
 	)
 	return root
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -35,6 +35,8 @@
 	Progress io.Writer
 	// Log receives the logs of the entry hosts.
 	Log io.Writer
+	// LogLevel replaces the default level of the logs.
+	LogLevel string
 	// Cross makes a backend server give one wrong answer.
 	Cross bool
 }
@@ -76,6 +78,7 @@
 	settings settings.Settings
 	app      *fx.App
 	network  *network.Severable
+	url      string
 	client   *client.Client
 }
 
@@ -155,13 +158,17 @@
 	h.settings.Platform.Table, h.settings.Platform.Objects, h.settings.Platform.Membership = base, base+"/objects", base+"/members"
 	h.settings.ConfigPoll = settings.Duration(100 * time.Millisecond)
 	h.settings.UnreadyTime = 0
+	if d.config.LogLevel != "" {
+		h.settings.LogLevel = d.config.LogLevel
+	}
 	var listeners entry.Listeners
 	h.app = entry.New(entry.Options{Settings: h.settings, Log: d.config.Log, Network: h.network}, fx.Populate(&listeners))
 	if err := h.app.Start(ctx); err != nil {
 		return err
 	}
 	api := listeners.API.Addr().String()
-	h.client = client.New(&http.Client{Transport: &http.Transport{}}, "http://"+api)
+	h.url = "http://" + api
+	h.client = newClient(h.url)
 	d.platform.Members.Set(platform.TargetGroup{Targets: []string{listeners.Peer.Addr().String()}, Labels: map[string]string{
 		platform.LabelID: string(name), platform.LabelRole: string(platform.EntryHost), platform.LabelAPI: api,
 		platform.LabelDataCentre: string(centre), platform.LabelState: string(platform.Live),
--- a/entry/api.go
+++ b/entry/api.go
@@ -14,21 +14,20 @@
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/resource"
 	"github.com/catkingap/catkingap/settings"
-	"github.com/catkingap/catkingap/timeline"
 )
 
 // API serves callers and operators over HTTP.
 type API struct {
-	settings settings.Settings
-	store    *resource.Store
-	jobs     *Jobs
-	services *Services
-	ring     *timeline.Ring
-	unready  atomic.Bool
+	settings  settings.Settings
+	store     *resource.Store
+	jobs      *Jobs
+	services  *Services
+	timelines *Timelines
+	unready   atomic.Bool
 }
 
-func newAPI(s settings.Settings, store *resource.Store, j *Jobs, services *Services, r *timeline.Ring) *API {
-	return &API{settings: s, store: store, jobs: j, services: services, ring: r}
+func newAPI(s settings.Settings, store *resource.Store, j *Jobs, services *Services, t *Timelines) *API {
+	return &API{settings: s, store: store, jobs: j, services: services, timelines: t}
 }
 
 // ErrorAnswer is the body of each answer that is an error.
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -106,7 +106,7 @@
 		b.Logger.WithError(err).Debug("configuration not read")
 	}
 	if applied {
-		b.Ring.Add(now, timeline.Event{Kind: timeline.ConfigApplied})
+		b.Ring.Add(now, timeline.Event{Kind: timeline.ConfigApplied, Revision: b.Store.Snapshot().Revision})
 		b.Dispatcher.Configure(b.Store.Snapshot(), b.Directory)
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -87,6 +87,7 @@
 			newDispatcher,
 			newJobs,
 			newServices,
+			newTimelines,
 			newAPI,
 		),
 		fx.Invoke(runBackground, runPeer, runAPI),
@@ -168,8 +169,9 @@
 }
 
 // runPeer serves the links to other entry hosts.
-func runPeer(life fx.Lifecycle, l Listeners, links *peer.Links, jobs *Jobs) {
+func runPeer(life fx.Lifecycle, l Listeners, links *peer.Links, jobs *Jobs, timelines *Timelines) {
 	jobs.register(links)
+	timelines.register(links)
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go func() { _ = links.Serve(l.Peer) }()
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -281,7 +281,9 @@
 	}
 	written := job.Written{Applied: result.Applied, Revision: result.Revision}
 	if result.Applied {
-		r.note(rowEvents[row.State], "")
+		r.jobs.ring.Add(time.Now(), timeline.Event{
+			Kind: rowEvents[row.State], Team: row.Team, Job: row.Key, Epoch: row.Epoch, Revision: result.Revision,
+		})
 	}
 	for _, current := range result.Current {
 		written.Current, written.CurrentRevision = decodeRow(&current), current.Revision
@@ -375,7 +377,7 @@
 // follow waits for the outcome of a job that another host holds.
 func (j *Jobs) follow(s *job.Submission, row job.Row) job.Outcome {
 	ctx := context.Background()
-	j.ring.Add(time.Now(), timeline.Event{Kind: timeline.Attached, Team: s.Team, Job: s.Key, Detail: string(row.Holder.Host)})
+	j.ring.Add(time.Now(), timeline.Event{Kind: timeline.Attached, Team: s.Team, Job: s.Key, Epoch: row.Epoch, Detail: string(row.Holder.Host)})
 	for {
 		if m, ok := j.directory.Host(row.Holder.Host); ok && row.Holder != j.identity.Holder {
 			answer, err := peer.Call[JobWait, JobOutcome](ctx, j.links, m.Address, kindJobWait, JobWait{Job: s.Job})
