Count what a daemon does, and log requests and events without bodies

Metrics are kept per daemon and shown under one name at /debug/vars beside the variables of the process, so that several daemons of one process do not clash. Histograms are HdrHistogram with fixed bounds. Events of the time line are counted by kind in the ring, so a new kind shows without further code. docs/METRICS.md is held against what a running host shows.

A request log stage writes one JSON line a request with route, outcome, team and job; rare events are logged with host, data centre, job and epoch. Refusals by overload are logged at debug only. The time line's detail of an ended task held the first line of a backend server's answer; it now holds kind and code.

Seen failing first: the raw URL in the log, the failure's text in the time line and in the log (test with a marker in bodies, tokens, queries and answers), a metric missing from the page, and dispatches not counted each turned a test red.

--- a/entry/api.go
+++ b/entry/api.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"expvar"
 	"io"
 	"math"
 	"net/http"
@@ -23,11 +22,13 @@
 	jobs      *Jobs
 	services  *Services
 	timelines *Timelines
+	metrics   *Metrics
+	log       *requestLog
 	unready   atomic.Bool
 }
 
-func newAPI(s settings.Settings, store *resource.Store, j *Jobs, services *Services, t *Timelines) *API {
-	return &API{settings: s, store: store, jobs: j, services: services, timelines: t}
+func newAPI(s settings.Settings, store *resource.Store, j *Jobs, services *Services, t *Timelines, m *Metrics, l *requestLog) *API {
+	return &API{settings: s, store: store, jobs: j, services: services, timelines: t, metrics: m, log: l}
 }
 
 // ErrorAnswer is the body of each answer that is an error.
@@ -41,7 +42,8 @@
 	router := gin.New()
 	router.GET("/healthz", func(c *gin.Context) { c.Status(http.StatusNoContent) })
 	router.GET("/readyz", a.ready)
-	router.GET("/debug/vars", gin.WrapH(expvar.Handler()))
+	router.GET("/debug/vars", gin.WrapH(a.metrics.set.Handler()))
+	router.Use(a.metrics.measure, a.log.log)
 	a.routeJobs(router)
 	a.routeResources(router)
 	a.routeServices(router)
@@ -61,6 +63,7 @@
 }
 
 func refuse(c *gin.Context, e *outcome.Error) {
+	c.Set(contextOutcome, e)
 	if e.RetryAfter > 0 {
 		c.Header("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
 	}
--- a/entry/apijobs.go
+++ b/entry/apijobs.go
@@ -36,6 +36,7 @@
 		refuse(c, outcome.New(outcome.NotRun, outcome.Invalid, "the body is not a job: %v", err))
 		return
 	}
+	c.Set(contextJob, s.Job)
 	o := a.jobs.Submit(c.Request.Context(), &s)
 	if o.State != job.Complete {
 		refuse(c, o.Error)
@@ -45,7 +46,9 @@
 }
 
 func jobOf(c *gin.Context) ident.Job {
-	return ident.Job{Team: ident.Team(c.Param("team")), Key: ident.JobKey(c.Param("key"))}
+	j := ident.Job{Team: ident.Team(c.Param("team")), Key: ident.JobKey(c.Param("key"))}
+	c.Set(contextJob, j)
+	return j
 }
 
 func (a *API) getJob(c *gin.Context) {
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -37,6 +37,7 @@
 	identity Identity
 	sender   backend.Sender
 	ring     *timeline.Ring
+	metrics  *Metrics
 	requests *ident.Sequence
 
 	mutex sync.RWMutex
@@ -51,12 +52,13 @@
 	wake       *time.Timer
 }
 
-func newDispatcher(s settings.Settings, i Identity, sender backend.Sender, ring *timeline.Ring) *Dispatcher {
+func newDispatcher(s settings.Settings, i Identity, sender backend.Sender, ring *timeline.Ring, m *Metrics) *Dispatcher {
 	return &Dispatcher{
 		settings: s,
 		identity: i,
 		sender:   sender,
 		ring:     ring,
+		metrics:  m,
 		requests: ident.NewSequence(),
 		pools:    map[ident.Pool]*poolQueue{},
 	}
@@ -186,9 +188,8 @@
 	failure := outcome.From(err)
 	now := time.Now()
 	event.Kind = timeline.TaskEnded
-	if failure != nil {
-		event.Detail = failure.Error()
-	}
+	q.dispatcher.metrics.dispatched(start.Sub(b.Queued), now.Sub(start), failure)
+	event.Detail = label(failure)
 	q.dispatcher.ring.Add(now, event)
 	refused := failure != nil && failure.Kind == outcome.NotRun
 	if refused && w.Context.Err() == nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/json"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
@@ -73,6 +72,8 @@
 			func() network.Network { return o.Network },
 			func(s settings.Settings) (log.Interface, error) { return newLogger(o.Log, s) },
 			newIdentity,
+			newMetrics,
+			newRequestLog,
 			newRing,
 			newListeners,
 			newPlatformClient,
@@ -90,28 +91,21 @@
 			newTimelines,
 			newAPI,
 		),
-		fx.Invoke(runBackground, runPeer, runAPI),
+		fx.Invoke(showMetrics, runBackground, runPeer, runAPI),
 		// The hooks of the life cycle bound themselves by the settings.
 		fx.StopTimeout(time.Duration(o.Settings.ShutdownTimeout)+time.Duration(o.Settings.UnreadyTime)+time.Second),
 		fx.Options(more...),
 	)
 }
 
-func newLogger(w io.Writer, s settings.Settings) (log.Interface, error) {
-	level, err := log.ParseLevel(s.LogLevel)
-	if err != nil {
-		return nil, err
-	}
-	logger := &log.Logger{Handler: json.New(w), Level: level}
-	return logger.WithFields(log.Fields{"host": string(s.Host), "dataCentre": string(s.DataCentre)}), nil
-}
-
 func newIdentity(s settings.Settings) Identity {
 	return Identity{Holder: job.Holder{Host: s.Host, Boot: ident.NewToken()}, DataCentre: s.DataCentre}
 }
 
-func newRing(s settings.Settings) *timeline.Ring {
-	return timeline.NewRing(s.Host, time.Now(), s.Limits.TimelineEvents)
+func newRing(s settings.Settings, l log.Interface) *timeline.Ring {
+	ring := timeline.NewRing(s.Host, time.Now(), s.Limits.TimelineEvents)
+	ring.Observe(logEvents(l, s))
+	return ring
 }
 
 func newListeners(s settings.Settings, n network.Network) (Listeners, error) {
@@ -135,8 +129,8 @@
 	}
 }
 
-func newTable(s settings.Settings, c *http.Client) platform.Table {
-	return platform.NewRemoteTable(c, s.Platform.Table)
+func newTable(s settings.Settings, c *http.Client, m *Metrics) platform.Table {
+	return measuredTable{Table: platform.NewRemoteTable(c, s.Platform.Table), metrics: m}
 }
 
 func newObjects(s settings.Settings, c *http.Client) platform.Objects {
@@ -168,6 +162,11 @@
 	})
 }
 
+// showMetrics adds the counters of all parts to the metrics.
+func showMetrics(m *Metrics, b *commit.Batcher, d *Dispatcher, j *Jobs, l *peer.Links, r *timeline.Ring, sender backend.Sender, store *resource.Store) {
+	m.show(measured{batcher: b, dispatcher: d, jobs: j, links: l, ring: r, sender: sender, store: store})
+}
+
 // runPeer serves the links to other entry hosts.
 func runPeer(life fx.Lifecycle, l Listeners, links *peer.Links, jobs *Jobs, timelines *Timelines) {
 	jobs.register(links)
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,201 @@
+package entry
+
+import (
+	"context"
+	"expvar"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"github.com/catkingap/catkingap/backend"
+	"github.com/catkingap/catkingap/commit"
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/metrics"
+	"github.com/catkingap/catkingap/outcome"
+	"github.com/catkingap/catkingap/peer"
+	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/resource"
+	"github.com/catkingap/catkingap/timeline"
+)
+
+// Metrics counts what one daemon does. docs/METRICS.md lists all names.
+type Metrics struct {
+	set *metrics.Set
+
+	answers     *expvar.Map
+	outcomes    *expvar.Map
+	requests    *expvar.Map
+	open        atomic.Int64
+	requestTime *metrics.Histogram
+
+	backendOutcomes *expvar.Map
+	queueTime       *metrics.Histogram
+	runTime         *metrics.Histogram
+
+	tableFailures *expvar.Int
+	tableReads    *expvar.Int
+	tableTime     *metrics.Histogram
+}
+
+func newMetrics() *Metrics {
+	s := metrics.NewSet()
+	m := &Metrics{
+		set:             s,
+		answers:         s.Counters("answers"),
+		outcomes:        s.Counters("outcomes"),
+		requests:        s.Counters("requests"),
+		requestTime:     s.Histogram("requestMicroseconds"),
+		backendOutcomes: s.Counters("backendOutcomes"),
+		queueTime:       s.Histogram("queueMicroseconds"),
+		runTime:         s.Histogram("runMicroseconds"),
+		tableFailures:   s.Counter("tableFailures"),
+		tableReads:      s.Counter("tableReads"),
+		tableTime:       s.Histogram("tableMicroseconds"),
+	}
+	s.Func("openRequests", func() any { return m.open.Load() })
+	return m
+}
+
+// measured holds the parts whose own counters the metrics show.
+type measured struct {
+	batcher    *commit.Batcher
+	dispatcher *Dispatcher
+	jobs       *Jobs
+	links      *peer.Links
+	ring       *timeline.Ring
+	sender     backend.Sender
+	store      *resource.Store
+}
+
+// show adds the counters that other parts keep.
+func (m *Metrics) show(p measured) {
+	count := func(name string, f func() int64) { m.set.Func(name, func() any { return f() }) }
+	count("backendMessages", func() int64 { return sentMessages(p.sender) })
+	count("configAgeMilliseconds", func() int64 { return configAge(p.store.Snapshot(), time.Now()) })
+	count("configRevision", func() int64 { return int64(p.store.Snapshot().Revision) })
+	count("heldJobs", p.jobs.count)
+	count("peerReceivedBytes", p.links.Statistics.ReceivedBytes.Load)
+	count("peerSentBytes", p.links.Statistics.SentBytes.Load)
+	count("peerSentFrames", p.links.Statistics.SentFrames.Load)
+	count("tableRows", p.batcher.Rows.Load)
+	count("tableTransactions", p.batcher.Transactions.Load)
+	count("timelineOverwritten", func() int64 { return int64(p.ring.Overwritten()) })
+	m.set.Func("events", func() any { return p.ring.Counts() })
+	m.set.Func("queueLength", func() any { return p.dispatcher.waiting() })
+}
+
+// sentMessages returns the messages that a sender put on connections.
+func sentMessages(s backend.Sender) int64 {
+	if c, ok := s.(*backend.Client); ok {
+		return c.Messages.Load()
+	}
+	return 0
+}
+
+// configAge returns how long a snapshot has been in force in milliseconds, or
+// zero if there is none.
+func configAge(s *resource.Snapshot, now time.Time) int64 {
+	if s.Revision == 0 {
+		return 0
+	}
+	return now.Sub(s.Applied).Milliseconds()
+}
+
+// waiting returns the queued tasks and requests of each pool.
+func (d *Dispatcher) waiting() map[ident.Pool]int {
+	d.mutex.RLock()
+	defer d.mutex.RUnlock()
+	lengths := make(map[ident.Pool]int, len(d.pools))
+	for name, q := range d.pools {
+		q.mutex.Lock()
+		lengths[name] = q.pool.Waiting()
+		q.mutex.Unlock()
+	}
+	return lengths
+}
+
+// count returns the jobs that this host holds.
+func (j *Jobs) count() int64 {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	return int64(len(j.held))
+}
+
+// measure is the stage that counts requests and answers.
+func (m *Metrics) measure(c *gin.Context) {
+	start := time.Now()
+	m.requests.Add(routeOf(c), 1)
+	m.open.Add(1)
+	defer m.open.Add(-1)
+	c.Next()
+	m.requestTime.Record(time.Since(start))
+	m.answers.Add(strconv.Itoa(c.Writer.Status()), 1)
+	if e := outcomeOf(c); e != nil {
+		m.outcomes.Add(label(e), 1)
+	}
+}
+
+// routeOf names the route of a request. Requests without one share a name, so
+// that callers can not make the metrics grow.
+func routeOf(c *gin.Context) string {
+	if c.FullPath() == "" {
+		return "other"
+	}
+	return c.Request.Method + " " + c.FullPath()
+}
+
+// dispatched counts the end of one message to a backend server.
+func (m *Metrics) dispatched(waited, took time.Duration, failure *outcome.Error) {
+	m.queueTime.Record(waited)
+	m.runTime.Record(took)
+	m.backendOutcomes.Add(label(failure), 1)
+}
+
+// label names an outcome by its kind and code.
+func label(e *outcome.Error) string {
+	if e == nil {
+		return "answered"
+	}
+	return string(e.Kind) + "." + string(e.Code)
+}
+
+// measuredTable is a table whose calls are counted.
+type measuredTable struct {
+	platform.Table
+	metrics *Metrics
+}
+
+// Commit implements platform.Table.
+func (t measuredTable) Commit(ctx context.Context, writes []platform.Write) ([]platform.Result, error) {
+	start := time.Now()
+	results, err := t.Table.Commit(ctx, writes)
+	t.ended(start, err)
+	return results, err
+}
+
+// Get implements platform.Table.
+func (t measuredTable) Get(ctx context.Context, key string) (*platform.Row, ident.Revision, error) {
+	t.metrics.tableReads.Add(1)
+	start := time.Now()
+	row, revision, err := t.Table.Get(ctx, key)
+	t.ended(start, err)
+	return row, revision, err
+}
+
+// List implements platform.Table.
+func (t measuredTable) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, ident.Revision, error) {
+	t.metrics.tableReads.Add(1)
+	start := time.Now()
+	rows, revision, err := t.Table.List(ctx, prefix, after, limit)
+	t.ended(start, err)
+	return rows, revision, err
+}
+
+func (t measuredTable) ended(start time.Time, err error) {
+	t.metrics.tableTime.Record(time.Since(start))
+	if err != nil {
+		t.metrics.tableFailures.Add(1)
+	}
+}
