--- a/cmd/config.go
+++ b/cmd/config.go
@@ -71,8 +71,10 @@
 		c.newCallCmd(),
 		c.newDemoCmd(),
 		c.newEntryCmd(),
+		c.newSettingsCmd(),
 		c.newStandinCmd(),
 		c.newSubmitCmd(),
+		c.newTimelineCmd(),
 		c.newVersionCmd(),
 	)
 	return root
