Measure ways to share the slots of backend servers

An event loop in virtual time (package policy, test files only) drives entry hosts, backend servers and links with the distances of today.

Cause of the wasted messages: nine hosts that count only their own tasks meet at the same free server. With slots owned by one host each and lent in batches no start is refused.

--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -85,7 +85,7 @@
 	q := d.pools[name]
 	if q == nil {
 		q = &poolQueue{dispatcher: d, pool: route.NewPool[*Work](route.Config{
-			Local:       d.identity.DataCentre,
+			Self:        route.Peer{Name: d.identity.Host, DataCentre: d.identity.DataCentre},
 			RemoteDelay: remoteDelay,
 			BusyPause:   busyPause,
 		})}
@@ -158,7 +158,7 @@
 	if q.pool.Waiting() == 0 {
 		return
 	}
-	if next := q.pool.NextPause(now); !next.IsZero() {
+	if next := q.pool.Wake(now); !next.IsZero() {
 		q.wake = time.AfterFunc(next.Sub(now), func() {
 			q.mutex.Lock()
 			defer q.mutex.Unlock()
--- /dev/null
+++ b/policy/measure_test.go
@@ -0,0 +1,140 @@
+package policy
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// drawWork returns a run time: most from 50 ms to 1 s, a few of several
+// seconds. Its mean is meanWork.
+func (w *world) drawWork() time.Duration {
+	if w.random.Float64() < 0.01 {
+		return 2*time.Second + time.Duration(w.random.Float64()*float64(4*time.Second))
+	}
+	// The square root of a uniform number would favour long tasks; this
+	// draws evenly.
+	return 50*time.Millisecond + time.Duration(w.random.Float64()*float64(746*time.Millisecond))
+}
+
+// arrive plans requests at a load of the pool until end.
+func (w *world) arrive(load float64, from, end time.Duration) {
+	at := from
+	for {
+		at += time.Duration(w.random.ExpFloat64() / (load * fullStartsPerS) * float64(time.Second))
+		if at > end {
+			return
+		}
+		w.items = append(w.items, &item{team: "a", arrived: at, work: w.drawWork()})
+	}
+}
+
+// deliver hands all planned items to hosts as their time comes.
+func (w *world) deliver() {
+	slices.SortStableFunc(w.items, func(a, b *item) int { return int(a.arrived - b.arrived) })
+	for i := 0; i < len(w.items); {
+		first := w.items[i]
+		n := i + 1
+		for n < len(w.items) && first.job.Key != "" && w.items[n].job == first.job {
+			n++
+		}
+		group := w.items[i:n]
+		w.after(first.arrived, func() {
+			host := w.pickHost()
+			for _, g := range group {
+				g.host = host
+			}
+			w.hosts[host].submit(group...)
+		})
+		i = n
+	}
+}
+
+// omniscient returns the response of each item in a single queue that knows
+// all and starts the oldest item on the fastest free slot.
+func omniscient(items []*item, servers []*fakeServer) []time.Duration {
+	l := &loop{}
+	running := make([]int, len(servers))
+	responses := make([]time.Duration, len(items))
+	var queue []int
+	var pump func()
+	pump = func() {
+		for len(queue) > 0 {
+			best := -1
+			for s, f := range servers {
+				if running[s] < f.slots && !f.failing && !f.leaving && (best < 0 || f.speed > servers[best].speed) {
+					best = s
+				}
+			}
+			if best < 0 {
+				return
+			}
+			i := queue[0]
+			queue = queue[1:]
+			running[best]++
+			took := 2*localDistance + time.Duration(float64(items[i].work)/servers[best].speed)
+			l.after(took, func() {
+				running[best]--
+				responses[i] = l.now - items[i].arrived + 2*callerDistance
+				pump()
+			})
+		}
+	}
+	for i, it := range items {
+		heap.Push(&l.events, event{it.arrived, i - len(items), func() {
+			queue = append(queue, i)
+			pump()
+		}})
+	}
+	l.run(time.Hour)
+	return responses
+}
+
+// figures are what a run measured.
+type figures struct {
+	// p50 and p99 are quantiles of the response over the omniscient queue's,
+	// ideal50 and ideal99 over the ideal.
+	p50, p99, ideal50, ideal99 float64
+	// best50 and best99 are quantiles of the omniscient queue's response over
+	// the ideal.
+	best50, best99 float64
+	// messages and control are sent per item done.
+	messages, control float64
+	done, notDone     int
+	twice             int
+}
+
+func quantile(sorted []float64, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
+
+func (w *world) measure() figures {
+	best := omniscient(w.items, w.servers)
+	var f figures
+	var toBest, toIdeal, bestToIdeal []float64
+	for i, it := range w.items {
+		if it.starts > 1 {
+			f.twice++
+		}
+		if !it.done {
+			f.notDone++
+			continue
+		}
+		f.done++
+		bestToIdeal = append(bestToIdeal, float64(best[i])/float64(it.ideal()))
+		toBest = append(toBest, float64(it.response())/float64(best[i]))
+		toIdeal = append(toIdeal, float64(it.response())/float64(it.ideal()))
+	}
+	slices.Sort(toBest)
+	slices.Sort(toIdeal)
+	slices.Sort(bestToIdeal)
+	f.p50, f.p99 = quantile(toBest, 0.5), quantile(toBest, 0.99)
+	f.ideal50, f.ideal99 = quantile(toIdeal, 0.5), quantile(toIdeal, 0.99)
+	f.best50, f.best99 = quantile(bestToIdeal, 0.5), quantile(bestToIdeal, 0.99)
+	f.messages = float64(w.messages) / float64(max(f.done, 1))
+	f.control = float64(w.control) / float64(max(f.done, 1))
+	return f
+}
--- /dev/null
+++ b/policy/world_test.go
@@ -0,0 +1,335 @@
+package policy
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"time"
+
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/route"
+)
+
+// The distances one way.
+const (
+	callerDistance = 3 * time.Millisecond
+	localDistance  = 250 * time.Microsecond
+	remoteDistance = 1500 * time.Microsecond
+)
+
+// event is something that happens at a virtual time.
+type event struct {
+	at       time.Duration
+	sequence int
+	run      func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].sequence < e[j].sequence
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// loop is an event loop in virtual time.
+type loop struct {
+	now      time.Duration
+	sequence int
+	events   events
+}
+
+var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func (l *loop) time() time.Time { return epoch.Add(l.now) }
+
+func (l *loop) after(d time.Duration, run func()) {
+	l.sequence++
+	heap.Push(&l.events, event{l.now + d, l.sequence, run})
+}
+
+func (l *loop) run(until time.Duration) {
+	for len(l.events) > 0 && l.events[0].at <= until {
+		e := heap.Pop(&l.events).(event)
+		l.now = e.at
+		e.run()
+	}
+}
+
+// item is one task or request.
+type item struct {
+	team    ident.Team
+	job     ident.Job
+	host    int
+	arrived time.Duration
+	// work is the run time on a server of ordinary speed.
+	work     time.Duration
+	declared time.Duration
+	// tries counts the messages that were sent for the item.
+	tries    int
+	ended    time.Duration
+	done     bool
+	refused  bool
+	starts   int
+	deadline time.Duration
+}
+
+// response is the time that the caller waits.
+func (i *item) response() time.Duration { return i.ended - i.arrived + 2*callerDistance }
+
+// ideal is the response on an idle server of ordinary speed.
+func (i *item) ideal() time.Duration { return i.work + 2*(callerDistance+localDistance) }
+
+// fakeServer is a backend server with slots and a speed.
+type fakeServer struct {
+	name    ident.Server
+	centre  int
+	slots   int
+	speed   float64
+	running int
+	// failing servers answer each task with an error at once.
+	failing bool
+	leaving bool
+}
+
+// fakeHost drives the policy of one entry host.
+type fakeHost struct {
+	world  *world
+	index  int
+	name   ident.Host
+	centre int
+	weight float64
+	dead   bool
+	pool   *route.Pool[*item]
+	// plain is set for a host without the policy.
+	plain *plainHost
+}
+
+// world is what a scenario runs in.
+type world struct {
+	loop
+	random  *rand.Rand
+	servers []*fakeServer
+	byName  map[ident.Server]*fakeServer
+	hosts   []*fakeHost
+	items   []*item
+	// cut is a data centre without links to others, or -1.
+	cut int
+	// noLending keeps hosts from passing slots.
+	noLending bool
+	// messages counts those to servers, control those between hosts.
+	messages, control int
+	failed            int
+}
+
+// The sizes of today.
+const (
+	centres         = 3
+	serverCount     = 50
+	serverSlots     = 8
+	hostCount       = 9
+	exchangeTick    = 20 * time.Millisecond
+	meanWork        = 460 * time.Millisecond
+	slotsOfAll      = serverCount * serverSlots
+	fullStartsPerS  = float64(slotsOfAll) / 0.46
+	defaultDuration = 30 * time.Second
+)
+
+var centreNames = [centres]ident.DataCentre{"a", "b", "c"}
+
+// hostWeights are the shares of the arrivals that the balancer gives to hosts.
+var hostWeights = [hostCount]float64{1, 2, 1, 2, 1, 4, 1, 2, 2}
+
+// speeds are the speeds of servers, repeated.
+type speeds []float64
+
+var ordinary = speeds{1}
+
+// spread holds speeds that differ by four and do the work of an ordinary pool.
+var spread = speeds{0.4, 0.7, 1, 1.3, 1.6}
+
+func newWorld(seed uint64, s speeds) *world {
+	w := &world{random: rand.New(rand.NewPCG(seed, 1)), byName: map[ident.Server]*fakeServer{}, cut: -1}
+	for i := range serverCount {
+		f := &fakeServer{
+			name: ident.Server("server-" + string(rune('A'+i/10)) + string(rune('0'+i%10))), centre: i % centres,
+			slots: serverSlots, speed: s[i/centres%len(s)],
+		}
+		w.servers = append(w.servers, f)
+		w.byName[f.name] = f
+	}
+	for i := range hostCount {
+		w.hosts = append(w.hosts, &fakeHost{
+			world: w, index: i, name: ident.Host("host-" + string(rune('0'+i))), centre: i % centres, weight: hostWeights[i],
+		})
+	}
+	return w
+}
+
+// linked returns true if messages pass between two data centres.
+func (w *world) linked(a, b int) bool { return a == b || a != w.cut && b != w.cut }
+
+func distance(a, b int) time.Duration {
+	if a == b {
+		return localDistance
+	}
+	return remoteDistance
+}
+
+// start makes the hosts' pools and their ticks.
+func (w *world) start(c route.Config) {
+	for _, h := range w.hosts {
+		c.Self = route.Peer{Name: h.name, DataCentre: centreNames[h.centre]}
+		h.pool = route.NewPool[*item](c)
+		h.pool.SetServers(w.routeServers())
+		h.pool.SetPeers(w.peersOf(h))
+		w.after(time.Duration(h.index)*time.Millisecond, h.tick)
+	}
+}
+
+func (w *world) routeServers() []route.Server {
+	var list []route.Server
+	for _, f := range w.servers {
+		list = append(list, route.Server{Name: f.name, DataCentre: centreNames[f.centre], Slots: f.slots, Leaving: f.leaving})
+	}
+	return list
+}
+
+func (w *world) peersOf(self *fakeHost) []route.Peer {
+	var peers []route.Peer
+	for _, h := range w.hosts {
+		if h != self && !h.dead {
+			peers = append(peers, route.Peer{Name: h.name, DataCentre: centreNames[h.centre]})
+		}
+	}
+	return peers
+}
+
+// pickHost chooses a live host as the balancer does, within a data centre that
+// is cut off or not.
+func (w *world) pickHost() int {
+	total := 0.0
+	for _, h := range w.hosts {
+		if !h.dead {
+			total += h.weight
+		}
+	}
+	at := w.random.Float64() * total
+	for i, h := range w.hosts {
+		if h.dead {
+			continue
+		}
+		if at -= h.weight; at < 0 {
+			return i
+		}
+	}
+	return 0
+}
+
+func (h *fakeHost) tick() {
+	if h.dead {
+		return
+	}
+	h.pump()
+	h.exchange()
+	h.world.after(exchangeTick, h.tick)
+}
+
+func (h *fakeHost) submit(items ...*item) {
+	if h.plain != nil {
+		h.plain.submit(items...)
+		return
+	}
+	for _, i := range items {
+		h.pool.Enqueue(h.world.time(), i)
+	}
+	h.pump()
+}
+
+// pump binds what can start and asks peers for more slots.
+func (h *fakeHost) pump() {
+	for {
+		b, ok := h.pool.Bind(h.world.time())
+		if !ok {
+			break
+		}
+		h.send(b)
+	}
+	if h.pool.Waiting() == 0 {
+		return
+	}
+	h.exchange()
+	if wake := h.pool.Wake(h.world.time()); !wake.IsZero() {
+		h.world.after(wake.Sub(h.world.time()), h.pump)
+	}
+}
+
+func (h *fakeHost) exchange() {
+	if h.world.noLending {
+		return
+	}
+	w := h.world
+	for _, o := range h.pool.Exchange(w.time()) {
+		w.control++
+		for _, to := range w.hosts {
+			if to.name == o.To && w.linked(h.centre, to.centre) {
+				w.after(distance(h.centre, to.centre), func() { to.receive(h.name, o.Message) })
+			}
+		}
+	}
+}
+
+func (h *fakeHost) receive(from ident.Host, m route.Message) {
+	if h.dead {
+		return
+	}
+	h.pool.Receive(h.world.time(), from, m)
+	h.pump()
+	h.exchange()
+}
+
+// send puts a bound item on the way to its server.
+func (h *fakeHost) send(b route.Binding[*item]) {
+	w := h.world
+	f := w.byName[b.Server.Name]
+	w.messages++
+	b.Item.tries++
+	sent := w.now
+	away := distance(h.centre, f.centre)
+	w.after(away, func() {
+		if f.running >= f.slots || f.leaving {
+			w.after(away, func() { h.refused(b) })
+			return
+		}
+		f.running++
+		b.Item.starts++
+		w.after(time.Duration(float64(b.Item.work)/f.speed), func() {
+			f.running--
+			w.after(away, func() { h.ended(b, w.now-sent) })
+		})
+	})
+}
+
+func (h *fakeHost) refused(b route.Binding[*item]) {
+	if h.dead {
+		return
+	}
+	h.pool.Ended(h.world.time(), b.Server.Name, 0, false)
+	h.pool.Requeue(b.Queued, b.Item)
+	h.pump()
+}
+
+func (h *fakeHost) ended(b route.Binding[*item], took time.Duration) {
+	if h.dead {
+		return
+	}
+	b.Item.done = true
+	b.Item.ended = h.world.now
+	h.pool.Ended(h.world.time(), b.Server.Name, took, true)
+	h.pump()
+}
--- /dev/null
+++ b/route/lending.go
@@ -0,0 +1,359 @@
+package route
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/catkingap/catkingap/ident"
+)
+
+// Peer is another entry host that shares the servers of the pool.
+type Peer struct {
+	Name       ident.Host
+	DataCentre ident.DataCentre
+	// Weight is the host's share of the slots. Zero means one.
+	Weight int
+}
+
+// Slots is a number of slots on one server.
+type Slots struct {
+	Server ident.Server `msgpack:"server"`
+	Count  int          `msgpack:"count"`
+}
+
+// Message passes slots between two entry hosts. Messages between two hosts
+// arrive in order or not at all.
+type Message struct {
+	// Sequence numbers the messages to this receiver, starting at 1.
+	Sequence uint64 `msgpack:"sequence"`
+	// Seen is the last sequence that the sender got from the receiver.
+	Seen uint64 `msgpack:"seen"`
+	// Want is the number of slots that the sender could use at once.
+	Want int `msgpack:"want"`
+	// Limit is the run time in seconds above which a server's slots are of no
+	// use to the sender. Zero means that all are of use.
+	Limit float64 `msgpack:"limit,omitempty"`
+	// Free is the number of slots that the sender could lend.
+	Free int `msgpack:"free"`
+	// Give is the slots that pass from the sender to the receiver, as a loan
+	// or as the return of one.
+	Give []Slots `msgpack:"give,omitempty"`
+	// Held is set on heartbeats: the receiver's slots that the sender holds.
+	Held      []Slots `msgpack:"held,omitempty"`
+	Heartbeat bool    `msgpack:"heartbeat,omitempty"`
+}
+
+// Outgoing is a message that the caller must send.
+type Outgoing struct {
+	To      ident.Host
+	Message Message
+}
+
+// peer is what this host knows of another one.
+type peer struct {
+	Peer
+	heard, asked, told time.Time
+	sent, seen         uint64
+	want, free         int
+	limit              float64
+	wanted             time.Time
+	// lent is this host's slots that the peer holds, borrowed the reverse.
+	lent, borrowed map[ident.Server]int
+}
+
+const (
+	// maxWant bounds the slots that one message asks for.
+	maxWant = 256
+	// askFanOut is the number of hosts that are asked at once.
+	askFanOut = 2
+	// reserveShare is the share of a host's slots in use that it keeps free
+	// for itself when it lends.
+	reserveShare = 0.05
+)
+
+// SetPeers replaces the other entry hosts that share the pool. Slots lent to a
+// host that is gone come back.
+func (p *Pool[Item]) SetPeers(peers []Peer) {
+	known := p.peers
+	p.peers = make(map[ident.Host]*peer, len(peers))
+	p.peerOrder = p.peerOrder[:0]
+	for _, host := range peers {
+		k := known[host.Name]
+		if k == nil {
+			k = &peer{lent: map[ident.Server]int{}, borrowed: map[ident.Server]int{}}
+		}
+		k.Peer = host
+		p.peers[host.Name] = k
+		p.peerOrder = append(p.peerOrder, k)
+	}
+	for name, k := range known {
+		if p.peers[name] == nil {
+			p.forget(k)
+		}
+	}
+	p.share()
+}
+
+// share computes the slots that this host owns.
+func (p *Pool[Item]) share() {
+	peers := make([]Peer, 0, len(p.peerOrder))
+	for _, k := range p.peerOrder {
+		peers = append(peers, k.Peer)
+	}
+	for _, s := range p.order {
+		s.owned = shareSlots(s.Server, p.config.Self, peers)
+	}
+}
+
+// forget ends all loans from and to a peer.
+func (p *Pool[Item]) forget(k *peer) {
+	for name, n := range k.lent {
+		if s := p.servers[name]; s != nil {
+			s.lent -= n
+		}
+	}
+	for name, n := range k.borrowed {
+		if s := p.servers[name]; s != nil {
+			s.borrowed -= n
+		}
+	}
+	clear(k.lent)
+	clear(k.borrowed)
+	k.want, k.free = 0, 0
+}
+
+// Receive takes a message of a peer.
+func (p *Pool[Item]) Receive(now time.Time, from ident.Host, m Message) {
+	k := p.peers[from]
+	if k == nil {
+		return
+	}
+	if m.Sequence == 1 {
+		// The peer started anew and holds nothing.
+		p.forget(k)
+	}
+	k.heard, k.seen = now, m.Sequence
+	k.want, k.limit, k.free, k.wanted = m.Want, m.Limit, m.Free, now
+	for _, g := range m.Give {
+		p.take(k, g)
+	}
+	if m.Heartbeat && m.Seen == k.sent {
+		p.reconcile(k, m.Held)
+	}
+}
+
+// take adds slots that a peer gave: first as the return of a loan.
+func (p *Pool[Item]) take(k *peer, g Slots) {
+	s := p.servers[g.Server]
+	if s == nil {
+		return
+	}
+	back := min(g.Count, k.lent[g.Server])
+	move(k.lent, g.Server, -back)
+	s.lent -= back
+	move(k.borrowed, g.Server, g.Count-back)
+	s.borrowed += g.Count - back
+}
+
+// reconcile replaces what this host believes to have lent to a peer by what
+// the peer says to hold. It mends what lost messages left behind.
+func (p *Pool[Item]) reconcile(k *peer, held []Slots) {
+	for name, n := range k.lent {
+		if s := p.servers[name]; s != nil {
+			s.lent -= n
+		}
+	}
+	clear(k.lent)
+	for _, h := range held {
+		if s := p.servers[h.Server]; s != nil {
+			k.lent[h.Server] = h.Count
+			s.lent += h.Count
+		}
+	}
+}
+
+// move adds n to the count of a server and removes the entry at zero.
+func move(counts map[ident.Server]int, name ident.Server, n int) {
+	if counts[name] += n; counts[name] == 0 {
+		delete(counts, name)
+	}
+}
+
+// Exchange returns the messages that pass slots between this host and its
+// peers. The caller calls it when work waits after Bind, after Receive, and at
+// least each Config.Tick.
+func (p *Pool[Item]) Exchange(now time.Time) []Outgoing {
+	var out []Outgoing
+	waiting := p.Waiting()
+	free := p.freeSlots(now)
+	p.low = min(p.low, free)
+	for _, k := range p.peerOrder {
+		if !k.heard.IsZero() && now.Sub(k.heard) > p.config.PeerTimeout {
+			p.forget(k)
+			k.heard = time.Time{}
+		}
+		if give := p.give(now, k, waiting); len(give) > 0 {
+			out = append(out, p.message(now, k, give, waiting))
+		}
+	}
+	if waiting > 0 {
+		out = p.ask(now, out, waiting)
+	} else if now.Sub(p.windowStart) >= p.config.ReturnTime {
+		out = p.returnIdle(now, out)
+		p.windowStart, p.low = now, free
+	}
+	return p.beat(now, out, waiting)
+}
+
+// freeSlots returns the number of tasks that could start at once.
+func (p *Pool[Item]) freeSlots(now time.Time) int {
+	free := 0
+	for _, s := range p.order {
+		if s.usable(now) {
+			free += s.free()
+		}
+	}
+	return free
+}
+
+// give returns the slots that pass to a peer that wants some: its own first,
+// even if work waits here, and this host's spare ones.
+func (p *Pool[Item]) give(now time.Time, k *peer, waiting int) []Slots {
+	if k.want <= 0 || now.Sub(k.wanted) > p.config.WantTime {
+		return nil
+	}
+	given := p.giveBack(k, k.want)
+	for _, g := range given {
+		k.want -= g.Count
+	}
+	if waiting > 0 || k.want <= 0 {
+		return given
+	}
+	spare := p.freeSlots(now) - p.reserve()
+	for _, s := range p.order {
+		n := min(s.free(), s.owned-s.lent, spare, k.want)
+		if n <= 0 || now.Before(s.paused) || k.limit > 0 && s.runTime > k.limit {
+			continue
+		}
+		s.lent += n
+		move(k.lent, s.Name, n)
+		given = append(given, Slots{s.Name, n})
+		spare -= n
+		k.want -= n
+	}
+	return given
+}
+
+// reserve returns the number of free slots that this host does not lend.
+func (p *Pool[Item]) reserve() int {
+	return 1 + int(reserveShare*float64(p.running))
+}
+
+// giveBack returns up to limit unused slots of a peer to it.
+func (p *Pool[Item]) giveBack(k *peer, limit int) []Slots {
+	var given []Slots
+	for _, name := range slices.Sorted(maps.Keys(k.borrowed)) {
+		s := p.servers[name]
+		n := min(k.borrowed[name], limit)
+		if s != nil && s.present && !s.Leaving {
+			n = min(n, s.free())
+		}
+		if n <= 0 {
+			continue
+		}
+		if s != nil {
+			s.borrowed -= n
+		}
+		move(k.borrowed, name, -n)
+		given = append(given, Slots{name, n})
+		limit -= n
+	}
+	return given
+}
+
+// returnIdle gives back the slots that stood unused for a whole window.
+func (p *Pool[Item]) returnIdle(now time.Time, out []Outgoing) []Outgoing {
+	idle := p.low - p.reserve()
+	for _, k := range p.peerOrder {
+		if idle <= 0 {
+			break
+		}
+		given := p.giveBack(k, idle)
+		for _, g := range given {
+			idle -= g.Count
+		}
+		if len(given) > 0 {
+			out = append(out, p.message(now, k, given, 0))
+		}
+	}
+	return out
+}
+
+// ask asks a few peers for slots: those that hold slots of this host, then
+// those of its data centre, then those with the most free slots.
+func (p *Pool[Item]) ask(now time.Time, out []Outgoing, waiting int) []Outgoing {
+	if now.Sub(p.asked) < p.config.AskPause {
+		return out
+	}
+	candidates := make([]*peer, 0, len(p.peerOrder))
+	for _, k := range p.peerOrder {
+		if now.Sub(k.asked) >= p.config.WantTime/2 {
+			candidates = append(candidates, k)
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *peer) int {
+		return cmp.Or(
+			-cmp.Compare(min(len(a.lent), 1), min(len(b.lent), 1)),
+			-cmp.Compare(min(a.free, 1), min(b.free, 1)),
+			-cmp.Compare(p.near(a), p.near(b)),
+			-cmp.Compare(a.free, b.free),
+		)
+	})
+	for _, k := range candidates[:min(askFanOut, len(candidates))] {
+		k.asked, p.asked = now, now
+		out = append(out, p.message(now, k, nil, waiting))
+	}
+	return out
+}
+
+// near returns 1 for a peer of this host's data centre and 0 for others.
+func (p *Pool[Item]) near(k *peer) int {
+	if k.DataCentre == p.config.Self.DataCentre {
+		return 1
+	}
+	return 0
+}
+
+// beat sends a heartbeat to the peers with which slots are shared or lent, and
+// to one more in turn.
+func (p *Pool[Item]) beat(now time.Time, out []Outgoing, waiting int) []Outgoing {
+	if now.Sub(p.beaten) < p.config.Heartbeat {
+		return out
+	}
+	p.beaten = now
+	p.beats++
+	for i, k := range p.peerOrder {
+		if p.near(k) == 0 && len(k.lent)+len(k.borrowed) == 0 && i != p.beats%len(p.peerOrder) {
+			continue
+		}
+		o := p.message(now, k, nil, waiting)
+		o.Message.Heartbeat = true
+		for _, name := range slices.Sorted(maps.Keys(k.borrowed)) {
+			o.Message.Held = append(o.Message.Held, Slots{name, k.borrowed[name]})
+		}
+		out = append(out, o)
+	}
+	return out
+}
+
+func (p *Pool[Item]) message(now time.Time, k *peer, give []Slots, waiting int) Outgoing {
+	k.sent++
+	k.told = now
+	m := Message{Sequence: k.sent, Seen: k.seen, Want: min(waiting, maxWant), Limit: p.limit, Give: give}
+	if waiting == 0 {
+		m.Free = max(p.freeSlots(now)-p.reserve(), 0)
+	}
+	return Outgoing{To: k.Name, Message: m}
+}
