--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -89,7 +89,7 @@
 // sentMessages returns the messages that a sender put on connections.
 func sentMessages(s backend.Sender) int64 {
 	if c, ok := s.(*backend.Client); ok {
-		return c.Messages.Load()
+		return c.Counters.Messages.Value()
 	}
 	return 0
 }
