Give leaving backend servers no new work, whoever says it first

Cause: an answer with "Connection: close" was noted only when it refused; the pool forgot a server's own word at its next reading of the membership list, within a second; other entry hosts learned it only by their own contact.

Now the pure machine drain.Servers holds what servers said of themselves. The first host that hears it from the server sends one small message to each other host, which do not pass it on. A word is forgotten when the list has shown the server as leaving and no longer does, when the server answers a health check without saying so (after 5 s, doubled each time that it leaves again, up to 5 minutes) or when it is no longer declared.

Ruled out: trusting a list that never showed it leave (it lags); gossip (more messages for a set this small and rare).

--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -42,6 +42,8 @@
 	sender   backend.Sender
 	ring     *timeline.Ring
 	requests *ident.Sequence
+	// leaving returns true for servers that said that they are leaving.
+	leaving func(resource.Server) bool
 
 	mutex sync.RWMutex
 	pools map[ident.Pool]*poolQueue
@@ -63,6 +65,7 @@
 		ring:     ring,
 		requests: ident.NewSequence(),
 		pools:    map[ident.Pool]*poolQueue{},
+		leaving:  func(resource.Server) bool { return false },
 	}
 }
 
@@ -76,7 +79,7 @@
 				Address:    b.Address,
 				DataCentre: b.DataCentre,
 				Slots:      b.Slots,
-				Leaving:    b.Drain || directory.Leaving(string(b.Name)),
+				Leaving:    b.Drain || directory.Leaving(string(b.Name)) || d.leaving(b),
 			})
 		}
 		d.queue(name).configure(servers)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -92,6 +92,8 @@
 			newBatcher,
 			resource.NewStore,
 			newLinks,
+			newBackendClient,
+			newLeaving,
 			newSender,
 			newDirectory,
 			newDispatcher,
@@ -99,7 +101,7 @@
 			newServices,
 			newAPI,
 		),
-		fx.Invoke(runBackground, runPeer, runAPI),
+		fx.Invoke(runLeaving, runBackground, runPeer, runAPI),
 		// The hooks of the life cycle bound themselves by the settings.
 		fx.StopTimeout(time.Duration(o.Settings.ShutdownTimeout)+time.Duration(o.Settings.UnreadyTime)+time.Second),
 		fx.Options(more...),
@@ -169,7 +171,7 @@
 	return peer.NewLinks(peer.Config{Logger: l, Network: n, WriteTimeout: peerWriteTimeout})
 }
 
-func newSender(s settings.Settings, n network.Network) backend.Sender {
+func newBackendClient(s settings.Settings, n network.Network) *backend.Client {
 	return backend.NewClient(backend.ClientConfig{
 		Network:      n,
 		Connections:  s.Limits.Connections,
--- /dev/null
+++ b/integration/leaving_test.go
@@ -0,0 +1,214 @@
+package integration
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/catkingap/catkingap/entry"
+	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/repairlog"
+	"github.com/catkingap/catkingap/resource"
+	"github.com/catkingap/catkingap/standin"
+)
+
+// leavingBound is the time after which a leaving backend server gets no work.
+const leavingBound = 3 * time.Second
+
+// load sends requests to hosts until it is stopped and checks each answer.
+type load struct {
+	k       *cluster
+	stopped chan struct{}
+	group   sync.WaitGroup
+
+	mutex    sync.Mutex
+	answered int
+	failures []error
+}
+
+// startLoad starts workers that send requests of the given run time, each to
+// its host in turn.
+func (k *cluster) startLoad(workers int, run time.Duration, hosts ...*entryHost) *load {
+	l := &load{k: k, stopped: make(chan struct{})}
+	for i := range workers {
+		l.group.Go(func() { l.work(uint64(i), run, hosts[i%len(hosts)]) })
+	}
+	return l
+}
+
+func (l *load) work(seed uint64, run time.Duration, h *entryHost) {
+	for {
+		select {
+		case <-l.stopped:
+			return
+		default:
+		}
+		seed += 1000
+		err := l.k.call(h, seed, run)
+		l.mutex.Lock()
+		if err != nil {
+			l.failures = append(l.failures, err)
+		} else {
+			l.answered++
+		}
+		l.mutex.Unlock()
+	}
+}
+
+// stop ends the load and returns the failures.
+func (l *load) stop() []error {
+	close(l.stopped)
+	l.group.Wait()
+	return l.failures
+}
+
+// call sends one request that is not idempotent and checks its answer.
+func (k *cluster) call(h *entryHost, seed uint64, run time.Duration) error {
+	payload := submission("call", seed, 1, run).Tasks[0].Payload
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	answer, err := h.client.Call(ctx, entry.Call{Team: teamName, Service: serviceName, Body: payload})
+	if err != nil {
+		return err
+	}
+	return repairlog.Check(payload, answer)
+}
+
+// startsOf returns the log of starts of one backend server.
+func (k *cluster) startsOf(b *backendServer) []standin.Start {
+	k.t.Helper()
+	response, err := http.Get(b.url + "/starts")
+	k.is.NoErr(err)
+	defer response.Body.Close()
+	starts, err := standin.DecodeStarts(response.Body)
+	k.is.NoErr(err)
+	return starts
+}
+
+// startsAfter counts the starts of a backend server after a time.
+func (k *cluster) startsAfter(b *backendServer, at time.Time) int {
+	k.t.Helper()
+	count := 0
+	for _, s := range k.startsOf(b) {
+		if s.At.After(at) {
+			count++
+		}
+	}
+	return count
+}
+
+// refusedAfter counts the requests that a backend server refused after a time.
+func (k *cluster) refusedAfter(b *backendServer, at time.Time) int {
+	k.t.Helper()
+	response, err := http.Get(b.url + "/refusals")
+	k.is.NoErr(err)
+	defer response.Body.Close()
+	var refusals []time.Time
+	k.is.NoErr(json.NewDecoder(response.Body).Decode(&refusals))
+	count := 0
+	for _, r := range refusals {
+		if r.After(at) {
+			count++
+		}
+	}
+	return count
+}
+
+// drainFlag sets the drain flag of a backend server's resource.
+func (k *cluster) drainFlag(b *backendServer, drain bool) {
+	k.t.Helper()
+	o, err := k.hosts[0].client.Get(k.t.Context(), resource.KindBackendServer, b.name)
+	k.is.NoErr(err)
+	var spec resource.BackendServerSpec
+	k.is.NoErr(json.Unmarshal(o.Spec, &spec))
+	spec.Drain = drain
+	o.Spec, err = json.Marshal(spec)
+	k.is.NoErr(err)
+	_, err = k.hosts[0].client.Put(k.t.Context(), o)
+	k.is.NoErr(err)
+}
+
+// listServer lists a backend server in the membership list.
+func (k *cluster) listServer(b *backendServer, state platform.State) {
+	k.t.Helper()
+	k.list(platform.TargetGroup{Targets: []string{b.proxy.Listen}, Labels: map[string]string{
+		platform.LabelID: b.name, platform.LabelRole: string(platform.BackendServer), platform.LabelState: string(state),
+	}})
+}
+
+// TestLeavingServer lets a backend server leave in each way that it can say so.
+// No entry host gives it new work after the bound, whichever had contact with
+// it; work in progress ends with its answer; and it gets work again when it
+// came back.
+func TestLeavingServer(t *testing.T) {
+	tests := map[string]struct {
+		leave, back func(k *cluster, b *backendServer)
+	}{
+		"drain flag": {
+			leave: func(k *cluster, b *backendServer) { k.drainFlag(b, true) },
+			back:  func(k *cluster, b *backendServer) { k.drainFlag(b, false) },
+		},
+		"connection close": {
+			leave: func(k *cluster, b *backendServer) {
+				k.faults(b.url+standin.PathFaults, standin.Faults{Mode: standin.Close})
+			},
+			back: func(k *cluster, b *backendServer) { k.faults(b.url+standin.PathFaults, standin.Faults{}) },
+		},
+		"draining refusal": {
+			leave: func(k *cluster, b *backendServer) {
+				k.faults(b.url+standin.PathFaults, standin.Faults{Mode: standin.Drain})
+			},
+			back: func(k *cluster, b *backendServer) { k.faults(b.url+standin.PathFaults, standin.Faults{}) },
+		},
+		"membership list": {
+			leave: func(k *cluster, b *backendServer) { k.listServer(b, platform.Leaving) },
+			back:  func(k *cluster, b *backendServer) { k.listServer(b, platform.Live) },
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			k := newCluster(t, clusterConfig{hosts: 3, backends: 2, slots: 8})
+			leaver := k.backends[0]
+			// The load of the first host keeps contact with the server.
+			first := k.startLoad(12, 50*time.Millisecond, k.hosts[0])
+			k.eventually("loaded", func() bool { return len(k.startsOf(leaver)) >= 20 })
+			long := k.startLoad(2, 2*time.Second, k.hosts[0])
+			time.Sleep(500 * time.Millisecond)
+			tt.leave(k, leaver)
+			left := time.Now()
+			k.is.Equal(len(long.stop()), 0)
+			time.Sleep(time.Until(left.Add(leavingBound)))
+			// The other hosts had no contact with the server until now.
+			others := k.startLoad(12, 50*time.Millisecond, k.hosts[1], k.hosts[2])
+			time.Sleep(2 * time.Second)
+			k.is.Equal(k.startsAfter(leaver, left.Add(leavingBound)), 0)
+			k.is.Equal(k.refusedAfter(leaver, left.Add(leavingBound)), 0)
+			tt.back(k, leaver)
+			back := time.Now()
+			k.eventually("back at work", func() bool { return k.startsAfter(leaver, back) > 0 })
+			k.is.Equal(len(others.stop()), 0)
+			k.is.Equal(len(first.stop()), 0)
+			k.checkRequestsOnce()
+		})
+	}
+}
+
+// checkRequestsOnce checks that no request started more than once anywhere.
+func (k *cluster) checkRequestsOnce() {
+	k.t.Helper()
+	counts := map[string]int{}
+	for _, b := range k.backends {
+		for _, s := range k.startsOf(b) {
+			counts[s.Request]++
+		}
+	}
+	for request, count := range counts {
+		if count > 1 {
+			k.t.Errorf("request %s started %d times", request, count)
+		}
+	}
+}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -39,7 +39,7 @@
 	mutex    sync.Mutex
 	starts   []Start
 	previous []byte
-	refused  int
+	refusals []time.Time
 }
 
 // NewBackend returns a backend server that has started nothing yet.
@@ -61,7 +61,14 @@
 func (b *Backend) Refused() int {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.refused
+	return len(b.refusals)
+}
+
+// Refusals returns when requests were refused as not run.
+func (b *Backend) Refusals() []time.Time {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return append([]time.Time{}, b.refusals...)
 }
 
 // Handler returns the HTTP handler of the server.
@@ -69,12 +76,27 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+backend.PathRun, b.Faults.guard(b.serveRun))
 	mux.HandleFunc("GET /starts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, b.Starts()) })
-	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("GET /refusals", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, b.Refusals()) })
+	mux.HandleFunc("GET "+backend.PathHealth, b.serveHealth)
 	mux.Handle("PUT "+PathFaults, &b.Faults)
 	return mux
 }
 
+// serveHealth answers without a slot, and tells when the server is leaving.
+func (b *Backend) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	switch b.Faults.mode() {
+	case Close:
+		w.Header().Set("Connection", "close")
+	case Drain:
+		w.Header().Set(backend.HeaderLeaving, "true")
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (b *Backend) serveRun(w http.ResponseWriter, r *http.Request, f Faults) {
+	if f.Mode == Close {
+		w.Header().Set("Connection", "close")
+	}
 	if f.Mode == Drain {
 		w.Header().Set(backend.HeaderLeaving, "true")
 		b.refuse(w, r, "leaving")
@@ -112,7 +134,7 @@
 // refuse answers that the request did not run.
 func (b *Backend) refuse(w http.ResponseWriter, r *http.Request, reason string) {
 	b.mutex.Lock()
-	b.refused++
+	b.refusals = append(b.refusals, time.Now())
 	b.mutex.Unlock()
 	w.Header().Set(backend.HeaderRequest, r.Header.Get(backend.HeaderRequest))
 	w.Header().Set(backend.HeaderOutcome, string(outcome.NotRun))
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -30,6 +30,9 @@
 	FailAll Mode = "failAll"
 	// Drain refuses new work as a leaving backend server does.
 	Drain Mode = "drain"
+	// Close runs work and answers with "Connection: close", as a backend
+	// server that shuts down does.
+	Close Mode = "close"
 	// Cross answers a task with the answer of the task before it.
 	Cross Mode = "cross"
 )
@@ -58,6 +61,13 @@
 	s.faults = f
 }
 
+// mode returns the present mode without counting a request.
+func (s *Switch) mode() Mode {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.faults.Mode
+}
+
 // take returns the faults for one request and counts it.
 func (s *Switch) take() Faults {
 	s.mutex.Lock()
