--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -41,6 +41,7 @@
 	identity Identity
 	sender   backend.Sender
 	ring     *timeline.Ring
+	metrics  *Metrics
 	requests *ident.Sequence
 	// leaving returns true for servers that said that they are leaving.
 	leaving func(resource.Server) bool
@@ -57,12 +58,13 @@
 	wake       *time.Timer
 }
 
-func newDispatcher(s settings.Settings, i Identity, sender backend.Sender, ring *timeline.Ring) *Dispatcher {
+func newDispatcher(s settings.Settings, i Identity, sender backend.Sender, ring *timeline.Ring, m *Metrics) *Dispatcher {
 	return &Dispatcher{
 		settings: s,
 		identity: i,
 		sender:   sender,
 		ring:     ring,
+		metrics:  m,
 		requests: ident.NewSequence(),
 		pools:    map[ident.Pool]*poolQueue{},
 		leaving:  func(resource.Server) bool { return false },
@@ -92,7 +94,7 @@
 	q := d.pools[name]
 	if q == nil {
 		q = &poolQueue{dispatcher: d, pool: route.NewPool[*Work](route.Config{
-			Local:       d.identity.DataCentre,
+			Self:        route.Peer{Name: d.identity.Host, DataCentre: d.identity.DataCentre},
 			RemoteDelay: remoteDelay,
 			BusyPause:   busyPause,
 		})}
@@ -165,7 +167,7 @@
 	if q.pool.Waiting() == 0 {
 		return
 	}
-	if next := q.pool.NextPause(now); !next.IsZero() {
+	if next := q.pool.Wake(now); !next.IsZero() {
 		q.wake = time.AfterFunc(next.Sub(now), func() {
 			q.mutex.Lock()
 			defer q.mutex.Unlock()
@@ -197,9 +199,8 @@
 	failure := outcome.From(err)
 	now := time.Now()
 	event.Kind = timeline.TaskEnded
-	if failure != nil {
-		event.Detail = failure.Error()
-	}
+	q.dispatcher.metrics.dispatched(start.Sub(b.Queued), now.Sub(start), failure)
+	event.Detail = label(failure)
 	q.dispatcher.ring.Add(now, event)
 	refused := failure != nil && failure.Kind == outcome.NotRun
 	if refused && w.Context.Err() == nil {
