Decide the rollout of the configuration in a pure machine

Cause: reading the head and then listing the rows was not atomic, a delete left no trace, and a host learned a revision from the table alone.

The table's rows can be read in the same transaction as a write, and only those after a revision. Package rollout holds the rows at one revision, merges deltas that provably fit, and says when to fetch from a peer or pass on. A deletion is a tombstone; a floor row tells which tombstones were removed.

--- /dev/null
+++ b/rollout/set.go
@@ -0,0 +1,93 @@
+// Package rollout decides which revision of the configuration a host puts in
+// force and when it fetches one from a peer or passes one on. It is pure: the
+// machine takes events and the present time and returns actions; the caller
+// executes them.
+package rollout
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/catkingap/catkingap/ident"
+)
+
+// Row is one row of the configuration.
+type Row struct {
+	Key      string         `msgpack:"key"`
+	Value    []byte         `msgpack:"value"`
+	Revision ident.Revision `msgpack:"revision"`
+	// Deleted marks the tombstone of a row.
+	Deleted bool `msgpack:"deleted,omitempty"`
+}
+
+// Delta holds the rows that were last written after one revision and up to
+// another, as they are at the second.
+type Delta struct {
+	// After is the revision that the rows follow. Zero means that the delta
+	// holds all rows.
+	After    ident.Revision `msgpack:"after"`
+	Revision ident.Revision `msgpack:"revision"`
+	// Floor is the highest revision of a tombstone that was removed. A delta
+	// tells nothing of the rows deleted at or before it.
+	Floor ident.Revision `msgpack:"floor,omitempty"`
+	Rows  []Row          `msgpack:"rows"`
+}
+
+// Set is the whole configuration at one revision, tombstones included. It is
+// never changed after it was made. The zero value holds nothing.
+type Set struct {
+	Revision ident.Revision
+	Floor    ident.Revision
+	rows     map[string]Row
+}
+
+// Row returns the row of key. The row of a deleted resource is a tombstone.
+func (s *Set) Row(key string) (Row, bool) {
+	r, ok := s.rows[key]
+	return r, ok
+}
+
+// Rows returns all rows in order of their keys, tombstones included.
+func (s *Set) Rows() []Row {
+	return slices.SortedFunc(maps.Values(s.rows), func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
+}
+
+// Since returns what changed after a revision, oldest first. The delta holds
+// all rows if after is zero or older than the floor.
+func (s *Set) Since(after ident.Revision) Delta {
+	if after < s.Floor {
+		after = 0
+	}
+	d := Delta{After: after, Revision: s.Revision, Floor: s.Floor}
+	for _, r := range s.rows {
+		if r.Revision > after {
+			d.Rows = append(d.Rows, r)
+		}
+	}
+	slices.SortFunc(d.Rows, func(a, b Row) int {
+		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
+	})
+	return d
+}
+
+// Fits returns true if s and d together give all rows of d's revision.
+func (s *Set) Fits(d Delta) bool {
+	return d.After == 0 || (d.After <= s.Revision && d.Floor <= s.Revision)
+}
+
+// Merge returns the set of d's revision. It returns s if d is not newer or
+// does not fit.
+func (s *Set) Merge(d Delta) *Set {
+	if d.Revision <= s.Revision || !s.Fits(d) {
+		return s
+	}
+	next := &Set{Revision: d.Revision, Floor: max(s.Floor, d.Floor), rows: map[string]Row{}}
+	if d.After > 0 {
+		maps.Copy(next.rows, s.rows)
+	}
+	for _, r := range d.Rows {
+		next.rows[r.Key] = r
+	}
+	return next
+}
--- a/standin/table.go
+++ b/standin/table.go
@@ -147,7 +147,7 @@
 		return response
 	}
 	for k, kv := range rows {
-		if k >= string(request.Key) && k < string(request.RangeEnd) {
+		if k >= string(request.Key) && k < string(request.RangeEnd) && kv.ModRevision >= request.MinModRevision {
 			response.KVs = append(response.KVs, kv)
 		}
 	}
