Give each command its errors, exit codes and a way out

Unknown commands, missing flags and bad arguments ended with exit code 1, as failed work does; all that goes wrong before a command starts its work is now an error of usage, 2.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -6,11 +6,9 @@
 	"fmt"
 	"io"
 
-	"github.com/cockroachdb/errors"
-	"github.com/spf13/cobra"
-
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/settings"
+	"github.com/cockroachdb/errors"
 )
 
 // The exit codes of the command line.
@@ -37,17 +35,50 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, stdin io.Reader, stdout, stderr io.Writer) int {
-	root := newConfig(stdin, stdout, stderr).newRootCmd()
+	config := newConfig(stdin, stdout, stderr)
+	root := config.newRootCmd()
 	root.SetArgs(args)
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err} })
 	err := root.ExecuteContext(context.Background())
 	if err == nil {
 		return ExitDone
 	}
+	if !config.started {
+		err = &usageError{err}
+	}
 	fmt.Fprintf(stderr, "catkingap: %v\n", err)
+	if text := hint(err, config.server); text != "" {
+		fmt.Fprintf(stderr, "catkingap: %s\n", text)
+	}
 	return exitCode(err)
 }
 
+// hint returns the way out of an error, or nothing if the error names it.
+func hint(err error, server string) string {
+	var invalid *settings.InvalidError
+	if errors.As(err, &invalid) {
+		return "docs/SETTINGS.md lists all keys"
+	}
+	var usage *usageError
+	if errors.As(err, &usage) {
+		return "add --help to the command to see what it takes"
+	}
+	var ended *outcome.Error
+	if !errors.As(err, &ended) {
+		return ""
+	}
+	switch {
+	case ended.Code == outcome.Unreachable:
+		return fmt.Sprintf("no entry host answers at %s; name another by --server", server)
+	case ended.Kind == outcome.Unknown:
+		return "it may have run; a job can be submitted again by its key, and the time line shows what happened"
+	case ended.Kind == outcome.NotRun && ended.RetryAfter > 0:
+		return fmt.Sprintf("it did not run; try again after %s", ended.RetryAfter)
+	case ended.Code == outcome.NotFound:
+		return "check the name, and that the configuration is in force on this host"
+	}
+	return ""
+}
+
 func exitCode(err error) int {
 	var usage *usageError
 	var invalid *settings.InvalidError
--- a/cmd/config.go
+++ b/cmd/config.go
@@ -23,6 +23,9 @@
 	server  string
 	timeout time.Duration
 	network network.Network
+
+	// started is set when the work of a command starts.
+	started bool
 }
 
 const (
@@ -61,6 +64,7 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
+	root.CompletionOptions.DisableDefaultCmd = true
 	root.SetIn(c.stdin)
 	root.SetOut(c.stdout)
 	root.SetErr(c.stderr)
@@ -69,6 +73,8 @@
 	flags.DurationVar(&c.timeout, "timeout", defaultTimeout, "time to wait for an answer")
 	root.AddCommand(
 		c.newCallCmd(),
+		c.newCancelCmd(),
+		c.newCompletionCmd(),
 		c.newDemoCmd(),
 		c.newEntryCmd(),
 		c.newSettingsCmd(),
@@ -77,5 +83,20 @@
 		c.newTimelineCmd(),
 		c.newVersionCmd(),
 	)
+	c.markStart(root)
 	return root
 }
+
+// markStart notes when the work of any command starts. Errors before that are
+// errors of usage.
+func (c *Config) markStart(command *cobra.Command) {
+	if run := command.RunE; run != nil {
+		command.RunE = func(command *cobra.Command, args []string) error {
+			c.started = true
+			return run(command, args)
+		}
+	}
+	for _, child := range command.Commands() {
+		c.markStart(child)
+	}
+}
--- a/cmd/output.go
+++ b/cmd/output.go
@@ -17,6 +17,9 @@
 	outputYAML  = "yaml"
 )
 
+// columnGap is the least number of spaces between two columns of a table.
+const columnGap = 2
+
 // outputFormat is a flag that takes only known formats.
 type outputFormat struct{ into *string }
 
--- a/cmd/settingscmd.go
+++ b/cmd/settingscmd.go
@@ -13,26 +13,26 @@
 	command := &cobra.Command{
 		Use:   "settings",
 		Short: "Check or show the settings of an entry host",
-		Args:  usageArgs(cobra.NoArgs),
+		Args:  cobra.NoArgs,
 		RunE:  func(command *cobra.Command, _ []string) error { return command.Help() },
 	}
 	command.AddCommand(
 		&cobra.Command{
 			Use:   "check FILE",
 			Short: "Say all that is wrong with a file of settings",
-			Args:  usageArgs(cobra.ExactArgs(1)),
+			Args:  cobra.ExactArgs(1),
 			RunE:  func(_ *cobra.Command, args []string) error { return c.runSettingsCheckCmd(args[0]) },
 		},
 		&cobra.Command{
 			Use:   "default",
 			Short: "Print the default settings",
-			Args:  usageArgs(cobra.NoArgs),
+			Args:  cobra.NoArgs,
 			RunE:  func(*cobra.Command, []string) error { return c.writeSettings(settings.Default()) },
 		},
 		&cobra.Command{
 			Use:   "show FILE",
 			Short: "Print all settings that a file puts in force, defaults included",
-			Args:  usageArgs(cobra.ExactArgs(1)),
+			Args:  cobra.ExactArgs(1),
 			RunE:  func(_ *cobra.Command, args []string) error { return c.runSettingsShowCmd(args[0]) },
 		},
 	)
@@ -64,13 +64,3 @@
 	_, err = c.stdout.Write(data)
 	return err
 }
-
-// usageArgs marks the errors of an argument check as the user's.
-func usageArgs(check cobra.PositionalArgs) cobra.PositionalArgs {
-	return func(command *cobra.Command, args []string) error {
-		if err := check(command, args); err != nil {
-			return &usageError{err}
-		}
-		return nil
-	}
-}
--- a/cmd/timelinecmd.go
+++ b/cmd/timelinecmd.go
@@ -31,7 +31,7 @@
 			"are named first.",
 		Example: "  catkingap timeline --team kusweg --job tide-1\n" +
 			"  catkingap timeline --host entry-2 --since 10m",
-		Args: usageArgs(cobra.NoArgs),
+		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			return c.runTimelineCmd(command, t)
 		},
--- a/integration/path_test.go
+++ b/integration/path_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/catkingap/catkingap/client"
 	"github.com/catkingap/catkingap/demo"
 	"github.com/catkingap/catkingap/entry"
 	"github.com/catkingap/catkingap/ident"
@@ -18,7 +19,7 @@
 	file, err := os.Open(filepath.Join("..", "samples", "repair-logs.jsonl"))
 	k.is.NoErr(err)
 	defer file.Close()
-	payloads, err := repairlog.Read(file)
+	payloads, err := client.ReadPayloads(file)
 	k.is.NoErr(err)
 	k.is.True(len(payloads) >= 500)
 	s := demo.Submission("tide", repairlog.Generate(1, len(payloads)))
@@ -55,7 +56,7 @@
 	file, err := os.Open(filepath.Join("..", "samples", "repair-logs.jsonl"))
 	is.NoErr(err)
 	defer file.Close()
-	payloads, err := repairlog.Read(file)
+	payloads, err := client.ReadPayloads(file)
 	is.NoErr(err)
 	logs := repairlog.Generate(20261204, len(payloads))
 	for i, s := range demo.Submission(ident.JobKey("x"), logs).Tasks {
--- a/repairlog/repairlog.go
+++ b/repairlog/repairlog.go
@@ -3,7 +3,6 @@
 package repairlog
 
 import (
-	"bufio"
 	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
@@ -112,20 +111,3 @@
 	}
 	return nil
 }
-
-// Read reads payloads from JSON lines.
-func Read(r io.Reader) ([]json.RawMessage, error) {
-	var payloads []json.RawMessage
-	scanner := bufio.NewScanner(r)
-	for line := 1; scanner.Scan(); line++ {
-		data := bytes.TrimSpace(scanner.Bytes())
-		if len(data) == 0 {
-			continue
-		}
-		if !json.Valid(data) {
-			return nil, errors.Newf("line %d is not JSON", line)
-		}
-		payloads = append(payloads, bytes.Clone(data))
-	}
-	return payloads, scanner.Err()
-}
