--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -23,10 +23,14 @@
 	Task *ident.Task
 	// Service is set for a request to a service.
 	Service ident.Service
-	Body    []byte
-	// Done is called once, with the answer or an *outcome.Error.
+	// Idempotent is true if the request may run more than once.
+	Idempotent bool
+	Body       []byte
+	// Done is called once, with the answer or an *outcome.Error, unless the
+	// work was withdrawn.
 	Done func(backend.Reply, *outcome.Error)
 
+	claim
 	request ident.Request
 }
 
@@ -87,7 +91,7 @@
 	q := d.pools[name]
 	if q == nil {
 		q = &poolQueue{dispatcher: d, pool: route.NewPool[*Work](route.Config{
-			Local:       d.identity.DataCentre,
+			Self:        route.Peer{Name: d.identity.Host, DataCentre: d.identity.DataCentre},
 			RemoteDelay: remoteDelay,
 			BusyPause:   busyPause,
 		})}
@@ -160,7 +164,7 @@
 	if q.pool.Waiting() == 0 {
 		return
 	}
-	if next := q.pool.NextPause(now); !next.IsZero() {
+	if next := q.pool.Wake(now); !next.IsZero() {
 		q.wake = time.AfterFunc(next.Sub(now), func() {
 			q.mutex.Lock()
 			defer q.mutex.Unlock()
@@ -172,9 +176,13 @@
 // run sends one bound item and reports how it ended.
 func (q *poolQueue) run(b route.Binding[*Work]) {
 	w := b.Item
+	if !w.take() {
+		q.ended(b, 0, false)
+		return
+	}
 	if err := w.Context.Err(); err != nil {
 		q.ended(b, 0, false)
-		w.Done(backend.Reply{}, outcome.New(outcome.NotRun, outcome.DeadlinePassed, "no free slot in time"))
+		w.Done(backend.Reply{}, ended(w.Context, false))
 		return
 	}
 	start := time.Now()
@@ -208,6 +216,7 @@
 		q.pool.MarkLeaving(b.Server.Name)
 	}
 	q.pool.Ended(time.Now(), b.Server.Name, 0, false)
+	b.Item.release()
 	q.pool.Requeue(b.Queued, b.Item)
 	q.pump()
 }
