--- a/entry/api.go
+++ b/entry/api.go
@@ -40,11 +40,11 @@
 func (a *API) Handler() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	router := gin.New()
-	a.guard(router)
 	router.GET("/healthz", func(c *gin.Context) { c.Status(http.StatusNoContent) })
 	router.GET("/readyz", a.ready)
 	router.GET("/debug/vars", gin.WrapH(a.metrics.set.Handler()))
 	router.Use(a.metrics.measure, a.log.log)
+	a.guard(router)
 	a.routeJobs(router)
 	a.routeResources(router)
 	a.routeServices(router)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -82,6 +82,9 @@
 	count("tableRows", p.batcher.Rows.Load)
 	count("tableTransactions", p.batcher.Transactions.Load)
 	count("timelineOverwritten", func() int64 { return int64(p.ring.Overwritten()) })
+	if c, ok := p.sender.(*backend.Client); ok {
+		m.set.Add("backendConnections", c.Counters.Map())
+	}
 	m.set.Func("events", func() any { return p.ring.Counts() })
 	m.set.Func("queueLength", func() any { return p.dispatcher.waiting() })
 }
@@ -89,7 +92,7 @@
 // sentMessages returns the messages that a sender put on connections.
 func sentMessages(s backend.Sender) int64 {
 	if c, ok := s.(*backend.Client); ok {
-		return c.Messages.Load()
+		return c.Counters.Messages.Value()
 	}
 	return 0
 }
--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -76,10 +76,17 @@
 	_, err = d.Client(0).Call(t.Context(), entry.Call{Service: "no-such-service"})
 	is.True(err != nil)
 
+	for _, path := range []string{"/no/such/path", "/nor/this"} {
+		response, err := http.Get(d.URL(0) + path)
+		is.NoErr(err)
+		response.Body.Close()
+	}
+
 	after := vars(t, d, 0)
+	is.Equal(value[map[string]int](t, after, "requests")["other"], 2)
 	is.Equal(value[map[string]int](t, after, "requests")["POST /v1/jobs"], 1)
-	is.Equal(value[map[string]int](t, after, "outcomes")["notRun.notFound"], 1)
-	is.Equal(value[map[string]int](t, after, "answers")["404"], 1)
+	is.Equal(value[map[string]int](t, after, "outcomes")["notRun.notFound"], 3)
+	is.Equal(value[map[string]int](t, after, "answers")["404"], 3)
 	is.Equal(value[map[string]int](t, after, "backendOutcomes")["answered"], tasks)
 	is.True(value[int](t, after, "backendMessages") >= tasks)
 	is.Equal(value[map[string]int](t, after, "events")["claimed"], 1)
--- a/entry/services_test.go
+++ b/entry/services_test.go
@@ -12,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 
 	"github.com/catkingap/catkingap/backend"
@@ -94,7 +96,7 @@
 	t.Helper()
 	store := testStore(t, "runner-1")
 	s := settings.Default()
-	d := newDispatcher(s, testIdentity(), sender, timeline.NewRing("entry-1", time.Now(), 100))
+	d := newDispatcher(s, testIdentity(), sender, timeline.NewRing("entry-1", time.Now(), 100), newMetrics())
 	d.Configure(store.Snapshot(), newDirectory())
 	return newServices(store, d)
 }
@@ -141,7 +143,7 @@
 			services := testServices(t, sender)
 			s := settings.Default()
 			s.Limits.BodyBytes = 1024
-			api := &API{settings: s, store: services.store, services: services}
+			api := newAPI(s, services.store, nil, services, nil, newMetrics(), newRequestLog(&log.Logger{Handler: discard.Default}))
 			method := tt.method
 			if method == "" {
 				method = http.MethodPost
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -39,6 +39,9 @@
 	return counters
 }
 
+// Add adds a variable that another part keeps.
+func (s *Set) Add(name string, v expvar.Var) { s.vars.Set(name, v) }
+
 // Func adds a value that f returns when it is shown.
 func (s *Set) Func(name string, f func() any) {
 	s.vars.Set(name, expvar.Func(f))
