--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -3,8 +3,6 @@
 package timeline
 
 import (
-	"maps"
-	"sync"
 	"time"
 
 	"github.com/catkingap/catkingap/ident"
@@ -67,65 +65,6 @@
 	Detail   string         `json:"detail,omitempty" msgpack:"detail,omitempty"`
 }
 
-// Ring keeps the newest events of one process. It is safe for concurrent use.
-type Ring struct {
-	host    ident.Host
-	started time.Time
-	observe func(Event)
-
-	mutex  sync.Mutex
-	events []Event
-	next   uint64
-	counts map[Kind]uint64
-}
-
-// NewRing returns a ring that keeps up to size events.
-func NewRing(host ident.Host, now time.Time, size int) *Ring {
-	return &Ring{host: host, started: now, events: make([]Event, 0, size), counts: map[Kind]uint64{}}
-}
-
-// Observe has f called with each event after it was added. It must be called
-// before the first Add.
-func (r *Ring) Observe(f func(Event)) { r.observe = f }
-
-// Add appends an event and fills in its host, sequence and times.
-func (r *Ring) Add(now time.Time, e Event) {
-	e.Host = r.host
-	e.Wall = now
-	e.Monotonic = now.Sub(r.started)
-	r.append(&e)
-	if r.observe != nil {
-		r.observe(e)
-	}
-}
-
-func (r *Ring) append(e *Event) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	e.Sequence = r.next
-	if len(r.events) < cap(r.events) {
-		r.events = append(r.events, *e)
-	} else {
-		r.events[r.next%uint64(cap(r.events))] = *e
-	}
-	r.next++
-	r.counts[e.Kind]++
-}
-
-// Counts returns how many events of each kind were added.
-func (r *Ring) Counts() map[Kind]uint64 {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return maps.Clone(r.counts)
-}
-
-// Overwritten returns how many events were replaced by newer ones.
-func (r *Ring) Overwritten() uint64 {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return r.next - uint64(len(r.events))
-}
-
 // Filter selects events. Empty fields select all.
 type Filter struct {
 	Host    ident.Host    `msgpack:"host"`
@@ -161,17 +100,3 @@
 		(f.Service == "" || f.Service == e.Service) &&
 		f.Within(e.Wall)
 }
-
-// Events returns the kept events that f selects, oldest first.
-func (r *Ring) Events(f Filter) []Event {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	var events []Event
-	count := uint64(len(r.events))
-	for i := r.next - count; i < r.next; i++ {
-		if e := r.events[i%uint64(cap(r.events))]; f.match(e) {
-			events = append(events, e)
-		}
-	}
-	return events
-}
