--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -66,7 +66,7 @@
 
 // process is one process of the binary.
 type process struct {
-	t       *testing.T
+	t       testing.TB
 	command *exec.Cmd
 	lines   chan string
 	exited  chan struct{}
@@ -75,7 +75,7 @@
 }
 
 // start starts the binary. Both output streams are read line by line.
-func start(t *testing.T, args ...string) *process {
+func start(t testing.TB, args ...string) *process {
 	t.Helper()
 	p := &process{t: t, command: exec.Command(binary, args...), lines: make(chan string, 4096), exited: make(chan struct{})}
 	reader, writer := io.Pipe()
@@ -138,12 +138,12 @@
 
 // proxy forwards one address and can inject faults.
 type proxy struct {
-	t *testing.T
+	t testing.TB
 	*toxiproxy.Proxy
 }
 
 // newProxy starts a proxy in front of upstream.
-func newProxy(t *testing.T, upstream string) *proxy {
+func newProxy(t testing.TB, upstream string) *proxy {
 	t.Helper()
 	p := toxiproxy.NewProxy()
 	p.Name, p.Listen, p.Upstream = t.Name()+upstream, "127.0.0.1:0", upstream
@@ -198,7 +198,7 @@
 
 // cluster is a running set of real processes.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	is       *is.I
 	platform string
 	hosts    []*entryHost
@@ -207,7 +207,7 @@
 
 // newCluster starts the platform, the backend servers and the entry hosts, one
 // data centre a host in turn of three, and declares the resources.
-func newCluster(t *testing.T, c clusterConfig) *cluster {
+func newCluster(t testing.TB, c clusterConfig) *cluster {
 	t.Helper()
 	k := &cluster{t: t, is: is.New(t)}
 	platformProcess := start(t, "standin", "platform")
