Count held jobs in the memory test

Cause: jobs now stay accepted, and can be adopted, until their pool has room, so 100,100 waiting tasks no longer stand in the pool's queue; the test waited for that length.

Change: the test waits until the host holds all 77 jobs. Its bound on memory stays. The tasks that it counts are as many as before.

--- a/integration/cost_test.go
+++ b/integration/cost_test.go
@@ -143,7 +143,7 @@
 		s := submission(fmt.Sprintf("queued-%d", i), uint64(i), job.MaxTasks, time.Minute)
 		group.Go(func() { _, _ = k.hosts[0].client.Submit(ctx, s) })
 	}
-	k.eventually("queued", func() bool { return k.waiting(k.hosts[0]) >= jobs*job.MaxTasks-1 })
+	k.eventually("held", func() bool { return k.heldJobs(k.hosts[0]) == jobs })
 	after := k.hosts[0].memory()
 	t.Logf("%d tasks wait: %d MB, %d MB before, %d bytes a task", jobs*job.MaxTasks, after>>20, before>>20, (after-before)/(jobs*job.MaxTasks))
 	k.is.True(after <= bound)
@@ -151,17 +151,17 @@
 	group.Wait()
 }
 
-// waiting returns the number of tasks that wait on a host.
-func (k *cluster) waiting(h *entryHost) int {
+// heldJobs returns the number of jobs that a host holds, queued or running.
+func (k *cluster) heldJobs(h *entryHost) int {
 	k.t.Helper()
 	response, err := http.Get(h.api + "/debug/vars")
 	k.is.NoErr(err)
 	defer response.Body.Close()
 	var vars struct {
 		Catkingap struct {
-			QueueLength map[string]int `json:"queueLength"`
+			HeldJobs int `json:"heldJobs"`
 		} `json:"catkingap"`
 	}
 	k.is.NoErr(json.NewDecoder(response.Body).Decode(&vars))
-	return vars.Catkingap.QueueLength[poolName]
+	return vars.Catkingap.HeldJobs
 }
