Queue work in a fair order and refuse it at once

Until now one FIFO queue a pool held all teams: a job of 1,300 tasks stood before every request, Requeue copied the queue and Drop scanned it. Package admission orders teams by weight and flows (one job or one service) within a team by start-time fair queueing, with heaps: each operation is O(log n), Drop touches no entry.

Admission refuses as not run, at once, by the bound of the pool, the team's bound, the wait expected from the drain rate, and the deadline; the time to come back is that in which half of the queue drains, with jitter. Quotas are token buckets of TasksPerSecond over the live entry hosts. Requests that have waited 4 s are shed.

A refused task of a job that was cancelled is not queued again.

--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"maps"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/catkingap/catkingap/admission"
 	"github.com/catkingap/catkingap/backend"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/outcome"
@@ -21,10 +25,13 @@
 	Pool    ident.Pool
 	// Task is set for a task of a job.
 	Task *ident.Task
+	// RunTime is the declared run time of a task. Zero means not declared.
+	RunTime time.Duration
 	// Service is set for a request to a service.
 	Service ident.Service
 	Body    []byte
-	// Done is called once, with the answer or an *outcome.Error.
+	// Done is called once, with the answer or an *outcome.Error, unless the
+	// work was dropped.
 	Done func(backend.Reply, *outcome.Error)
 
 	request ident.Request
@@ -39,32 +46,27 @@
 	ring     *timeline.Ring
 	requests *ident.Sequence
 
-	mutex sync.RWMutex
-	pools map[ident.Pool]*poolQueue
-}
-
-// poolQueue drives the policy of one pool.
-type poolQueue struct {
-	dispatcher *Dispatcher
-	mutex      sync.Mutex
-	pool       *route.Pool[*Work]
-	wake       *time.Timer
+	// pools is replaced as a whole when a pool is added.
+	pools atomic.Pointer[map[ident.Pool]*poolQueue]
+	mutex sync.Mutex
 }
 
 func newDispatcher(s settings.Settings, i Identity, sender backend.Sender, ring *timeline.Ring) *Dispatcher {
-	return &Dispatcher{
+	d := &Dispatcher{
 		settings: s,
 		identity: i,
 		sender:   sender,
 		ring:     ring,
 		requests: ident.NewSequence(),
-		pools:    map[ident.Pool]*poolQueue{},
 	}
+	d.pools.Store(&map[ident.Pool]*poolQueue{})
+	return d
 }
 
-// Configure puts the servers of a snapshot in force.
+// Configure puts the servers and teams of a snapshot in force.
 func (d *Dispatcher) Configure(s *resource.Snapshot, directory *Directory) {
-	for name := range s.Pools {
+	peers := d.peers(directory)
+	for name, pool := range s.Pools {
 		servers := make([]route.Server, 0, len(s.Servers[name]))
 		for _, b := range s.Servers[name] {
 			servers = append(servers, route.Server{
@@ -75,145 +77,67 @@
 				Leaving:    b.Drain || directory.Leaving(string(b.Name)),
 			})
 		}
-		d.queue(name).configure(servers)
+		limit := d.settings.Limits.QueueTasks
+		if pool.QueueTasks > 0 {
+			limit = min(limit, pool.QueueTasks)
+		}
+		d.queue(name).configure(servers, peers, limit, shares(s.Teams, len(peers)+1))
+	}
+}
+
+// peers returns the live entry hosts but this one.
+func (d *Dispatcher) peers(directory *Directory) []route.Peer {
+	var peers []route.Peer
+	for _, m := range directory.Hosts() {
+		if m.ID != string(d.identity.Host) && !directory.Leaving(m.ID) {
+			peers = append(peers, route.Peer{Name: ident.Host(m.ID), DataCentre: m.DataCentre})
+		}
+	}
+	return peers
+}
+
+// shares returns what each team may use on one of several hosts.
+func shares(teams map[ident.Team]resource.TeamSpec, hosts int) map[ident.Team]admission.Share {
+	shares := make(map[ident.Team]admission.Share, len(teams))
+	for name, t := range teams {
+		shares[name] = admission.Share{Weight: t.Weight, Rate: t.TasksPerSecond / float64(hosts), Limit: t.QueueTasks}
 	}
+	return shares
 }
 
+// queue returns the queue of a pool and makes it if there is none.
 func (d *Dispatcher) queue(name ident.Pool) *poolQueue {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	q := d.pools[name]
-	if q == nil {
-		q = &poolQueue{dispatcher: d, pool: route.NewPool[*Work](route.Config{
-			Self:        route.Peer{Name: d.identity.Host, DataCentre: d.identity.DataCentre},
-			RemoteDelay: remoteDelay,
-			BusyPause:   busyPause,
-		})}
-		d.pools[name] = q
-	}
+	pools := *d.pools.Load()
+	if q := pools[name]; q != nil {
+		return q
+	}
+	q := newPoolQueue(d, route.Config{
+		Queue:       admission.Config{Jitter: rand.Float64},
+		Self:        route.Peer{Name: d.identity.Host, DataCentre: d.identity.DataCentre},
+		RemoteDelay: remoteDelay,
+		BusyPause:   busyPause,
+	})
+	next := maps.Clone(pools)
+	next[name] = q
+	d.pools.Store(&next)
 	return q
 }
 
-// Submit queues work or refuses it.
+// Submit queues work of one pool, team and flow, or refuses all of it.
 func (d *Dispatcher) Submit(works ...*Work) *outcome.Error {
-	d.mutex.RLock()
-	q := d.pools[works[0].Pool]
-	d.mutex.RUnlock()
+	q := (*d.pools.Load())[works[0].Pool]
 	if q == nil {
 		return outcome.New(outcome.NotRun, outcome.NotFound, "there is no pool %s", works[0].Pool)
 	}
 	return q.submit(works)
 }
 
-// Drop removes the queued tasks of a job.
+// Drop removes the queued tasks of a job. Those that were bound and are
+// refused are not sent again.
 func (d *Dispatcher) Drop(pool ident.Pool, j ident.Job) {
-	d.mutex.RLock()
-	q := d.pools[pool]
-	d.mutex.RUnlock()
-	if q == nil {
-		return
-	}
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	q.pool.Drop(func(w *Work) bool { return w.Task != nil && w.Task.Job == j })
-}
-
-func (q *poolQueue) configure(servers []route.Server) {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	q.pool.SetServers(servers)
-	q.pump()
-}
-
-func (q *poolQueue) submit(works []*Work) *outcome.Error {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	limit := q.dispatcher.settings.Limits.QueueTasks
-	if q.pool.Waiting()+len(works) > limit {
-		return outcome.New(outcome.NotRun, outcome.QueueFull, "%d tasks wait already", q.pool.Waiting()).After(time.Second)
-	}
-	now := time.Now()
-	for _, w := range works {
-		w.request = q.dispatcher.requests.Next()
-		q.pool.Enqueue(now, w)
+	if q := (*d.pools.Load())[pool]; q != nil {
+		q.drop(j)
 	}
-	q.pump()
-	return nil
-}
-
-// pump binds work while there are free slots. The caller holds the mutex.
-func (q *poolQueue) pump() {
-	now := time.Now()
-	for {
-		b, ok := q.pool.Bind(now)
-		if !ok {
-			break
-		}
-		go q.run(b)
-	}
-	if q.wake != nil {
-		q.wake.Stop()
-		q.wake = nil
-	}
-	if q.pool.Waiting() == 0 {
-		return
-	}
-	if next := q.pool.Wake(now); !next.IsZero() {
-		q.wake = time.AfterFunc(next.Sub(now), func() {
-			q.mutex.Lock()
-			defer q.mutex.Unlock()
-			q.pump()
-		})
-	}
-}
-
-// run sends one bound item and reports how it ended.
-func (q *poolQueue) run(b route.Binding[*Work]) {
-	w := b.Item
-	if err := w.Context.Err(); err != nil {
-		q.ended(b, 0, false)
-		w.Done(backend.Reply{}, outcome.New(outcome.NotRun, outcome.DeadlinePassed, "no free slot in time"))
-		return
-	}
-	start := time.Now()
-	event := timeline.Event{Kind: timeline.TaskStarted, Team: w.Team, Service: w.Service, Request: w.request, Server: b.Server.Name}
-	task := ""
-	if w.Task != nil {
-		event.Job, event.Task, task = w.Task.Job.Key, &w.Task.Index, w.Task.String()
-	}
-	q.dispatcher.ring.Add(start, event)
-	reply, err := q.dispatcher.sender.Send(w.Context, backend.Request{ID: w.request, Task: task, Address: b.Server.Address, Body: w.Body})
-	failure := outcome.From(err)
-	now := time.Now()
-	event.Kind = timeline.TaskEnded
-	if failure != nil {
-		event.Detail = failure.Error()
-	}
-	q.dispatcher.ring.Add(now, event)
-	refused := failure != nil && failure.Kind == outcome.NotRun
-	if refused && w.Context.Err() == nil {
-		q.again(b, reply)
-		return
-	}
-	q.ended(b, now.Sub(start), !refused)
-	w.Done(reply, failure)
-}
-
-// again queues work that provably did not run.
-func (q *poolQueue) again(b route.Binding[*Work], reply backend.Reply) {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	if reply.Leaving {
-		q.pool.MarkLeaving(b.Server.Name)
-	}
-	q.pool.Ended(time.Now(), b.Server.Name, 0, false)
-	q.pool.Requeue(b.Queued, b.Item)
-	q.pump()
-}
-
-func (q *poolQueue) ended(b route.Binding[*Work], took time.Duration, ran bool) {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	q.pool.Ended(time.Now(), b.Server.Name, took, ran)
-	q.pump()
 }
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -361,6 +361,7 @@
 			Team:    r.submission.Team,
 			Pool:    r.submission.Pool,
 			Task:    &id,
+			RunTime: time.Duration(t.DeclaredMS) * time.Millisecond,
 			Body:    t.Payload,
 			Done: func(reply backend.Reply, failure *outcome.Error) {
 				r.post(job.TaskEnded{Index: id.Index, Answer: reply.Body, Error: failure})
--- /dev/null
+++ b/entry/poolqueue.go
@@ -0,0 +1,182 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/catkingap/catkingap/admission"
+	"github.com/catkingap/catkingap/backend"
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/outcome"
+	"github.com/catkingap/catkingap/route"
+	"github.com/catkingap/catkingap/timeline"
+)
+
+const (
+	// requestMaxWait is the expected wait from which requests are refused.
+	requestMaxWait = 2 * time.Second
+	// requestMaxAge is the wait after which a queued request is given up.
+	requestMaxAge = 2 * requestMaxWait
+)
+
+// poolQueue drives the policy of one pool.
+type poolQueue struct {
+	dispatcher *Dispatcher
+	mutex      sync.Mutex
+	pool       *route.Pool[*Work]
+	wake       *time.Timer
+}
+
+func newPoolQueue(d *Dispatcher, c route.Config) *poolQueue {
+	q := &poolQueue{dispatcher: d, pool: route.NewPool[*Work](c)}
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.wake = time.AfterFunc(time.Hour, q.wakeUp)
+	return q
+}
+
+func (q *poolQueue) configure(servers []route.Server, peers []route.Peer, limit int, teams map[ident.Team]admission.Share) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.pool.SetServers(servers)
+	q.pool.SetPeers(peers)
+	q.pool.SetShares(limit, teams)
+	q.pump()
+}
+
+func (q *poolQueue) submit(works []*Work) *outcome.Error {
+	now := time.Now()
+	a := admission.Arrival{Team: works[0].Team, Entries: len(works)}
+	a.Deadline, _ = works[0].Context.Deadline()
+	entries := make([]*admission.Entry[*Work], 0, len(works))
+	for _, w := range works {
+		w.request = q.dispatcher.requests.Next()
+		e := &admission.Entry[*Work]{Item: w, Team: w.Team, Flow: w.flow(), RunTime: w.RunTime}
+		if w.Task == nil {
+			a.MaxWait = requestMaxWait
+			e.GiveUp = now.Add(requestMaxAge)
+			if !a.Deadline.IsZero() && a.Deadline.Before(e.GiveUp) {
+				e.GiveUp = a.Deadline
+			}
+		}
+		entries = append(entries, e)
+	}
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if e := q.pool.Submit(now, a, entries); e != nil {
+		q.dispatcher.note(timeline.Refused, works[0], "", e.Error())
+		return e
+	}
+	q.pump()
+	return nil
+}
+
+// flow returns the unit of fairness that the work belongs to.
+func (w *Work) flow() admission.Flow {
+	if w.Task != nil {
+		return admission.Flow{Job: w.Task.Job}
+	}
+	return admission.Flow{Service: w.Service}
+}
+
+func (q *poolQueue) drop(j ident.Job) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.pool.Drop(j.Team, admission.Flow{Job: j})
+}
+
+func (q *poolQueue) wakeUp() {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.pump()
+}
+
+// pump gives up and binds what it can. The caller holds the mutex.
+func (q *poolQueue) pump() {
+	now := time.Now()
+	expired, refusals := q.pool.Expire(now)
+	for i, e := range expired {
+		q.dispatcher.note(timeline.Refused, e.Item, "", refusals[i].Error())
+		go e.Item.Done(backend.Reply{}, refusals[i])
+	}
+	for {
+		b, ok := q.pool.Bind(now)
+		if !ok {
+			break
+		}
+		go q.run(b)
+	}
+	q.wake.Stop()
+	if next := q.pool.Wake(now); !next.IsZero() {
+		q.wake.Reset(max(next.Sub(now), time.Millisecond))
+	}
+}
+
+// run sends one bound entry and reports how it ended.
+func (q *poolQueue) run(b route.Binding[*Work]) {
+	w := b.Entry.Item
+	if err := w.Context.Err(); err != nil {
+		q.ended(b, route.End{Result: route.Withdrawn}, false)
+		w.Done(backend.Reply{}, outcome.New(outcome.NotRun, outcome.DeadlinePassed, "no free slot in time"))
+		return
+	}
+	start := time.Now()
+	event := q.dispatcher.note(timeline.TaskStarted, w, b.Server.Name, "")
+	task := ""
+	if w.Task != nil {
+		task = w.Task.String()
+	}
+	reply, err := q.dispatcher.sender.Send(w.Context, backend.Request{ID: w.request, Task: task, Address: b.Server.Address, Body: w.Body})
+	failure := outcome.From(err)
+	now := time.Now()
+	event.Kind = timeline.TaskEnded
+	if failure != nil {
+		event.Detail = failure.Error()
+	}
+	q.dispatcher.ring.Add(now, event)
+	if !q.ended(b, route.End{Result: result(failure), Took: now.Sub(start)}, reply.Leaving) {
+		w.Done(reply, failure)
+	}
+}
+
+// result returns what an outcome tells the policy.
+func result(failure *outcome.Error) route.Result {
+	switch {
+	case failure == nil:
+		return route.Answered
+	case failure.Kind == outcome.NotRun && failure.Code == outcome.Unreachable:
+		return route.Unreachable
+	case failure.Kind == outcome.NotRun:
+		return route.Refused
+	case failure.Kind == outcome.Failed:
+		return route.Broken
+	}
+	return route.Lost
+}
+
+// ended tells the policy how an entry ended. It returns true if the entry is
+// queued again.
+func (q *poolQueue) ended(b route.Binding[*Work], e route.End, leaving bool) bool {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if leaving {
+		q.pool.MarkLeaving(b.Server.Name)
+	}
+	if b.Entry.Item.Context.Err() != nil && (e.Result == route.Refused || e.Result == route.Unreachable) {
+		// There is no time left to send it again.
+		e.Result = route.Withdrawn
+	}
+	again := q.pool.Ended(time.Now(), b, e)
+	q.pump()
+	return again
+}
+
+// note adds an event about work to the timeline.
+func (d *Dispatcher) note(k timeline.Kind, w *Work, server ident.Server, detail string) timeline.Event {
+	e := timeline.Event{Kind: k, Team: w.Team, Service: w.Service, Request: w.request, Server: server, Detail: detail}
+	if w.Task != nil {
+		e.Job, e.Task = w.Task.Job.Key, &w.Task.Index
+	}
+	d.ring.Add(time.Now(), e)
+	return e
+}
--- a/policy/measure_test.go
+++ b/policy/measure_test.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"slices"
 	"time"
+
+	"github.com/catkingap/catkingap/ident"
 )
 
 // drawWork returns a run time: most from 50 ms to 1 s, a few of several
@@ -17,15 +19,15 @@
 	return 50*time.Millisecond + time.Duration(w.random.Float64()*float64(746*time.Millisecond))
 }
 
-// arrive plans requests at a load of the pool until end.
-func (w *world) arrive(load float64, from, end time.Duration) {
+// arrive plans requests of a team at a load of the pool.
+func (w *world) arrive(team ident.Team, load float64, from, end time.Duration) {
 	at := from
 	for {
 		at += time.Duration(w.random.ExpFloat64() / (load * fullStartsPerS) * float64(time.Second))
 		if at > end {
 			return
 		}
-		w.items = append(w.items, &item{team: "a", arrived: at, work: w.drawWork()})
+		w.items = append(w.items, &item{team: team, arrived: at, work: w.drawWork()})
 	}
 }
 
@@ -95,46 +97,92 @@
 	// p50 and p99 are quantiles of the response over the omniscient queue's,
 	// ideal50 and ideal99 over the ideal.
 	p50, p99, ideal50, ideal99 float64
-	// best50 and best99 are quantiles of the omniscient queue's response over
-	// the ideal.
+	// best50 and best99 are quantiles of the omniscient queue's response over the ideal.
 	best50, best99 float64
 	// messages and control are sent per item done.
 	messages, control float64
-	done, notDone     int
-	twice             int
+	// done, refused, lost and cancelled count the items.
+	done, refused, lost, cancelled int
+	// twice counts items that started more than once.
+	twice int
 }
 
-func quantile(sorted []float64, q float64) float64 {
-	if len(sorted) == 0 {
+func quantile(values []float64, q float64) float64 {
+	if len(values) == 0 {
 		return 0
 	}
+	sorted := slices.Sorted(slices.Values(values))
 	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
 }
 
-func (w *world) measure() figures {
+// count adds an item to the counts.
+func (f *figures) count(i *item) {
+	if i.starts > 1 {
+		f.twice++
+	}
+	switch {
+	case i.done:
+		f.done++
+	case i.cancelled:
+		f.cancelled++
+	case i.refused:
+		f.refused++
+	default:
+		f.lost++
+	}
+}
+
+// units groups the indices of the items that callers wait for as a whole: a
+// request or all tasks of a job.
+func (w *world) units(counted func(*item) bool) [][]int {
+	var units [][]int
+	jobs := map[ident.Job]int{}
+	for i, it := range w.items {
+		if !counted(it) {
+			continue
+		}
+		if u, ok := jobs[it.job]; ok && it.job.Key != "" {
+			units[u] = append(units[u], i)
+			continue
+		}
+		jobs[it.job] = len(units)
+		units = append(units, []int{i})
+	}
+	return units
+}
+
+// measure returns the figures of the items that counted selects.
+func (w *world) measure(counted func(*item) bool) figures {
 	best := omniscient(w.items, w.servers)
 	var f figures
 	var toBest, toIdeal, bestToIdeal []float64
-	for i, it := range w.items {
-		if it.starts > 1 {
-			f.twice++
+	done := 0
+	for _, it := range w.items {
+		if it.done {
+			done++
 		}
-		if !it.done {
-			f.notDone++
-			continue
+	}
+	for _, u := range w.units(counted) {
+		first := w.items[u[0]]
+		response, ideal, bestResponse := time.Duration(0), time.Duration(0), time.Duration(0)
+		for _, i := range u {
+			it := w.items[i]
+			f.count(it)
+			response = max(response, it.response())
+			ideal = max(ideal, it.ideal())
+			bestResponse = max(bestResponse, best[i])
+			first.done = first.done && it.done
+		}
+		if first.done {
+			toBest = append(toBest, float64(response)/float64(bestResponse))
+			toIdeal = append(toIdeal, float64(response)/float64(ideal))
+			bestToIdeal = append(bestToIdeal, float64(bestResponse)/float64(ideal))
 		}
-		f.done++
-		bestToIdeal = append(bestToIdeal, float64(best[i])/float64(it.ideal()))
-		toBest = append(toBest, float64(it.response())/float64(best[i]))
-		toIdeal = append(toIdeal, float64(it.response())/float64(it.ideal()))
 	}
-	slices.Sort(toBest)
-	slices.Sort(toIdeal)
-	slices.Sort(bestToIdeal)
 	f.p50, f.p99 = quantile(toBest, 0.5), quantile(toBest, 0.99)
 	f.ideal50, f.ideal99 = quantile(toIdeal, 0.5), quantile(toIdeal, 0.99)
 	f.best50, f.best99 = quantile(bestToIdeal, 0.5), quantile(bestToIdeal, 0.99)
-	f.messages = float64(w.messages) / float64(max(f.done, 1))
-	f.control = float64(w.control) / float64(max(f.done, 1))
+	f.messages = float64(w.messages) / float64(max(done, 1))
+	f.control = float64(w.control) / float64(max(done, 1))
 	return f
 }
--- a/policy/table_test.go
+++ b/policy/table_test.go
@@ -2,12 +2,19 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/catkingap/catkingap/route"
 )
 
+// seed is the seed of all scenarios.
+const seed = 1
+
 var config = route.Config{
 	RemoteDelay: 2 * remoteDistance,
 	BusyPause:   10 * time.Millisecond,
@@ -19,30 +26,49 @@
 	PeerTimeout: 3 * time.Second,
 }
 
-func TestCandidates(t *testing.T) {
-	candidates := []struct {
-		name  string
-		start func(*world)
-	}{
-		{"random, one try", func(w *world) { w.startPlain(true, chooseRandom) }},
-		{"two choices, local counts", func(w *world) { w.startPlain(false, chooseOfTwo) }},
-		{"least finish, local counts", func(w *world) { w.startPlain(false, chooseLeast) }},
-		{"share, blind borrowing", func(w *world) { w.startPlain(false, chooseBlind) }},
-		{"share only", func(w *world) { w.noLending = true; w.start(config) }},
-		{"share and loans", func(w *world) { w.start(config) }},
+func (s scenario) run(start func(*world)) *world {
+	if s.speeds == nil {
+		s.speeds = ordinary
 	}
-	for _, name := range []string{"ordinary", "spread"} {
-		for _, load := range []float64{0.5, 0.7, 0.9} {
-			for _, c := range candidates {
-				w := newWorld(1, map[string]speeds{"ordinary": ordinary, "spread": spread}[name])
-				w.arrive(load, 0, defaultDuration)
-				c.start(w)
-				w.deliver()
-				w.run(defaultDuration + 30*time.Second)
-				f := w.measure()
-				fmt.Fprintf(t.Output(), "| %s | %.0f%% | %s | %.3f | %.2f | %.2f | %.2f | %.2f | %.3f | %.2f | %d |\n", name, 100*load, c.name,
-					f.p50, f.p99, f.ideal50, f.ideal99, f.best99, f.messages, f.control, f.notDone)
-			}
-		}
+	w := newWorld(seed, s.speeds)
+	start(w)
+	s.plan(w)
+	w.deliver()
+	w.run(3 * time.Minute)
+	return w
+}
+
+func withPolicy(w *world) { w.start(config) }
+
+func withRandom(w *world) { w.startPlain(true, chooseRandom) }
+
+func all(*item) bool { return true }
+
+// TestTable prints the figures of all scenarios with the policy and with the
+// baseline, and checks the bounds of the policy.
+func TestTable(t *testing.T) {
+	fmt.Fprintln(t.Output(), "| scenario | policy | p50 | p99 | ideal p50 | ideal p99 | omniscient p50 | omniscient p99 | messages | between hosts | done | refused | lost | cancelled |")
+	fmt.Fprintln(t.Output(), "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, name := range slices.Sorted(maps.Keys(scenarios)) {
+		s := scenarios[name]
+		f := s.run(withPolicy).measure(all)
+		f.print(t, name, "catkingap")
+		s.run(withRandom).measure(all).print(t, name, "random, one try")
+		t.Run(name, func(t *testing.T) { s.bounds.check(t, f) })
 	}
 }
+
+func (f figures) print(t *testing.T, name, policy string) {
+	fmt.Fprintf(t.Output(), "| %s | %s | %.3f | %.2f | %.2f | %.2f | %.2f | %.2f | %.3f | %.2f | %d | %d | %d | %d |\n", name, policy,
+		f.p50, f.p99, f.ideal50, f.ideal99, f.best50, f.best99, f.messages, f.control, f.done, f.refused, f.lost, f.cancelled)
+}
+
+func (b bounds) check(t *testing.T, f figures) {
+	is := is.New(t)
+	below := func(got, bound float64) { is.True(bound == 0 || got <= bound) }
+	below(f.p50, b.p50)                     // Median response over the omniscient queue's.
+	below(f.p99, b.p99)                     // p99 of the response over the omniscient queue's.
+	below(f.ideal99/f.best99, b.quantile99) // p99 of the response, over the omniscient queue's p99.
+	below(f.messages, b.messages)           // Messages to backend servers per request done.
+	is.Equal(f.twice, 0)                    // No item starts twice.
+}
--- a/policy/world_test.go
+++ b/policy/world_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/catkingap/catkingap/admission"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/route"
 )
@@ -71,12 +72,14 @@
 	work     time.Duration
 	declared time.Duration
 	// tries counts the messages that were sent for the item.
-	tries    int
-	ended    time.Duration
-	done     bool
-	refused  bool
-	starts   int
-	deadline time.Duration
+	tries   int
+	ended   time.Duration
+	done    bool
+	refused bool
+	// cancelled items had not started when their job was cancelled.
+	cancelled bool
+	starts    int
+	deadline  time.Duration
 }
 
 // response is the time that the caller waits.
@@ -106,6 +109,8 @@
 	weight float64
 	dead   bool
 	pool   *route.Pool[*item]
+	// wake is when the host pumps next.
+	wake time.Duration
 	// plain is set for a host without the policy.
 	plain *plainHost
 }
@@ -138,6 +143,10 @@
 	slotsOfAll      = serverCount * serverSlots
 	fullStartsPerS  = float64(slotsOfAll) / 0.46
 	defaultDuration = 30 * time.Second
+	requestMaxWait  = 2 * time.Second
+	requestMaxAge   = 4 * time.Second
+	queueLimit      = 100_000
+	detectTime      = 3 * time.Second
 )
 
 var centreNames = [centres]ident.DataCentre{"a", "b", "c"}
@@ -185,7 +194,9 @@
 func (w *world) start(c route.Config) {
 	for _, h := range w.hosts {
 		c.Self = route.Peer{Name: h.name, DataCentre: centreNames[h.centre]}
+		c.Queue = admission.Config{Jitter: w.random.Float64}
 		h.pool = route.NewPool[*item](c)
+		h.pool.SetShares(queueLimit, nil)
 		h.pool.SetServers(w.routeServers())
 		h.pool.SetPeers(w.peersOf(h))
 		w.after(time.Duration(h.index)*time.Millisecond, h.tick)
@@ -245,14 +256,37 @@
 		h.plain.submit(items...)
 		return
 	}
+	now := h.world.time()
+	a := admission.Arrival{Team: items[0].team, Entries: len(items)}
+	entries := make([]*admission.Entry[*item], 0, len(items))
 	for _, i := range items {
-		h.pool.Enqueue(h.world.time(), i)
+		e := &admission.Entry[*item]{Item: i, Team: i.team, Flow: admission.Flow{Job: i.job}, RunTime: i.declared}
+		if i.job.Key == "" {
+			e.Flow.Service = "service"
+			e.GiveUp = now.Add(requestMaxAge)
+			a.MaxWait = requestMaxWait
+		}
+		entries = append(entries, e)
+	}
+	if h.pool.Submit(now, a, entries) != nil {
+		h.world.refuse(items...)
 	}
 	h.pump()
 }
 
+// refuse ends items as not run.
+func (w *world) refuse(items ...*item) {
+	for _, i := range items {
+		i.refused, i.ended = true, w.now
+	}
+}
+
 // pump binds what can start and asks peers for more slots.
 func (h *fakeHost) pump() {
+	expired, _ := h.pool.Expire(h.world.time())
+	for _, e := range expired {
+		h.world.refuse(e.Item)
+	}
 	for {
 		b, ok := h.pool.Bind(h.world.time())
 		if !ok {
@@ -263,9 +297,13 @@
 	if h.pool.Waiting() == 0 {
 		return
 	}
-	h.exchange()
-	if wake := h.pool.Wake(h.world.time()); !wake.IsZero() {
-		h.world.after(wake.Sub(h.world.time()), h.pump)
+	if h.pool.Asks(h.world.time()) {
+		h.exchange()
+	}
+	wake := h.pool.Wake(h.world.time())
+	if at := wake.Sub(epoch); !wake.IsZero() && (h.wake <= h.world.now || at < h.wake) {
+		h.wake = at
+		h.world.after(max(at-h.world.now, time.Millisecond), h.pump)
 	}
 }
 
@@ -298,7 +336,7 @@
 	w := h.world
 	f := w.byName[b.Server.Name]
 	w.messages++
-	b.Item.tries++
+	b.Entry.Item.tries++
 	sent := w.now
 	away := distance(h.centre, f.centre)
 	w.after(away, func() {
@@ -307,8 +345,8 @@
 			return
 		}
 		f.running++
-		b.Item.starts++
-		w.after(time.Duration(float64(b.Item.work)/f.speed), func() {
+		b.Entry.Item.starts++
+		w.after(time.Duration(float64(b.Entry.Item.work)/f.speed), func() {
 			f.running--
 			w.after(away, func() { h.ended(b, w.now-sent) })
 		})
@@ -319,8 +357,9 @@
 	if h.dead {
 		return
 	}
-	h.pool.Ended(h.world.time(), b.Server.Name, 0, false)
-	h.pool.Requeue(b.Queued, b.Item)
+	if !h.pool.Ended(h.world.time(), b, route.End{Result: route.Refused}) {
+		h.world.refuse(b.Entry.Item)
+	}
 	h.pump()
 }
 
@@ -328,8 +367,8 @@
 	if h.dead {
 		return
 	}
-	b.Item.done = true
-	b.Item.ended = h.world.now
-	h.pool.Ended(h.world.time(), b.Server.Name, took, true)
+	b.Entry.Item.done = true
+	b.Entry.Item.ended = h.world.now
+	h.pool.Ended(h.world.time(), b, route.End{Result: route.Answered, Took: took})
 	h.pump()
 }
--- a/route/lending.go
+++ b/route/lending.go
@@ -66,8 +66,10 @@
 const (
 	// maxWant bounds the slots that one message asks for.
 	maxWant = 256
-	// askFanOut is the number of hosts that are asked at once.
-	askFanOut = 2
+	// askFanOut is the number of hosts that are asked at once. More work that
+	// waits asks one host more for each wantPerPeer.
+	askFanOut   = 2
+	wantPerPeer = 8
 	// reserveShare is the share of a host's slots in use that it keeps free
 	// for itself when it lends.
 	reserveShare = 0.05
@@ -181,12 +183,20 @@
 	}
 }
 
+// Asks returns true if work waits and peers may be asked for slots again.
+func (p *Pool[Item]) Asks(now time.Time) bool {
+	return p.Waiting() > 0 && now.Sub(p.asked) >= p.config.AskPause
+}
+
 // Exchange returns the messages that pass slots between this host and its
 // peers. The caller calls it when work waits after Bind, after Receive, and at
 // least each Config.Tick.
 func (p *Pool[Item]) Exchange(now time.Time) []Outgoing {
 	var out []Outgoing
-	waiting := p.Waiting()
+	waiting := 0
+	if p.queue.Head(now) != nil {
+		waiting = p.Waiting()
+	}
 	free := p.freeSlots(now)
 	p.low = min(p.low, free)
 	for _, k := range p.peerOrder {
@@ -311,7 +321,8 @@
 			-cmp.Compare(a.free, b.free),
 		)
 	})
-	for _, k := range candidates[:min(askFanOut, len(candidates))] {
+	fanOut := max(askFanOut, waiting/wantPerPeer)
+	for _, k := range candidates[:min(fanOut, len(candidates))] {
 		k.asked, p.asked = now, now
 		out = append(out, p.message(now, k, nil, waiting))
 	}
--- a/route/pool.go
+++ b/route/pool.go
@@ -7,11 +7,15 @@
 	"math"
 	"time"
 
+	"github.com/catkingap/catkingap/admission"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/outcome"
 )
 
 // Config builds a Pool.
 type Config struct {
+	// Queue builds the queue of the pool.
+	Queue admission.Config
 	// Self is this entry host.
 	Self Peer
 	// RemoteDelay is the time that a round trip to another data centre takes.
@@ -35,19 +39,17 @@
 	PeerTimeout time.Duration
 }
 
-// Binding is the decision to send an item to a server.
+// Binding is the decision to send an entry to a server.
 type Binding[Item any] struct {
-	Item   Item
+	Entry  *admission.Entry[Item]
 	Server Server
-	// Queued is when the item entered the queue.
-	Queued time.Time
 }
 
 // Pool is the state of one pool on one entry host: its queue, what is known of
 // its servers, and the slots that it shares with other entry hosts.
 type Pool[Item any] struct {
 	config  Config
-	queue   []entry[Item]
+	queue   *admission.Queue[Item]
 	servers map[ident.Server]*server
 	order   []*server
 	running int
@@ -66,14 +68,12 @@
 	slowUntil time.Time
 }
 
-type entry[Item any] struct {
-	item   Item
-	queued time.Time
-}
-
 // NewPool returns a pool without servers.
 func NewPool[Item any](c Config) *Pool[Item] {
-	return &Pool[Item]{config: c, servers: map[ident.Server]*server{}, peers: map[ident.Host]*peer{}}
+	return &Pool[Item]{
+		config: c, queue: admission.NewQueue[Item](c.Queue),
+		servers: map[ident.Server]*server{}, peers: map[ident.Host]*peer{},
+	}
 }
 
 // SetServers replaces the servers of the pool. What was learned of a server
@@ -101,55 +101,57 @@
 	p.share()
 }
 
-// Enqueue adds an item at the end of the queue.
-func (p *Pool[Item]) Enqueue(now time.Time, i Item) {
-	p.queue = append(p.queue, entry[Item]{item: i, queued: now})
+// SetShares replaces the bound of the queue and the shares of the teams.
+func (p *Pool[Item]) SetShares(limit int, shares map[ident.Team]admission.Share) {
+	p.queue.SetShares(limit, shares)
 }
 
-// Requeue adds an item that did not run at the front of the queue.
-func (p *Pool[Item]) Requeue(queued time.Time, i Item) {
-	p.queue = append([]entry[Item]{{item: i, queued: queued}}, p.queue...)
+// Submit queues the entries of an arrival, or returns why it is refused.
+func (p *Pool[Item]) Submit(now time.Time, a admission.Arrival, entries []*admission.Entry[Item]) *outcome.Error {
+	if e := p.queue.Admit(now, a); e != nil {
+		return e
+	}
+	for _, e := range entries {
+		p.queue.Push(now, e)
+	}
+	return nil
 }
 
-// Waiting returns the number of queued items.
-func (p *Pool[Item]) Waiting() int { return len(p.queue) }
+// Waiting returns the number of queued entries.
+func (p *Pool[Item]) Waiting() int { return p.queue.Len() }
 
 // Size returns the number of servers.
 func (p *Pool[Item]) Size() int { return len(p.order) }
 
-// Drop removes the queued items that match and returns them.
-func (p *Pool[Item]) Drop(match func(Item) bool) []Item {
-	var dropped []Item
-	kept := p.queue[:0]
-	for _, e := range p.queue {
-		if match(e.item) {
-			dropped = append(dropped, e.item)
-		} else {
-			kept = append(kept, e)
-		}
+// Drop removes the queued entries of a flow.
+func (p *Pool[Item]) Drop(name ident.Team, flow admission.Flow) int { return p.queue.Drop(name, flow) }
+
+// Expire removes and returns the entries that waited too long, and the
+// refusals that answer them.
+func (p *Pool[Item]) Expire(now time.Time) ([]*admission.Entry[Item], []*outcome.Error) {
+	expired := p.queue.Expire(now)
+	refusals := make([]*outcome.Error, 0, len(expired))
+	for _, e := range expired {
+		refusals = append(refusals, p.queue.Refuse(e.Team))
 	}
-	clear(p.queue[len(kept):])
-	p.queue = kept
-	return dropped
+	return expired, refusals
 }
 
-// Bind removes the first item of the queue and binds it to the server with the
-// least expected finish. It returns false if the queue is empty or this host
-// holds no free slot.
+// Bind removes the first entry of the queue and binds it to the server with
+// the least expected finish. It returns false if no entry may start or this
+// host holds no free slot.
 func (p *Pool[Item]) Bind(now time.Time) (Binding[Item], bool) {
-	if len(p.queue) == 0 {
+	head := p.queue.Head(now)
+	if head == nil {
 		return Binding[Item]{}, false
 	}
-	best := p.choose(now, p.queue[0].queued)
+	best := p.choose(now, head.Queued)
 	if best == nil {
 		return Binding[Item]{}, false
 	}
-	first := p.queue[0]
-	p.queue[0] = entry[Item]{}
-	p.queue = p.queue[1:]
 	best.running++
 	p.running++
-	return Binding[Item]{Item: first.item, Server: best.Server, Queued: first.queued}, true
+	return Binding[Item]{Entry: p.queue.Pop(now), Server: best.Server}, true
 }
 
 // choose returns the server with a free slot and the least expected finish. It
@@ -215,21 +217,60 @@
 // learned run times.
 const fasterFactor = 1.6
 
-// Ended tells that an item on a server ended after took. Ran is false if the
-// server refused it.
-func (p *Pool[Item]) Ended(now time.Time, name ident.Server, took time.Duration, ran bool) {
-	s := p.servers[name]
-	if s == nil {
-		return
+// Result is how a bound entry ended.
+type Result string
+
+// The results of a bound entry.
+const (
+	// Answered means that the entry ran and was answered.
+	Answered Result = "answered"
+	// Broken means that the entry ran and failed.
+	Broken Result = "broken"
+	// Lost means that nothing is known of the entry.
+	Lost Result = "lost"
+	// Refused means that the server refused the entry, which did not run.
+	Refused Result = "refused"
+	// Unreachable means that no connection was made and the entry did not run.
+	Unreachable Result = "unreachable"
+	// Withdrawn means that the entry was not sent.
+	Withdrawn Result = "withdrawn"
+)
+
+// End tells how a bound entry ended.
+type End struct {
+	Result Result
+	// Took is the time from the start to the answer.
+	Took time.Duration
+}
+
+// Ended tells that a bound entry ended. It returns true if the entry is queued
+// again; otherwise the end is final.
+func (p *Pool[Item]) Ended(now time.Time, b Binding[Item], e End) bool {
+	s := p.leave(b)
+	switch e.Result {
+	case Answered:
+		if s != nil {
+			s.refusals = 0
+			s.learn(e.Took)
+		}
+	case Refused, Unreachable:
+		if s != nil {
+			s.refuse(now, p.config.BusyPause)
+		}
+		return p.queue.Requeue(b.Entry)
 	}
-	s.running--
+	p.queue.Done(b.Entry, e.Took)
+	return false
+}
+
+// leave frees the slot of a binding.
+func (p *Pool[Item]) leave(b Binding[Item]) *server {
 	p.running--
-	if !ran {
-		s.refuse(now, p.config.BusyPause)
-		return
+	s := p.servers[b.Server.Name]
+	if s != nil {
+		s.running--
 	}
-	s.refusals = 0
-	s.learn(took)
+	return s
 }
 
 // MarkLeaving records that a server announced that it is leaving.
@@ -242,8 +283,8 @@
 // Wake returns the earliest time after now at which Bind may succeed without
 // another event, or the zero time if there is none.
 func (p *Pool[Item]) Wake(now time.Time) time.Time {
-	var next time.Time
-	if p.limit > 0 && p.slowUntil.After(now) {
+	next := p.queue.Wake()
+	if p.limit > 0 && p.slowUntil.After(now) && (next.IsZero() || p.slowUntil.Before(next)) {
 		next = p.slowUntil
 	}
 	for _, s := range p.order {
