Read the membership list only when it has changed

Cause: a leaving backend server may get work for 3 s at most, of which the list took up to one second of poll on top of its own lag; polling faster costs a whole list each time, at 890 workers about 180 KB.

Change: the list is asked for with its entity tag and not sent again while it stands (HTTP conditional request); the default poll is 500 ms. The stand-in answers conditional requests.

Ruled out: TestLeavingServer/membership_list does not fail for the poll; its requests are refused after 4 s in the queue, since three hosts that do not exchange slots meet at 8 slots of one server.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -91,7 +91,7 @@
 			Connections:    60,
 		},
 		ConfigPoll:      Duration(500 * time.Millisecond),
-		MembershipPoll:  Duration(time.Second),
+		MembershipPoll:  Duration(500 * time.Millisecond),
 		ShutdownTimeout: Duration(30 * time.Second),
 		UnreadyTime:     Duration(2 * time.Second),
 	}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -1,9 +1,14 @@
 package standin
 
 import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -96,19 +101,32 @@
 	return v.current, !v.removed && v.current.Targets != nil
 }
 
+// list returns the visible members in the order of their ids.
+func (m *Members) list() []platform.TargetGroup {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	now := m.now()
+	groups := []platform.TargetGroup{}
+	for _, id := range slices.Sorted(maps.Keys(m.members)) {
+		if g, ok := m.members[id].visible(now); ok {
+			groups = append(groups, g)
+		}
+	}
+	return groups
+}
+
 // Register adds the list's paths to mux.
 func (m *Members) Register(mux *http.ServeMux) {
-	mux.HandleFunc("GET /members", m.Faults.guard(func(w http.ResponseWriter, _ *http.Request, _ Faults) {
-		m.mutex.Lock()
-		defer m.mutex.Unlock()
-		now := m.now()
-		groups := []platform.TargetGroup{}
-		for _, v := range m.members {
-			if g, ok := v.visible(now); ok {
-				groups = append(groups, g)
-			}
+	mux.HandleFunc("GET /members", m.Faults.guard(func(w http.ResponseWriter, r *http.Request, _ Faults) {
+		data, err := json.Marshal(m.list())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
 		}
-		writeJSON(w, groups)
+		sum := sha256.Sum256(data)
+		w.Header().Set("ETag", `"`+hex.EncodeToString(sum[:8])+`"`)
+		w.Header().Set("Content-Type", "application/json")
+		http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(data))
 	}))
 	mux.HandleFunc("PUT /members", func(w http.ResponseWriter, r *http.Request) {
 		var g platform.TargetGroup
