--- a/entry/api.go
+++ b/entry/api.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"expvar"
 	"io"
 	"math"
 	"net/http"
@@ -14,21 +13,22 @@
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/resource"
 	"github.com/catkingap/catkingap/settings"
-	"github.com/catkingap/catkingap/timeline"
 )
 
 // API serves callers and operators over HTTP.
 type API struct {
-	settings settings.Settings
-	store    *resource.Store
-	jobs     *Jobs
-	services *Services
-	ring     *timeline.Ring
-	unready  atomic.Bool
+	settings  settings.Settings
+	store     *resource.Store
+	jobs      *Jobs
+	services  *Services
+	timelines *Timelines
+	metrics   *Metrics
+	log       *requestLog
+	unready   atomic.Bool
 }
 
-func newAPI(s settings.Settings, store *resource.Store, j *Jobs, services *Services, r *timeline.Ring) *API {
-	return &API{settings: s, store: store, jobs: j, services: services, ring: r}
+func newAPI(s settings.Settings, store *resource.Store, j *Jobs, services *Services, t *Timelines, m *Metrics, l *requestLog) *API {
+	return &API{settings: s, store: store, jobs: j, services: services, timelines: t, metrics: m, log: l}
 }
 
 // ErrorAnswer is the body of each answer that is an error.
@@ -42,7 +42,9 @@
 	router := gin.New()
 	router.GET("/healthz", func(c *gin.Context) { c.Status(http.StatusNoContent) })
 	router.GET("/readyz", a.ready)
-	router.GET("/debug/vars", gin.WrapH(expvar.Handler()))
+	router.GET("/debug/vars", gin.WrapH(a.metrics.set.Handler()))
+	router.Use(a.metrics.measure, a.log.log)
+	a.guard(router)
 	a.routeJobs(router)
 	a.routeResources(router)
 	a.routeServices(router)
@@ -62,6 +64,7 @@
 }
 
 func refuse(c *gin.Context, e *outcome.Error) {
+	c.Set(contextOutcome, e)
 	if e.RetryAfter > 0 {
 		c.Header("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/json"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
@@ -49,6 +48,16 @@
 	headerReadTimeout  = 10 * time.Second
 	storeRetry         = time.Second
 	settleReadInterval = 100 * time.Millisecond
+
+	// serverIdleTimeout is the age beyond which an idle connection to a
+	// backend server carries no request.
+	serverIdleTimeout  = time.Second
+	serverCheckTimeout = time.Second
+	// serverSilence, or serverSilenceFactor times the longest run time of a
+	// server, is how long a busy connection may show no life.
+	serverSilence       = 10 * time.Second
+	serverSilenceFactor = 8
+	serverChecks        = 3
 )
 
 // Listeners holds the open sockets of the daemon.
@@ -81,6 +90,8 @@
 			func() network.Network { return o.Network },
 			func(s settings.Settings) (log.Interface, error) { return newLogger(o.Log, s) },
 			newIdentity,
+			newMetrics,
+			newRequestLog,
 			newRing,
 			newListeners,
 			newPlatformClient,
@@ -90,35 +101,38 @@
 			newBatcher,
 			resource.NewStore,
 			newLinks,
+			newBackendClient,
+			newLeaving,
 			newSender,
 			newDirectory,
 			newDispatcher,
 			newJobs,
 			newServices,
+			newTimelines,
 			newAPI,
 		),
-		fx.Invoke(runBackground, runPeer, runWatch, runAPI),
+		fx.Invoke(
+			showMetrics,
+			runBackground,
+			runPeer,
+			runWatch,
+			runLeaving,
+			runAPI,
+		),
 		// The hooks of the life cycle bound themselves by the settings.
 		fx.StopTimeout(time.Duration(o.Settings.ShutdownTimeout)+time.Duration(o.Settings.UnreadyTime)+time.Second),
 		fx.Options(more...),
 	)
 }
 
-func newLogger(w io.Writer, s settings.Settings) (log.Interface, error) {
-	level, err := log.ParseLevel(s.LogLevel)
-	if err != nil {
-		return nil, err
-	}
-	logger := &log.Logger{Handler: json.New(w), Level: level}
-	return logger.WithFields(log.Fields{"host": string(s.Host), "dataCentre": string(s.DataCentre)}), nil
-}
-
 func newIdentity(s settings.Settings) Identity {
 	return Identity{Holder: job.Holder{Host: s.Host, Boot: ident.NewToken()}, DataCentre: s.DataCentre}
 }
 
-func newRing(s settings.Settings) *timeline.Ring {
-	return timeline.NewRing(s.Host, time.Now(), s.Limits.TimelineEvents)
+func newRing(s settings.Settings, l log.Interface) *timeline.Ring {
+	ring := timeline.NewRing(s.Host, time.Now(), s.Limits.TimelineEvents)
+	ring.Observe(logEvents(l, s))
+	return ring
 }
 
 func newListeners(s settings.Settings, n network.Network) (Listeners, error) {
@@ -142,8 +156,8 @@
 	}
 }
 
-func newTable(s settings.Settings, c *http.Client) platform.Table {
-	return platform.NewRemoteTable(c, s.Platform.Table)
+func newTable(s settings.Settings, c *http.Client, m *Metrics) platform.Table {
+	return measuredTable{Table: platform.NewRemoteTable(c, s.Platform.Table), metrics: m}
 }
 
 func newObjects(s settings.Settings, c *http.Client) platform.Objects {
@@ -173,17 +187,27 @@
 	return peer.NewLinks(peer.Config{Logger: l, Network: n, WriteTimeout: peerWriteTimeout})
 }
 
-func newSender(s settings.Settings, n network.Network) backend.Sender {
+func newBackendClient(s settings.Settings, n network.Network) *backend.Client {
 	return backend.NewClient(backend.ClientConfig{
-		Network:     n,
-		Connections: s.Limits.Connections,
-		IdleTimeout: idleTimeout,
+		Network:      n,
+		Connections:  s.Limits.Connections,
+		IdleTimeout:  serverIdleTimeout,
+		CheckTimeout: serverCheckTimeout,
+		Silence: backend.SilenceConfig{
+			Floor: serverSilence, Factor: serverSilenceFactor, Checks: serverChecks, CheckPause: serverCheckTimeout,
+		},
 	})
 }
 
+// showMetrics adds the counters of all parts to the metrics.
+func showMetrics(m *Metrics, b *commit.Batcher, d *Dispatcher, j *Jobs, l *peer.Links, r *timeline.Ring, client *backend.Client, store *resource.Store) {
+	m.show(measured{batcher: b, dispatcher: d, jobs: j, links: l, ring: r, sender: client, store: store})
+}
+
 // runPeer serves the links to other entry hosts.
-func runPeer(life fx.Lifecycle, l Listeners, links *peer.Links, jobs *Jobs) {
+func runPeer(life fx.Lifecycle, l Listeners, links *peer.Links, jobs *Jobs, timelines *Timelines) {
 	jobs.register(links)
+	timelines.register(links)
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go func() { _ = links.Serve(l.Peer) }()
--- a/entry/jobfollow.go
+++ b/entry/jobfollow.go
@@ -91,7 +91,7 @@
 
 // follow waits for the outcome of a job that another host holds.
 func (j *Jobs) follow(ctx context.Context, s *job.Submission, digest string, row job.Row) job.Outcome {
-	j.ring.Add(time.Now(), timeline.Event{Kind: timeline.Attached, Team: s.Team, Job: s.Key, Detail: string(row.Holder.Host)})
+	j.ring.Add(time.Now(), timeline.Event{Kind: timeline.Attached, Team: s.Team, Job: s.Key, Epoch: row.Epoch, Detail: string(row.Holder.Host)})
 	heard := time.Now()
 	for ctx.Err() == nil {
 		if row.Digest != digest {
--- a/entry/jobrun.go
+++ b/entry/jobrun.go
@@ -206,7 +206,7 @@
 	}
 	written := job.Written{Applied: result.Applied, Revision: result.Revision}
 	if result.Applied {
-		r.noteApplied(a)
+		r.noteApplied(a, result.Revision)
 	}
 	for _, current := range result.Current {
 		written.Current, written.CurrentRevision = decodeRow(&current), current.Revision
@@ -221,15 +221,20 @@
 	job.Failed:   timeline.OutcomeKept,
 }
 
-// noteApplied adds the events of a write that took effect.
-func (r *running) noteApplied(a job.Write) {
+// noteApplied adds the events of a write that took effect at a revision.
+func (r *running) noteApplied(a job.Write, revision ident.Revision) {
+	note := func(k timeline.Kind, detail string) {
+		r.jobs.ring.Add(time.Now(), timeline.Event{
+			Kind: k, Team: r.id.Team, Job: r.id.Key, Epoch: a.Row.Epoch, Revision: revision, Detail: detail,
+		})
+	}
 	if a.Previous != (job.Holder{}) {
-		r.note(timeline.Adopted, string(a.Previous.Host))
+		note(timeline.Adopted, string(a.Previous.Host))
 	}
 	if a.Condition == 0 && a.Row.State == job.Started {
-		r.note(timeline.Claimed, "")
+		note(timeline.Claimed, "")
 	}
-	r.note(rowEvents[a.Row.State], "")
+	note(rowEvents[a.Row.State], "")
 }
 
 // settle executes a Read action and posts its result.
@@ -260,9 +265,7 @@
 
 // hasRoom returns true if less than one task a server waits in a pool.
 func (d *Dispatcher) hasRoom(name ident.Pool) bool {
-	d.mutex.RLock()
-	q := d.pools[name]
-	d.mutex.RUnlock()
+	q := (*d.pools.Load())[name]
 	if q == nil {
 		return false
 	}
@@ -281,6 +284,7 @@
 			Team:    r.submission.Team,
 			Pool:    r.submission.Pool,
 			Task:    &id,
+			RunTime: time.Duration(t.DeclaredMS) * time.Millisecond,
 			Body:    t.Payload,
 			Done: func(reply backend.Reply, failure *outcome.Error) {
 				r.post(job.TaskEnded{Index: id.Index, Answer: reply.Body, Error: failure})
--- a/integration/jobs_test.go
+++ b/integration/jobs_test.go
@@ -120,11 +120,11 @@
 // awaitStarts waits until n tasks of a job have started.
 func (k *cluster) awaitStarts(s *job.Submission, n int) {
 	k.t.Helper()
-	k.eventually("started", func() bool { return k.startsOf(s) >= n })
+	k.eventually("started", func() bool { return k.startsOfJob(s) >= n })
 }
 
-// startsOf counts the starts of all tasks of a job.
-func (k *cluster) startsOf(s *job.Submission) int {
+// startsOfJob counts the starts of all tasks of a job.
+func (k *cluster) startsOfJob(s *job.Submission) int {
 	k.t.Helper()
 	total := 0
 	for task, count := range k.starts() {
@@ -190,7 +190,7 @@
 		_, err := k.submit(h, s)
 		k.is.True(reflect.DeepEqual(outcome.From(err), outcome.From(e.err)))
 	}
-	k.is.Equal(k.startsOf(s), 8)
+	k.is.Equal(k.startsOfJob(s), 8)
 	k.checkOnce()
 }
 
@@ -223,7 +223,7 @@
 	}
 	k.checkOnce()
 	// A holder that wakes drops what it had queued.
-	k.is.True(k.startsOf(filler) < len(filler.Tasks)/2)
+	k.is.True(k.startsOfJob(filler) < len(filler.Tasks)/2)
 }
 
 func TestResubmissionToOtherHosts(t *testing.T) {
@@ -277,7 +277,7 @@
 	e := k.within(end, 3*time.Second)
 	k.checkFailed(e.err, outcome.Failed, outcome.Cancelled)
 	time.Sleep(time.Second)
-	k.is.True(k.startsOf(s) <= 2)
+	k.is.True(k.startsOfJob(s) <= 2)
 	_, err := k.submit(k.hosts[1], s)
 	k.checkFailed(err, outcome.Failed, outcome.Cancelled)
 }
--- a/integration/outage_test.go
+++ b/integration/outage_test.go
@@ -40,7 +40,7 @@
 			again.Resubmission = true
 			e = k.within(k.submitOne(&again, k.hosts[1]), 5*time.Second)
 			k.is.Equal(outcome.From(e.err).Kind, outcome.Unknown)
-			k.is.Equal(k.startsOf(s), 0)
+			k.is.Equal(k.startsOfJob(s), 0)
 			k.tableFaults(standin.Faults{})
 			e = k.within(k.submitAny(&again, k.hosts...), 20*time.Second)
 			k.is.NoErr(e.err)
@@ -147,7 +147,7 @@
 		_, err := k.submit(h, s)
 		k.checkFailed(err, outcome.Failed, outcome.HolderLost)
 	}
-	k.is.Equal(k.startsOf(s), 12)
+	k.is.Equal(k.startsOfJob(s), 12)
 	k.checkOnce()
 }
 
--- a/route/pool.go
+++ b/route/pool.go
@@ -7,67 +7,73 @@
 	"math"
 	"time"
 
+	"github.com/catkingap/catkingap/admission"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/outcome"
 )
 
-// Server is what the choice knows of a backend server.
-type Server struct {
-	Name       ident.Server
-	Address    string
-	DataCentre ident.DataCentre
-	// Slots is the number of tasks that the server runs at once.
-	Slots int
-	// Leaving is true if the server must get no new work.
-	Leaving bool
-}
-
 // Config builds a Pool.
 type Config struct {
-	// Local is the data centre of the entry host.
-	Local ident.DataCentre
+	// Queue builds the queue of the pool.
+	Queue admission.Config
+	// Self is this entry host.
+	Self Peer
 	// RemoteDelay is the time that a round trip to another data centre takes.
 	RemoteDelay time.Duration
-	// BusyPause is the time for which a server that refused gets no work.
+	// BusyPause is the time for which a server that refused gets no work. It
+	// doubles with each refusal in a row.
 	BusyPause time.Duration
+	// AskPause is the time between two rounds of asking peers for slots.
+	AskPause time.Duration
+	// WantTime is the time for which a peer's wish for slots holds.
+	WantTime time.Duration
+	// ReturnTime is the time for which a borrowed slot must stand unused
+	// before it is returned.
+	ReturnTime time.Duration
+	// Heartbeat is the time between two heartbeats to peers.
+	Heartbeat time.Duration
+	// FasterWait is the time for which work waits for a slot on a faster server
+	// although one on a slow server is free.
+	FasterWait time.Duration
+	// PeerTimeout is the time after which the loans of a silent peer end.
+	PeerTimeout time.Duration
 }
 
-// Binding is the decision to send an item to a server.
+// Binding is the decision to send an entry to a server.
 type Binding[Item any] struct {
-	Item   Item
+	Entry  *admission.Entry[Item]
 	Server Server
-	// Queued is when the item entered the queue.
-	Queued time.Time
 }
 
-// Pool is the state of one pool on one entry host: its queue and what is known
-// of its servers.
+// Pool is the state of one pool on one entry host: its queue, what is known of
+// its servers, and the slots that it shares with other entry hosts.
 type Pool[Item any] struct {
 	config  Config
-	queue   []entry[Item]
+	queue   *admission.Queue[Item]
 	servers map[ident.Server]*server
 	order   []*server
-}
-
-type entry[Item any] struct {
-	item   Item
-	queued time.Time
-}
-
-type server struct {
-	Server
-	present bool
 	running int
-	// runTime is the mean run time learned from answers.
-	runTime time.Duration
-	paused  time.Time
-}
 
-// learnShare is the weight of a new run time in the learned mean.
-const learnShare = 0.2
+	peers       map[ident.Host]*peer
+	peerOrder   []*peer
+	asked       time.Time
+	beaten      time.Time
+	beats       int
+	windowStart time.Time
+	// low is the least number of free slots since windowStart.
+	low int
+	// limit is the cost below which slots of peers are useful, in seconds.
+	// Zero means that all are. It holds until slowUntil.
+	limit     float64
+	slowUntil time.Time
+}
 
 // NewPool returns a pool without servers.
 func NewPool[Item any](c Config) *Pool[Item] {
-	return &Pool[Item]{config: c, servers: map[ident.Server]*server{}}
+	return &Pool[Item]{
+		config: c, queue: admission.NewQueue[Item](c.Queue),
+		servers: map[ident.Server]*server{}, peers: map[ident.Host]*peer{},
+	}
 }
 
 // SetServers replaces the servers of the pool. What was learned of a server
@@ -88,98 +94,183 @@
 		p.order = append(p.order, known)
 	}
 	for name, s := range p.servers {
-		if !s.present && s.running == 0 {
+		if !s.present && s.running == 0 && s.lent == 0 && s.borrowed == 0 {
 			delete(p.servers, name)
 		}
 	}
+	p.share()
 }
 
-// Enqueue adds an item at the end of the queue.
-func (p *Pool[Item]) Enqueue(now time.Time, i Item) {
-	p.queue = append(p.queue, entry[Item]{item: i, queued: now})
+// SetShares replaces the bound of the queue and the shares of the teams.
+func (p *Pool[Item]) SetShares(limit int, shares map[ident.Team]admission.Share) {
+	p.queue.SetShares(limit, shares)
 }
 
-// Requeue adds an item that did not run at the front of the queue.
-func (p *Pool[Item]) Requeue(queued time.Time, i Item) {
-	p.queue = append([]entry[Item]{{item: i, queued: queued}}, p.queue...)
+// Submit queues the entries of an arrival, or returns why it is refused.
+func (p *Pool[Item]) Submit(now time.Time, a admission.Arrival, entries []*admission.Entry[Item]) *outcome.Error {
+	if e := p.queue.Admit(now, a); e != nil {
+		return e
+	}
+	for _, e := range entries {
+		p.queue.Push(now, e)
+	}
+	return nil
 }
 
-// Waiting returns the number of queued items.
-func (p *Pool[Item]) Waiting() int { return len(p.queue) }
+// Waiting returns the number of queued entries.
+func (p *Pool[Item]) Waiting() int { return p.queue.Len() }
 
 // Size returns the number of servers.
 func (p *Pool[Item]) Size() int { return len(p.order) }
 
-// Drop removes the queued items that match and returns them.
-func (p *Pool[Item]) Drop(match func(Item) bool) []Item {
-	var dropped []Item
-	kept := p.queue[:0]
-	for _, e := range p.queue {
-		if match(e.item) {
-			dropped = append(dropped, e.item)
-		} else {
-			kept = append(kept, e)
-		}
+// Drop removes the queued entries of a flow.
+func (p *Pool[Item]) Drop(name ident.Team, flow admission.Flow) int { return p.queue.Drop(name, flow) }
+
+// Expire removes and returns the entries that waited too long, and the
+// refusals that answer them.
+func (p *Pool[Item]) Expire(now time.Time) ([]*admission.Entry[Item], []*outcome.Error) {
+	expired := p.queue.Expire(now)
+	refusals := make([]*outcome.Error, 0, len(expired))
+	for _, e := range expired {
+		refusals = append(refusals, p.queue.Refuse(e.Team))
 	}
-	clear(p.queue[len(kept):])
-	p.queue = kept
-	return dropped
+	return expired, refusals
 }
 
-// Bind removes the first item of the queue and binds it to the server with the
-// least expected finish. It returns false if the queue is empty or no server
-// has a free slot.
+// Bind removes the first entry of the queue and binds it to the server with
+// the least expected finish. It returns false if no entry may start or this
+// host holds no free slot.
 func (p *Pool[Item]) Bind(now time.Time) (Binding[Item], bool) {
-	if len(p.queue) == 0 {
+	head := p.queue.Head(now)
+	if head == nil {
 		return Binding[Item]{}, false
 	}
-	best := p.choose(now)
+	best := p.choose(now, head.Queued)
 	if best == nil {
 		return Binding[Item]{}, false
 	}
-	first := p.queue[0]
-	p.queue[0] = entry[Item]{}
-	p.queue = p.queue[1:]
 	best.running++
-	return Binding[Item]{Item: first.item, Server: best.Server, Queued: first.queued}, true
+	p.running++
+	return Binding[Item]{Entry: p.queue.Pop(now), Server: best.Server}, true
+}
+
+// choose returns the server with a free slot and the least expected finish. It
+// returns nil for a short time if that server is slow, while peers are asked
+// for slots on faster ones.
+func (p *Pool[Item]) choose(now, queued time.Time) *server {
+	p.limit = 0
+	mean := p.meanRunTime()
+	best, cost := p.cheapest(now, mean)
+	if best == nil {
+		return nil
+	}
+	if now.Sub(queued) < p.config.FasterWait && cost > fasterFactor*mean {
+		p.limit = cost / fasterFactor
+		p.slowUntil = queued.Add(p.config.FasterWait)
+		return nil
+	}
+	return best
 }
 
-// choose returns the server with a free slot and the least expected finish.
-func (p *Pool[Item]) choose(now time.Time) *server {
+// cheapest returns the server with a free slot and the least expected time of a
+// task, and that time in seconds. A server that is not known yet counts as a
+// mean one.
+func (p *Pool[Item]) cheapest(now time.Time, mean float64) (*server, float64) {
 	var best *server
 	cost := math.Inf(1)
 	for _, s := range p.order {
-		if s.Leaving || s.running >= s.Slots || now.Before(s.paused) {
+		if !s.usable(now) {
 			continue
 		}
-		c := float64(s.runTime) * (1 + float64(s.running)/float64(s.Slots))
-		if s.DataCentre != p.config.Local {
-			c += float64(p.config.RemoteDelay)
+		c := s.runTime
+		if s.samples == 0 {
+			c = mean
 		}
-		if c < cost {
+		if s.DataCentre != p.config.Self.DataCentre {
+			c += p.config.RemoteDelay.Seconds()
+		}
+		if c < cost || c == cost && s.free() > best.free() {
 			best, cost = s, c
 		}
 	}
-	return best
+	return best, cost
 }
 
-// Ended tells that an item on a server ended after took. Ran is false if the
-// server refused it.
-func (p *Pool[Item]) Ended(now time.Time, name ident.Server, took time.Duration, ran bool) {
-	s := p.servers[name]
-	if s == nil {
-		return
+// meanRunTime returns the mean run time on a slot of the pool, in seconds, or
+// zero before the first task has ended.
+func (p *Pool[Item]) meanRunTime() float64 {
+	rate, slots := 0.0, 0.0
+	for _, s := range p.order {
+		if s.samples > 0 && !s.Leaving {
+			rate += float64(s.Slots) / s.runTime
+			slots += float64(s.Slots)
+		}
+	}
+	if rate == 0 {
+		return 0
 	}
-	s.running--
-	if !ran {
-		s.paused = now.Add(p.config.BusyPause)
-		return
+	return slots / rate
+}
+
+// fasterFactor is how many times slower than the mean a server must be before
+// peers are asked for slots on faster ones. It is larger than the error of
+// learned run times.
+const fasterFactor = 1.6
+
+// Result is how a bound entry ended.
+type Result string
+
+// The results of a bound entry.
+const (
+	// Answered means that the entry ran and was answered.
+	Answered Result = "answered"
+	// Broken means that the entry ran and failed.
+	Broken Result = "broken"
+	// Lost means that nothing is known of the entry.
+	Lost Result = "lost"
+	// Refused means that the server refused the entry, which did not run.
+	Refused Result = "refused"
+	// Unreachable means that no connection was made and the entry did not run.
+	Unreachable Result = "unreachable"
+	// Withdrawn means that the entry was not sent.
+	Withdrawn Result = "withdrawn"
+)
+
+// End tells how a bound entry ended.
+type End struct {
+	Result Result
+	// Took is the time from the start to the answer.
+	Took time.Duration
+}
+
+// Ended tells that a bound entry ended. It returns true if the entry is queued
+// again; otherwise the end is final.
+func (p *Pool[Item]) Ended(now time.Time, b Binding[Item], e End) bool {
+	s := p.leave(b)
+	switch e.Result {
+	case Answered:
+		if s != nil {
+			s.refusals = 0
+			s.learn(e.Took)
+		}
+	case Refused, Unreachable:
+		if s != nil {
+			s.refuse(now, p.config.BusyPause)
+		}
+		return p.queue.Requeue(b.Entry)
 	}
-	if s.runTime == 0 {
-		s.runTime = took
-		return
+	p.queue.Done(b.Entry, e.Took)
+	return false
+}
+
+// leave frees the slot of a binding.
+func (p *Pool[Item]) leave(b Binding[Item]) *server {
+	p.running--
+	s := p.servers[b.Server.Name]
+	if s != nil {
+		s.running--
 	}
-	s.runTime += time.Duration(learnShare * float64(took-s.runTime))
+	return s
 }
 
 // MarkLeaving records that a server announced that it is leaving.
@@ -189,10 +280,13 @@
 	}
 }
 
-// NextPause returns the earliest time at which a paused server may get work
-// again, or the zero time if none is paused.
-func (p *Pool[Item]) NextPause(now time.Time) time.Time {
-	var next time.Time
+// Wake returns the earliest time after now at which Bind may succeed without
+// another event, or the zero time if there is none.
+func (p *Pool[Item]) Wake(now time.Time) time.Time {
+	next := p.queue.Wake()
+	if p.limit > 0 && p.slowUntil.After(now) && (next.IsZero() || p.slowUntil.Before(next)) {
+		next = p.slowUntil
+	}
 	for _, s := range p.order {
 		if s.paused.After(now) && (next.IsZero() || s.paused.Before(next)) {
 			next = s.paused
