--- a/commit/capacity_test.go
+++ b/commit/capacity_test.go
@@ -46,9 +46,10 @@
 	return results, nil
 }
 
-// The table of the capacity page: it takes 400 transactions a second and syncs
-// one in 4 ms.
+// The table of the capacity page: it takes 400 transactions a second, of which
+// all entry hosts together take 300, and syncs one in 4 ms.
 const (
+	tableBudget = 300.0
 	tablePeriod = 2500 * time.Microsecond
 	tableDelay  = 4 * time.Millisecond
 	span        = 10 * time.Second
@@ -72,7 +73,10 @@
 		table := &pacedTable{period: tablePeriod, delay: tableDelay}
 		batchers := make([]*commit.Batcher, hosts)
 		for i := range batchers {
-			batchers[i] = commit.NewBatcher(commit.Config{Table: table, Timeout: time.Minute, MaxRows: 120, InFlight: 2})
+			batchers[i] = commit.NewBatcher(commit.Config{Table: table, Timeout: time.Minute, Window: commit.WindowConfig{
+				Rate: tableBudget / float64(hosts), Burst: 10, MaxWrites: 100, MaxBytes: 1 << 20,
+				MinPause: 20 * time.Millisecond, MaxPause: 250 * time.Millisecond,
+			}})
 		}
 		began := time.Now()
 		var mutex sync.Mutex
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -18,6 +18,19 @@
 	"github.com/catkingap/catkingap/timeline"
 )
 
+// The times of the policy of a pool; route.Config says what each is.
+const (
+	remoteDelay   = 3 * time.Millisecond
+	busyPause     = 10 * time.Millisecond
+	askPause      = 5 * time.Millisecond
+	wantTime      = 200 * time.Millisecond
+	returnTime    = 250 * time.Millisecond
+	fasterWait    = 8 * time.Millisecond
+	lendHeartbeat = time.Second
+	lendTimeout   = 3 * time.Second
+	exchangeTick  = 20 * time.Millisecond
+)
+
 // Work is one task or request on its way to a backend server.
 type Work struct {
 	Context context.Context
