Settle writes of resources, roll revisions out by peers, probe peers

A write carries an operation id that the row remembers; a lost answer is settled by repeating the conditional write, whose refusal reads the row back. Its answer holds what changed since the host's revision, so the accepting host has the revision in force and probes four peers at once even if the table is gone by then. The first configuration of a host is read in a transaction, which is never stale; an empty installation gets its head row by a conditional write and is then ready. Package probe probes two hosts a second, whatever their number, and piggybacks revision, load and suspicions.

Found on the way: a row that remembered 16 writes lost an operation in the increments of four operators (101 of 100 increments: one success was told as a conflict). Rows now remember a minute, up to 64 writes, repeat the write after 5 ms first, and tell "unknown" where memory does not reach back.

Seen failing with the mechanism off: settling (TestLostAnswerIsNoConflict), operation id (TestRacingIncrements), the guard by the head (TestPoolsInUseStay), the transactional load (TestStaleReads), the condition (TestRepeatedOperation); relays (TestOneSilentLinkLosesNobody), the list as a hint (TestListRemovesNobody), refutation (TestSuspicionIsRefuted), loss (TestDeadHostIsLost), the fixed fan-out (TestMessagesDoNotGrow).

Changed fixture: the log test declared a backend server without a data centre and possibly before its pool; both are now refused as invalid. It declares the same objects in order, with a data centre.

--- a/entry/apiresources.go
+++ b/entry/apiresources.go
@@ -46,7 +46,7 @@
 		return
 	}
 	o.Kind, o.Name = resource.Kind(c.Param("kind")), c.Param("name")
-	revision, err := a.store.Put(c.Request.Context(), o)
+	revision, err := a.store.Write(c.Request.Context(), resource.Change{Object: o})
 	var conflict *resource.ConflictError
 	switch {
 	case errors.As(err, &conflict):
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -10,14 +10,14 @@
 
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/platform"
-	"github.com/catkingap/catkingap/resource"
+	"github.com/catkingap/catkingap/probe"
 	"github.com/catkingap/catkingap/settings"
-	"github.com/catkingap/catkingap/timeline"
 )
 
 // Directory is the newest membership list that this host has read.
 type Directory struct {
 	members atomic.Pointer[map[string]platform.Member]
+	prober  atomic.Pointer[Prober]
 }
 
 func newDirectory() *Directory {
@@ -48,6 +48,17 @@
 	return (*d.members.Load())[id].State == platform.Leaving
 }
 
+// Peers returns the other entry hosts with what probing holds of them: whether
+// each is alive, and its load. Neither the list nor one silent probe alone
+// removes a host.
+func (d *Directory) Peers() []probe.View {
+	p := d.prober.Load()
+	if p == nil {
+		return nil
+	}
+	return p.Views()
+}
+
 func (d *Directory) set(members []platform.Member) {
 	next := make(map[string]platform.Member, len(members))
 	for _, m := range members {
@@ -61,21 +72,23 @@
 	fx.In
 
 	Settings   settings.Settings
-	Store      *resource.Store
 	Membership platform.Membership
 	Directory  *Directory
-	Dispatcher *Dispatcher
-	Ring       *timeline.Ring
+	Prober     *Prober
+	Rollout    *Rollout
 	Logger     log.Interface
 }
 
-// runBackground polls the configuration and the membership list.
+// runBackground polls the configuration and the membership list, and probes
+// the other entry hosts.
 func runBackground(life fx.Lifecycle, b Background) {
 	ctx, cancel := context.WithCancel(context.Background())
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			go every(ctx, time.Duration(b.Settings.ConfigPoll), b.refreshConfig)
+			b.Directory.prober.Store(b.Prober)
+			go every(ctx, time.Duration(b.Settings.ConfigPoll), b.Rollout.poll)
 			go every(ctx, time.Duration(b.Settings.MembershipPoll), b.refreshMembers)
+			go every(ctx, probeInterval, b.Prober.tick)
 			return nil
 		},
 		OnStop: func(context.Context) error {
@@ -99,18 +112,6 @@
 	}
 }
 
-func (b *Background) refreshConfig(ctx context.Context) {
-	now := time.Now()
-	applied, err := b.Store.Refresh(ctx, now)
-	if err != nil {
-		b.Logger.WithError(err).Debug("configuration not read")
-	}
-	if applied {
-		b.Ring.Add(now, timeline.Event{Kind: timeline.ConfigApplied, Revision: b.Store.Snapshot().Revision})
-		b.Dispatcher.Configure(b.Store.Snapshot(), b.Directory)
-	}
-}
-
 func (b *Background) refreshMembers(ctx context.Context) {
 	members, err := b.Membership.Members(ctx)
 	if err != nil {
@@ -118,5 +119,6 @@
 		return
 	}
 	b.Directory.set(members)
-	b.Dispatcher.Configure(b.Store.Snapshot(), b.Directory)
+	b.Prober.list(members)
+	b.Rollout.Configure()
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -95,6 +95,8 @@
 			newLinks,
 			newSender,
 			newDirectory,
+			newProber,
+			newRollout,
 			newDispatcher,
 			newJobs,
 			newServices,
@@ -182,8 +184,10 @@
 }
 
 // runPeer serves the links to other entry hosts.
-func runPeer(life fx.Lifecycle, l Listeners, links *peer.Links, jobs *Jobs, timelines *Timelines) {
+func runPeer(life fx.Lifecycle, l Listeners, links *peer.Links, jobs *Jobs, timelines *Timelines, p *Prober, r *Rollout) {
 	jobs.register(links)
+	p.register(links)
+	r.register(links)
 	timelines.register(links)
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/entry/log_test.go
+++ b/entry/log_test.go
@@ -105,17 +105,21 @@
 		http.Error(w, string(body), http.StatusInternalServerError)
 	}))
 	t.Cleanup(server.Close)
-	specs := map[resource.Kind]any{
-		resource.KindBackendServer: resource.BackendServerSpec{Pool: "echo", Address: server.Listener.Addr().String(), Slots: 1},
-		resource.KindPool:          resource.PoolSpec{},
-		resource.KindService:       resource.ServiceSpec{Pool: "echo", TimeoutMS: 5000},
+	address := server.Listener.Addr().String()
+	objects := []struct {
+		kind resource.Kind
+		spec any
+	}{
+		{resource.KindPool, resource.PoolSpec{}},
+		{resource.KindBackendServer, resource.BackendServerSpec{Pool: "echo", Address: address, DataCentre: "coast-a", Slots: 1}},
+		{resource.KindService, resource.ServiceSpec{Pool: "echo", TimeoutMS: 5000}},
 	}
-	for kind, spec := range specs {
-		data, err := json.Marshal(spec)
+	for _, o := range objects {
+		data, err := json.Marshal(o.spec)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := d.Client(0).Put(t.Context(), resource.Object{Kind: kind, Name: "echo", Spec: data}); err != nil {
+		if _, err := d.Client(0).Put(t.Context(), resource.Object{Kind: o.kind, Name: "echo", Spec: data}); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -169,6 +169,9 @@
 
 // Commit implements platform.Table.
 func (t measuredTable) Commit(ctx context.Context, writes []platform.Write) ([]platform.Result, error) {
+	for _, w := range writes {
+		t.metrics.tableReads.Add(int64(len(w.Reads)))
+	}
 	start := time.Now()
 	results, err := t.Table.Commit(ctx, writes)
 	t.ended(start, err)
@@ -193,6 +196,15 @@
 	return rows, revision, err
 }
 
+// ListChanged implements platform.Table.
+func (t measuredTable) ListChanged(ctx context.Context, r platform.Read) ([]platform.Row, error) {
+	t.metrics.tableReads.Add(1)
+	start := time.Now()
+	rows, err := t.Table.ListChanged(ctx, r)
+	t.ended(start, err)
+	return rows, err
+}
+
 func (t measuredTable) ended(start time.Time, err error) {
 	t.metrics.tableTime.Record(time.Since(start))
 	if err != nil {
--- a/resource/resource.go
+++ b/resource/resource.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/rollout"
 )
 
 // Kind is the kind of a resource.
@@ -30,17 +31,22 @@
 	Revision ident.Revision    `json:"revision"`
 	Labels   map[string]string `json:"labels,omitempty"`
 	Spec     json.RawMessage   `json:"spec"`
+	// Operation identifies the write to the one who asks for it. A write that
+	// is repeated with its operation takes effect once.
+	Operation string `json:"operation,omitempty"`
+	// Status is what the answering host sees. It is never written.
+	Status *Status `json:"status,omitempty"`
 }
 
 // BackendServerSpec declares one backend server or worker.
 type BackendServerSpec struct {
-	Pool       ident.Pool       `json:"pool"`
-	Address    string           `json:"address"`
-	DataCentre ident.DataCentre `json:"dataCentre"`
+	Pool       ident.Pool       `json:"pool" validate:"required"`
+	Address    string           `json:"address" validate:"required,hostname_port"`
+	DataCentre ident.DataCentre `json:"dataCentre" validate:"required,max=63"`
 	// Slots is the number of tasks that the server runs at once.
-	Slots int `json:"slots"`
+	Slots int `json:"slots" validate:"min=1,max=4096"`
 	// MemoryMB is the memory of the server. Zero means that it is not known.
-	MemoryMB int `json:"memoryMb,omitempty"`
+	MemoryMB int `json:"memoryMb,omitempty" validate:"min=0"`
 	// Drain asks for the server to get no new work.
 	Drain bool `json:"drain,omitempty"`
 }
@@ -48,15 +54,15 @@
 // PoolSpec declares a pool of backend servers.
 type PoolSpec struct {
 	// QueueTasks bounds the tasks that wait on one entry host.
-	QueueTasks int `json:"queueTasks,omitempty"`
+	QueueTasks int `json:"queueTasks,omitempty" validate:"min=0,max=1000000"`
 }
 
 // ServiceSpec declares a service and the pool behind it.
 type ServiceSpec struct {
-	Pool ident.Pool `json:"pool"`
+	Pool ident.Pool `json:"pool" validate:"required"`
 	// TimeoutMS bounds a request that brings no timeout of its own, in
 	// milliseconds.
-	TimeoutMS int `json:"timeoutMs,omitempty"`
+	TimeoutMS int `json:"timeoutMs,omitempty" validate:"min=0,max=3600000"`
 	// Hedge allows a second copy of slow idempotent requests.
 	Hedge bool `json:"hedge,omitempty"`
 }
@@ -64,11 +70,11 @@
 // TeamSpec declares a team and its quota.
 type TeamSpec struct {
 	// Weight is the team's share of a contended pool. Zero means one.
-	Weight int `json:"weight,omitempty"`
+	Weight int `json:"weight,omitempty" validate:"min=0,max=1000"`
 	// TasksPerSecond bounds the task starts. Zero means no bound.
-	TasksPerSecond float64 `json:"tasksPerSecond,omitempty"`
+	TasksPerSecond float64 `json:"tasksPerSecond,omitempty" validate:"min=0"`
 	// QueueTasks bounds the team's tasks that wait on one entry host.
-	QueueTasks int `json:"queueTasks,omitempty"`
+	QueueTasks int `json:"queueTasks,omitempty" validate:"min=0,max=1000000"`
 }
 
 // Server is a backend server in a snapshot.
@@ -88,6 +94,8 @@
 	Services map[ident.Service]ServiceSpec
 	Teams    map[ident.Team]TeamSpec
 	Objects  map[Kind]map[string]Object
+	// Rows holds the rows that the snapshot was built from.
+	Rows *rollout.Set
 }
 
 // Build returns the snapshot of objects at revision. Objects that can not be
@@ -101,6 +109,7 @@
 		Services: map[ident.Service]ServiceSpec{},
 		Teams:    map[ident.Team]TeamSpec{},
 		Objects:  map[Kind]map[string]Object{},
+		Rows:     &rollout.Set{},
 	}
 	var failed error
 	for _, o := range objects {
--- /dev/null
+++ b/resource/row.go
@@ -0,0 +1,142 @@
+package resource
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/rollout"
+)
+
+// The keys of resources in the table. The head row is written with each
+// change, so its revision is the revision of the configuration. The floor row
+// holds the highest revision of a tombstone that was removed.
+const (
+	keyPrefix = "resource/"
+	keyFloor  = keyPrefix + "!floor"
+	keyHead   = keyPrefix + "!head"
+)
+
+// The bounds of the operations that a row remembers.
+const (
+	historyLength = 64
+	historyTime   = time.Minute
+)
+
+// operation is one write in the history of a row.
+type operation struct {
+	ID string `json:"id"`
+	// Base is the revision of the row that the write replaced.
+	Base ident.Revision `json:"base"`
+	At   time.Time      `json:"at"`
+}
+
+// row is a resource as the table keeps it.
+type row struct {
+	Kind   Kind              `json:"kind"`
+	Name   string            `json:"name"`
+	Labels map[string]string `json:"labels,omitempty"`
+	Spec   json.RawMessage   `json:"spec,omitempty"`
+	// Deleted is set for a tombstone.
+	Deleted time.Time `json:"deleted,omitzero"`
+	// History holds the last writes of the row, the newest first.
+	History []operation `json:"history,omitempty"`
+}
+
+// Key returns the row key of a resource.
+func Key(kind Kind, name string) string {
+	return keyPrefix + string(kind) + "/" + name
+}
+
+func parseRow(value []byte) (row, error) {
+	var r row
+	err := json.Unmarshal(value, &r)
+	return r, err
+}
+
+// written returns the revision at which an operation wrote the row that is now
+// at revision, or false if the row does not remember it.
+func (r row) written(id string, revision ident.Revision) (ident.Revision, bool) {
+	for _, o := range r.History {
+		if o.ID == id {
+			return revision, true
+		}
+		revision = o.Base
+	}
+	return 0, false
+}
+
+// reaches returns true if the row remembers which write replaced its revision
+// base.
+func (r row) reaches(base ident.Revision) bool {
+	return slices.ContainsFunc(r.History, func(o operation) bool { return o.Base == base })
+}
+
+// replace returns next as an operation writes it over r at revision base.
+func (r row) replace(now time.Time, next row, id string, base ident.Revision) row {
+	next.History = []operation{{ID: id, Base: base, At: now}}
+	for _, o := range r.History {
+		if len(next.History) < historyLength && now.Sub(o.At) < historyTime {
+			next.History = append(next.History, o)
+		}
+	}
+	return next
+}
+
+// newDelta returns the delta of rows that were read together. Its revision is
+// that of the head row among them, and zero without one.
+func newDelta(after ident.Revision, rows []platform.Row) (rollout.Delta, error) {
+	d := rollout.Delta{After: after}
+	for _, r := range rows {
+		switch r.Key {
+		case keyHead:
+			d.Revision = r.Revision
+		case keyFloor:
+			if err := json.Unmarshal(r.Value, &d.Floor); err != nil {
+				return rollout.Delta{}, errors.Wrap(err, r.Key)
+			}
+		default:
+			parsed, err := parseRow(r.Value)
+			if err != nil {
+				return rollout.Delta{}, errors.Wrap(err, r.Key)
+			}
+			d.Rows = append(d.Rows, rollout.Row{
+				Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: !parsed.Deleted.IsZero(),
+			})
+		}
+	}
+	return d, nil
+}
+
+// newSnapshot builds the snapshot of a set of rows.
+func newSnapshot(now time.Time, set *rollout.Set) (*Snapshot, error) {
+	rows := set.Rows()
+	objects := make([]Object, 0, len(rows))
+	for _, r := range rows {
+		if r.Deleted || !strings.HasPrefix(r.Key, keyPrefix) {
+			continue
+		}
+		o, err := DecodeObject(r)
+		if err != nil {
+			return nil, err
+		}
+		objects = append(objects, o)
+	}
+	s, err := Build(now, set.Revision, objects)
+	s.Rows = set
+	return s, err
+}
+
+// DecodeObject returns the resource of a row.
+func DecodeObject(r rollout.Row) (Object, error) {
+	parsed, err := parseRow(r.Value)
+	if err != nil {
+		return Object{}, errors.Wrap(err, r.Key)
+	}
+	return Object{Kind: parsed.Kind, Name: parsed.Name, Labels: parsed.Labels, Spec: parsed.Spec, Revision: r.Revision}, nil
+}
--- a/resource/store.go
+++ b/resource/store.go
@@ -2,40 +2,21 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
-	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/rollout"
 )
 
-// The keys of resources in the table. The head row is written with each
-// change, so its revision is the revision of the configuration.
-const (
-	keyHead   = "resource-head"
-	keyPrefix = "resource/"
-)
-
-// ConflictError means that a write named a revision that is not the present
-// one.
-type ConflictError struct {
-	Kind    Kind
-	Name    string
-	Present ident.Revision
-}
-
-// Error implements error.
-func (e *ConflictError) Error() string {
-	return string(e.Kind) + " " + e.Name + " was changed by somebody else"
-}
+// catchUpTries bounds the reads of one catchUp.
+const catchUpTries = 2
 
 // Store keeps resources in the table and holds the snapshot in force.
 type Store struct {
 	table    platform.Table
 	snapshot atomic.Pointer[Snapshot]
+	offer    func(rollout.Delta)
 }
 
 // NewStore returns a store with an empty snapshot of revision zero.
@@ -43,84 +24,107 @@
 	s := &Store{table: table}
 	empty, _ := Build(time.Time{}, 0, nil)
 	s.snapshot.Store(empty)
+	s.offer = func(d rollout.Delta) { _, _ = s.Apply(time.Now(), s.Snapshot().Rows.Merge(d)) }
 	return s
 }
 
+// OnDelta makes f take the rows that writes read. It must be called before
+// the first write.
+func (s *Store) OnDelta(f func(rollout.Delta)) {
+	s.offer = f
+}
+
 // Snapshot returns the configuration in force.
 func (s *Store) Snapshot() *Snapshot {
 	return s.snapshot.Load()
 }
 
-// Key returns the row key of a resource.
-func Key(kind Kind, name string) string {
-	return keyPrefix + string(kind) + "/" + name
-}
-
-// Put creates or replaces a resource. o.Revision is the revision that the
-// writer saw, zero to create. It returns the new revision.
-func (s *Store) Put(ctx context.Context, o Object) (ident.Revision, error) {
-	condition := o.Revision
-	o.Revision = 0
-	value, err := json.Marshal(o)
+// Refresh lists all resources and puts them in force if they are newer than
+// the snapshot in force. It returns true if it did.
+func (s *Store) Refresh(ctx context.Context, now time.Time) (bool, error) {
+	rows, _, err := s.table.List(ctx, keyPrefix, "", 0)
 	if err != nil {
-		return 0, err
+		return false, err
 	}
-	key := Key(o.Kind, o.Name)
-	results, err := s.table.Commit(ctx, []platform.Write{{
-		Conditions: []platform.Condition{{Key: key, Revision: condition}},
-		Puts:       []platform.Put{{Key: key, Value: value}, {Key: keyHead, Value: []byte(key)}},
-	}})
+	d, err := newDelta(0, rows)
 	if err != nil {
-		return 0, err
+		return false, err
 	}
-	if !results[0].Applied {
-		conflict := &ConflictError{Kind: o.Kind, Name: o.Name}
-		if len(results[0].Current) > 0 {
-			conflict.Present = results[0].Current[0].Revision
-		}
-		return 0, conflict
+	for _, r := range d.Rows {
+		d.Revision = max(d.Revision, r.Revision)
 	}
-	return results[0].Revision, nil
+	return s.Apply(now, s.Snapshot().Rows.Merge(d))
 }
 
-// Refresh reads the head and, if it is newer than the snapshot in force, all
-// resources. It returns true if it put a new snapshot in force.
-func (s *Store) Refresh(ctx context.Context, now time.Time) (bool, error) {
-	head, _, err := s.table.Get(ctx, keyHead)
-	if err != nil || head == nil {
-		return false, err
+// Poll reads what changed after the snapshot in force. Its revision is zero if
+// nothing did.
+func (s *Store) Poll(ctx context.Context) (rollout.Delta, error) {
+	after := s.Snapshot().Revision
+	rows, err := s.table.ListChanged(ctx, platform.Read{Prefix: keyPrefix, After: after})
+	if err != nil {
+		return rollout.Delta{}, err
 	}
-	if head.Revision <= s.Snapshot().Revision {
-		return false, nil
+	return newDelta(after, rows)
+}
+
+// Load reads all rows in a transaction, whose answer is never stale. It writes
+// the head row of an installation that has none.
+func (s *Store) Load(ctx context.Context) (rollout.Delta, error) {
+	all := platform.Read{Prefix: keyPrefix}
+	d, err := s.transact(ctx, platform.Write{Reads: []platform.Read{all}})
+	if err != nil || d.Revision > 0 {
+		return d, err
 	}
-	rows, _, err := s.table.List(ctx, keyPrefix, "", 0)
-	if err != nil {
-		return false, err
+	return s.transact(ctx, platform.Write{
+		Conditions: []platform.Condition{{Key: keyHead}},
+		Puts:       []platform.Put{{Key: keyHead, Value: []byte("{}")}},
+		Reads:      []platform.Read{all},
+	})
+}
+
+// transact commits w alone and returns what it read. The revision is zero if
+// it did not take effect.
+func (s *Store) transact(ctx context.Context, w platform.Write) (rollout.Delta, error) {
+	results, err := s.table.Commit(ctx, []platform.Write{w})
+	if err != nil || !results[0].Applied {
+		return rollout.Delta{}, err
 	}
-	objects := make([]Object, 0, len(rows))
-	revision := head.Revision
-	for _, r := range rows {
-		var o Object
-		if err := json.Unmarshal(r.Value, &o); err != nil {
-			return false, errors.Wrap(err, r.Key)
+	return newDelta(w.Reads[0].After, results[0].Rows)
+}
+
+// catchUp reads what changed after the snapshot in force in a transaction and
+// puts it in force.
+func (s *Store) catchUp(ctx context.Context) error {
+	var failed error
+	for range catchUpTries {
+		after := s.Snapshot().Revision
+		d, err := s.transact(ctx, platform.Write{Reads: []platform.Read{{Prefix: keyPrefix, After: after}}})
+		if err == nil {
+			s.offer(d)
+			return nil
 		}
-		o.Revision = r.Revision
-		revision = max(revision, r.Revision)
-		objects = append(objects, o)
+		failed = err
 	}
-	next, err := Build(now, revision, objects)
-	return s.apply(next), err
+	return failed
 }
 
-// apply puts next in force unless a newer snapshot is.
-func (s *Store) apply(next *Snapshot) bool {
+// Apply puts the snapshot of a set in force unless a newer one is. It returns
+// true if it did. Rows that can not be decoded are reported and left out.
+func (s *Store) Apply(now time.Time, set *rollout.Set) (bool, error) {
+	if set.Revision <= s.Snapshot().Revision {
+		return false, nil
+	}
+	next, err := newSnapshot(now, set)
+	if next == nil {
+		return false, err
+	}
 	for {
 		current := s.snapshot.Load()
 		if next.Revision <= current.Revision {
-			return false
+			return false, err
 		}
 		if s.snapshot.CompareAndSwap(current, next) {
-			return true
+			return true, err
 		}
 	}
 }
