--- a/entry/probing.go
+++ b/entry/probing.go
@@ -29,8 +29,8 @@
 )
 
 const (
-	kindProbe    = peer.Kind("probe")
-	kindProbeVia = peer.Kind("probeVia")
+	kindPeerProbe    = peer.Kind("peerProbe")
+	kindPeerProbeVia = peer.Kind("peerProbeVia")
 )
 
 // ProbeVia asks a host to probe another.
@@ -73,12 +73,12 @@
 }
 
 func (p *Prober) register(l *peer.Links) {
-	peer.Handle(l, kindProbe, func(_ context.Context, m probe.Message) (probe.Message, error) {
+	peer.Handle(l, kindPeerProbe, func(_ context.Context, m probe.Message) (probe.Message, error) {
 		p.receive(m)
 		return p.message(), nil
 	})
-	peer.Handle(l, kindProbeVia, func(ctx context.Context, v ProbeVia) (probe.Message, error) {
-		return peer.Call[probe.Message, probe.Message](ctx, p.links, v.Address, kindProbe, v.Message)
+	peer.Handle(l, kindPeerProbeVia, func(ctx context.Context, v ProbeVia) (probe.Message, error) {
+		return peer.Call[probe.Message, probe.Message](ctx, p.links, v.Address, kindPeerProbe, v.Message)
 	})
 }
 
@@ -163,7 +163,7 @@
 func (p *Prober) probe(to probe.Peer) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	answer, err := peer.Call[probe.Message, probe.Message](ctx, p.links, to.Address, kindProbe, p.message())
+	answer, err := peer.Call[probe.Message, probe.Message](ctx, p.links, to.Address, kindPeerProbe, p.message())
 	if err != nil {
 		p.post(probe.Failed{Host: to.Host})
 		return
@@ -178,7 +178,7 @@
 	request := ProbeVia{Address: a.Peer.Address, Message: p.message()}
 	for _, via := range a.Via {
 		go func() {
-			answer, err := peer.Call[ProbeVia, probe.Message](ctx, p.links, via.Address, kindProbeVia, request)
+			answer, err := peer.Call[ProbeVia, probe.Message](ctx, p.links, via.Address, kindPeerProbeVia, request)
 			if err != nil {
 				answers <- nil
 				return
