Measure rollout and probing at 9 and 60 hosts in virtual time

Real drivers, links and framed msgpack on a network and a table in memory, 1 ms a message, five changes each.

--- /dev/null
+++ b/entry/fabric_test.go
@@ -0,0 +1,386 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/peer"
+	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/probe"
+	"github.com/catkingap/catkingap/resource"
+	"github.com/catkingap/catkingap/settings"
+	"github.com/catkingap/catkingap/standin"
+	"github.com/catkingap/catkingap/timeline"
+)
+
+const (
+	// inForceBound is the target for a change of configuration.
+	inForceBound = 5 * time.Second
+	// controlBound is the target for the control bytes of a host and second.
+	controlBound = 7 << 10
+	linkDelay    = time.Millisecond
+	warmUp       = 20 * time.Second
+)
+
+// fabric is a network in memory whose messages take linkDelay.
+type fabric struct {
+	mutex     sync.Mutex
+	listeners map[string]*fabricListener
+}
+
+type fabricListener struct {
+	fabric  *fabric
+	address fabricAddress
+	pending chan net.Conn
+	done    chan struct{}
+}
+
+type fabricAddress string
+
+func (a fabricAddress) Network() string { return "fabric" }
+func (a fabricAddress) String() string  { return string(a) }
+
+// Listen implements network.Network.
+func (f *fabric) Listen(address string) (net.Listener, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	l := &fabricListener{fabric: f, address: fabricAddress(address), pending: make(chan net.Conn), done: make(chan struct{})}
+	f.listeners[address] = l
+	return l, nil
+}
+
+// DialContext implements network.Network.
+func (f *fabric) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	f.mutex.Lock()
+	l := f.listeners[address]
+	f.mutex.Unlock()
+	near, far := newConnPair()
+	select {
+	case l.pending <- far:
+		return near, nil
+	case <-l.done:
+		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *fabricListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.pending:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *fabricListener) Addr() net.Addr { return l.address }
+
+func (l *fabricListener) Close() error {
+	close(l.done)
+	return nil
+}
+
+// chunk is written data and the time at which it arrives.
+type chunk struct {
+	data []byte
+	due  time.Time
+}
+
+// delayedConn is one end of a connection. Only the reader waits for the delay,
+// since virtual time stands still while a goroutine waits for a mutex.
+type delayedConn struct {
+	net.Conn
+	in, out chan chunk
+	rest    []byte
+	done    chan struct{}
+	close   func()
+}
+
+func newConnPair() (near, far *delayedConn) {
+	a, b, done := make(chan chunk, 1024), make(chan chunk, 1024), make(chan struct{})
+	once := sync.OnceFunc(func() { close(done) })
+	return &delayedConn{in: a, out: b, done: done, close: once}, &delayedConn{in: b, out: a, done: done, close: once}
+}
+
+func (c *delayedConn) Read(p []byte) (int, error) {
+	if len(c.rest) == 0 {
+		select {
+		case next := <-c.in:
+			time.Sleep(time.Until(next.due))
+			c.rest = next.data
+		case <-c.done:
+			return 0, net.ErrClosed
+		}
+	}
+	n := copy(p, c.rest)
+	c.rest = c.rest[n:]
+	return n, nil
+}
+
+func (c *delayedConn) Write(p []byte) (int, error) {
+	select {
+	case c.out <- chunk{data: slices.Clone(p), due: time.Now().Add(linkDelay)}:
+		return len(p), nil
+	case <-c.done:
+		return 0, net.ErrClosed
+	}
+}
+
+func (c *delayedConn) Close() error {
+	c.close()
+	return nil
+}
+
+func (c *delayedConn) RemoteAddr() net.Addr             { return fabricAddress("fabric") }
+func (c *delayedConn) SetWriteDeadline(time.Time) error { return nil }
+
+// tableLink is one host's way to the table. A cut link refuses.
+type tableLink struct {
+	handler http.Handler
+	mutex   sync.Mutex
+	isCut   bool
+}
+
+func (l *tableLink) cut(isCut bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.isCut = isCut
+}
+
+// RoundTrip implements http.RoundTripper.
+func (l *tableLink) RoundTrip(r *http.Request) (*http.Response, error) {
+	l.mutex.Lock()
+	isCut := l.isCut
+	l.mutex.Unlock()
+	if isCut {
+		return nil, &net.OpError{Op: "dial", Err: errors.New("cut")}
+	}
+	recorder := httptest.NewRecorder()
+	l.handler.ServeHTTP(recorder, r)
+	return recorder.Result(), nil
+}
+
+// node is the configuration and the probing of one entry host.
+type node struct {
+	store   *resource.Store
+	links   *peer.Links
+	prober  *Prober
+	rollout *Rollout
+	table   *tableLink
+}
+
+// fleet is a set of hosts on a network and a table in memory, with real
+// drivers, links and framed msgpack.
+type fleet struct {
+	t       *testing.T
+	ctx     context.Context
+	fabric  *fabric
+	table   http.Handler
+	members []platform.Member
+}
+
+func newFleet(t *testing.T) *fleet {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		cancel()
+		time.Sleep(2 * fetchTimeout)
+	})
+	p := standin.NewPlatform(standin.PlatformConfig{})
+	return &fleet{t: t, ctx: ctx, fabric: &fabric{listeners: map[string]*fabricListener{}}, table: p.Handler()}
+}
+
+// add starts count hosts that know each other.
+func (f *fleet) add(count int) []*node {
+	var nodes []*node
+	for i := range count {
+		nodes = append(nodes, f.newNode(i))
+	}
+	for _, n := range nodes {
+		n.prober.list(f.members)
+		f.run(n)
+	}
+	return nodes
+}
+
+func (f *fleet) run(n *node) {
+	go every(f.ctx, probeInterval, n.prober.tick)
+	go every(f.ctx, time.Duration(settings.Default().ConfigPoll), n.rollout.poll)
+}
+
+// newNode returns a host that the platform lists and whose loops do not run.
+func (f *fleet) newNode(i int) *node {
+	s := settings.Default()
+	s.Host, s.DataCentre = ident.Host(fmt.Sprintf("entry-%02d:8081", i)), "coast-a"
+	listener, _ := f.fabric.Listen(string(s.Host))
+	n := &node{table: &tableLink{handler: f.table}}
+	logger := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
+	ring := timeline.NewRing(s.Host, time.Now(), 100)
+	n.store = resource.NewStore(platform.NewRemoteTable(&http.Client{Transport: n.table}, "http://table"))
+	n.links = newLinks(logger, f.fabric)
+	d := newDispatcher(s, testIdentity(), &fakeSender{}, ring, newMetrics())
+	n.prober = newProber(s, Listeners{API: listener, Peer: listener}, n.store, d, n.links, ring)
+	self := probe.Peer{Host: s.Host, Address: string(s.Host), API: string(s.Host), DataCentre: s.DataCentre}
+	n.prober.machine = newProbeMachine(time.Now(), self, rand.New(rand.NewPCG(7, uint64(i))))
+	n.rollout = newRollout(n.store, d, newDirectory(), n.links, n.prober, ring, logger)
+	n.prober.register(n.links)
+	n.rollout.register(n.links)
+	go func() { _ = n.links.Serve(listener) }()
+	context.AfterFunc(f.ctx, func() {
+		listener.Close()
+		n.links.Close()
+	})
+	f.members = append(f.members, platform.Member{
+		ID: string(s.Host), Role: platform.EntryHost, Address: string(s.Host), API: string(s.Host), DataCentre: s.DataCentre,
+	})
+	return n
+}
+
+// write accepts a change of a team on a host and returns its revision.
+func (n *node) write(t *testing.T, weight int) ident.Revision {
+	t.Helper()
+	spec, _ := json.Marshal(resource.TeamSpec{Weight: weight})
+	seen := n.store.Snapshot().Objects[resource.KindTeam]["kusweg"].Revision
+	revision, err := n.store.Write(t.Context(), resource.Change{Object: resource.Object{
+		Kind: resource.KindTeam, Name: "kusweg", Spec: spec, Revision: seen,
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return revision
+}
+
+// inForce waits until each host has a revision in force and returns the times
+// in order.
+func inForce(nodes []*node, revision ident.Revision) []time.Duration {
+	began := time.Now()
+	times := make([]time.Duration, len(nodes))
+	var waiting sync.WaitGroup
+	for i, n := range nodes {
+		waiting.Go(func() {
+			for n.store.Snapshot().Revision < revision && time.Since(began) < 2*inForceBound {
+				time.Sleep(time.Millisecond)
+			}
+			times[i] = time.Since(began)
+		})
+	}
+	waiting.Wait()
+	slices.Sort(times)
+	return times
+}
+
+// TestTimeToInForce changes the configuration with the table there, with all
+// hosts but the accepting one cut off from it, and with an outage that starts
+// right after acceptance.
+func TestTimeToInForce(t *testing.T) {
+	for _, count := range []int{9, 60} {
+		tests := map[string]func(nodes []*node){
+			"table is there":          func([]*node) {},
+			"outage after acceptance": func(nodes []*node) { cutAll(nodes, true) },
+		}
+		for name, fault := range tests {
+			t.Run(fmt.Sprintf("%d hosts, %s", count, name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					nodes := newFleet(t).add(count)
+					time.Sleep(warmUp)
+					var all []time.Duration
+					for i := range 5 {
+						time.Sleep(1370 * time.Millisecond)
+						cutAll(nodes[1:], name != "table is there")
+						revision := nodes[0].write(t, i)
+						fault(nodes)
+						all = append(all, inForce(nodes, revision)...)
+						cutAll(nodes, false)
+					}
+					slices.Sort(all)
+					worst := all[len(all)-1]
+					t.Logf("p50 %s, max %s", all[len(all)/2], worst)
+					if median := all[len(all)/2]; median > probeInterval/2 {
+						t.Errorf("half of the hosts wait for a probe: %s", median)
+					}
+					if worst > inForceBound {
+						t.Errorf("in force after %s", worst)
+					}
+				})
+			})
+		}
+	}
+}
+
+func cutAll(nodes []*node, isCut bool) {
+	for _, n := range nodes {
+		n.table.cut(isCut)
+	}
+}
+
+// TestControlBytes counts the bytes of the links, and the growth with the
+// number of hosts. A change of configuration each 10 s is a hundred times the
+// rate of the target.
+func TestControlBytes(t *testing.T) {
+	const seconds = 60
+	perHost := map[int]float64{}
+	for _, count := range []int{9, 60} {
+		synctest.Test(t, func(t *testing.T) {
+			nodes := newFleet(t).add(count)
+			time.Sleep(warmUp)
+			before := sent(nodes)
+			for i := range seconds / 10 {
+				nodes[0].write(t, i)
+				time.Sleep(10 * time.Second)
+			}
+			perHost[count] = (sent(nodes) - before) / seconds / float64(count)
+		})
+		t.Logf("%d hosts: %.0f bytes sent and as many received per host and second", count, perHost[count])
+	}
+	slope := (perHost[60] - perHost[9]) / (60 - 9)
+	t.Logf("slope %.1f bytes per host and second for each further host", slope)
+	if 2*perHost[60] > controlBound {
+		t.Errorf("%.0f bytes per host and second at 60 hosts", 2*perHost[60])
+	}
+}
+
+func sent(nodes []*node) float64 {
+	total := 0.0
+	for _, n := range nodes {
+		total += float64(n.links.Statistics.SentBytes.Load())
+	}
+	return total
+}
+
+// TestRestartDuringOutage starts a host that keeps nothing while the table is
+// away: a peer that probes it brings it the configuration.
+func TestRestartDuringOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t)
+		nodes := f.add(3)
+		time.Sleep(warmUp)
+		revision := nodes[0].write(t, 7)
+		cutAll(nodes, true)
+		inForce(nodes, revision)
+		fresh := f.newNode(3)
+		fresh.table.cut(true)
+		f.run(fresh)
+		is.Equal(fresh.store.Snapshot().Revision, ident.Revision(0)) // not ready
+		nodes[1].prober.list(f.members)
+		took := inForce([]*node{fresh}, revision)
+		is.True(took[0] < inForceBound)
+		is.Equal(fresh.store.Snapshot().Teams["kusweg"].Weight, 7)
+	})
+}
--- a/entry/probing.go
+++ b/entry/probing.go
@@ -52,20 +52,23 @@
 }
 
 func newProber(s settings.Settings, l Listeners, store *resource.Store, d *Dispatcher, links *peer.Links, ring *timeline.Ring) *Prober {
-	now := time.Now()
 	self := probe.Peer{Host: s.Host, Address: l.Peer.Addr().String(), API: l.API.Addr().String(), DataCentre: s.DataCentre}
 	return &Prober{
 		store: store, dispatcher: d, links: links, ring: ring,
-		heard: func(ident.Host, ident.Revision) {},
-		machine: probe.NewMachine(now, probe.Config{
-			Self: self, Fanout: probeFanout, Indirect: probeIndirect,
-			MaxUpdates: probeUpdates, UpdateRepeats: probeRepeats,
-			SuspectTime: probeSuspectTime, ForgetTime: probeForgetTime,
-			Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		}),
+		heard:   func(ident.Host, ident.Revision) {},
+		machine: newProbeMachine(time.Now(), self, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 	}
 }
 
+func newProbeMachine(now time.Time, self probe.Peer, random *rand.Rand) *probe.Machine {
+	return probe.NewMachine(now, probe.Config{
+		Self: self, Fanout: probeFanout, Indirect: probeIndirect,
+		MaxUpdates: probeUpdates, UpdateRepeats: probeRepeats,
+		SuspectTime: probeSuspectTime, ForgetTime: probeForgetTime,
+		Random: random,
+	})
+}
+
 // onRevision makes f take the revisions that other hosts have in force. It
 // must be called before register.
 func (p *Prober) onRevision(f func(ident.Host, ident.Revision)) {
