--- a/entry/jobrun.go
+++ b/entry/jobrun.go
@@ -263,9 +263,7 @@
 
 // hasRoom returns true if less than one task a server waits in a pool.
 func (d *Dispatcher) hasRoom(name ident.Pool) bool {
-	d.mutex.RLock()
-	q := d.pools[name]
-	d.mutex.RUnlock()
+	q := (*d.pools.Load())[name]
 	if q == nil {
 		return false
 	}
@@ -284,6 +282,7 @@
 			Team:    r.submission.Team,
 			Pool:    r.submission.Pool,
 			Task:    &id,
+			RunTime: time.Duration(t.DeclaredMS) * time.Millisecond,
 			Body:    t.Payload,
 			Done: func(reply backend.Reply, failure *outcome.Error) {
 				r.post(job.TaskEnded{Index: id.Index, Answer: reply.Body, Error: failure})
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -108,10 +108,9 @@
 
 // waiting returns the queued tasks and requests of each pool.
 func (d *Dispatcher) waiting() map[ident.Pool]int {
-	d.mutex.RLock()
-	defer d.mutex.RUnlock()
-	lengths := make(map[ident.Pool]int, len(d.pools))
-	for name, q := range d.pools {
+	pools := *d.pools.Load()
+	lengths := make(map[ident.Pool]int, len(pools))
+	for name, q := range pools {
 		q.mutex.Lock()
 		lengths[name] = q.pool.Waiting()
 		q.mutex.Unlock()
