Show calls between a holder and its mirror in the time line

The request id that the messages now carry joins the events of both hosts, so that the sending of an outcome comes before its receipt whatever the clocks say.

Seen failing first: without the note of the receipt TestTimelineOfMirror is red.

--- a/entry/mirror.go
+++ b/entry/mirror.go
@@ -8,6 +8,7 @@
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/job"
 	"github.com/catkingap/catkingap/peer"
+	"github.com/catkingap/catkingap/timeline"
 )
 
 const (
@@ -17,6 +18,8 @@
 
 // MirrorKeep asks a run to keep the outcome of a row and to record it.
 type MirrorKeep struct {
+	// Request joins the events of both hosts in the time line.
+	Request   ident.Request  `msgpack:"request"`
 	Mirror    job.Holder     `msgpack:"mirror"`
 	Row       job.Row        `msgpack:"row"`
 	Condition ident.Revision `msgpack:"condition"`
@@ -29,9 +32,11 @@
 
 // MirrorAsk asks a run for the outcome of an epoch of a job.
 type MirrorAsk struct {
-	Mirror job.Holder  `msgpack:"mirror"`
-	Job    ident.Job   `msgpack:"job"`
-	Epoch  ident.Epoch `msgpack:"epoch"`
+	// Request joins the events of both hosts in the time line.
+	Request ident.Request `msgpack:"request"`
+	Mirror  job.Holder    `msgpack:"mirror"`
+	Job     ident.Job     `msgpack:"job"`
+	Epoch   ident.Epoch   `msgpack:"epoch"`
 }
 
 // MirrorAnswer answers a MirrorAsk. Outcome is nil if the run has none and
@@ -42,19 +47,27 @@
 
 // mirror keeps outcomes for other hosts and reaches the mirrors of this one.
 type mirror struct {
-	jobs *Jobs
+	jobs     *Jobs
+	requests *ident.Sequence
 
 	mutex sync.Mutex
 	state *job.Mirror
 }
 
 func newMirror(j *Jobs) *mirror {
-	return &mirror{jobs: j, state: job.NewMirror()}
+	return &mirror{jobs: j, requests: ident.NewSequence(), state: job.NewMirror()}
+}
+
+// note adds an event of a call between a holder and its mirror to the time
+// line.
+func (m *mirror) note(k timeline.Kind, r ident.Request, j ident.Job, e ident.Epoch, detail string) {
+	m.jobs.ring.Add(time.Now(), timeline.Event{Kind: k, Request: r, Team: j.Team, Job: j.Key, Epoch: e, Detail: detail})
 }
 
 // answerKeep keeps an outcome and starts to record it. A run that is not the
 // one asked for refuses: it never will have the outcome.
 func (m *mirror) answerKeep(_ context.Context, k MirrorKeep) (MirrorKept, error) {
+	m.note(timeline.CallReceived, k.Request, k.Row.Job, k.Row.Epoch, string(kindMirrorKeep))
 	if k.Mirror != m.jobs.identity.Holder {
 		return MirrorKept{}, nil
 	}
@@ -82,6 +95,7 @@
 // answerAsk gives the outcome of a lost holder or fences its epoch. A run that
 // is not the one asked for has none: the run asked for is gone.
 func (m *mirror) answerAsk(_ context.Context, a MirrorAsk) (MirrorAnswer, error) {
+	m.note(timeline.CallReceived, a.Request, a.Job, a.Epoch, string(kindMirrorAsk))
 	if a.Mirror != m.jobs.identity.Holder {
 		return MirrorAnswer{}, nil
 	}
@@ -94,11 +108,13 @@
 func (m *mirror) keep(a job.KeepMirror) job.Event {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
-	request := MirrorKeep{Mirror: a.Row.Mirror, Row: a.Row, Condition: a.Condition}
+	request := MirrorKeep{Request: m.requests.Next(), Mirror: a.Row.Mirror, Row: a.Row, Condition: a.Condition}
+	m.note(timeline.CallSent, request.Request, a.Row.Job, a.Row.Epoch, string(kindMirrorKeep))
 	answer, err := call[MirrorKeep, MirrorKept](ctx, m.jobs, a.Row.Mirror, kindMirrorKeep, request)
 	if err != nil {
 		return job.MirrorUnreachable{}
 	}
+	m.note(timeline.CallReturned, request.Request, a.Row.Job, a.Row.Epoch, string(kindMirrorKeep))
 	return job.MirrorKept{Kept: answer.Kept}
 }
 
@@ -106,7 +122,8 @@
 // only if neither the membership list nor its heartbeat shows its run.
 func (m *mirror) ask(a job.AskMirror) job.Event {
 	time.Sleep(a.After)
-	request := MirrorAsk{Mirror: a.Row.Mirror, Job: a.Row.Job, Epoch: a.Row.Epoch}
+	request := MirrorAsk{Request: m.requests.Next(), Mirror: a.Row.Mirror, Job: a.Row.Job, Epoch: a.Row.Epoch}
+	m.note(timeline.CallSent, request.Request, a.Row.Job, a.Row.Epoch, string(kindMirrorAsk))
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
 	if a.Row.Mirror == m.jobs.identity.Holder {
@@ -115,6 +132,7 @@
 	}
 	answer, err := call[MirrorAsk, MirrorAnswer](ctx, m.jobs, a.Row.Mirror, kindMirrorAsk, request)
 	if err == nil {
+		m.note(timeline.CallReturned, request.Request, a.Row.Job, a.Row.Epoch, string(kindMirrorAsk))
 		return job.MirrorAnswered{Outcome: answer.Outcome}
 	}
 	_, listed := m.jobs.directory.Host(a.Row.Mirror.Host)
--- a/entry/timeline_test.go
+++ b/entry/timeline_test.go
@@ -11,6 +11,7 @@
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/job"
 	"github.com/catkingap/catkingap/repairlog"
+	"github.com/catkingap/catkingap/standin"
 	"github.com/catkingap/catkingap/timeline"
 )
 
@@ -87,3 +88,39 @@
 	is.NoErr(err)
 	is.Equal(len(view.Entries), 0)
 }
+
+// TestTimelineOfMirror takes the table away while a job runs: the time line
+// shows that the holder sent the outcome to its mirror before the mirror got
+// it.
+func TestTimelineOfMirror(t *testing.T) {
+	is := is.New(t)
+	d := startDemo(t, demo.Config{})
+	waitPeers(t, d, 0)
+	s := shortJob("tide", 8)
+	for i := range s.Tasks {
+		s.Tasks[i].Payload = []byte(`{"groyneId":"G-7","runTimeMs":900}`)
+	}
+	cut := time.AfterFunc(450*time.Millisecond, func() { d.Platform().SetFaults(standin.Faults{Mode: standin.Refuse}) })
+	defer cut.Stop()
+	_, err := d.Client(0).Submit(t.Context(), s)
+	d.Platform().SetFaults(standin.Faults{})
+	is.NoErr(err)
+	view, err := d.Client(0).MergedTimeline(t.Context(), timeline.Filter{Team: s.Team, Job: s.Key})
+	is.NoErr(err)
+	sent, received, returned := -1, -1, -1
+	for i, e := range view.Entries {
+		switch {
+		case e.Detail != "mirrorKeep":
+		case e.Kind == timeline.CallSent && sent < 0:
+			sent = i
+			is.Equal(e.Host, ident.Host("entry-1"))
+		case e.Kind == timeline.CallReceived && received < 0:
+			received = i
+			is.True(e.Host != "entry-1")
+		case e.Kind == timeline.CallReturned && returned < 0:
+			returned = i
+		}
+	}
+	is.True(0 <= sent && sent < received && received < returned)
+	is.Equal(view.Entries[received].Request, view.Entries[sent].Request)
+}
