--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -43,6 +43,8 @@
 	ring     *timeline.Ring
 	metrics  *Metrics
 	requests *ident.Sequence
+	// leaving returns true for servers that said that they are leaving.
+	leaving func(resource.Server) bool
 
 	mutex sync.RWMutex
 	pools map[ident.Pool]*poolQueue
@@ -65,6 +67,7 @@
 		metrics:  m,
 		requests: ident.NewSequence(),
 		pools:    map[ident.Pool]*poolQueue{},
+		leaving:  func(resource.Server) bool { return false },
 	}
 }
 
@@ -78,7 +81,7 @@
 				Address:    b.Address,
 				DataCentre: b.DataCentre,
 				Slots:      b.Slots,
-				Leaving:    b.Drain || directory.Leaving(string(b.Name)),
+				Leaving:    b.Drain || directory.Leaving(string(b.Name)) || d.leaving(b),
 			})
 		}
 		d.queue(name).configure(servers)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -93,6 +93,8 @@
 			newBatcher,
 			resource.NewStore,
 			newLinks,
+			newBackendClient,
+			newLeaving,
 			newSender,
 			newDirectory,
 			newDispatcher,
@@ -101,7 +103,14 @@
 			newTimelines,
 			newAPI,
 		),
-		fx.Invoke(showMetrics, runBackground, runPeer, runWatch, runAPI),
+		fx.Invoke(
+			showMetrics,
+			runBackground,
+			runPeer,
+			runWatch,
+			runLeaving,
+			runAPI,
+		),
 		// The hooks of the life cycle bound themselves by the settings.
 		fx.StopTimeout(time.Duration(o.Settings.ShutdownTimeout)+time.Duration(o.Settings.UnreadyTime)+time.Second),
 		fx.Options(more...),
@@ -164,7 +173,7 @@
 	return peer.NewLinks(peer.Config{Logger: l, Network: n, WriteTimeout: peerWriteTimeout})
 }
 
-func newSender(s settings.Settings, n network.Network) backend.Sender {
+func newBackendClient(s settings.Settings, n network.Network) *backend.Client {
 	return backend.NewClient(backend.ClientConfig{
 		Network:      n,
 		Connections:  s.Limits.Connections,
@@ -177,8 +186,8 @@
 }
 
 // showMetrics adds the counters of all parts to the metrics.
-func showMetrics(m *Metrics, b *commit.Batcher, d *Dispatcher, j *Jobs, l *peer.Links, r *timeline.Ring, sender backend.Sender, store *resource.Store) {
-	m.show(measured{batcher: b, dispatcher: d, jobs: j, links: l, ring: r, sender: sender, store: store})
+func showMetrics(m *Metrics, b *commit.Batcher, d *Dispatcher, j *Jobs, l *peer.Links, r *timeline.Ring, client *backend.Client, store *resource.Store) {
+	m.show(measured{batcher: b, dispatcher: d, jobs: j, links: l, ring: r, sender: client, store: store})
 }
 
 // runPeer serves the links to other entry hosts.
--- a/standin/table.go
+++ b/standin/table.go
@@ -213,7 +213,7 @@
 	// A range that ends with one zero byte has no end.
 	end := string(request.RangeEnd)
 	for k, kv := range rows {
-		if k >= string(request.Key) && (k < end || end == "\x00") {
+		if k >= string(request.Key) && (k < end || end == "\x00") && kv.ModRevision >= request.MinModRevision {
 			response.KVs = append(response.KVs, kv)
 		}
 	}
