--- a/entry/entry.go
+++ b/entry/entry.go
@@ -141,10 +141,12 @@
 }
 
 // newPlatformClient returns the HTTP client for all services of the platform.
-func newPlatformClient(s settings.Settings, n network.Network) *http.Client {
+func newPlatformClient(s settings.Settings, n network.Network, m *Metrics) *http.Client {
+	recording := &network.Recording{Network: n}
+	m.showPlatform(recording)
 	return &http.Client{
 		Timeout:   time.Duration(s.Platform.Timeout),
-		Transport: &http.Transport{DialContext: n.DialContext, MaxIdleConnsPerHost: platformIdle, IdleConnTimeout: idleTimeout},
+		Transport: &http.Transport{DialContext: recording.DialContext, MaxIdleConnsPerHost: platformIdle, IdleConnTimeout: idleTimeout},
 	}
 }
 
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -13,6 +13,7 @@
 	"github.com/catkingap/catkingap/commit"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/metrics"
+	"github.com/catkingap/catkingap/network"
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/peer"
 	"github.com/catkingap/catkingap/platform"
@@ -89,6 +90,12 @@
 	m.set.Func("queueLength", func() any { return p.dispatcher.waiting() })
 }
 
+// showPlatform adds the traffic with the services of the platform.
+func (m *Metrics) showPlatform(r *network.Recording) {
+	m.set.Func("platformReceivedBytes", func() any { return r.Received.Load() })
+	m.set.Func("platformSentBytes", func() any { return r.Sent.Load() })
+}
+
 // sentMessages returns the messages that a sender put on connections.
 func sentMessages(s backend.Sender) int64 {
 	if c, ok := s.(*backend.Client); ok {
--- a/integration/capacity_test.go
+++ b/integration/capacity_test.go
@@ -122,6 +122,27 @@
 	waiting.Wait()
 }
 
+// BenchmarkCapacityRunning measures the memory of tasks that run.
+func BenchmarkCapacityRunning(b *testing.B) {
+	const tasks, run = 1300, 4 * time.Second
+	k := newCluster(b, clusterConfig{hosts: 1, backends: 2, slots: tasks, settings: "limits: {connections: 1000}\n"})
+	h := k.hosts[0]
+	runJobs(b, k, "warm", 1, 1, 1)
+	for i := range b.N {
+		idle := h.usage(b).resident
+		done := make(chan error, 1)
+		go func() {
+			_, err := k.submit(h, submission(fmt.Sprintf("running-%d", i), 1, tasks, run))
+			done <- err
+		}()
+		time.Sleep(run / 2)
+		b.ReportMetric(float64(h.usage(b).resident-idle)/tasks, "resident-bytes/running-task")
+		if err := <-done; err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 // BenchmarkCapacityControl measures what an entry host without work spends on
 // control, with the configuration of the target, for numbers of hosts.
 func BenchmarkCapacityControl(b *testing.B) {
@@ -178,23 +199,29 @@
 	}
 	time.Sleep(span)
 	var processor time.Duration
-	var bytes, reads, resident float64
+	var bytes, platform, reads, resident float64
 	for i, h := range k.hosts {
 		after := h.usage(b)
 		processor += after.processor - before[i].processor
 		for _, name := range []string{"peerSentBytes", "peerReceivedBytes"} {
 			bytes += after.count(name) - before[i].count(name)
 		}
+		platform += platformBytes(after) - platformBytes(before[i])
 		reads += after.count("tableReads") - before[i].count("tableReads")
 		resident += float64(after.resident)
 	}
 	hosts := float64(len(k.hosts))
 	b.ReportMetric(100*processor.Seconds()/span.Seconds()/hosts, "%core/host")
 	b.ReportMetric(bytes/span.Seconds()/hosts, "peerB/s/host")
+	b.ReportMetric(platform/span.Seconds()/hosts, "platformB/s/host")
 	b.ReportMetric(reads/span.Seconds()/hosts, "tablereads/s/host")
 	b.ReportMetric(resident/hosts/(1<<20), "MB-resident/host")
 }
 
+func platformBytes(u usage) float64 {
+	return u.count("platformSentBytes") + u.count("platformReceivedBytes")
+}
+
 // measureChange reports the time until a change is in force on all hosts, and
 // the processor time that it costs a host that others do not ask meanwhile.
 func measureChange(b *testing.B, k *cluster) {
@@ -222,4 +249,5 @@
 	}
 	after := quiet.usage(b)
 	b.ReportMetric((after.processor-before.processor).Seconds()*1000/changes, "cpu-ms/change")
+	b.ReportMetric((platformBytes(after)-platformBytes(before))/1024/changes, "platformKB/change")
 }
