Share slots by demand over all data centres and recall loans

Under overload nobody lends, so each host has what it owns.

Slots are now due by weight over all data centres, taken near first.

--- a/route/lending.go
+++ b/route/lending.go
@@ -13,7 +13,7 @@
 type Peer struct {
 	Name       ident.Host
 	DataCentre ident.DataCentre
-	// Weight is the host's share of the slots. Zero means one.
+	// Weight is the host's share of the slots.
 	Weight int
 }
 
@@ -43,6 +43,10 @@
 	// Held is set on heartbeats: the receiver's slots that the sender holds.
 	Held      []Slots `msgpack:"held,omitempty"`
 	Heartbeat bool    `msgpack:"heartbeat,omitempty"`
+	// Weight is the sender's share of the slots.
+	Weight int `msgpack:"weight"`
+	// Demand is the number of slots that the sender's arrivals need.
+	Demand float64 `msgpack:"demand"`
 }
 
 // Outgoing is a message that the caller must send.
@@ -57,8 +61,11 @@
 	heard, asked, told time.Time
 	sent, seen         uint64
 	want, free         int
-	limit              float64
-	wanted             time.Time
+	// silent is true if the peer has not been heard for PeerTimeout. It then
+	// owns no slots.
+	silent        bool
+	limit, demand float64
+	wanted        time.Time
 	// lent is this host's slots that the peer holds, borrowed the reverse.
 	lent, borrowed map[ident.Server]int
 }
@@ -84,8 +91,9 @@
 	for _, host := range peers {
 		k := known[host.Name]
 		if k == nil {
-			k = &peer{lent: map[ident.Server]int{}, borrowed: map[ident.Server]int{}}
+			k = &peer{Peer: Peer{Weight: initialWeight}, lent: map[ident.Server]int{}, borrowed: map[ident.Server]int{}}
 		}
+		host.Weight = k.Weight
 		k.Peer = host
 		p.peers[host.Name] = k
 		p.peerOrder = append(p.peerOrder, k)
@@ -98,17 +106,6 @@
 	p.share()
 }
 
-// share computes the slots that this host owns.
-func (p *Pool[Item]) share() {
-	peers := make([]Peer, 0, len(p.peerOrder))
-	for _, k := range p.peerOrder {
-		peers = append(peers, k.Peer)
-	}
-	for _, s := range p.order {
-		s.owned = shareSlots(s.Server, p.config.Self, peers)
-	}
-}
-
 // forget ends all loans from and to a peer.
 func (p *Pool[Item]) forget(k *peer) {
 	for name, n := range k.lent {
@@ -137,7 +134,13 @@
 		p.forget(k)
 	}
 	k.heard, k.seen = now, m.Sequence
+	k.demand = m.Demand
+	if m.Weight != k.Weight || k.silent {
+		k.Weight, k.silent = m.Weight, false
+		p.share()
+	}
 	k.want, k.limit, k.free, k.wanted = m.Want, m.Limit, m.Free, now
+	defer p.recall(now)
 	for _, g := range m.Give {
 		p.take(k, g)
 	}
@@ -146,6 +149,30 @@
 	}
 }
 
+// recall marks as many borrowed slots as their owners want. They get no new
+// tasks, so that they can go back.
+func (p *Pool[Item]) recall(now time.Time) {
+	for _, s := range p.order {
+		s.recalled = 0
+	}
+	for _, k := range p.peerOrder {
+		if !k.wants(now, p.config.WantTime) {
+			continue
+		}
+		left := k.want
+		for _, s := range p.order {
+			n := min(k.borrowed[s.Name], left)
+			s.recalled += n
+			left -= n
+		}
+	}
+}
+
+// wants returns true if the peer has asked for slots lately.
+func (k *peer) wants(now time.Time, holds time.Duration) bool {
+	return k.want > 0 && k.limit == 0 && now.Sub(k.wanted) <= holds
+}
+
 // take adds slots that a peer gave: first as the return of a loan.
 func (p *Pool[Item]) take(k *peer, g Slots) {
 	s := p.servers[g.Server]
@@ -193,6 +220,7 @@
 // least each Config.Tick.
 func (p *Pool[Item]) Exchange(now time.Time) []Outgoing {
 	var out []Outgoing
+	p.recall(now)
 	waiting := 0
 	if p.queue.Head(now) != nil {
 		waiting = p.Waiting()
@@ -202,7 +230,8 @@
 	for _, k := range p.peerOrder {
 		if !k.heard.IsZero() && now.Sub(k.heard) > p.config.PeerTimeout {
 			p.forget(k)
-			k.heard = time.Time{}
+			k.heard, k.silent = time.Time{}, true
+			p.share()
 		}
 		if give := p.give(now, k, waiting); len(give) > 0 {
 			out = append(out, p.message(now, k, give, waiting))
@@ -243,7 +272,7 @@
 	}
 	spare := p.freeSlots(now) - p.reserve()
 	for _, s := range p.order {
-		n := min(s.free(), s.owned-s.lent, spare, k.want)
+		n := min(s.free(), s.spareOwned(), spare, k.want)
 		if n <= 0 || now.Before(s.paused) || k.limit > 0 && s.runTime > k.limit {
 			continue
 		}
@@ -268,7 +297,7 @@
 		s := p.servers[name]
 		n := min(k.borrowed[name], limit)
 		if s != nil && s.present && !s.Leaving {
-			n = min(n, s.free())
+			n = min(n, s.unused())
 		}
 		if n <= 0 {
 			continue
@@ -337,16 +366,20 @@
 	return 0
 }
 
-// beat sends a heartbeat to the peers with which slots are shared or lent, and
-// to one more in turn.
+// beat sends a heartbeat to the peers of the data centre and those with loans,
+// and to all others each second time.
 func (p *Pool[Item]) beat(now time.Time, out []Outgoing, waiting int) []Outgoing {
 	if now.Sub(p.beaten) < p.config.Heartbeat {
 		return out
 	}
-	p.beaten = now
 	p.beats++
-	for i, k := range p.peerOrder {
-		if p.near(k) == 0 && len(k.lent)+len(k.borrowed) == 0 && i != p.beats%len(p.peerOrder) {
+	p.weigh(now.Sub(p.beaten))
+	p.beaten = now
+	for _, s := range p.order {
+		s.withheld, s.fresh, s.excess = s.fresh, 0, 0
+	}
+	for _, k := range p.peerOrder {
+		if p.near(k) == 0 && len(k.lent)+len(k.borrowed) == 0 && p.beats%2 == 0 {
 			continue
 		}
 		o := p.message(now, k, nil, waiting)
@@ -362,7 +395,7 @@
 func (p *Pool[Item]) message(now time.Time, k *peer, give []Slots, waiting int) Outgoing {
 	k.sent++
 	k.told = now
-	m := Message{Sequence: k.sent, Seen: k.seen, Want: min(waiting, maxWant), Limit: p.limit, Give: give}
+	m := Message{Sequence: k.sent, Seen: k.seen, Want: min(waiting, maxWant), Limit: p.limit, Give: give, Weight: p.weight, Demand: p.demand}
 	if waiting == 0 {
 		m.Free = max(p.freeSlots(now)-p.reserve(), 0)
 	}
--- /dev/null
+++ b/route/lending_test.go
@@ -0,0 +1,205 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/admission"
+	"github.com/catkingap/catkingap/ident"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+const (
+	testHosts   = 4
+	testServers = 6
+	testSlots   = 8
+	tick        = 20 * time.Millisecond
+)
+
+// hosts are pools that share servers and pass messages in order.
+type hosts struct {
+	pools  map[ident.Host]*Pool[int]
+	names  []ident.Host
+	random *rand.Rand
+	bound  map[ident.Host][]Binding[int]
+	now    time.Time
+	// sent holds the messages that arrive at the next step.
+	sent []transit
+	// lose is the share of the messages that are lost.
+	lose float64
+}
+
+// transit is a message on its way.
+type transit struct {
+	from, to ident.Host
+	Message
+}
+
+func newHosts(seed uint64) *hosts {
+	h := &hosts{
+		pools: map[ident.Host]*Pool[int]{}, bound: map[ident.Host][]Binding[int]{},
+		random: rand.New(rand.NewPCG(seed, 0)), now: start,
+	}
+	servers := make([]Server, testServers)
+	for i := range servers {
+		servers[i] = Server{Name: ident.Server(fmt.Sprint("server-", i)), DataCentre: ident.DataCentre(fmt.Sprint("dc-", i%2)), Slots: testSlots}
+	}
+	for i := range testHosts {
+		h.names = append(h.names, ident.Host(fmt.Sprint("host-", i)))
+	}
+	for i, name := range h.names {
+		p := NewPool[int](Config{
+			Queue: admission.Config{Jitter: func() float64 { return 0.5 }},
+			Self:  Peer{Name: name, DataCentre: ident.DataCentre(fmt.Sprint("dc-", i%2))}, BusyPause: tick, AskPause: tick,
+			WantTime: 10 * tick, ReturnTime: 10 * tick, Heartbeat: time.Second, PeerTimeout: 5 * time.Second,
+		})
+		p.SetShares(10_000, nil)
+		p.SetServers(servers)
+		var peers []Peer
+		for j, other := range h.names {
+			if other != name {
+				peers = append(peers, Peer{Name: other, DataCentre: ident.DataCentre(fmt.Sprint("dc-", j%2))})
+			}
+		}
+		p.SetPeers(peers)
+		h.pools[name] = p
+	}
+	return h
+}
+
+// step lets one tick pass on all hosts with random arrivals and ends.
+func (h *hosts) step(arrive bool) {
+	h.now = h.now.Add(tick)
+	arrived := h.sent
+	h.sent = nil
+	for _, m := range arrived {
+		h.pools[m.to].Receive(h.now, m.from, m.Message)
+	}
+	for _, name := range h.names {
+		p := h.pools[name]
+		if arrive && h.random.IntN(20) == 0 {
+			for range h.random.IntN(40) {
+				p.queue.Push(h.now, &admission.Entry[int]{Team: "a"})
+			}
+		}
+		kept := h.bound[name][:0]
+		for _, b := range h.bound[name] {
+			if h.random.IntN(10) == 0 {
+				p.Ended(h.now, b, End{Result: Answered, Took: 200 * time.Millisecond})
+			} else {
+				kept = append(kept, b)
+			}
+		}
+		h.bound[name] = kept
+		for b, ok := p.Bind(h.now); ok; b, ok = p.Bind(h.now) {
+			h.bound[name] = append(h.bound[name], b)
+		}
+		for _, o := range p.Exchange(h.now) {
+			if h.random.Float64() >= h.lose {
+				h.sent = append(h.sent, transit{name, o.To, o.Message})
+			}
+		}
+	}
+}
+
+// held returns the slots of a server that all hosts together may use or that
+// are on their way between two.
+func (h *hosts) held(name ident.Server) int {
+	sum := 0
+	for _, p := range h.pools {
+		s := p.servers[name]
+		sum += s.owned - s.lent + s.borrowed
+	}
+	for _, m := range h.sent {
+		for _, g := range m.Give {
+			if g.Server == name {
+				sum += g.Count
+			}
+		}
+	}
+	return sum
+}
+
+// TestSlotIsHeldOnce checks that no slot is held by two hosts and none is
+// lost, with shares that stay as they are.
+func TestSlotIsHeldOnce(t *testing.T) {
+	for seed := range uint64(20) {
+		is := is.New(t)
+		h := newHosts(seed)
+		lent := 0
+		for range 150 {
+			h.step(true)
+			for name, s := range h.pools["host-0"].servers {
+				is.Equal(h.held(name), testSlots)
+				lent += s.lent
+			}
+		}
+		is.True(lent > 0) // The loads make the hosts lend.
+	}
+}
+
+// TestLostMessagesAreMended loses a fifth of the messages and checks that all
+// slots are held once again when no more are lost.
+func TestLostMessagesAreMended(t *testing.T) {
+	for seed := range uint64(10) {
+		is := is.New(t)
+		h := newHosts(seed)
+		h.lose = 0.2
+		for range 150 {
+			h.step(true)
+		}
+		h.lose = 0
+		for range 500 {
+			h.step(false)
+		}
+		for name := range h.pools["host-0"].servers {
+			is.Equal(h.held(name), testSlots)
+		}
+	}
+}
+
+func TestSharesSumUp(t *testing.T) {
+	is := is.New(t)
+	for hosts := 1; hosts <= 12; hosts++ {
+		claims := []claimant{}
+		for i := range hosts {
+			claims = append(claims, claimant{ident.Host(fmt.Sprint("host-", i)), float64(1 + i%4)})
+		}
+		got := map[ident.Host]int{}
+		for s := range 2000 {
+			sum := 0
+			for name, n := range apportion(Server{Name: ident.Server(fmt.Sprint(s)), Slots: 8}, claims) {
+				got[name] += n
+				sum += n
+			}
+			is.Equal(sum, 8)
+		}
+		weights := 0.0
+		for _, c := range claims {
+			weights += c.weight
+		}
+		for _, c := range claims {
+			due := 16000 * c.weight / weights
+			is.True(float64(got[c.name]) > 0.85*due && float64(got[c.name]) < 1.15*due)
+		}
+	}
+}
+
+func TestSharesFollowDemandOverDataCentres(t *testing.T) {
+	is := is.New(t)
+	servers := []*server{{Server: Server{DataCentre: "x", Slots: 80}}, {Server: Server{DataCentre: "y", Slots: 80}}}
+	claims := claimants(servers, []Peer{{"a", "x", 100}, {"b", "x", 200}, {"c", "y", 100}})
+	sum := map[ident.Host]float64{}
+	for centre, list := range claims {
+		for _, c := range list {
+			sum[c.name] += c.weight
+			is.True(c.name != "c" || centre == "y") // No slot far away while its own suffice.
+		}
+	}
+	is.Equal(sum, map[ident.Host]float64{"a": 40, "b": 80, "c": 40})
+}
--- a/route/pool.go
+++ b/route/pool.go
@@ -54,11 +54,17 @@
 	order   []*server
 	running int
 
-	peers       map[ident.Host]*peer
-	peerOrder   []*peer
-	asked       time.Time
-	beaten      time.Time
-	beats       int
+	peers     map[ident.Host]*peer
+	peerOrder []*peer
+	asked     time.Time
+	beaten    time.Time
+	beats     int
+	// arrived counts the entries since the last heartbeat. demand is the
+	// learned number of slots that they need, and weight what the peers are
+	// told of it.
+	arrived     int
+	demand      float64
+	weight      int
 	windowStart time.Time
 	// low is the least number of free slots since windowStart.
 	low int
@@ -71,7 +77,7 @@
 // NewPool returns a pool without servers.
 func NewPool[Item any](c Config) *Pool[Item] {
 	return &Pool[Item]{
-		config: c, queue: admission.NewQueue[Item](c.Queue),
+		config: c, weight: initialWeight, queue: admission.NewQueue[Item](c.Queue),
 		servers: map[ident.Server]*server{}, peers: map[ident.Host]*peer{},
 	}
 }
@@ -108,6 +114,7 @@
 
 // Submit queues the entries of an arrival, or returns why it is refused.
 func (p *Pool[Item]) Submit(now time.Time, a admission.Arrival, entries []*admission.Entry[Item]) *outcome.Error {
+	p.arrived += len(entries)
 	if e := p.queue.Admit(now, a); e != nil {
 		return e
 	}
