Mend loans while heartbeats cross

Cause: two hosts whose heartbeats cross never saw each other's last sequence, so nothing was reconciled. What matters is whether the peer has seen the last message that passed slots.

--- a/route/lending.go
+++ b/route/lending.go
@@ -60,7 +60,9 @@
 	Peer
 	heard, asked, told time.Time
 	sent, seen         uint64
-	want, free         int
+	// gave is the sequence of the last message that passed slots.
+	gave       uint64
+	want, free int
 	// silent is true if the peer has not been heard for PeerTimeout. It then
 	// owns no slots.
 	silent        bool
@@ -144,7 +146,7 @@
 	for _, g := range m.Give {
 		p.take(k, g)
 	}
-	if m.Heartbeat && m.Seen == k.sent {
+	if m.Heartbeat && m.Seen >= k.gave {
 		p.reconcile(k, m.Held)
 	}
 }
@@ -394,6 +396,9 @@
 
 func (p *Pool[Item]) message(now time.Time, k *peer, give []Slots, waiting int) Outgoing {
 	k.sent++
+	if len(give) > 0 {
+		k.gave = k.sent
+	}
 	k.told = now
 	m := Message{Sequence: k.sent, Seen: k.seen, Want: min(waiting, maxWant), Limit: p.limit, Give: give, Weight: p.weight, Demand: p.demand}
 	if waiting == 0 {
