Look for mirrors at once after the start

Cause: a host looked for the heartbeats of the others once a second, so that a job that came within its first second named no mirror. A host now looks every 100 ms in its first 2 s.

--- a/entry/adoption.go
+++ b/entry/adoption.go
@@ -23,6 +23,10 @@
 	keyHosts = "host/"
 
 	heartbeatInterval = time.Second
+	// startTime is the time after the start in which a host looks for the
+	// others at the shorter startInterval, to find mirrors for its first jobs.
+	startTime     = 2 * time.Second
+	startInterval = 100 * time.Millisecond
 	// heartbeatBound is the silence after which a run is probed.
 	heartbeatBound = 3 * time.Second
 	// heartbeatGap is the longest pause between reads that counts as an
@@ -79,7 +83,12 @@
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go every(ctx, heartbeatInterval, j.watch.beat)
-			go every(ctx, heartbeatInterval, j.watch.look)
+			go func() {
+				for began := time.Now(); time.Since(began) < startTime && ctx.Err() == nil; pause(ctx, startInterval) {
+					j.watch.look(ctx)
+				}
+				every(ctx, heartbeatInterval, j.watch.look)
+			}()
 			return nil
 		},
 		OnStop: func(context.Context) error {
