--- a/entry/entry.go
+++ b/entry/entry.go
@@ -117,6 +117,7 @@
 			runBackground,
 			runPeer,
 			runWatch,
+			runRetention,
 			runLeaving,
 			runLending,
 			runAPI,
--- /dev/null
+++ b/entry/retention.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/fx"
+
+	"github.com/catkingap/catkingap/commit"
+	"github.com/catkingap/catkingap/lease"
+	"github.com/catkingap/catkingap/platform"
+)
+
+const (
+	// jobRetention is the time for which the outcome of a job is kept.
+	jobRetention = 24 * time.Hour
+	// retentionPage is the number of rows that are read each retentionInterval.
+	retentionPage     = 100
+	retentionInterval = time.Second
+)
+
+// retention deletes the rows of jobs that ended long ago, a page at a time.
+type retention struct {
+	table   platform.Table
+	batcher *commit.Batcher
+	// after is the last key of the page before.
+	after string
+}
+
+// runRetention runs the retention on the one host that rendezvous hashing
+// chooses. Two hosts that both run it for a while do no harm: each delete has
+// the row's revision as its condition.
+func runRetention(life fx.Lifecycle, j *Jobs) {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &retention{table: j.table, batcher: j.batcher}
+	life.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go every(ctx, retentionInterval, func(ctx context.Context) {
+				if j.watch.isFirst("retention") {
+					r.sweep(ctx, time.Now())
+				}
+			})
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			return nil
+		},
+	})
+}
+
+// isFirst returns true if this host comes first of all live hosts for a duty.
+func (w *watch) isFirst(duty string) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return lease.Rank(w.jobs.identity.Host, w.monitor.Live(), duty) == 0
+}
+
+// sweep reads the next page of jobs and deletes the rows that have expired. It
+// returns how many it deleted.
+func (r *retention) sweep(ctx context.Context, now time.Time) int {
+	rows, _, err := r.table.List(ctx, keyJobs, r.after, retentionPage)
+	if err != nil {
+		return 0
+	}
+	r.after = ""
+	if len(rows) == retentionPage {
+		r.after = rows[len(rows)-1].Key
+	}
+	return r.remove(ctx, expired(rows, now))
+}
+
+// expired returns the rows of jobs that ended long ago.
+func expired(rows []platform.Row, now time.Time) []platform.Row {
+	var old []platform.Row
+	for _, row := range rows {
+		if decoded := decodeRow(&row); decoded.Expired(now, jobRetention) {
+			old = append(old, row)
+		}
+	}
+	return old
+}
+
+// remove deletes rows that have not changed since they were read.
+func (r *retention) remove(ctx context.Context, rows []platform.Row) int {
+	var mutex sync.Mutex
+	var writes sync.WaitGroup
+	removed := 0
+	for _, row := range rows {
+		writes.Go(func() {
+			result, err := r.batcher.Commit(ctx, platform.Write{
+				Conditions: []platform.Condition{{Key: row.Key, Revision: row.Revision}},
+				Deletes:    []string{row.Key},
+			})
+			mutex.Lock()
+			defer mutex.Unlock()
+			if err == nil && result.Applied {
+				removed++
+			}
+		})
+	}
+	writes.Wait()
+	return removed
+}
--- a/integration/writes_test.go
+++ b/integration/writes_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/catkingap/catkingap/standin"
+	"github.com/catkingap/catkingap/timeline"
 )
 
 // statistics returns what the table has counted.
@@ -64,3 +65,37 @@
 	}
 	k.checkOnce()
 }
+
+// storeWriteTime is the time that a synced write takes in the stand-in.
+const storeWriteTime = 4 * time.Millisecond
+
+// TestJobOverhead measures what a job waits for beside its tasks, over the
+// store's own write time: from the claim to the first start, and from the end
+// of the last task to the answer.
+func TestJobOverhead(t *testing.T) {
+	k := newCluster(t, clusterConfig{hosts: 1, backends: 2, slots: 8})
+	const jobs = 20
+	var starts, answers []time.Duration
+	for i := range jobs {
+		s := submission(fmt.Sprintf("overhead-%d", i), 35, 4, 20*time.Millisecond)
+		_, err := k.submit(k.hosts[0], s)
+		k.is.NoErr(err)
+		events, err := k.hosts[0].client.Timeline(t.Context(), timeline.Filter{Team: s.Team, Job: s.Key})
+		k.is.NoErr(err)
+		at := map[timeline.Kind]time.Duration{}
+		for _, e := range events {
+			if _, seen := at[e.Kind]; !seen || e.Kind == timeline.TaskEnded {
+				at[e.Kind] = e.Monotonic
+			}
+		}
+		starts = append(starts, at[timeline.TaskStarted]-at[timeline.Claimed])
+		answers = append(answers, at[timeline.Answered]-at[timeline.TaskEnded])
+	}
+	slices.Sort(starts)
+	slices.Sort(answers)
+	start, answer := starts[jobs/2], answers[jobs/2]
+	t.Logf("claim to first start %s (%.2f write times), last end to answer %s (%.2f write times)",
+		start, float64(start)/float64(storeWriteTime), answer, float64(answer)/float64(storeWriteTime))
+	k.is.True(start <= storeWriteTime)
+	k.is.True(answer <= 4*storeWriteTime)
+}
--- a/job/job.go
+++ b/job/job.go
@@ -167,6 +167,14 @@
 	Payload       []Task   `json:"payload,omitempty"`
 	PayloadObject string   `json:"payloadObject,omitempty"`
 	Outcome       *Outcome `json:"outcome,omitempty"`
+	// Ended is when the holder decided the outcome, by its own clock.
+	Ended time.Time `json:"ended,omitzero"`
+}
+
+// Expired returns true if the job ended at least retention ago, so that its
+// row may be deleted. A later submission of its key is a new job.
+func (r *Row) Expired(now time.Time, retention time.Duration) bool {
+	return r.State.Ended() && !r.Ended.IsZero() && now.Sub(r.Ended) >= retention
 }
 
 // Submission returns the submission of an accepted row with its tasks.
--- a/job/job_test.go
+++ b/job/job_test.go
@@ -97,3 +97,24 @@
 		})
 	}
 }
+
+func TestExpired(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	tests := map[string]struct {
+		row  Row
+		want bool
+	}{
+		"complete, old":       {row: Row{State: Complete, Ended: now.Add(-time.Hour)}, want: true},
+		"failed, old":         {row: Row{State: Failed, Ended: now.Add(-time.Hour)}, want: true},
+		"complete, young":     {row: Row{State: Complete, Ended: now.Add(-time.Hour + 1)}},
+		"clock of the future": {row: Row{State: Complete, Ended: now.Add(time.Hour)}},
+		"no time":             {row: Row{State: Complete}},
+		"started":             {row: Row{State: Started, Ended: now.Add(-time.Hour)}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(tt.row.Expired(now, time.Hour), tt.want)
+		})
+	}
+}
--- a/job/machine.go
+++ b/job/machine.go
@@ -407,6 +407,7 @@
 	m.phase = Recording
 	m.row.State = m.outcome.State
 	m.row.Outcome = m.outcome
+	m.row.Ended = now
 	m.row.Payload, m.row.PayloadObject = nil, ""
 	actions := append(m.write(0), m.bound(now, m.config.SettleTimeout))
 	if m.row.Mirror == (Holder{}) || !m.intended {
