--- a/entry/retention_test.go
+++ b/entry/retention_test.go
@@ -46,19 +46,19 @@
 	is := is.New(t)
 	r, table := newTestRetention(t)
 	now := time.Unix(1_800_000_000, 0)
-	const old, young, open = 150, 70, 30
+	const old, young, open = 150, 120, 30
 	for i := range old {
 		r.put(t, fmt.Sprintf("job/kusweg/old-%03d", i), job.Row{State: job.Complete, Ended: now.Add(-jobRetention)})
 	}
 	for i := range young {
-		r.put(t, fmt.Sprintf("job/kusweg/young-%03d", i), job.Row{State: job.Failed, Ended: now.Add(-jobRetention + time.Minute)})
+		r.put(t, fmt.Sprintf("job/kusweg/a-young-%03d", i), job.Row{State: job.Failed, Ended: now.Add(-jobRetention + time.Minute)})
 	}
 	for i := range open {
 		r.put(t, fmt.Sprintf("job/kusweg/open-%03d", i), job.Row{State: job.Started})
 	}
 	r.put(t, "host/entry-1", job.Row{})
 	removed := 0
-	for range 3 {
+	for range 2 * (old + young + open) / retentionPage {
 		once := r.sweep(context.Background(), now)
 		is.True(once <= retentionPage)
 		removed += once
