Tell in the log test how the service failed

Cause: the test said only that the service did not answer. It fails because a pool of one slot is never lent: the owner keeps one slot for itself.

--- a/entry/log_test.go
+++ b/entry/log_test.go
@@ -128,13 +128,15 @@
 // callEcho calls the service echo until its backend server has answered.
 func callEcho(t *testing.T, d *demo.Demo) {
 	t.Helper()
+	var last error
 	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
 		_, err := d.Client(0).Call(t.Context(), entry.Call{Service: "echo", Team: "kusweg", Body: []byte(marker)})
 		if err != nil && strings.Contains(err.Error(), marker) {
 			return
 		}
+		last = err
 	}
-	t.Fatal("the service echo did not answer")
+	t.Fatal("the service echo did not answer", last)
 }
 
 // TestLogHasNoBodiesOrTokens runs all of it at the lowest level.
