--- a/integration/jobs_test.go
+++ b/integration/jobs_test.go
@@ -156,6 +156,7 @@
 }
 
 func TestHolderKilledWithAcceptedJob(t *testing.T) {
+	t.Parallel()
 	k := newCluster(t, clusterConfig{hosts: 3, backends: 1, slots: 2})
 	filler, waiting := submission("filler", 3, 40, 500*time.Millisecond), submission("waiting", 4, 20, 20*time.Millisecond)
 	large := submission("large", 5, 300, 20*time.Millisecond)
@@ -177,6 +178,7 @@
 }
 
 func TestHolderKilledWithStartedJob(t *testing.T) {
+	t.Parallel()
 	k := newCluster(t, clusterConfig{hosts: 3, backends: 1, slots: 8})
 	s := submission("tide", 6, 8, 3*time.Second)
 	end := k.submitAny(s, k.hosts...)
@@ -195,6 +197,7 @@
 }
 
 func TestHolderPausedAndWoken(t *testing.T) {
+	t.Parallel()
 	k := newCluster(t, clusterConfig{hosts: 3, backends: 1, slots: 2})
 	filler, waiting := submission("filler", 7, 40, 200*time.Millisecond), submission("waiting", 8, 20, 20*time.Millisecond)
 	fillerEnd := k.submitOne(filler, k.hosts[0])
--- a/integration/mirror_test.go
+++ b/integration/mirror_test.go
@@ -45,6 +45,7 @@
 // TestMirrorPausedWhileItsHolderDies has the mirror paused when the holder is
 // killed: the job stays undecided until the mirror can be asked.
 func TestMirrorPausedWhileItsHolderDies(t *testing.T) {
+	t.Parallel()
 	k := newCluster(t, clusterConfig{hosts: 3, backends: 3, slots: 8})
 	k.awaitPeers()
 	s, _, mirror, third := k.mirrored("tide")
@@ -65,6 +66,7 @@
 // TestHolderAndMirrorDie has both die at once, outside of an outage: the job
 // is decided once neither the list nor the heartbeats show the mirror.
 func TestHolderAndMirrorDie(t *testing.T) {
+	t.Parallel()
 	k := newCluster(t, clusterConfig{hosts: 3, backends: 3, slots: 8})
 	k.awaitPeers()
 	s, _, mirror, third := k.mirrored("tide")
@@ -87,6 +89,7 @@
 // TestOutcomeWithoutTableAndMirror has table and peers away at the outcome:
 // the callers hear soon that the outcome is not known, and get it later.
 func TestOutcomeWithoutTableAndMirror(t *testing.T) {
+	t.Parallel()
 	k := newCluster(t, clusterConfig{hosts: 3, backends: 3, slots: 8})
 	k.awaitPeers()
 	s, end, _, _ := k.mirrored("tide")
@@ -113,6 +116,7 @@
 // TestCancelInAnOutage cancels a job while the table is away: the caller is
 // answered at once, and what it was told is what is recorded.
 func TestCancelInAnOutage(t *testing.T) {
+	t.Parallel()
 	k := newCluster(t, clusterConfig{hosts: 3, backends: 3, slots: 8})
 	k.awaitPeers()
 	s, end, _, third := k.mirrored("tide")
