Pass slots between entry hosts over their links

Each host now sends what the policy returns to each peer in order, one message at a time, over the peer link; a lost one is mended by the next heartbeat. A boot token in place of sequence 1 tells that a peer restarted, so that a lost first message is no matter (seen failing without the check).

--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/catkingap/catkingap/backend"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/outcome"
+	"github.com/catkingap/catkingap/peer"
 	"github.com/catkingap/catkingap/resource"
 	"github.com/catkingap/catkingap/route"
 	"github.com/catkingap/catkingap/settings"
@@ -45,21 +46,26 @@
 	sender   backend.Sender
 	ring     *timeline.Ring
 	requests *ident.Sequence
+	loans    *loans
 
 	// pools is replaced as a whole when a pool is added.
 	pools atomic.Pointer[map[ident.Pool]*poolQueue]
 	mutex sync.Mutex
 }
 
-func newDispatcher(s settings.Settings, i Identity, sender backend.Sender, ring *timeline.Ring) *Dispatcher {
+func newDispatcher(
+	s settings.Settings, i Identity, sender backend.Sender, ring *timeline.Ring, l *peer.Links, directory *Directory,
+) *Dispatcher {
 	d := &Dispatcher{
 		settings: s,
 		identity: i,
 		sender:   sender,
 		ring:     ring,
 		requests: ident.NewSequence(),
+		loans:    newLoans(l, directory, i.Host),
 	}
 	d.pools.Store(&map[ident.Pool]*poolQueue{})
+	peer.Handle(l, kindSlots, d.receiveSlots)
 	return d
 }
 
@@ -113,11 +119,18 @@
 	if q := pools[name]; q != nil {
 		return q
 	}
-	q := newPoolQueue(d, route.Config{
+	q := newPoolQueue(d, name, route.Config{
 		Queue:       admission.Config{Jitter: rand.Float64},
 		Self:        route.Peer{Name: d.identity.Host, DataCentre: d.identity.DataCentre},
+		Boot:        d.identity.Boot,
 		RemoteDelay: remoteDelay,
 		BusyPause:   busyPause,
+		AskPause:    askPause,
+		WantTime:    wantTime,
+		ReturnTime:  returnTime,
+		FasterWait:  fasterWait,
+		Heartbeat:   slotsHeartbeat,
+		PeerTimeout: slotsPeerTimeout,
 	})
 	next := maps.Clone(pools)
 	next[name] = q
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -89,7 +89,7 @@
 			newServices,
 			newAPI,
 		),
-		fx.Invoke(runBackground, runPeer, runAPI),
+		fx.Invoke(runBackground, runLoans, runPeer, runAPI),
 		// The hooks of the life cycle bound themselves by the settings.
 		fx.StopTimeout(time.Duration(o.Settings.ShutdownTimeout)+time.Duration(o.Settings.UnreadyTime)+time.Second),
 		fx.Options(more...),
--- a/entry/poolqueue.go
+++ b/entry/poolqueue.go
@@ -24,11 +24,12 @@
 	dispatcher *Dispatcher
 	mutex      sync.Mutex
 	pool       *route.Pool[*Work]
+	name       ident.Pool
 	wake       *time.Timer
 }
 
-func newPoolQueue(d *Dispatcher, c route.Config) *poolQueue {
-	q := &poolQueue{dispatcher: d, pool: route.NewPool[*Work](c)}
+func newPoolQueue(d *Dispatcher, name ident.Pool, c route.Config) *poolQueue {
+	q := &poolQueue{dispatcher: d, name: name, pool: route.NewPool[*Work](c)}
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.wake = time.AfterFunc(time.Hour, q.wakeUp)
@@ -106,6 +107,9 @@
 		}
 		go q.run(b)
 	}
+	if q.pool.Asks(now) {
+		q.exchange(now)
+	}
 	q.wake.Stop()
 	if next := q.pool.Wake(now); !next.IsZero() {
 		q.wake.Reset(max(next.Sub(now), time.Millisecond))
--- a/route/lending.go
+++ b/route/lending.go
@@ -26,6 +26,8 @@
 // Message passes slots between two entry hosts. Messages between two hosts
 // arrive in order or not at all.
 type Message struct {
+	// Boot differs each time that the sender starts.
+	Boot string `msgpack:"boot"`
 	// Sequence numbers the messages to this receiver, starting at 1.
 	Sequence uint64 `msgpack:"sequence"`
 	// Seen is the last sequence that the sender got from the receiver.
@@ -62,6 +64,7 @@
 	sent, seen         uint64
 	// gave is the sequence of the last message that passed slots.
 	gave       uint64
+	boot       string
 	want, free int
 	// silent is true if the peer has not been heard for PeerTimeout. It then
 	// owns no slots.
@@ -131,9 +134,13 @@
 	if k == nil {
 		return
 	}
-	if m.Sequence == 1 {
+	if m.Boot != k.boot {
 		// The peer started anew and holds nothing.
 		p.forget(k)
+		k.boot, k.seen, k.gave = m.Boot, 0, 0
+	}
+	if m.Sequence <= k.seen {
+		return
 	}
 	k.heard, k.seen = now, m.Sequence
 	k.demand = m.Demand
@@ -400,7 +407,7 @@
 		k.gave = k.sent
 	}
 	k.told = now
-	m := Message{Sequence: k.sent, Seen: k.seen, Want: min(waiting, maxWant), Limit: p.limit, Give: give, Weight: p.weight, Demand: p.demand}
+	m := Message{Boot: p.config.Boot, Sequence: k.sent, Seen: k.seen, Want: min(waiting, maxWant), Limit: p.limit, Give: give, Weight: p.weight, Demand: p.demand}
 	if waiting == 0 {
 		m.Free = max(p.freeSlots(now)-p.reserve(), 0)
 	}
--- a/route/lending_test.go
+++ b/route/lending_test.go
@@ -203,3 +203,28 @@
 	}
 	is.Equal(sum, map[ident.Host]float64{"a": 40, "b": 80, "c": 40})
 }
+
+func TestRestartedPeerHoldsNothing(t *testing.T) {
+	is := is.New(t)
+	h := newHosts(1)
+	h.pools["host-0"].config.Boot = "first"
+	borrowed := func() int {
+		sum := 0
+		for _, s := range h.pools["host-0"].servers {
+			sum += s.borrowed
+		}
+		return sum
+	}
+	for borrowed() == 0 {
+		h.step(true)
+	}
+	fresh := newHosts(2).pools["host-0"]
+	fresh.config.Boot = "second"
+	h.pools["host-0"], h.bound["host-0"] = fresh, nil
+	for range 200 {
+		h.step(false)
+	}
+	for name := range fresh.servers {
+		is.Equal(h.held(name), testSlots)
+	}
+}
--- a/route/pool.go
+++ b/route/pool.go
@@ -18,6 +18,8 @@
 	Queue admission.Config
 	// Self is this entry host.
 	Self Peer
+	// Boot differs each time that this host starts.
+	Boot string
 	// RemoteDelay is the time that a round trip to another data centre takes.
 	RemoteDelay time.Duration
 	// BusyPause is the time for which a server that refused gets no work. It
