Retry from a budget and hedge from the same

Until now only refusals were sent again, at once and without bound. Package retry allows idempotent or provably not run work again within its deadline, with backoff and jitter, from a budget of 0.05 a first try and team; refusals are charged when other work waits. A task of a job that is refused beyond the budget waits the longest backoff, because its job would fail. A second copy of a slow request (past the learned 95th percentile) is sent only for services with hedge set and idempotent requests, if nothing waits, from the same budget.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -28,16 +28,34 @@
 	// GiveUp is when the entry is of no more use. Zero means never; the
 	// entries of a flow that is dropped as a whole need none.
 	GiveUp time.Time
+	// Deadline is when the entry must have been answered. Zero means never.
+	Deadline time.Time
+	// Idempotent is true if the entry may run more than once.
+	Idempotent bool
+	// Hedge allows a second copy of the entry while it runs.
+	Hedge bool
 	// Queued is when the entry was pushed first.
 	Queued time.Time
+	// Tries counts the tries that ended without an answer.
+	Tries int
 
 	sequence uint64
 	flow     *flow[Item]
 	inFlow   int
 	inAges   int
 	charged  float64
+	// ready is when an entry that waits for another try is queued again.
+	ready   time.Time
+	inDelay int
 }
 
+// delayOrder orders the entries that wait for another try.
+type delayOrder[Item any] struct{ *Entry[Item] }
+
+func (e delayOrder[Item]) before(o delayOrder[Item]) bool { return e.ready.Before(o.ready) }
+
+func (e delayOrder[Item]) place() *int { return &e.inDelay }
+
 // flowOrder orders the entries of one flow.
 type flowOrder[Item any] struct{ *Entry[Item] }
 
@@ -124,6 +142,7 @@
 	active    priority[*team[Item]]
 	throttled priority[throttled[Item]]
 	ages      priority[ageOrder[Item]]
+	delayed   priority[delayOrder[Item]]
 	waiting   int
 	limit     int
 	// weight is the sum of the weights of the teams with waiting work.
@@ -149,7 +168,7 @@
 // Push adds an entry.
 func (q *Queue[Item]) Push(now time.Time, e *Entry[Item]) {
 	q.sequence++
-	e.Queued, e.sequence, e.inFlow, e.inAges = now, q.sequence, out, out
+	e.Queued, e.sequence, e.inFlow, e.inAges, e.inDelay = now, q.sequence, out, out, out
 	q.insert(e)
 }
 
@@ -169,6 +188,34 @@
 	return true
 }
 
+// RequeueAt is Requeue at a later time. Until then the entry is not among those
+// that Len counts, but Expire returns it when its time has come.
+func (q *Queue[Item]) RequeueAt(e *Entry[Item], ready time.Time) bool {
+	if e.flow.dropped {
+		e.flow.inFlight--
+		return false
+	}
+	e.ready = ready
+	q.delayed.put(delayOrder[Item]{e})
+	if !e.GiveUp.IsZero() {
+		q.ages.put(ageOrder[Item]{e})
+	}
+	return true
+}
+
+// resume queues the entries whose time for another try has come.
+func (q *Queue[Item]) resume(now time.Time) {
+	for {
+		e, ok := q.delayed.first()
+		if !ok || e.ready.After(now) {
+			return
+		}
+		q.delayed.remove(e)
+		q.ages.remove(ageOrder[Item](e))
+		q.Requeue(e.Entry)
+	}
+}
+
 // Done tells that an entry that Pop returned has ended after took. Took is
 // zero if it did not run.
 func (q *Queue[Item]) Done(e *Entry[Item], took time.Duration) {
@@ -239,6 +286,7 @@
 
 // Head returns the entry that Pop would return, or nil if none may start now.
 func (q *Queue[Item]) Head(now time.Time) *Entry[Item] {
+	q.resume(now)
 	q.release(now)
 	t, ok := q.active.first()
 	if !ok {
@@ -319,7 +367,13 @@
 		if !ok || e.GiveUp.After(now) {
 			return expired
 		}
-		q.remove(e.Entry)
+		if e.inDelay != out {
+			q.delayed.remove(delayOrder[Item](e))
+			q.ages.remove(e)
+			q.Done(e.Entry, 0)
+		} else {
+			q.remove(e.Entry)
+		}
 		expired = append(expired, e.Entry)
 	}
 }
@@ -331,6 +385,9 @@
 	if e, ok := q.ages.first(); ok {
 		next = e.GiveUp
 	}
+	if e, ok := q.delayed.first(); ok && (next.IsZero() || e.ready.Before(next)) {
+		next = e.ready
+	}
 	if t, ok := q.throttled.first(); ok && (next.IsZero() || t.bucket.ready.Before(next)) {
 		next = t.bucket.ready
 	}
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -14,11 +14,21 @@
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/peer"
 	"github.com/catkingap/catkingap/resource"
+	"github.com/catkingap/catkingap/retry"
 	"github.com/catkingap/catkingap/route"
 	"github.com/catkingap/catkingap/settings"
 	"github.com/catkingap/catkingap/timeline"
 )
 
+// The retry budget of a team for one pool on one host.
+const (
+	// retryShare is the number of retries that each first try allows.
+	retryShare = 0.05
+	retryBurst = 10
+	minBackoff = 10 * time.Millisecond
+	maxBackoff = time.Second
+)
+
 // Work is one task or request on its way to a backend server.
 type Work struct {
 	Context context.Context
@@ -30,12 +40,18 @@
 	RunTime time.Duration
 	// Service is set for a request to a service.
 	Service ident.Service
-	Body    []byte
+	// Idempotent work may be sent again after it ran or may have run.
+	Idempotent bool
+	// Hedge allows a second copy of slow idempotent work.
+	Hedge bool
+	Body  []byte
 	// Done is called once, with the answer or an *outcome.Error, unless the
 	// work was dropped.
 	Done func(backend.Reply, *outcome.Error)
 
 	request ident.Request
+	// stop ends the copies of hedged work.
+	stop context.CancelFunc
 }
 
 // Dispatcher queues work for each pool and binds it to backend servers. Work
@@ -120,7 +136,10 @@
 		return q
 	}
 	q := newPoolQueue(d, name, route.Config{
-		Queue:       admission.Config{Jitter: rand.Float64},
+		Queue: admission.Config{Jitter: rand.Float64},
+		Retry: retry.Config{
+			Share: retryShare, Burst: retryBurst, MinBackoff: minBackoff, MaxBackoff: maxBackoff, Jitter: rand.Float64,
+		},
 		Self:        route.Peer{Name: d.identity.Host, DataCentre: d.identity.DataCentre},
 		Boot:        d.identity.Boot,
 		RemoteDelay: remoteDelay,
--- a/entry/poolqueue.go
+++ b/entry/poolqueue.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -51,8 +52,11 @@
 	a.Deadline, _ = works[0].Context.Deadline()
 	entries := make([]*admission.Entry[*Work], 0, len(works))
 	for _, w := range works {
+		if w.Hedge && w.Idempotent {
+			w.Context, w.stop = context.WithCancel(w.Context)
+		}
 		w.request = q.dispatcher.requests.Next()
-		e := &admission.Entry[*Work]{Item: w, Team: w.Team, Flow: w.flow(), RunTime: w.RunTime}
+		e := &admission.Entry[*Work]{Item: w, Team: w.Team, Flow: w.flow(), RunTime: w.RunTime, Deadline: a.Deadline, Idempotent: w.Idempotent, Hedge: w.Hedge}
 		if w.Task == nil {
 			a.MaxWait = requestMaxWait
 			e.GiveUp = now.Add(requestMaxAge)
@@ -120,7 +124,9 @@
 func (q *poolQueue) run(b route.Binding[*Work]) {
 	w := b.Entry.Item
 	if err := w.Context.Err(); err != nil {
-		q.ended(b, route.End{Result: route.Withdrawn}, false)
+		if q.ended(b, route.End{Result: route.Withdrawn}, false) != route.Finish {
+			return
+		}
 		w.Done(backend.Reply{}, outcome.New(outcome.NotRun, outcome.DeadlinePassed, "no free slot in time"))
 		return
 	}
@@ -130,6 +136,9 @@
 	if w.Task != nil {
 		task = w.Task.String()
 	}
+	if w.stop != nil {
+		defer q.hedgeLater(b).Stop()
+	}
 	reply, err := q.dispatcher.sender.Send(w.Context, backend.Request{ID: w.request, Task: task, Address: b.Server.Address, Body: w.Body})
 	failure := outcome.From(err)
 	now := time.Now()
@@ -138,11 +147,37 @@
 		event.Detail = failure.Error()
 	}
 	q.dispatcher.ring.Add(now, event)
-	if !q.ended(b, route.End{Result: result(failure), Took: now.Sub(start)}, reply.Leaving) {
+	switch q.ended(b, route.End{Result: result(failure), Took: now.Sub(start)}, reply.Leaving) {
+	case route.Finish:
+		if w.stop != nil {
+			w.stop()
+		}
 		w.Done(reply, failure)
+	case route.Queued:
+		q.dispatcher.note(timeline.Retried, w, b.Server.Name, failure.Error())
 	}
 }
 
+// hedgeLater sends a second copy of b once it counts as slow.
+func (q *poolQueue) hedgeLater(b route.Binding[*Work]) *time.Timer {
+	q.mutex.Lock()
+	after := q.pool.HedgeAfter(b.Entry)
+	q.mutex.Unlock()
+	if after == 0 {
+		// Nothing is known of run times yet.
+		after = requestMaxAge
+	}
+	return time.AfterFunc(after, func() {
+		q.mutex.Lock()
+		second, ok := q.pool.Hedge(time.Now(), b)
+		q.mutex.Unlock()
+		if ok {
+			q.dispatcher.note(timeline.Retried, b.Entry.Item, second.Server.Name, "hedged")
+			q.run(second)
+		}
+	})
+}
+
 // result returns what an outcome tells the policy.
 func result(failure *outcome.Error) route.Result {
 	switch {
@@ -158,9 +193,8 @@
 	return route.Lost
 }
 
-// ended tells the policy how an entry ended. It returns true if the entry is
-// queued again.
-func (q *poolQueue) ended(b route.Binding[*Work], e route.End, leaving bool) bool {
+// ended tells the policy how an entry ended, and returns what follows.
+func (q *poolQueue) ended(b route.Binding[*Work], e route.End, leaving bool) route.Next {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	if leaving {
@@ -170,9 +204,9 @@
 		// There is no time left to send it again.
 		e.Result = route.Withdrawn
 	}
-	again := q.pool.Ended(time.Now(), b, e)
+	next := q.pool.Ended(time.Now(), b, e)
 	q.pump()
-	return again
+	return next
 }
 
 // note adds an event about work to the timeline.
--- a/entry/services.go
+++ b/entry/services.go
@@ -54,12 +54,14 @@
 	}
 	done := make(chan result, 1)
 	refusal := s.dispatcher.Submit(&Work{
-		Context: ctx,
-		Team:    c.Team,
-		Pool:    spec.Pool,
-		Service: c.Service,
-		Body:    c.Body,
-		Done:    func(r backend.Reply, e *outcome.Error) { done <- result{r, e} },
+		Context:    ctx,
+		Team:       c.Team,
+		Pool:       spec.Pool,
+		Service:    c.Service,
+		Idempotent: c.Idempotent,
+		Hedge:      spec.Hedge,
+		Body:       c.Body,
+		Done:       func(r backend.Reply, e *outcome.Error) { done <- result{r, e} },
 	})
 	if refusal != nil {
 		return nil, refusal
--- a/policy/table_test.go
+++ b/policy/table_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/catkingap/catkingap/retry"
 	"github.com/catkingap/catkingap/route"
 )
 
@@ -24,6 +25,10 @@
 	FasterWait:  8 * time.Millisecond,
 	Heartbeat:   time.Second,
 	PeerTimeout: 5 * time.Second,
+	Retry: retry.Config{
+		Share: 0.05, Burst: 10, MinBackoff: 10 * time.Millisecond, MaxBackoff: time.Second,
+		Jitter: func() float64 { return 0.5 },
+	},
 }
 
 func (s scenario) run(start func(*world)) *world {
--- a/policy/world_test.go
+++ b/policy/world_test.go
@@ -352,8 +352,15 @@
 	if h.dead {
 		return
 	}
-	if !h.pool.Ended(h.world.time(), b, route.End{Result: route.Refused}) {
-		h.world.refuse(b.Entry.Item)
+	h.end(b, route.End{Result: route.Refused})
+}
+
+// end tells the policy how an item ended and answers its caller.
+func (h *fakeHost) end(b route.Binding[*item], e route.End) {
+	if h.pool.Ended(h.world.time(), b, e) == route.Finish {
+		i := b.Entry.Item
+		i.done, i.refused = e.Result == route.Answered, e.Result == route.Refused || e.Result == route.Unreachable
+		i.ended = h.world.now
 	}
 	h.pump()
 }
@@ -362,8 +369,5 @@
 	if h.dead {
 		return
 	}
-	b.Entry.Item.done = true
-	b.Entry.Item.ended = h.world.now
-	h.pool.Ended(h.world.time(), b, route.End{Result: route.Answered, Took: took})
-	h.pump()
+	h.end(b, route.End{Result: route.Answered, Took: took})
 }
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,72 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func newPolicy() *Policy {
+	return NewPolicy(Config{Share: 0.1, Burst: 10, MinBackoff: 10 * time.Millisecond, MaxBackoff: time.Second, Jitter: func() float64 { return 0.5 }})
+}
+
+func TestAgain(t *testing.T) {
+	tests := map[string]struct {
+		attempt Attempt
+		spent   bool
+		after   time.Duration
+		again   bool
+	}{
+		"ran, not idempotent":        {Attempt{Tries: 1}, false, 0, false},
+		"ran, idempotent":            {Attempt{Tries: 1, Idempotent: true}, false, 7500 * time.Microsecond, true},
+		"third try waits longer":     {Attempt{Tries: 3, Idempotent: true}, false, 30 * time.Millisecond, true},
+		"many tries wait no longer":  {Attempt{Tries: 99, Idempotent: true}, false, 750 * time.Millisecond, true},
+		"ran, budget spent":          {Attempt{Tries: 1, Idempotent: true}, true, 0, false},
+		"not run":                    {Attempt{Tries: 1, NotRun: true}, true, 0, true},
+		"not run, overloaded":        {Attempt{Tries: 1, NotRun: true, Overloaded: true}, false, 0, true},
+		"not run, overloaded, spent": {Attempt{Tries: 1, NotRun: true, Overloaded: true}, true, 0, false},
+		"task, overloaded, spent":    {Attempt{Tries: 1, NotRun: true, Overloaded: true, Task: true}, true, time.Second, true},
+		"task that ran":              {Attempt{Tries: 1, Task: true}, false, 0, false},
+		"deadline too close":         {Attempt{Tries: 3, NotRun: true, Deadline: start.Add(20 * time.Millisecond)}, false, 0, false},
+		"deadline far":               {Attempt{Tries: 3, NotRun: true, Deadline: start.Add(50 * time.Millisecond)}, false, 30 * time.Millisecond, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPolicy()
+			if test.spent {
+				p.tokens = 0
+			}
+			after, again := p.Again(start, test.attempt)
+			is.Equal(again, test.again)
+			is.Equal(after, test.after)
+		})
+	}
+}
+
+func TestBudgetIsAShareOfFirstTries(t *testing.T) {
+	is := is.New(t)
+	p := newPolicy()
+	retries := 0
+	for range 10_000 {
+		p.First()
+		if _, again := p.Again(start, Attempt{Tries: 1, Idempotent: true}); again {
+			retries++
+		}
+	}
+	is.True(retries >= 1000 && retries <= 1010) // A tenth and the burst.
+}
+
+func TestQuantile(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(1, 1))
+	q := Quantile{Part: 0.95}
+	for range 5000 {
+		q.Add(time.Duration(r.Float64() * float64(time.Second)))
+	}
+	is.True(q.Value() > 850*time.Millisecond && q.Value() < 1050*time.Millisecond)
+}
--- a/route/pool.go
+++ b/route/pool.go
@@ -10,12 +10,15 @@
 	"github.com/catkingap/catkingap/admission"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/outcome"
+	"github.com/catkingap/catkingap/retry"
 )
 
 // Config builds a Pool.
 type Config struct {
 	// Queue builds the queue of the pool.
 	Queue admission.Config
+	// Retry builds the retry budget of each team.
+	Retry retry.Config
 	// Self is this entry host.
 	Self Peer
 	// Boot differs each time that this host starts.
@@ -47,6 +50,9 @@
 	Server Server
 }
 
+// hedgeQuantile is the quantile of run times from which work counts as slow.
+const hedgeQuantile = 0.95
+
 // Pool is the state of one pool on one entry host: its queue, what is known of
 // its servers, and the slots that it shares with other entry hosts.
 type Pool[Item any] struct {
@@ -56,6 +62,15 @@
 	order   []*server
 	running int
 
+	// policies holds the retry budgets of the teams.
+	policies map[ident.Team]*retry.Policy
+	// slow is the learned run time from which an entry counts as slow.
+	slow retry.Quantile
+	// copies counts the running copies of hedged entries; answered holds those
+	// of which a copy still runs after the answer.
+	copies   map[*admission.Entry[Item]]int
+	answered map[*admission.Entry[Item]]bool
+
 	peers     map[ident.Host]*peer
 	peerOrder []*peer
 	asked     time.Time
@@ -81,6 +96,8 @@
 	return &Pool[Item]{
 		config: c, weight: initialWeight, queue: admission.NewQueue[Item](c.Queue),
 		servers: map[ident.Server]*server{}, peers: map[ident.Host]*peer{},
+		policies: map[ident.Team]*retry.Policy{}, slow: retry.Quantile{Part: hedgeQuantile},
+		copies: map[*admission.Entry[Item]]int{}, answered: map[*admission.Entry[Item]]bool{},
 	}
 }
 
@@ -160,6 +177,9 @@
 	}
 	best.running++
 	p.running++
+	if head.Tries == 0 {
+		p.retries(head.Team).First()
+	}
 	return Binding[Item]{Entry: p.queue.Pop(now), Server: best.Server}, true
 }
 
@@ -169,7 +189,7 @@
 func (p *Pool[Item]) choose(now, queued time.Time) *server {
 	p.limit = 0
 	mean := p.meanRunTime()
-	best, cost := p.cheapest(now, mean)
+	best, cost := p.cheapest(now, mean, nil)
 	if best == nil {
 		return nil
 	}
@@ -183,12 +203,12 @@
 
 // cheapest returns the server with a free slot and the least expected time of a
 // task, and that time in seconds. A server that is not known yet counts as a
-// mean one.
-func (p *Pool[Item]) cheapest(now time.Time, mean float64) (*server, float64) {
+// mean one; except is left out.
+func (p *Pool[Item]) cheapest(now time.Time, mean float64, except *server) (*server, float64) {
 	var best *server
 	cost := math.Inf(1)
 	for _, s := range p.order {
-		if !s.usable(now) {
+		if s == except || !s.usable(now) {
 			continue
 		}
 		c := s.runTime
@@ -252,24 +272,118 @@
 	Took time.Duration
 }
 
-// Ended tells that a bound entry ended. It returns true if the entry is queued
-// again; otherwise the end is final.
-func (p *Pool[Item]) Ended(now time.Time, b Binding[Item], e End) bool {
-	s := p.leave(b)
+// Next is what follows the end of a bound entry.
+type Next string
+
+// What follows the end of a bound entry.
+const (
+	// Finish means that the end is final and must be answered.
+	Finish Next = "finish"
+	// Queued means that the entry is queued again.
+	Queued Next = "queued"
+	// Ignore means that the entry has been answered or another copy runs.
+	Ignore Next = "ignore"
+)
+
+// Ended tells that a bound entry ended, and returns what follows.
+func (p *Pool[Item]) Ended(now time.Time, b Binding[Item], e End) Next {
+	if s := p.leave(b); s != nil && (e.Result == Answered || !p.answered[b.Entry]) {
+		p.judge(now, s, e)
+	}
+	left, hedged := p.copies[b.Entry]
+	if hedged {
+		if left--; left > 0 {
+			p.copies[b.Entry] = left
+		} else {
+			delete(p.copies, b.Entry)
+		}
+		if left > 0 && e.Result != Answered || p.answered[b.Entry] {
+			if left == 0 {
+				delete(p.answered, b.Entry)
+			}
+			return Ignore
+		}
+		if left > 0 {
+			p.answered[b.Entry] = true
+		}
+	}
+	if e.Result != Answered && e.Result != Withdrawn && p.again(now, b.Entry, e) {
+		return Queued
+	}
+	took := e.Took
+	if e.Result != Answered {
+		took = 0
+	}
+	p.queue.Done(b.Entry, took)
+	return Finish
+}
+
+// judge updates what is known of a server by how an entry ended.
+func (p *Pool[Item]) judge(now time.Time, s *server, e End) {
 	switch e.Result {
 	case Answered:
-		if s != nil {
-			s.refusals = 0
-			s.learn(e.Took)
-		}
+		s.refusals = 0
+		s.learn(e.Took)
+		p.slow.Add(e.Took)
 	case Refused, Unreachable:
-		if s != nil {
-			s.refuse(now, p.config.BusyPause)
-		}
-		return p.queue.Requeue(b.Entry)
+		s.refuse(now, p.config.BusyPause)
 	}
-	p.queue.Done(b.Entry, e.Took)
-	return false
+}
+
+// again queues an entry again if the retry policy allows it.
+func (p *Pool[Item]) again(now time.Time, e *admission.Entry[Item], end End) bool {
+	e.Tries++
+	after, ok := p.retries(e.Team).Again(now, retry.Attempt{
+		Tries:      e.Tries,
+		NotRun:     end.Result == Refused || end.Result == Unreachable,
+		Idempotent: e.Idempotent,
+		Overloaded: p.Waiting() > 0,
+		Task:       e.Flow.Service == "",
+		Deadline:   e.Deadline,
+	})
+	switch {
+	case !ok:
+		return false
+	case after == 0:
+		return p.queue.Requeue(e)
+	}
+	return p.queue.RequeueAt(e, now.Add(after))
+}
+
+// retries returns the retry policy of a team.
+func (p *Pool[Item]) retries(name ident.Team) *retry.Policy {
+	r := p.policies[name]
+	if r == nil {
+		r = retry.NewPolicy(p.config.Retry)
+		p.policies[name] = r
+	}
+	return r
+}
+
+// HedgeAfter returns the time after its start at which a second copy of an
+// entry may be sent, or zero if none may.
+func (p *Pool[Item]) HedgeAfter(e *admission.Entry[Item]) time.Duration {
+	if !e.Hedge || !e.Idempotent {
+		return 0
+	}
+	return p.slow.Value()
+}
+
+// Hedge binds a second copy of a running entry to another server. It returns
+// false if other work waits, no server is free or the retry budget is spent.
+func (p *Pool[Item]) Hedge(now time.Time, b Binding[Item]) (Binding[Item], bool) {
+	if p.copies[b.Entry] > 0 || p.Waiting() > 0 {
+		return Binding[Item]{}, false
+	}
+	first := p.servers[b.Server.Name]
+	best, _ := p.cheapest(now, p.meanRunTime(), first)
+	if best == nil || !p.retries(b.Entry.Team).Take() {
+		return Binding[Item]{}, false
+	}
+	p.copies[b.Entry] = 2
+	best.running++
+	p.running++
+	return Binding[Item]{Entry: b.Entry, Server: best.Server}, true
 }
 
 // leave frees the slot of a binding.
--- /dev/null
+++ b/route/pool_test.go
@@ -0,0 +1,119 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/admission"
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/retry"
+)
+
+// newPool returns a pool of one host with a number of servers of one slot.
+func newPool(servers int) *Pool[int] {
+	half := func() float64 { return 0.5 }
+	p := NewPool[int](Config{
+		Queue:     admission.Config{Jitter: half},
+		Retry:     retry.Config{Share: 0.1, Burst: 2, MinBackoff: tick, MaxBackoff: time.Second, Jitter: half},
+		Self:      Peer{Name: "host", DataCentre: "dc"},
+		BusyPause: tick,
+	})
+	p.SetShares(1000, nil)
+	var list []Server
+	for i := range servers {
+		list = append(list, Server{Name: ident.Server(fmt.Sprint("server-", i)), DataCentre: "dc", Slots: 1})
+	}
+	p.SetServers(list)
+	return p
+}
+
+func (p *Pool[Item]) push(e admission.Entry[Item]) {
+	e.Team = "a"
+	p.queue.Push(start, &e)
+}
+
+func request(idempotent bool) admission.Entry[int] {
+	return admission.Entry[int]{Flow: admission.Flow{Service: "call"}, Idempotent: idempotent, Hedge: true}
+}
+
+func TestWhatFollowsAnEnd(t *testing.T) {
+	tests := map[string]struct {
+		entry admission.Entry[int]
+		end   End
+		next  Next
+	}{
+		"answered":                    {request(false), End{Result: Answered, Took: time.Second}, Finish},
+		"refused":                     {request(false), End{Result: Refused}, Queued},
+		"unreachable":                 {request(false), End{Result: Unreachable}, Queued},
+		"lost, not idempotent":        {request(false), End{Result: Lost}, Finish},
+		"failed, not idempotent":      {request(false), End{Result: Broken}, Finish},
+		"lost, idempotent":            {request(true), End{Result: Lost}, Queued},
+		"failed, idempotent":          {request(true), End{Result: Broken}, Queued},
+		"withdrawn":                   {request(true), End{Result: Withdrawn}, Finish},
+		"refused after its deadline":  {admission.Entry[int]{Deadline: start}, End{Result: Refused}, Finish},
+		"task of a job that was lost": {admission.Entry[int]{}, End{Result: Lost}, Finish},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPool(2)
+			p.push(test.entry)
+			b, ok := p.Bind(start)
+			is.True(ok)
+			is.Equal(p.Ended(start, b, test.end), test.next)
+			later := start.Add(time.Second)
+			_, again := p.Bind(later)
+			is.Equal(again, test.next == Queued)
+		})
+	}
+}
+
+func TestRefusingServerIsPaused(t *testing.T) {
+	is := is.New(t)
+	p := newPool(2)
+	p.push(request(false))
+	b, _ := p.Bind(start)
+	p.Ended(start, b, End{Result: Refused})
+	next, ok := p.Bind(start)
+	is.True(ok)
+	is.True(next.Server.Name != b.Server.Name)
+	is.Equal(p.Wake(start), start.Add(tick))
+}
+
+func TestHedge(t *testing.T) {
+	is := is.New(t)
+	p := newPool(3)
+	p.slow.Add(time.Second)
+	p.push(request(true))
+	first, _ := p.Bind(start)
+	is.Equal(p.HedgeAfter(first.Entry), time.Second)
+	second, ok := p.Hedge(start, first)
+	is.True(ok)
+	is.True(second.Server.Name != first.Server.Name)
+	_, third := p.Hedge(start, first)
+	is.True(!third) // Never more than one copy.
+	is.Equal(p.Ended(start, second, End{Result: Answered, Took: time.Second}), Finish)
+	is.Equal(p.Ended(start, first, End{Result: Lost}), Ignore)
+	is.Equal(p.running, 0)
+	is.Equal(len(p.copies)+len(p.answered), 0)
+
+	p.push(request(true))
+	first, _ = p.Bind(start)
+	second, ok = p.Hedge(start, first)
+	is.True(ok)
+	is.Equal(p.Ended(start, first, End{Result: Broken}), Ignore) // The other copy may still answer.
+	is.Equal(p.Ended(start, second, End{Result: Answered, Took: time.Second}), Finish)
+	is.Equal(len(p.copies)+len(p.answered), 0)
+
+	p.push(request(true))
+	first, _ = p.Bind(start)
+	_, ok = p.Hedge(start, first)
+	is.True(!ok) // The budget of two retries is spent.
+
+	p.push(request(false))
+	b, _ := p.Bind(start)
+	is.Equal(p.HedgeAfter(b.Entry), time.Duration(0)) // Never of work that is not idempotent.
+}
