--- a/entry/claim.go
+++ b/entry/claim.go
@@ -13,6 +13,8 @@
 // whether the work is sent. Its zero value is queued work.
 type claim struct {
 	state atomic.Int32
+	// ran is true once the work ran or may have run.
+	ran atomic.Bool
 }
 
 const (
@@ -26,7 +28,7 @@
 	return c.state.CompareAndSwap(claimQueued, claimSending)
 }
 
-// release gives work back that provably did not run.
+// release gives work back that is queued again.
 func (c *claim) release() { c.state.CompareAndSwap(claimSending, claimQueued) }
 
 // withdraw returns true if the work is not being sent; it never is then.
@@ -34,6 +36,20 @@
 	return c.state.CompareAndSwap(claimQueued, claimWithdrawn)
 }
 
+// markRan records that the work ran or may have run.
+func (c *claim) markRan() { c.ran.Store(true) }
+
+// truth returns e, but never not run for work that an earlier try or another
+// copy may have run.
+func (c *claim) truth(e *outcome.Error) *outcome.Error {
+	if e == nil || e.Kind != outcome.NotRun || !c.ran.Load() {
+		return e
+	}
+	unknown := *e
+	unknown.Kind = outcome.Unknown
+	return &unknown
+}
+
 func (c *claim) withdrawn() bool { return c.state.Load() == claimWithdrawn }
 
 // errCut is the cause with which a shutdown that runs out of time ends the
--- a/entry/services.go
+++ b/entry/services.go
@@ -50,7 +50,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeoutOf(c, spec))
 	defer cancel()
-	return s.wait(ctx, s.submit(ctx, c, spec.Pool))
+	return s.wait(ctx, s.submit(ctx, c, spec))
 }
 
 // timeoutOf returns the time that a request has.
@@ -77,14 +77,15 @@
 }
 
 // submit queues a request. A refusal is its result.
-func (s *Services) submit(ctx context.Context, c Call, pool ident.Pool) *submitted {
+func (s *Services) submit(ctx context.Context, c Call, spec resource.ServiceSpec) *submitted {
 	q := &submitted{done: make(chan result, 1)}
 	q.work = &Work{
 		Context:    ctx,
 		Team:       c.Team,
-		Pool:       pool,
+		Pool:       spec.Pool,
 		Service:    c.Service,
 		Idempotent: c.Idempotent,
+		Hedge:      spec.Hedge,
 		Body:       c.Body,
 		Done:       func(r backend.Reply, e *outcome.Error) { q.done <- result{r.Body, e} },
 	}
@@ -102,7 +103,7 @@
 	case <-ctx.Done():
 	}
 	if q.work.withdraw() {
-		return nil, ended(ctx, false)
+		return nil, q.work.truth(ended(ctx, false))
 	}
 	select {
 	case r := <-q.done:
