--- a/client/client.go
+++ b/client/client.go
@@ -18,7 +18,6 @@
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/job"
 	"github.com/catkingap/catkingap/outcome"
-	"github.com/catkingap/catkingap/resource"
 	"github.com/catkingap/catkingap/timeline"
 )
 
@@ -96,23 +95,6 @@
 	return answer, err
 }
 
-// Put creates or replaces a resource and returns its new state.
-func (c *Client) Put(ctx context.Context, o resource.Object) (resource.Object, error) {
-	body, err := json.Marshal(o)
-	if err != nil {
-		return o, err
-	}
-	err = c.do(ctx, http.MethodPut, resourcePath(o.Kind, o.Name), nil, body, &o)
-	return o, err
-}
-
-// Get returns a resource.
-func (c *Client) Get(ctx context.Context, k resource.Kind, name string) (resource.Object, error) {
-	var o resource.Object
-	err := c.do(ctx, http.MethodGet, resourcePath(k, name), nil, nil, &o)
-	return o, err
-}
-
 // Timeline returns the events of the host alone that f selects.
 func (c *Client) Timeline(ctx context.Context, f timeline.Filter) ([]timeline.Event, error) {
 	var events []timeline.Event
@@ -144,10 +126,6 @@
 	return c.do(ctx, http.MethodGet, "/readyz", nil, nil, nil)
 }
 
-func resourcePath(k resource.Kind, name string) string {
-	return "/v1/resources/" + url.PathEscape(string(k)) + "/" + url.PathEscape(name)
-}
-
 // do sends one request and decodes the answer into answer unless it is nil.
 func (c *Client) do(ctx context.Context, method, path string, header http.Header, body []byte, answer any) error {
 	request, err := http.NewRequestWithContext(ctx, method, c.url+path, bytes.NewReader(body))
@@ -172,11 +150,7 @@
 		return outcome.New(outcome.Unknown, outcome.LinkLost, "the answer was cut: %v", err).After(time.Second)
 	}
 	if response.StatusCode >= http.StatusBadRequest {
-		var failure entry.ErrorAnswer
-		if json.Unmarshal(data, &failure) != nil || failure.Error == nil {
-			return outcome.New(outcome.Unknown, outcome.Internal, "the host answered %s", response.Status)
-		}
-		return failure.Error
+		return decodeFailure(response.Status, data)
 	}
 	if answer == nil || len(data) == 0 {
 		return nil
@@ -186,3 +160,15 @@
 	}
 	return nil
 }
+
+// decodeFailure returns the error that an answer carries.
+func decodeFailure(status string, data []byte) error {
+	var failure entry.ErrorAnswer
+	if json.Unmarshal(data, &failure) != nil || failure.Error == nil {
+		return outcome.New(outcome.Unknown, outcome.Internal, "the host answered %s", status)
+	}
+	if failure.Revision != 0 || len(failure.Problems) > 0 {
+		return &ResourceError{Outcome: failure.Error, Present: failure.Revision, Problems: failure.Problems}
+	}
+	return failure.Error
+}
--- a/entry/api.go
+++ b/entry/api.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
 
+	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/resource"
 	"github.com/catkingap/catkingap/settings"
@@ -24,16 +25,21 @@
 	timelines *Timelines
 	metrics   *Metrics
 	log       *requestLog
+	statuses  *Statuses
 	unready   atomic.Bool
 }
 
-func newAPI(s settings.Settings, store *resource.Store, j *Jobs, services *Services, t *Timelines, m *Metrics, l *requestLog) *API {
-	return &API{settings: s, store: store, jobs: j, services: services, timelines: t, metrics: m, log: l}
+func newAPI(s settings.Settings, store *resource.Store, j *Jobs, services *Services, t *Timelines, m *Metrics, l *requestLog, st *Statuses) *API {
+	return &API{settings: s, store: store, jobs: j, services: services, timelines: t, metrics: m, log: l, statuses: st}
 }
 
 // ErrorAnswer is the body of each answer that is an error.
 type ErrorAnswer struct {
 	Error *outcome.Error `json:"error"`
+	// Revision is the present revision of a resource in conflict.
+	Revision ident.Revision `json:"revision,omitempty"`
+	// Problems lists all that is wrong with a resource.
+	Problems []resource.Problem `json:"problems,omitempty"`
 }
 
 // Handler returns the HTTP handler.
@@ -64,11 +70,16 @@
 }
 
 func refuse(c *gin.Context, e *outcome.Error) {
+	refuseWith(c, ErrorAnswer{Error: e})
+}
+
+func refuseWith(c *gin.Context, answer ErrorAnswer) {
+	e := answer.Error
 	c.Set(contextOutcome, e)
 	if e.RetryAfter > 0 {
 		c.Header("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
 	}
-	c.JSON(e.Status(), ErrorAnswer{Error: e})
+	c.JSON(e.Status(), answer)
 }
 
 // body reads the whole body of a request or refuses the request.
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -76,6 +76,7 @@
 	Directory  *Directory
 	Prober     *Prober
 	Rollout    *Rollout
+	Statuses   *Statuses
 	Logger     log.Interface
 }
 
@@ -89,6 +90,8 @@
 			go every(ctx, time.Duration(b.Settings.ConfigPoll), b.Rollout.poll)
 			go every(ctx, time.Duration(b.Settings.MembershipPoll), b.refreshMembers)
 			go every(ctx, probeInterval, b.Prober.tick)
+			go every(ctx, tombstoneInterval, b.Rollout.sweep)
+			go every(ctx, statusInterval, func(context.Context) { b.Statuses.refresh(time.Now()) })
 			return nil
 		},
 		OnStop: func(context.Context) error {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -99,6 +99,7 @@
 			newDirectory,
 			newProber,
 			newRollout,
+			newStatuses,
 			newDispatcher,
 			newJobs,
 			newServices,
--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	kindConfigFetch = peer.Kind("configFetch")
-	fetchTimeout    = time.Second
+	kindConfigFetch   = peer.Kind("configFetch")
+	fetchTimeout      = time.Second
+	tombstoneInterval = 10 * time.Minute
 )
 
 // ConfigFetch asks a peer for the configuration after a revision.
@@ -115,6 +116,13 @@
 	r.post(rollout.Offered{Delta: d})
 }
 
+// sweep removes the tombstones of resources that were deleted long ago.
+func (r *Rollout) sweep(ctx context.Context) {
+	if err := r.store.Sweep(ctx, time.Now()); err != nil {
+		r.logger.WithError(err).Debug("tombstones not removed")
+	}
+}
+
 // post hands an event to the machine and executes what it asks for.
 func (r *Rollout) post(e rollout.Event) {
 	r.mutex.Lock()
--- a/entry/services_test.go
+++ b/entry/services_test.go
@@ -143,7 +143,7 @@
 			services := testServices(t, sender)
 			s := settings.Default()
 			s.Limits.BodyBytes = 1024
-			api := newAPI(s, services.store, nil, services, nil, newMetrics(), newRequestLog(&log.Logger{Handler: discard.Default}))
+			api := newAPI(s, services.store, nil, services, nil, newMetrics(), newRequestLog(&log.Logger{Handler: discard.Default}), nil)
 			method := tt.method
 			if method == "" {
 				method = http.MethodPost
--- /dev/null
+++ b/entry/status.go
@@ -0,0 +1,172 @@
+package entry
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/resource"
+	"github.com/catkingap/catkingap/route"
+)
+
+// statusInterval is the pause between two looks at the conditions.
+const statusInterval = time.Second
+
+// The reasons of conditions.
+const (
+	reasonAnnounced = "Announced"
+	reasonDeclared  = "Declared"
+	reasonDraining  = "DrainDeclared"
+	reasonListed    = "ListedAsLeaving"
+	reasonNoServer  = "NoServerServes"
+	reasonNotSeen   = "NotInForceYet"
+	reasonRefused   = "RefusedWork"
+	reasonServing   = "ServerServes"
+)
+
+// Statuses tells what this host sees of each resource.
+type Statuses struct {
+	host       ident.Host
+	store      *resource.Store
+	rollout    *Rollout
+	dispatcher *Dispatcher
+	directory  *Directory
+
+	mutex sync.Mutex
+	known map[string][]resource.Condition
+}
+
+func newStatuses(i Identity, s *resource.Store, r *Rollout, d *Dispatcher, directory *Directory) *Statuses {
+	return &Statuses{
+		host: i.Host, store: s, rollout: r, dispatcher: d, directory: directory, known: map[string][]resource.Condition{},
+	}
+}
+
+// observed returns when the table last answered this host, and how long ago.
+func (s *Statuses) observed(now time.Time) (time.Time, int64) {
+	at := s.rollout.Observed()
+	if at.IsZero() {
+		at = s.store.Snapshot().Applied
+	}
+	return at, max(0, now.Sub(at).Milliseconds())
+}
+
+// with returns o with its status.
+func (s *Statuses) with(now time.Time, o resource.Object) resource.Object {
+	observed, stale := s.observed(now)
+	o.Status = &resource.Status{Host: string(s.host), ObservedAt: observed, StaleMS: stale, Conditions: s.conditions(now, o)}
+	return o
+}
+
+// refresh looks at all resources, so that conditions tell when they changed
+// although nobody asked.
+func (s *Statuses) refresh(now time.Time) {
+	for _, objects := range s.store.Snapshot().Objects {
+		for _, o := range objects {
+			s.conditions(now, o)
+		}
+	}
+}
+
+// conditions returns the present conditions of a resource. A condition keeps
+// its time as long as its status and reason stay.
+func (s *Statuses) conditions(now time.Time, o resource.Object) []resource.Condition {
+	present := s.look(now, o)
+	key := resource.Key(o.Kind, o.Name)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for i, c := range present {
+		present[i].Since = now
+		for _, k := range s.known[key] {
+			if k.Type == c.Type && k.Status == c.Status && k.Reason == c.Reason {
+				present[i].Since = k.Since
+			}
+		}
+	}
+	s.known[key] = present
+	return slices.Clone(present)
+}
+
+func (s *Statuses) look(now time.Time, o resource.Object) []resource.Condition {
+	snapshot := s.store.Snapshot()
+	switch o.Kind {
+	case resource.KindBackendServer:
+		for _, servers := range snapshot.Servers {
+			for _, server := range servers {
+				if string(server.Name) == o.Name {
+					return s.lookServer(now, server)
+				}
+			}
+		}
+	case resource.KindPool:
+		return []resource.Condition{s.lookPool(now, snapshot, ident.Pool(o.Name))}
+	case resource.KindService:
+		return []resource.Condition{s.lookPool(now, snapshot, snapshot.Services[ident.Service(o.Name)].Pool)}
+	}
+	return []resource.Condition{{Type: resource.Available, Status: true, Reason: reasonDeclared}}
+}
+
+// lookServer returns whether a server serves, and if not, why.
+func (s *Statuses) lookServer(now time.Time, server resource.Server) []resource.Condition {
+	view, ok := s.dispatcher.view(now, server.Pool, server.Name)
+	leaving := resource.Condition{Type: resource.Leaving, Status: true}
+	switch {
+	case server.Drain:
+		leaving.Reason = reasonDraining
+	case s.directory.Leaving(string(server.Name)):
+		leaving.Reason = reasonListed
+	case view.Leaving:
+		leaving.Reason = reasonAnnounced
+	default:
+		leaving.Status, leaving.Reason = false, reasonDeclared
+	}
+	ejected := resource.Condition{Type: resource.Ejected, Reason: reasonDeclared}
+	if view.Paused {
+		ejected.Status, ejected.Reason = true, reasonRefused
+	}
+	serving := resource.Condition{
+		Type: resource.Serving, Status: ok && !leaving.Status && !ejected.Status, Reason: reasonServing,
+		Message: fmt.Sprintf("%d tasks of this host run", view.Running),
+	}
+	switch {
+	case !ok:
+		serving.Reason = reasonNotSeen
+	case leaving.Status:
+		serving.Reason = leaving.Reason
+	case ejected.Status:
+		serving.Reason = ejected.Reason
+	}
+	return []resource.Condition{serving, leaving, ejected}
+}
+
+func (s *Statuses) lookPool(now time.Time, snapshot *resource.Snapshot, name ident.Pool) resource.Condition {
+	servers := snapshot.Servers[name]
+	ready, slots := 0, 0
+	for _, server := range servers {
+		if s.lookServer(now, server)[0].Status {
+			ready++
+			slots += server.Slots
+		}
+	}
+	c := resource.Condition{
+		Type: resource.Available, Status: ready > 0, Reason: reasonServing,
+		Message: fmt.Sprintf("%d of %d backend servers serve with %d slots", ready, len(servers), slots),
+	}
+	if ready == 0 {
+		c.Reason = reasonNoServer
+	}
+	return c
+}
+
+// view returns what the queue of a pool holds of a server.
+func (d *Dispatcher) view(now time.Time, pool ident.Pool, name ident.Server) (route.ServerView, bool) {
+	q := (*d.pools.Load())[pool]
+	if q == nil {
+		return route.ServerView{}, false
+	}
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.pool.View(now, name)
+}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -32,6 +32,7 @@
 	Cancelled      Code = "cancelled"
 	Conflict       Code = "conflict"
 	DeadlinePassed Code = "deadlinePassed"
+	Gone           Code = "gone"
 	HolderLost     Code = "holderLost"
 	Internal       Code = "internal"
 	Invalid        Code = "invalid"
@@ -97,6 +98,8 @@
 		return http.StatusConflict
 	case Invalid, NoFit:
 		return http.StatusBadRequest
+	case Gone:
+		return http.StatusGone
 	case NotFound:
 		return http.StatusNotFound
 	case TooLarge:
--- a/resource/write_test.go
+++ b/resource/write_test.go
@@ -224,3 +224,30 @@
 		})
 	}
 }
+
+// TestSweep removes a tombstone. A host that saw the resource and missed its
+// deletion reads all rows and does not keep it.
+func TestSweep(t *testing.T) {
+	is := is.New(t)
+	_, newStore := newPlatform(t)
+	s, behind := newStore(), newStore()
+	revision, err := s.Write(t.Context(), team(1, 0))
+	is.NoErr(err)
+	is.NoErr(behind.catchUp(t.Context()))
+	gone := team(0, revision)
+	gone.Delete = true
+	deleted, err := s.Write(t.Context(), gone)
+	is.NoErr(err)
+	is.NoErr(s.Sweep(t.Context(), time.Now().Add(tombstoneTime/2)))
+	is.Equal(s.Snapshot().Revision, deleted) // too young
+	is.NoErr(s.Sweep(t.Context(), time.Now().Add(2*tombstoneTime)))
+	is.True(s.Snapshot().Revision > deleted)
+	is.Equal(s.Snapshot().Rows.Floor, deleted)
+	is.Equal(len(s.Snapshot().Rows.Rows()), 0)
+	d, err := behind.Poll(t.Context())
+	is.NoErr(err)
+	is.True(!behind.Snapshot().Rows.Fits(d))
+	d, err = behind.Load(t.Context())
+	is.NoErr(err)
+	is.Equal(len(behind.Snapshot().Rows.Merge(d).Rows()), 0)
+}
--- a/rollout/machine_test.go
+++ b/rollout/machine_test.go
@@ -113,8 +113,7 @@
 	}
 }
 
-// check compares a set with the table's rows at the set's revision. Tombstones
-// that the table has removed may remain on a host.
+// check compares a set with the table's rows at the set's revision.
 func (m *model) check(name ident.Host, s *Set) {
 	want := m.table.history[s.Revision]
 	for key, r := range want.rows {
@@ -123,8 +122,8 @@
 		}
 	}
 	for key, r := range s.rows {
-		if _, ok := want.rows[key]; !ok && !r.Deleted {
-			m.t.Fatalf("%s: %s is still there in revision %d", name, key, s.Revision)
+		if _, ok := want.rows[key]; !ok {
+			m.t.Fatalf("%s: %s is still there at %d in revision %d", name, key, r.Revision, s.Revision)
 		}
 	}
 }
@@ -172,14 +171,19 @@
 	return d
 }
 
+// sweep removes the oldest tombstone.
 func (m *model) sweep(*rapid.T) {
-	for key, r := range m.table.rows {
-		if r.Deleted {
-			m.table.floor = max(m.table.floor, r.Revision)
-			m.table.change(func(ident.Revision) { delete(m.table.rows, key) })
-			return
+	oldest := Row{}
+	for _, r := range m.table.rows {
+		if r.Deleted && (oldest.Key == "" || r.Revision < oldest.Revision) {
+			oldest = r
 		}
 	}
+	if oldest.Key == "" {
+		return
+	}
+	m.table.floor = oldest.Revision
+	m.table.change(func(ident.Revision) { delete(m.table.rows, oldest.Key) })
 }
 
 func (m *model) poll(*rapid.T) {
--- a/rollout/set.go
+++ b/rollout/set.go
@@ -28,8 +28,9 @@
 	// holds all rows.
 	After    ident.Revision `msgpack:"after"`
 	Revision ident.Revision `msgpack:"revision"`
-	// Floor is the highest revision of a tombstone that was removed. A delta
-	// tells nothing of the rows deleted at or before it.
+	// Floor is the highest revision of a tombstone that was removed; all at
+	// lower revisions were too. A delta tells nothing of the rows deleted at or
+	// before it.
 	Floor ident.Revision `msgpack:"floor,omitempty"`
 	Rows  []Row          `msgpack:"rows"`
 }
@@ -89,5 +90,6 @@
 	for _, r := range d.Rows {
 		next.rows[r.Key] = r
 	}
+	maps.DeleteFunc(next.rows, func(_ string, r Row) bool { return r.Deleted && r.Revision <= next.Floor })
 	return next
 }
--- /dev/null
+++ b/route/view.go
@@ -0,0 +1,25 @@
+package route
+
+import (
+	"time"
+
+	"github.com/catkingap/catkingap/ident"
+)
+
+// ServerView is what a pool holds of a server.
+type ServerView struct {
+	Leaving bool
+	// Paused is true while the server gets no work because it refused some.
+	Paused  bool
+	Running int
+}
+
+// View returns what the pool holds of a server, or false if it has none of
+// that name.
+func (p *Pool[Item]) View(now time.Time, name ident.Server) (ServerView, bool) {
+	s := p.servers[name]
+	if s == nil || !s.present {
+		return ServerView{}, false
+	}
+	return ServerView{Leaving: s.Leaving, Paused: now.Before(s.paused), Running: s.running}, true
+}
