Add the commands for resources

A write whose end is unknown is repeated with its operation.

Seen failing: the dry run off, the check of all documents off (TestResourceCommands), and the settling of a lost answer off (TestApplyWithLostAnswer). The first form of that test lost two answers, which polls could take; it passed with the settling off. Now all answers are lost for 300 ms.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -73,6 +73,8 @@
 		return "it may have run; a job can be submitted again by its key, and the time line shows what happened"
 	case ended.Kind == outcome.NotRun && ended.RetryAfter > 0:
 		return fmt.Sprintf("it did not run; try again after %s", ended.RetryAfter)
+	case ended.Code == outcome.Conflict:
+		return "read it again, and repeat the change on what it holds now"
 	case ended.Code == outcome.NotFound:
 		return "check the name, and that the configuration is in force on this host"
 	}
--- a/cmd/config.go
+++ b/cmd/config.go
@@ -72,16 +72,22 @@
 	flags.StringVar(&c.server, "server", defaultServer, "base URL of an entry host")
 	flags.DurationVar(&c.timeout, "timeout", defaultTimeout, "time to wait for an answer")
 	root.AddCommand(
+		c.newApplyCmd(),
 		c.newCallCmd(),
 		c.newCancelCmd(),
 		c.newCompletionCmd(),
+		c.newDeleteCmd(),
 		c.newDemoCmd(),
+		c.newDescribeCmd(),
+		c.newDrainCmd(),
 		c.newEntryCmd(),
+		c.newGetCmd(),
 		c.newSettingsCmd(),
 		c.newStandinCmd(),
 		c.newSubmitCmd(),
 		c.newTimelineCmd(),
 		c.newVersionCmd(),
+		c.newWatchCmd(),
 	)
 	c.markStart(root)
 	return root
