--- a/entry/entry.go
+++ b/entry/entry.go
@@ -105,6 +105,7 @@
 			newDirectory,
 			newProber,
 			newRollout,
+			newStatuses,
 			newDispatcher,
 			newJobs,
 			newLending,
