Shut down in steps that cut nothing, and hand queued requests over

Cause: the host slept, then net/http closed idle connections and waited; queued requests waited for slots here, jobs whose callers hung up were waited for without a bound of their own, a second SIGTERM was ignored and the bound left open requests without an answer.

Ruled out: SetKeepAlivesEnabled(false), which closes idle connections that carry a request on its way; handing sent requests over.

--- a/cmd/entrycmd.go
+++ b/cmd/entrycmd.go
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"github.com/spf13/cobra"
+	"go.uber.org/fx"
 
 	"github.com/catkingap/catkingap/entry"
 	"github.com/catkingap/catkingap/settings"
@@ -28,24 +29,30 @@
 }
 
 // runEntryCmd runs the daemon until SIGTERM or SIGINT, and then shuts it down
-// gracefully.
+// gracefully. A second signal ends the shutdown at once. It returns an
+// *outcome.Error if open requests were cut.
 func (c *Config) runEntryCmd(_ context.Context, file string) error {
 	s, err := settings.Load(file)
 	if err != nil {
 		return err
 	}
-	app := entry.New(entry.Options{Settings: s, Log: c.stderr, Network: c.network})
+	var shutdown *entry.Shutdown
+	app := entry.New(entry.Options{Settings: s, Log: c.stderr, Network: c.network}, fx.Populate(&shutdown))
 	if err := app.Err(); err != nil {
 		return err
 	}
 	start, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
 	defer cancel()
-	signals := make(chan os.Signal, 1)
+	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	if err := app.Start(start); err != nil {
 		return err
 	}
 	<-signals
+	go func() {
+		<-signals
+		shutdown.Force()
+	}()
 	stop, cancelStop := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancelStop()
 	return app.Stop(stop)
--- a/entry/api.go
+++ b/entry/api.go
@@ -5,7 +5,6 @@
 	"math"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
@@ -24,11 +23,11 @@
 	timelines *Timelines
 	metrics   *Metrics
 	log       *requestLog
-	unready   atomic.Bool
+	shutdown  *Shutdown
 }
 
-func newAPI(s settings.Settings, store *resource.Store, j *Jobs, services *Services, t *Timelines, m *Metrics, l *requestLog) *API {
-	return &API{settings: s, store: store, jobs: j, services: services, timelines: t, metrics: m, log: l}
+func newAPI(s settings.Settings, store *resource.Store, j *Jobs, services *Services, t *Timelines, m *Metrics, l *requestLog, down *Shutdown) *API {
+	return &API{settings: s, store: store, jobs: j, services: services, timelines: t, metrics: m, log: l, shutdown: down}
 }
 
 // ErrorAnswer is the body of each answer that is an error.
@@ -43,7 +42,7 @@
 	router.GET("/healthz", func(c *gin.Context) { c.Status(http.StatusNoContent) })
 	router.GET("/readyz", a.ready)
 	router.GET("/debug/vars", gin.WrapH(a.metrics.set.Handler()))
-	router.Use(a.metrics.measure, a.log.log)
+	router.Use(a.metrics.measure, a.log.log, a.shutdown.stage)
 	a.guard(router)
 	a.routeJobs(router)
 	a.routeResources(router)
@@ -52,11 +51,9 @@
 	return router
 }
 
-func (a *API) setUnready() { a.unready.Store(true) }
-
 // ready answers 204 once a configuration is in force and until shutdown.
 func (a *API) ready(c *gin.Context) {
-	if a.unready.Load() || a.store.Snapshot().Revision == 0 {
+	if a.shutdown.unready.Load() || a.store.Snapshot().Revision == 0 {
 		c.Status(http.StatusServiceUnavailable)
 		return
 	}
--- a/entry/apijobs.go
+++ b/entry/apijobs.go
@@ -19,9 +19,12 @@
 	Error   *outcome.Error `json:"error,omitempty"`
 }
 
+// pathJobs is the path of submissions.
+const pathJobs = "/v1/jobs"
+
 // routeJobs adds the paths of jobs.
 func (a *API) routeJobs(r *gin.Engine) {
-	r.POST("/v1/jobs", a.submit)
+	r.POST(pathJobs, a.submit)
 	r.GET("/v1/jobs/:team/:key", a.getJob)
 	r.DELETE("/v1/jobs/:team/:key", a.cancelJob)
 }
--- a/entry/apiservices.go
+++ b/entry/apiservices.go
@@ -21,9 +21,12 @@
 	HeaderTimeout = "Catkingap-Timeout"
 )
 
+// pathCall is the path of requests to services.
+const pathCall = "/v1/services/:name/call"
+
 // routeServices adds the paths of requests to services.
 func (a *API) routeServices(r *gin.Engine) {
-	r.POST("/v1/services/:name/call", a.call)
+	r.POST(pathCall, a.call)
 }
 
 func (a *API) call(c *gin.Context) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -99,7 +99,9 @@
 			newDirectory,
 			newDispatcher,
 			newJobs,
+			newHandover,
 			newServices,
+			newShutdown,
 			newTimelines,
 			newAPI,
 		),
@@ -112,7 +114,7 @@
 			runAPI,
 		),
 		// The hooks of the life cycle bound themselves by the settings.
-		fx.StopTimeout(time.Duration(o.Settings.ShutdownTimeout)+time.Duration(o.Settings.UnreadyTime)+time.Second),
+		fx.StopTimeout(time.Duration(o.Settings.ShutdownTimeout)+cutAnswerTime+closeTime+time.Second),
 		fx.Options(more...),
 	)
 }
@@ -191,7 +193,8 @@
 }
 
 // runPeer serves the links to other entry hosts.
-func runPeer(life fx.Lifecycle, l Listeners, links *peer.Links, jobs *Jobs, timelines *Timelines) {
+func runPeer(life fx.Lifecycle, l Listeners, links *peer.Links, jobs *Jobs, timelines *Timelines, handover *Handover, services *Services) {
+	handover.register(services)
 	jobs.register(links)
 	timelines.register(links)
 	life.Append(fx.Hook{
@@ -206,27 +209,3 @@
 		},
 	})
 }
-
-// runAPI serves callers and operators, and shuts down gracefully.
-func runAPI(life fx.Lifecycle, s settings.Settings, l Listeners, api *API, jobs *Jobs, ring *timeline.Ring, logger log.Interface) {
-	server := &http.Server{Handler: api.Handler(), ReadHeaderTimeout: headerReadTimeout}
-	life.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			ring.Add(time.Now(), timeline.Event{Kind: timeline.Started})
-			logger.WithFields(log.Fields{"api": l.API.Addr().String(), "peer": l.Peer.Addr().String()}).Info("listening")
-			go func() { _ = server.Serve(l.API) }()
-			return nil
-		},
-		OnStop: func(ctx context.Context) error {
-			ring.Add(time.Now(), timeline.Event{Kind: timeline.ShutdownBegun})
-			api.setUnready()
-			time.Sleep(time.Duration(s.UnreadyTime))
-			ctx, cancel := context.WithTimeout(ctx, time.Duration(s.ShutdownTimeout))
-			defer cancel()
-			if err := server.Shutdown(ctx); err != nil {
-				return errors.Wrap(err, "open requests")
-			}
-			return errors.Wrap(jobs.wait(ctx), "open jobs")
-		},
-	})
-}
--- a/entry/jobfollow.go
+++ b/entry/jobfollow.go
@@ -117,7 +117,7 @@
 			pause(ctx, attachPoll)
 		}
 	}
-	return failed(outcome.New(outcome.Unknown, outcome.Cancelled, "the caller went away"))
+	return failed(ended(ctx, true))
 }
 
 // askHolder waits a bounded time for the outcome at a holder, which may be
--- a/entry/jobrun.go
+++ b/entry/jobrun.go
@@ -122,7 +122,7 @@
 		}
 		return ending{outcome: failed(r.refusal)}
 	case <-ctx.Done():
-		return ending{outcome: failed(outcome.New(outcome.Unknown, outcome.Cancelled, "the caller went away"))}
+		return ending{outcome: failed(ended(ctx, true))}
 	}
 }
 
--- a/entry/services.go
+++ b/entry/services.go
@@ -34,10 +34,11 @@
 type Services struct {
 	store      *resource.Store
 	dispatcher *Dispatcher
+	handover   *Handover
 }
 
-func newServices(s *resource.Store, d *Dispatcher) *Services {
-	return &Services{store: s, dispatcher: d}
+func newServices(s *resource.Store, d *Dispatcher, h *Handover) *Services {
+	return &Services{store: s, dispatcher: d, handover: h}
 }
 
 // Do sends a request and waits for the whole answer. A request that is not
@@ -50,7 +51,29 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeoutOf(c, spec))
 	defer cancel()
-	return s.wait(ctx, s.submit(ctx, c, spec.Pool))
+	if s.handover.begun.Err() != nil {
+		return s.handOver(ctx, c, spec.Pool)
+	}
+	q := s.submit(ctx, c, spec.Pool)
+	select {
+	case r := <-q.done:
+		return r.answer, r.failure
+	case <-ctx.Done():
+	case <-s.handover.begun.Done():
+		if q.work.withdraw() {
+			return s.handOver(ctx, c, spec.Pool)
+		}
+	}
+	return s.wait(ctx, q)
+}
+
+// handOver gives a request that was not sent to another entry host. If none
+// takes it, it runs here.
+func (s *Services) handOver(ctx context.Context, c Call, pool ident.Pool) ([]byte, *outcome.Error) {
+	if r, taken := s.handover.pass(ctx, c); taken {
+		return r.answer, r.failure
+	}
+	return s.wait(ctx, s.submit(ctx, c, pool))
 }
 
 // timeoutOf returns the time that a request has.
--- a/entry/services_test.go
+++ b/entry/services_test.go
@@ -98,7 +98,7 @@
 	s := settings.Default()
 	d := newDispatcher(s, testIdentity(), sender, timeline.NewRing("entry-1", time.Now(), 100), newMetrics())
 	d.Configure(store.Snapshot(), newDirectory())
-	return newServices(store, d)
+	return newServices(store, d, newHandover(testIdentity(), newDirectory(), nil))
 }
 
 // cutReader fails in the middle of a body.
@@ -143,7 +143,8 @@
 			services := testServices(t, sender)
 			s := settings.Default()
 			s.Limits.BodyBytes = 1024
-			api := newAPI(s, services.store, nil, services, nil, newMetrics(), newRequestLog(&log.Logger{Handler: discard.Default}))
+			api := newAPI(s, services.store, nil, services, nil, newMetrics(), newRequestLog(&log.Logger{Handler: discard.Default}),
+				newShutdown(s, nil, nil, services.handover))
 			method := tt.method
 			if method == "" {
 				method = http.MethodPost
--- /dev/null
+++ b/entry/shutdown_test.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/outcome"
+	"github.com/catkingap/catkingap/peer"
+	"github.com/catkingap/catkingap/settings"
+)
+
+// TestAnswersAskToClose checks that each answer of a host that shuts down asks
+// the caller for a new connection, and that submissions are refused once the
+// host hands over.
+func TestAnswersAskToClose(t *testing.T) {
+	is := is.New(t)
+	services := testServices(t, &fakeSender{})
+	s := settings.Default()
+	shutdown := newShutdown(s, nil, nil, services.handover)
+	handler := newAPI(s, services.store, nil, services, nil, newMetrics(), newRequestLog(&log.Logger{Handler: discard.Default}), shutdown).Handler()
+	post := func(path string) *httptest.ResponseRecorder {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, path, strings.NewReader("1ms")))
+		return recorder
+	}
+	is.Equal(post("/v1/services/logs/call").Header().Get("Connection"), "")
+	shutdown.unready.Store(true)
+	for _, path := range []string{"/v1/services/logs/call", "/v1/services/masks/call", "/nowhere"} {
+		is.Equal(post(path).Header().Get("Connection"), "close")
+	}
+	services.handover.begin()
+	refused := post("/v1/jobs")
+	is.Equal(refused.Code, http.StatusServiceUnavailable)
+	is.Equal(refused.Header().Get("Retry-After"), "1")
+	is.Equal(post("/v1/services/logs/call").Code, http.StatusOK)
+	is.Equal(shutdown.open.Load(), int64(0))
+}
+
+// TestJudgeHandover checks which requests may go on to another host after one
+// was asked.
+func TestJudgeHandover(t *testing.T) {
+	ran, refused := outcome.New(outcome.Failed, outcome.TaskFailed, ""), outcome.New(outcome.NotRun, outcome.QueueFull, "")
+	tests := map[string]struct {
+		idempotent bool
+		answer     HandedOver
+		err        error
+		over       bool
+		taken      bool
+		kind       outcome.Kind
+	}{
+		"answered":                       {answer: HandedOver{Answer: []byte("1")}, taken: true},
+		"failed":                         {answer: HandedOver{Failure: ran}, taken: true, kind: outcome.Failed},
+		"refused":                        {answer: HandedOver{Failure: refused}},
+		"refused and late":               {answer: HandedOver{Failure: refused}, over: true, taken: true, kind: outcome.NotRun},
+		"not reached":                    {err: &peer.UnreachableError{Cause: errCut}},
+		"not reached and late":           {err: &peer.UnreachableError{Cause: errCut}, over: true, taken: true, kind: outcome.NotRun},
+		"lost":                           {err: errors.New("link closed"), taken: true, kind: outcome.Unknown},
+		"lost and late":                  {err: errors.New("link closed"), over: true, taken: true, kind: outcome.Unknown},
+		"idempotent and lost":            {err: errors.New("link closed"), idempotent: true},
+		"idempotent and lost and late":   {err: errors.New("link closed"), idempotent: true, over: true, taken: true, kind: outcome.Unknown},
+		"idempotent and not reached":     {err: &peer.UnreachableError{Cause: errCut}, idempotent: true},
+		"idempotent, failed, not resent": {answer: HandedOver{Failure: ran}, idempotent: true, taken: true, kind: outcome.Failed},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if tt.over {
+				cancel()
+			}
+			r, taken := judgeHandover(ctx, Call{Idempotent: tt.idempotent}, tt.answer, tt.err)
+			is.Equal(taken, tt.taken)
+			if tt.kind != "" {
+				is.Equal(r.failure.Kind, tt.kind)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/integration/shutdown_test.go
@@ -0,0 +1,337 @@
+package integration
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/catkingap/catkingap/client"
+	"github.com/catkingap/catkingap/cmd"
+	"github.com/catkingap/catkingap/entry"
+	"github.com/catkingap/catkingap/outcome"
+	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/repairlog"
+)
+
+// balancer sends each request to a host that was ready at its last look, as
+// the platform's balancer does. Its callers keep their connections.
+type balancer struct {
+	k     *cluster
+	mutex sync.Mutex
+	ready map[*entryHost]bool
+	turn  int
+}
+
+// membershipRead is the time after which each host has read the membership
+// list.
+const membershipRead = 1500 * time.Millisecond
+
+// balancerPause is the pause between two looks of the balancer.
+const balancerPause = 50 * time.Millisecond
+
+func (k *cluster) startBalancer() *balancer {
+	b := &balancer{k: k, ready: map[*entryHost]bool{}}
+	for _, h := range k.hosts {
+		b.ready[h] = true
+	}
+	stop := make(chan struct{})
+	k.t.Cleanup(func() { close(stop) })
+	for _, h := range k.hosts {
+		go b.watch(h, stop)
+	}
+	return b
+}
+
+func (b *balancer) watch(h *entryHost, stop <-chan struct{}) {
+	for {
+		ready := isReady(h)
+		b.mutex.Lock()
+		b.ready[h] = ready
+		b.mutex.Unlock()
+		select {
+		case <-stop:
+			return
+		case <-time.After(balancerPause):
+		}
+	}
+}
+
+func isReady(h *entryHost) bool {
+	response, err := http.Get(h.api + "/readyz")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusNoContent
+}
+
+// next returns a host that was ready at the last look.
+func (b *balancer) next() *entryHost {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	for range b.k.hosts {
+		b.turn++
+		if h := b.k.hosts[b.turn%len(b.k.hosts)]; b.ready[h] {
+			return h
+		}
+	}
+	return b.k.hosts[0]
+}
+
+// run sends requests by way of the balancer from some workers, each over
+// connections of its own that it keeps, until stop is closed. It returns the
+// number of answers and all failures.
+func (b *balancer) run(workers int, run time.Duration, stop <-chan struct{}) (answers int, failures []error) {
+	var group sync.WaitGroup
+	var mutex sync.Mutex
+	for i := range workers {
+		group.Go(func() {
+			transport := &http.Transport{}
+			defer transport.CloseIdleConnections()
+			for seed := uint64(i); ; seed += 1000 {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				err := b.send(&http.Client{Transport: transport}, seed, run)
+				mutex.Lock()
+				if err != nil {
+					failures = append(failures, err)
+				} else {
+					answers++
+				}
+				mutex.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	return answers, failures
+}
+
+func (b *balancer) send(h *http.Client, seed uint64, run time.Duration) error {
+	payload := submission("call", seed, 1, run).Tasks[0].Payload
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	answer, err := client.New(h, b.next().api).Call(ctx, entry.Call{Team: teamName, Service: serviceName, Body: payload})
+	if err != nil {
+		return err
+	}
+	return repairlog.Check(payload, answer)
+}
+
+// exit waits until the process has ended and returns its exit code and the time
+// that it took.
+func (p *process) exit(since time.Time) (int, time.Duration) {
+	p.t.Helper()
+	select {
+	case <-p.exited:
+	case <-time.After(testTimeout):
+		p.t.Fatal("process did not end")
+	}
+	return p.command.ProcessState.ExitCode(), time.Since(since)
+}
+
+// TestShutdownCutsNothing ends two of three hosts by SIGTERM, one after the
+// other, under a load that queues. No request is cut, none starts twice, and
+// the hosts exit with 0 within the bound.
+func TestShutdownCutsNothing(t *testing.T) {
+	t.Parallel()
+	k := newCluster(t, clusterConfig{hosts: 3, backends: 2, slots: 4, settings: "shutdownTimeout: 15s\n"})
+	b := k.startBalancer()
+	stop := make(chan struct{})
+	var answers int
+	var failures []error
+	var group sync.WaitGroup
+	group.Go(func() { answers, failures = b.run(40, 60*time.Millisecond, stop) })
+	time.Sleep(time.Second)
+	for _, h := range k.hosts[1:] {
+		told := time.Now()
+		h.signal(syscall.SIGTERM)
+		code, took := h.exit(told)
+		k.is.Equal(code, cmd.ExitDone)
+		k.is.True(took < 15*time.Second)
+		time.Sleep(300 * time.Millisecond)
+	}
+	close(stop)
+	group.Wait()
+	for _, err := range failures {
+		t.Errorf("cut: %v", err)
+	}
+	k.is.True(answers > 100)
+	k.checkRequestsOnce()
+}
+
+// listGhost lists an entry host that is gone but whose address still takes
+// connections, and closes each.
+func (k *cluster) listGhost() {
+	k.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	k.is.NoErr(err)
+	k.t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			c.Close()
+		}
+	}()
+	k.list(platform.TargetGroup{Targets: []string{listener.Addr().String()}, Labels: map[string]string{
+		platform.LabelID: "ghost", platform.LabelRole: string(platform.EntryHost), platform.LabelDataCentre: centres[0],
+		platform.LabelState: string(platform.Live),
+	}})
+}
+
+// TestShutdownHandsOver ends a host whose queue is long and whose backend
+// server is slow: the queued requests run by way of another host and reach
+// their callers, those under way end here. A host that is gone but still
+// listed gets none.
+func TestShutdownHandsOver(t *testing.T) {
+	t.Parallel()
+	k := newCluster(t, clusterConfig{hosts: 2, backends: 1, slots: 2, settings: "shutdownTimeout: 30s\n"})
+	k.listGhost()
+	time.Sleep(membershipRead)
+	const requests = 20
+	errs := make(chan error, requests)
+	for i := range requests {
+		go func() { errs <- k.call(k.hosts[0], uint64(i), 500*time.Millisecond) }()
+	}
+	k.eventually("queued", func() bool { return len(k.startsOf(k.backends[0])) >= 2 })
+	told := time.Now()
+	k.hosts[0].signal(syscall.SIGTERM)
+	for range requests {
+		k.is.NoErr(<-errs)
+	}
+	code, _ := k.hosts[0].exit(told)
+	k.is.Equal(code, cmd.ExitDone)
+	k.checkRequestsOnce()
+	k.is.Equal(len(k.startsOf(k.backends[0])), requests)
+	k.is.True(k.hosts[0].printed(`"handedOver":1`))
+}
+
+// printed returns true if the process printed a line with text.
+func (p *process) printed(text string) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return strings.Contains(p.output.String(), text)
+}
+
+// TestShutdownAlone ends the only host of a cluster: nobody takes its queue, so
+// it runs all itself before it exits with 0.
+func TestShutdownAlone(t *testing.T) {
+	t.Parallel()
+	k := newCluster(t, clusterConfig{hosts: 1, backends: 1, slots: 2, settings: "shutdownTimeout: 30s\n"})
+	const requests = 10
+	errs := make(chan error, requests)
+	for i := range requests {
+		go func() { errs <- k.call(k.hosts[0], uint64(i), 300*time.Millisecond) }()
+	}
+	k.eventually("queued", func() bool { return len(k.startsOf(k.backends[0])) >= 2 })
+	told := time.Now()
+	k.hosts[0].signal(syscall.SIGTERM)
+	for range requests {
+		k.is.NoErr(<-errs)
+	}
+	code, _ := k.hosts[0].exit(told)
+	k.is.Equal(code, cmd.ExitDone)
+	k.checkRequestsOnce()
+}
+
+// TestShutdownFinishesJobs ends the holder of a job by SIGTERM: the job ends
+// complete, whether its caller waits or has hung up, and a resubmission to
+// another host finds the whole answer.
+func TestShutdownFinishesJobs(t *testing.T) {
+	for name, waits := range map[string]bool{"caller waits": true, "caller hung up": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			k := newCluster(t, clusterConfig{hosts: 2, backends: 1, slots: 4, settings: "shutdownTimeout: 30s\n"})
+			s := submission("tide", 7, 20, 200*time.Millisecond)
+			ctx, hangUp := context.WithCancel(t.Context())
+			defer hangUp()
+			var answer entry.JobAnswer
+			done := make(chan error, 1)
+			go func() {
+				var err error
+				answer, err = k.hosts[0].client.Submit(ctx, s)
+				done <- err
+			}()
+			k.eventually("started", func() bool { return len(k.startsOf(k.backends[0])) >= 2 })
+			if !waits {
+				hangUp()
+				k.is.True(<-done != nil)
+			}
+			told := time.Now()
+			k.hosts[0].signal(syscall.SIGTERM)
+			if waits {
+				k.is.NoErr(<-done)
+				k.checkWhole(s, answer)
+			}
+			code, _ := k.hosts[0].exit(told)
+			k.is.Equal(code, cmd.ExitDone)
+			again, err := k.submit(k.hosts[1], s)
+			k.is.NoErr(err)
+			k.checkWhole(s, again)
+		})
+	}
+}
+
+// TestShutdownCutIsTruthful ends a host that can not finish in time, by its
+// bound and by a second SIGTERM. Each caller is answered: unknown for what was
+// sent, not run with a time to come back for what was not.
+func TestShutdownCutIsTruthful(t *testing.T) {
+	tests := map[string]struct {
+		settings string
+		again    bool
+	}{
+		"bound":          {settings: "shutdownTimeout: 2s\n"},
+		"second SIGTERM": {settings: "shutdownTimeout: 60s\n", again: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			k := newCluster(t, clusterConfig{hosts: 1, backends: 1, slots: 2, settings: tt.settings})
+			const requests, slots = 6, 2
+			errs := make(chan error, requests)
+			for i := range requests {
+				go func() { errs <- k.call(k.hosts[0], uint64(i), 20*time.Second) }()
+			}
+			jobs := make(chan error, 1)
+			go func() {
+				_, err := k.submit(k.hosts[0], submission("tide", 9, 2, time.Second))
+				jobs <- err
+			}()
+			k.eventually("queued", func() bool { return len(k.startsOf(k.backends[0])) >= slots })
+			time.Sleep(300 * time.Millisecond)
+			told := time.Now()
+			k.hosts[0].signal(syscall.SIGTERM)
+			if tt.again {
+				time.Sleep(time.Second)
+				k.hosts[0].signal(syscall.SIGTERM)
+			}
+			kinds := map[outcome.Kind]int{}
+			for range requests {
+				e := outcome.From(<-errs)
+				k.is.True(e != nil)
+				k.is.Equal(e.Code, outcome.Shutdown)
+				k.is.True(e.RetryAfter > 0)
+				kinds[e.Kind]++
+			}
+			k.is.Equal(kinds, map[outcome.Kind]int{outcome.Unknown: slots, outcome.NotRun: requests - slots})
+			ended := outcome.From(<-jobs)
+			k.is.Equal(ended.Kind, outcome.Unknown)
+			k.is.Equal(ended.Code, outcome.Shutdown)
+			k.is.True(ended.RetryAfter > 0)
+			code, took := k.hosts[0].exit(told)
+			k.is.Equal(code, cmd.ExitUnknown)
+			k.is.True(took < 10*time.Second)
+			k.is.Equal(len(k.startsOf(k.backends[0])), slots)
+		})
+	}
+}
