--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,14 +29,20 @@
 // The times and bounds that are the same on each entry host.
 const (
 	// ConnectTimeout bounds the time to open a connection.
-	ConnectTimeout     = time.Second
-	idleTimeout        = 90 * time.Second
-	platformIdle       = 8
-	peerWriteTimeout   = 2 * time.Second
-	commitMaxRows      = 120
-	commitInFlight     = 2
-	busyPause          = 5 * time.Millisecond
-	remoteDelay        = 3 * time.Millisecond
+	ConnectTimeout   = time.Second
+	idleTimeout      = 90 * time.Second
+	platformIdle     = 8
+	peerWriteTimeout = 2 * time.Second
+	// commitMaxWrites and commitMaxBytes stay under the 128 operations and
+	// 1.5 MiB that etcd takes in a transaction by default.
+	commitMaxWrites = 100
+	commitMaxBytes  = 1 << 20
+	commitBurst     = 10
+	commitMinPause  = 20 * time.Millisecond
+	commitMaxPause  = 250 * time.Millisecond
+	// tableWrites is the share of the table's writes per second that all entry
+	// hosts together take.
+	tableWrites        = 300
 	headerReadTimeout  = 10 * time.Second
 	storeRetry         = time.Second
 	settleReadInterval = 100 * time.Millisecond
@@ -97,9 +103,12 @@
 			newLeaving,
 			newSender,
 			newDirectory,
+			newProber,
+			newRollout,
 			newDispatcher,
 			newJobs,
 			newHandover,
+			newLending,
 			newServices,
 			newShutdown,
 			newTimelines,
@@ -111,6 +120,7 @@
 			runPeer,
 			runWatch,
 			runLeaving,
+			runLending,
 			runAPI,
 		),
 		// The hooks of the life cycle bound themselves by the settings.
@@ -143,10 +153,12 @@
 }
 
 // newPlatformClient returns the HTTP client for all services of the platform.
-func newPlatformClient(s settings.Settings, n network.Network) *http.Client {
+func newPlatformClient(s settings.Settings, n network.Network, m *Metrics) *http.Client {
+	recording := &network.Recording{Network: n}
+	m.showPlatform(recording)
 	return &http.Client{
 		Timeout:   time.Duration(s.Platform.Timeout),
-		Transport: &http.Transport{DialContext: n.DialContext, MaxIdleConnsPerHost: platformIdle, IdleConnTimeout: idleTimeout},
+		Transport: &http.Transport{DialContext: recording.DialContext, MaxIdleConnsPerHost: platformIdle, IdleConnTimeout: idleTimeout},
 	}
 }
 
@@ -164,10 +176,16 @@
 
 func newBatcher(s settings.Settings, t platform.Table) *commit.Batcher {
 	return commit.NewBatcher(commit.Config{
-		Table:    t,
-		Timeout:  time.Duration(s.Platform.Timeout),
-		MaxRows:  commitMaxRows,
-		InFlight: commitInFlight,
+		Table:   t,
+		Timeout: time.Duration(s.Platform.Timeout),
+		Window: commit.WindowConfig{
+			Rate:      tableWrites,
+			Burst:     commitBurst,
+			MaxWrites: commitMaxWrites,
+			MaxBytes:  commitMaxBytes,
+			MinPause:  commitMinPause,
+			MaxPause:  commitMaxPause,
+		},
 	})
 }
 
@@ -193,9 +211,10 @@
 }
 
 // runPeer serves the links to other entry hosts.
-func runPeer(life fx.Lifecycle, l Listeners, links *peer.Links, jobs *Jobs, timelines *Timelines, handover *Handover, services *Services) {
-	handover.register(services)
+func runPeer(life fx.Lifecycle, l Listeners, links *peer.Links, jobs *Jobs, timelines *Timelines, p *Prober, r *Rollout) {
 	jobs.register(links)
+	p.register(links)
+	r.register(links)
 	timelines.register(links)
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -200,6 +200,7 @@
 
 // runAPI serves callers and operators, and shuts down gracefully.
 func runAPI(life fx.Lifecycle, l Listeners, api *API, jobs *Jobs, shutdown *Shutdown) {
+	shutdown.handover.register(api.services)
 	server := &http.Server{
 		Handler:           api.Handler(),
 		ReadHeaderTimeout: headerReadTimeout,
