--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -44,7 +44,10 @@
 	Service ident.Service
 	// Idempotent is true if the request may run more than once.
 	Idempotent bool
-	Body       []byte
+	// Admitted is true for a request that was queued here before, and is not
+	// refused for the length of the queue.
+	Admitted bool
+	Body     []byte
 	// Done is called once, with the answer or an *outcome.Error, unless the
 	// work was dropped or withdrawn.
 	Done func(backend.Reply, *outcome.Error)
--- a/entry/poolqueue.go
+++ b/entry/poolqueue.go
@@ -55,7 +55,7 @@
 	for _, w := range works {
 		w.request = q.dispatcher.requests.Next()
 		e := &admission.Entry[*Work]{Item: w, Team: w.Team, Flow: w.flow(), RunTime: w.RunTime}
-		if w.Task == nil {
+		if w.Task == nil && !w.Admitted {
 			a.MaxWait = requestMaxWait
 			e.GiveUp = now.Add(requestMaxAge)
 			if !a.Deadline.IsZero() && a.Deadline.Before(e.GiveUp) {
--- a/entry/services.go
+++ b/entry/services.go
@@ -54,7 +54,7 @@
 	if s.handover.begun.Err() != nil {
 		return s.handOver(ctx, c, spec.Pool)
 	}
-	q := s.submit(ctx, c, spec.Pool)
+	q := s.submit(ctx, c, spec.Pool, false)
 	select {
 	case r := <-q.done:
 		return r.answer, r.failure
@@ -73,7 +73,7 @@
 	if r, taken := s.handover.pass(ctx, c); taken {
 		return r.answer, r.failure
 	}
-	return s.wait(ctx, s.submit(ctx, c, pool))
+	return s.wait(ctx, s.submit(ctx, c, pool, true))
 }
 
 // timeoutOf returns the time that a request has.
@@ -99,8 +99,9 @@
 	failure *outcome.Error
 }
 
-// submit queues a request. A refusal is its result.
-func (s *Services) submit(ctx context.Context, c Call, pool ident.Pool) *submitted {
+// submit queues a request. A refusal is its result. Admitted is true if it was
+// queued before.
+func (s *Services) submit(ctx context.Context, c Call, pool ident.Pool, admitted bool) *submitted {
 	q := &submitted{done: make(chan result, 1)}
 	q.work = &Work{
 		Context:    ctx,
@@ -108,6 +109,7 @@
 		Pool:       pool,
 		Service:    c.Service,
 		Idempotent: c.Idempotent,
+		Admitted:   admitted,
 		Body:       c.Body,
 		Done:       func(r backend.Reply, e *outcome.Error) { q.done <- result{r.Body, e} },
 	}
--- a/integration/leaving_test.go
+++ b/integration/leaving_test.go
@@ -18,6 +18,9 @@
 // leavingBound is the time after which a leaving backend server gets no work.
 const leavingBound = 3 * time.Second
 
+// maxFailuresShown bounds the failures of one load that a test prints.
+const maxFailuresShown = 5
+
 // load sends requests to hosts until it is stopped and checks each answer.
 type load struct {
 	k       *cluster
@@ -60,8 +63,14 @@
 
 // stop ends the load and returns the failures.
 func (l *load) stop() []error {
+	l.k.t.Helper()
 	close(l.stopped)
 	l.group.Wait()
+	for i, err := range l.failures {
+		if i < maxFailuresShown {
+			l.k.t.Logf("load: %v", err)
+		}
+	}
 	return l.failures
 }
 
