Find silent peer links, and close only the link of a bad frame

Cause: a call without a deadline on a link that went silent waited for ever, and the link was used again; a call that was too long closed the link of all others; a cut header closed a link without a word; five bytes could make the decoder allocate 8 MB; a failed write did not count as not reached.

Now a link with open calls that showed no byte for 1 s is pinged and after 1 s more closed, counted and replaced at the next call. A link without calls carries no message.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,6 +33,7 @@
 	idleTimeout      = 90 * time.Second
 	platformIdle     = 8
 	peerWriteTimeout = 2 * time.Second
+	peerSilence      = time.Second
 	// commitMaxWrites and commitMaxBytes stay under the 128 operations and
 	// 1.5 MiB that etcd takes in a transaction by default.
 	commitMaxWrites = 100
@@ -190,7 +191,7 @@
 }
 
 func newLinks(l log.Interface, n network.Network) *peer.Links {
-	return peer.NewLinks(peer.Config{Logger: l, Network: n, WriteTimeout: peerWriteTimeout})
+	return peer.NewLinks(peer.Config{Logger: l, Network: n, WriteTimeout: peerWriteTimeout, SilenceTimeout: peerSilence})
 }
 
 func newBackendClient(s settings.Settings, n network.Network) *backend.Client {
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -3,10 +3,12 @@
 package peer
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
 
+	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -57,7 +59,9 @@
 
 func readFrame(r io.Reader) (*frame, error) {
 	var header [headerBytes]byte
-	if _, err := io.ReadFull(r, header[:]); err != nil {
+	if _, err := io.ReadFull(r, header[:]); errors.Is(err, io.ErrUnexpectedEOF) {
+		return nil, &FrameError{Reason: "cut in its header"}
+	} else if err != nil {
 		return nil, err
 	}
 	if version := header[headerBytes-1]; version != Version {
@@ -67,12 +71,13 @@
 	if length > MaxFrameBytes {
 		return nil, &FrameError{Reason: fmt.Sprintf("%d bytes are more than %d", length, MaxFrameBytes)}
 	}
-	body := make([]byte, length)
-	if _, err := io.ReadFull(r, body); err != nil {
+	// The memory grows with what arrives, not with what the header says.
+	var body bytes.Buffer
+	if _, err := io.CopyN(&body, r, int64(length)); err != nil {
 		return nil, &FrameError{Reason: "cut: " + err.Error()}
 	}
 	var f frame
-	if err := msgpack.Unmarshal(body, &f); err != nil {
+	if err := msgpack.Unmarshal(body.Bytes(), &f); err != nil {
 		return nil, &FrameError{Reason: "not msgpack: " + err.Error()}
 	}
 	return &f, nil
--- a/peer/link.go
+++ b/peer/link.go
@@ -23,6 +23,11 @@
 	SentBytes     atomic.Int64
 	ReceivedBytes atomic.Int64
 	SentFrames    atomic.Int64
+	// Silent counts links that were closed because they showed no life.
+	Silent atomic.Int64
+	// Bad counts links that were closed because of a frame that can not be
+	// read.
+	Bad atomic.Int64
 }
 
 // UnreachableError means that a call provably did not reach the peer.
@@ -60,6 +65,9 @@
 	Network network.Network
 	// WriteTimeout bounds the time to write one frame.
 	WriteTimeout time.Duration
+	// SilenceTimeout is the time without a byte after which a link with open
+	// calls is pinged, and after as much again is closed. Zero means never.
+	SilenceTimeout time.Duration
 }
 
 // Links holds the links of a process to its peers and serves theirs.
@@ -156,6 +164,7 @@
 // address was opened meanwhile, it stays open but is used no more.
 func (l *Links) attach(connection net.Conn, address string) *link {
 	k := &link{links: l, connection: connection, address: address, calls: map[uint64]chan *frame{}, done: make(chan struct{})}
+	k.heard.Store(time.Now().UnixNano())
 	l.mutex.Lock()
 	l.open[k] = struct{}{}
 	if address != "" {
@@ -167,6 +176,9 @@
 		connection.Close()
 	}
 	go k.read()
+	if l.config.SilenceTimeout > 0 {
+		go k.watch()
+	}
 	return k
 }
 
@@ -185,6 +197,8 @@
 	connection net.Conn
 	address    string
 	done       chan struct{}
+	// heard is when the last byte was received, in nanoseconds since 1970.
+	heard atomic.Int64
 
 	writing sync.Mutex
 	mutex   sync.Mutex
@@ -205,7 +219,8 @@
 		k.mutex.Unlock()
 	}()
 	if err := k.write(&frame{Call: id, Kind: kind, Body: body}); err != nil {
-		return nil, err
+		// A frame that was not written whole is not answered.
+		return nil, &UnreachableError{Address: k.address, Cause: err}
 	}
 	select {
 	case answer := <-answers:
@@ -225,7 +240,10 @@
 	}
 	counted := &countingWriter{connection: k.connection, count: &k.links.Statistics.SentBytes}
 	if err := writeFrame(counted, f); err != nil {
-		k.connection.Close()
+		if !errors.As(err, new(*FrameError)) {
+			// A part of the frame may be on the link.
+			k.connection.Close()
+		}
 		return err
 	}
 	k.links.Statistics.SentFrames.Add(1)
@@ -236,7 +254,7 @@
 func (k *link) read() {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	reader := bufio.NewReader(&countingReader{connection: k.connection, count: &k.links.Statistics.ReceivedBytes})
+	reader := bufio.NewReader(&countingReader{connection: k.connection, count: &k.links.Statistics.ReceivedBytes, heard: &k.heard})
 	for {
 		f, err := readFrame(reader)
 		if err != nil {
@@ -287,6 +305,7 @@
 	close(k.done)
 	var bad *FrameError
 	if errors.As(cause, &bad) {
+		k.links.Statistics.Bad.Add(1)
 		k.links.config.Logger.WithField("remote", k.connection.RemoteAddr().String()).WithError(cause).Warn("peer link closed")
 	}
 }
@@ -294,11 +313,15 @@
 type countingReader struct {
 	connection net.Conn
 	count      *atomic.Int64
+	heard      *atomic.Int64
 }
 
 func (r *countingReader) Read(p []byte) (int, error) {
 	n, err := r.connection.Read(p)
 	r.count.Add(int64(n))
+	if n > 0 {
+		r.heard.Store(time.Now().UnixNano())
+	}
 	return n, err
 }
 
--- /dev/null
+++ b/peer/link_test.go
@@ -0,0 +1,237 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/network"
+)
+
+// lockedBuffer is a buffer that several goroutines write to.
+type lockedBuffer struct {
+	mutex sync.Mutex
+	bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.Buffer.Write(p)
+}
+
+func (b *lockedBuffer) text() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.String()
+}
+
+// newTestLinks returns links that echo, and what they log.
+func newTestLinks(t *testing.T) (*Links, *lockedBuffer, string) {
+	t.Helper()
+	output := &lockedBuffer{}
+	l := NewLinks(Config{
+		Logger: &log.Logger{Handler: json.New(output)}, Network: network.Real{DialTimeout: time.Second},
+		WriteTimeout: time.Second, SilenceTimeout: 200 * time.Millisecond,
+	})
+	Handle(l, "echo", func(_ context.Context, text string) (string, error) { return text, nil })
+	Handle(l, "slow", func(ctx context.Context, text string) (string, error) {
+		select {
+		case <-time.After(time.Second):
+			return text, nil
+		case <-ctx.Done():
+			return "", ctx.Err()
+		}
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = l.Serve(listener) }()
+	t.Cleanup(func() {
+		listener.Close()
+		l.Close()
+	})
+	return l, output, listener.Addr().String()
+}
+
+// TestBadFrameClosesOnlyItsLink checks that a bad frame closes its link with a
+// logged reason while calls on another link go on.
+func TestBadFrameClosesOnlyItsLink(t *testing.T) {
+	for name, tt := range badFrames {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			server, output, address := newTestLinks(t)
+			caller, _, _ := newTestLinks(t)
+			slow := make(chan error, 1)
+			go func() {
+				_, err := Call[string, string](t.Context(), caller, address, "slow", "a")
+				slow <- err
+			}()
+			bad, err := net.Dial("tcp", address)
+			is.NoErr(err)
+			_, err = bad.Write(tt.data)
+			is.NoErr(err)
+			is.NoErr(bad.(*net.TCPConn).CloseWrite())
+			is.NoErr(bad.SetReadDeadline(time.Now().Add(10 * time.Second)))
+			_, err = bad.Read(make([]byte, 1))
+			is.True(err != nil && !errors.Is(err, context.DeadlineExceeded))
+			answer, err := Call[string, string](t.Context(), caller, address, "echo", "b")
+			is.NoErr(err)
+			is.Equal(answer, "b")
+			is.NoErr(<-slow)
+			is.Equal(server.Statistics.Bad.Load(), int64(1))
+			is.True(strings.Contains(output.text(), tt.reason))
+		})
+	}
+}
+
+// TestTooLongCall checks that a call that is too long is not sent and leaves
+// the link open for others.
+func TestTooLongCall(t *testing.T) {
+	is := is.New(t)
+	_, _, address := newTestLinks(t)
+	caller, _, _ := newTestLinks(t)
+	slow := make(chan error, 1)
+	go func() {
+		_, err := Call[string, string](t.Context(), caller, address, "slow", "a")
+		slow <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	_, err := Call[string, string](t.Context(), caller, address, "echo", strings.Repeat("x", MaxFrameBytes))
+	is.True(errors.As(err, new(*UnreachableError)))
+	is.NoErr(<-slow)
+}
+
+// forgetful forwards connections to an address until it forgets them: they stay
+// open, but nothing passes any more. New ones work.
+type forgetful struct {
+	address string
+	mutex   sync.Mutex
+	epoch   int
+}
+
+func newForgetful(t *testing.T, upstream string) *forgetful {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	f := &forgetful{address: listener.Addr().String()}
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", upstream)
+			if err != nil {
+				near.Close()
+				continue
+			}
+			f.mutex.Lock()
+			epoch := f.epoch
+			f.mutex.Unlock()
+			go f.pass(near, far, epoch)
+			go f.pass(far, near, epoch)
+		}
+	}()
+	return f
+}
+
+func (f *forgetful) forget() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.epoch++
+}
+
+func (f *forgetful) pass(from, to net.Conn, epoch int) {
+	defer to.Close()
+	data := make([]byte, 4096)
+	for {
+		n, err := from.Read(data)
+		if err != nil {
+			return
+		}
+		f.mutex.Lock()
+		forgotten := f.epoch != epoch
+		f.mutex.Unlock()
+		if forgotten {
+			continue
+		}
+		if _, err := to.Write(data[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// TestSilentLink checks that a link that went silent is found although its
+// calls have no deadline, and that the next call opens a new link.
+func TestSilentLink(t *testing.T) {
+	is := is.New(t)
+	_, _, address := newTestLinks(t)
+	caller, output, _ := newTestLinks(t)
+	middle := newForgetful(t, address)
+	_, err := Call[string, string](t.Context(), caller, middle.address, "echo", "a")
+	is.NoErr(err)
+	middle.forget()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	_, err = Call[string, string](ctx, caller, middle.address, "echo", "b")
+	is.True(errors.Is(err, errLinkClosed))
+	is.Equal(caller.Statistics.Silent.Load(), int64(1))
+	is.True(strings.Contains(output.text(), errSilent.Error()))
+	answer, err := Call[string, string](ctx, caller, middle.address, "echo", "c")
+	is.NoErr(err)
+	is.Equal(answer, "c")
+}
+
+// TestSlowCallIsNotSilent checks that a link whose handler is slow stays open.
+func TestSlowCallIsNotSilent(t *testing.T) {
+	is := is.New(t)
+	_, _, address := newTestLinks(t)
+	caller, _, _ := newTestLinks(t)
+	answer, err := Call[string, string](t.Context(), caller, address, "slow", "a")
+	is.NoErr(err)
+	is.Equal(answer, "a")
+	is.Equal(caller.Statistics.Silent.Load(), int64(0))
+}
+
+// TestSilence checks the decision on a link.
+func TestSilence(t *testing.T) {
+	const timeout = time.Second
+	start := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	after := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	tests := map[string]struct {
+		now, heard time.Time
+		pinged     time.Time
+		open       int
+		want       silenceVerdict
+	}{
+		"no open calls":     {now: after(60), heard: start, want: linkLives},
+		"heard lately":      {now: after(0.9), heard: start, open: 1, want: linkLives},
+		"not heard":         {now: after(1), heard: start, open: 1, want: linkPing},
+		"pinged":            {now: after(1.5), heard: start, pinged: after(1), open: 1, want: linkLives},
+		"ping not answered": {now: after(2), heard: start, pinged: after(1), open: 1, want: linkSilent},
+		"ping answered":     {now: after(2), heard: after(1.1), pinged: after(1), open: 1, want: linkLives},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := &silence{timeout: timeout, pinged: tt.pinged}
+			is.Equal(s.judge(tt.now, tt.heard, tt.open), tt.want)
+		})
+	}
+}
