Test two faults at once, twice, and connections that a middlebox forgot

The judge is what the backend servers print of each start before they run it, so that a killed server's log counts, by the digest of the body, so that a request that is queued anew under another id counts as the same.

--- a/cmd/standincmd.go
+++ b/cmd/standincmd.go
@@ -25,7 +25,7 @@
 }
 
 func (c *Config) newStandinBackendCmd() *cobra.Command {
-	config := standin.BackendConfig{Work: demo.Work}
+	config := standin.BackendConfig{Work: demo.Work, Log: c.stdout}
 	var listen string
 	command := &cobra.Command{
 		Use:   "backend",
--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -203,6 +203,9 @@
 	platform string
 	hosts    []*entryHost
 	backends []*backendServer
+	// replaced holds the processes of backend servers that were killed and
+	// started again.
+	replaced []*process
 }
 
 // newCluster starts the platform, the backend servers and the entry hosts, one
--- a/peer/link_test.go
+++ b/peer/link_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/catkingap/catkingap/network"
+	"github.com/catkingap/catkingap/standin"
 )
 
 // lockedBuffer is a buffer that several goroutines write to.
@@ -114,86 +115,25 @@
 	is.NoErr(<-slow)
 }
 
-// forgetful forwards connections to an address until it forgets them: they stay
-// open, but nothing passes any more. New ones work.
-type forgetful struct {
-	address string
-	mutex   sync.Mutex
-	epoch   int
-}
-
-func newForgetful(t *testing.T, upstream string) *forgetful {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	f := &forgetful{address: listener.Addr().String()}
-	go func() {
-		for {
-			near, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			far, err := net.Dial("tcp", upstream)
-			if err != nil {
-				near.Close()
-				continue
-			}
-			f.mutex.Lock()
-			epoch := f.epoch
-			f.mutex.Unlock()
-			go f.pass(near, far, epoch)
-			go f.pass(far, near, epoch)
-		}
-	}()
-	return f
-}
-
-func (f *forgetful) forget() {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	f.epoch++
-}
-
-func (f *forgetful) pass(from, to net.Conn, epoch int) {
-	defer to.Close()
-	data := make([]byte, 4096)
-	for {
-		n, err := from.Read(data)
-		if err != nil {
-			return
-		}
-		f.mutex.Lock()
-		forgotten := f.epoch != epoch
-		f.mutex.Unlock()
-		if forgotten {
-			continue
-		}
-		if _, err := to.Write(data[:n]); err != nil {
-			return
-		}
-	}
-}
-
 // TestSilentLink checks that a link that went silent is found although its
 // calls have no deadline, and that the next call opens a new link.
 func TestSilentLink(t *testing.T) {
 	is := is.New(t)
 	_, _, address := newTestLinks(t)
 	caller, output, _ := newTestLinks(t)
-	middle := newForgetful(t, address)
-	_, err := Call[string, string](t.Context(), caller, middle.address, "echo", "a")
+	middle, err := standin.NewMiddlebox(address)
+	is.NoErr(err)
+	defer middle.Close()
+	_, err = Call[string, string](t.Context(), caller, middle.Address(), "echo", "a")
 	is.NoErr(err)
-	middle.forget()
+	middle.Forget()
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
-	_, err = Call[string, string](ctx, caller, middle.address, "echo", "b")
+	_, err = Call[string, string](ctx, caller, middle.Address(), "echo", "b")
 	is.True(errors.Is(err, errLinkClosed))
 	is.Equal(caller.Statistics.Silent.Load(), int64(1))
 	is.True(strings.Contains(output.text(), errSilent.Error()))
-	answer, err := Call[string, string](ctx, caller, middle.address, "echo", "c")
+	answer, err := Call[string, string](ctx, caller, middle.Address(), "echo", "c")
 	is.NoErr(err)
 	is.Equal(answer, "c")
 }
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -13,11 +13,13 @@
 
 // Start is one entry of a backend server's own log of starts.
 type Start struct {
-	Server  string    `json:"server"`
-	Task    string    `json:"task"`
-	Request string    `json:"request"`
-	At      time.Time `json:"at"`
-	Done    bool      `json:"done"`
+	Server  string `json:"server"`
+	Task    string `json:"task"`
+	Request string `json:"request"`
+	// Digest is the digest of the request's body.
+	Digest string    `json:"digest"`
+	At     time.Time `json:"at"`
+	Done   bool      `json:"done"`
 }
 
 // BackendConfig builds a Backend.
@@ -28,6 +30,9 @@
 	Speed float64
 	// Work computes the answer and the run time from the body of a request.
 	Work func(body []byte) (answer []byte, runTime time.Duration, err error)
+	// Log receives each start as a line of JSON before the work runs, so that
+	// it outlives the process. Nil means no log.
+	Log io.Writer
 }
 
 // Backend is a stand-in for a backend server.
@@ -144,12 +149,17 @@
 func (b *Backend) logStart(r *http.Request) int {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.starts = append(b.starts, Start{
+	start := Start{
 		Server:  b.config.Name,
 		Task:    r.Header.Get(backend.HeaderTask),
 		Request: r.Header.Get(backend.HeaderRequest),
+		Digest:  r.Header.Get(backend.HeaderDigest),
 		At:      time.Now(),
-	})
+	}
+	b.starts = append(b.starts, start)
+	if b.config.Log != nil {
+		_ = json.NewEncoder(b.config.Log).Encode(start)
+	}
 	return len(b.starts) - 1
 }
 
