--- a/entry/apiwatch.go
+++ b/entry/apiwatch.go
@@ -70,7 +70,7 @@
 func (w *resourceWatch) run() {
 	ticker := time.NewTicker(statusInterval)
 	defer ticker.Stop()
-	for !w.api.unready.Load() {
+	for !w.api.shutdown.unready.Load() {
 		changed := w.api.statuses.rollout.Changed()
 		if !w.catchUp() || !w.sendStatuses() {
 			return
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -56,7 +56,10 @@
 	Idempotent bool
 	// Hedge allows a second copy of slow idempotent work.
 	Hedge bool
-	Body  []byte
+	// Admitted is true for a request that was queued here before, and is not
+	// refused for the length of the queue.
+	Admitted bool
+	Body     []byte
 	// Done is called once, with the answer or an *outcome.Error, unless the
 	// work was dropped or withdrawn.
 	Done func(backend.Reply, *outcome.Error)
