--- a/entry/poolqueue.go
+++ b/entry/poolqueue.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -22,16 +23,14 @@
 // poolQueue drives the policy of one pool.
 type poolQueue struct {
 	dispatcher *Dispatcher
-	name       ident.Pool
 	mutex      sync.Mutex
 	pool       *route.Pool[*Work]
+	name       ident.Pool
 	wake       *time.Timer
-	// heard is the last sequence of slot messages from each host.
-	heard map[ident.Host]uint64
 }
 
 func newPoolQueue(d *Dispatcher, name ident.Pool, c route.Config) *poolQueue {
-	q := &poolQueue{dispatcher: d, name: name, pool: route.NewPool[*Work](c), heard: map[ident.Host]uint64{}}
+	q := &poolQueue{dispatcher: d, name: name, pool: route.NewPool[*Work](c)}
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.wake = time.AfterFunc(time.Hour, q.wakeUp)
@@ -53,9 +52,12 @@
 	a.Deadline, _ = works[0].Context.Deadline()
 	entries := make([]*admission.Entry[*Work], 0, len(works))
 	for _, w := range works {
+		if w.Hedge && w.Idempotent {
+			w.Context, w.stop = context.WithCancel(w.Context)
+		}
 		w.request = q.dispatcher.requests.Next()
-		e := &admission.Entry[*Work]{Item: w, Team: w.Team, Flow: w.flow(), RunTime: w.RunTime}
-		if w.Task == nil {
+		e := &admission.Entry[*Work]{Item: w, Team: w.Team, Flow: w.flow(), RunTime: w.RunTime, Deadline: a.Deadline, Idempotent: w.Idempotent, Hedge: w.Hedge}
+		if w.Task == nil && !w.Admitted {
 			a.MaxWait = requestMaxWait
 			e.GiveUp = now.Add(requestMaxAge)
 			if !a.Deadline.IsZero() && a.Deadline.Before(e.GiveUp) {
@@ -102,8 +104,9 @@
 		if !e.Item.take() {
 			continue
 		}
-		q.dispatcher.note(timeline.Refused, e.Item, "", label(refusals[i]))
-		go e.Item.Done(backend.Reply{}, refusals[i])
+		refusal := e.Item.truth(refusals[i])
+		q.dispatcher.note(timeline.Refused, e.Item, "", label(refusal))
+		go e.Item.Done(backend.Reply{}, refusal)
 	}
 	for {
 		b, ok := q.pool.Bind(now)
@@ -121,18 +124,28 @@
 	}
 }
 
-// run sends one bound entry and reports how it ended.
+// run sends one bound entry unless it was withdrawn or its time has passed.
 func (q *poolQueue) run(b route.Binding[*Work]) {
 	w := b.Entry.Item
 	if !w.take() {
 		q.ended(b, route.End{Result: route.Withdrawn}, false)
 		return
 	}
-	if err := w.Context.Err(); err != nil {
-		q.ended(b, route.End{Result: route.Withdrawn}, false)
-		w.Done(backend.Reply{}, ended(w.Context, false))
+	if w.Context.Err() != nil {
+		if q.ended(b, route.End{Result: route.Withdrawn}, false) == route.Finish {
+			w.Done(backend.Reply{}, w.truth(ended(w.Context, false)))
+		}
 		return
 	}
+	if w.stop != nil {
+		defer q.hedgeLater(b).Stop()
+	}
+	q.send(b)
+}
+
+// send sends one copy of a bound entry and reports how it ended.
+func (q *poolQueue) send(b route.Binding[*Work]) {
+	w := b.Entry.Item
 	start := time.Now()
 	event := q.dispatcher.note(timeline.TaskStarted, w, b.Server.Name, "")
 	task := ""
@@ -145,11 +158,41 @@
 	q.dispatcher.metrics.dispatched(start.Sub(b.Entry.Queued), now.Sub(start), failure)
 	event.Kind, event.Detail = timeline.TaskEnded, label(failure)
 	q.dispatcher.ring.Add(now, event)
-	if !q.ended(b, route.End{Result: policyResult(failure), Took: now.Sub(start)}, reply.Leaving) {
-		w.Done(reply, failure)
+	end := route.End{Result: policyResult(failure), Took: now.Sub(start)}
+	if end.Result == route.Broken || end.Result == route.Lost {
+		w.markRan()
+	}
+	switch q.ended(b, end, reply.Leaving) {
+	case route.Finish:
+		if w.stop != nil {
+			w.stop()
+		}
+		w.Done(reply, w.truth(failure))
+	case route.Queued:
+		q.dispatcher.note(timeline.Retried, w, b.Server.Name, label(failure))
 	}
 }
 
+// hedgeLater sends a second copy of b once it counts as slow.
+func (q *poolQueue) hedgeLater(b route.Binding[*Work]) *time.Timer {
+	q.mutex.Lock()
+	after := q.pool.HedgeAfter(b.Entry)
+	q.mutex.Unlock()
+	if after == 0 {
+		// Nothing is known of run times yet.
+		after = requestMaxAge
+	}
+	return time.AfterFunc(after, func() {
+		q.mutex.Lock()
+		second, ok := q.pool.Hedge(time.Now(), b)
+		q.mutex.Unlock()
+		if ok {
+			q.dispatcher.note(timeline.Retried, b.Entry.Item, second.Server.Name, "hedged")
+			q.send(second)
+		}
+	})
+}
+
 // policyResult returns what an outcome tells the policy.
 func policyResult(failure *outcome.Error) route.Result {
 	switch {
@@ -165,29 +208,28 @@
 	return route.Lost
 }
 
-// ended tells the policy how an entry ended. It returns true if the entry is
-// queued again.
-func (q *poolQueue) ended(b route.Binding[*Work], e route.End, leaving bool) bool {
+// ended tells the policy how an entry ended, and returns what follows.
+func (q *poolQueue) ended(b route.Binding[*Work], e route.End, leaving bool) route.Next {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	if leaving {
 		q.pool.MarkLeaving(b.Server.Name)
 	}
-	// A caller that goes away from here on withdraws the work itself.
 	if b.Entry.Item.Context.Err() != nil && (e.Result == route.Refused || e.Result == route.Unreachable) {
 		// There is no time left to send it again.
 		e.Result = route.Withdrawn
 	}
-	if e.Result == route.Refused || e.Result == route.Unreachable {
+	now := time.Now()
+	next := q.pool.Ended(now, b, e)
+	if next == route.Queued {
+		// Nothing binds it before the mutex is free.
 		b.Entry.Item.release()
 	}
-	now := time.Now()
-	again := q.pool.Ended(now, b, e)
-	if q.pool.Recalled(now) {
+	if q.pool.Owes(now) {
 		q.exchange(now)
 	}
 	q.pump()
-	return again
+	return next
 }
 
 // note adds an event about work to the timeline.
--- a/route/share.go
+++ b/route/share.go
@@ -43,8 +43,17 @@
 		}
 	}
 	claims := claimants(p.order, hosts)
+	for _, k := range p.peerOrder {
+		k.owned = 0
+	}
 	for _, s := range p.order {
-		owned := apportion(s.Server, claims[s.DataCentre])[self.Name]
+		shares := apportion(s.Server, claims[s.DataCentre])
+		owned := shares[self.Name]
+		for _, k := range p.peerOrder {
+			if !s.Leaving {
+				k.owned += shares[k.Name]
+			}
+		}
 		if p.beats > 0 {
 			s.fresh += max(owned-s.owned, 0)
 			s.excess += max(s.owned-owned, 0)
