Take the table away only once the tasks of the mirror's test run

The test cut the table 450 ms after its start; on a loaded machine that was before the job's intent, and the job then waits for the table as it should: the test hung for ten minutes. It now waits until a mirror is named and all tasks run, and its submission has a timeout.

--- a/entry/timeline_test.go
+++ b/entry/timeline_test.go
@@ -1,7 +1,11 @@
 package entry_test
 
 import (
+	"context"
+	"encoding/json"
+	"fmt"
 	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -89,6 +93,38 @@
 	is.Equal(len(view.Entries), 0)
 }
 
+// waitMirror runs small jobs until the host names a mirror in their rows.
+func waitMirror(t *testing.T, d *demo.Demo) {
+	t.Helper()
+	for i := range 100 {
+		s := shortJob(ident.JobKey(fmt.Sprintf("probe-%d", i)), 1)
+		if _, err := d.Client(0).Submit(t.Context(), s); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.Get(d.URL(0) + "/v1/jobs/" + s.Job.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		var row job.Row
+		err = json.NewDecoder(response.Body).Decode(&row)
+		response.Body.Close()
+		if err == nil && row.Mirror.Host != "" {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Fatal("the host names no mirror")
+}
+
+// startCount returns the starts on all backend servers.
+func startCount(d *demo.Demo) int {
+	count := 0
+	for _, b := range d.Backends() {
+		count += len(b.Starts())
+	}
+	return count
+}
+
 // TestTimelineOfMirror takes the table away while a job runs: the time line
 // shows that the holder sent the outcome to its mirror before the mirror got
 // it.
@@ -96,13 +132,22 @@
 	is := is.New(t)
 	d := startDemo(t, demo.Config{})
 	waitPeers(t, d, 0)
+	waitMirror(t, d)
 	s := shortJob("tide", 8)
 	for i := range s.Tasks {
-		s.Tasks[i].Payload = []byte(`{"groyneId":"G-7","runTimeMs":900}`)
+		s.Tasks[i].Payload = []byte(`{"groyneId":"G-7","runTimeMs":1500}`)
 	}
-	cut := time.AfterFunc(450*time.Millisecond, func() { d.Platform().SetFaults(standin.Faults{Mode: standin.Refuse}) })
-	defer cut.Stop()
-	_, err := d.Client(0).Submit(t.Context(), s)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	before := startCount(d)
+	go func() {
+		// The table goes away once all tasks run, so after the intent.
+		for ctx.Err() == nil && startCount(d) < before+len(s.Tasks) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		d.Platform().SetFaults(standin.Faults{Mode: standin.Refuse})
+	}()
+	_, err := d.Client(0).Submit(ctx, s)
 	d.Platform().SetFaults(standin.Faults{})
 	is.NoErr(err)
 	view, err := d.Client(0).MergedTimeline(t.Context(), timeline.Filter{Team: s.Team, Job: s.Key})
