--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,6 +33,7 @@
 	idleTimeout      = 90 * time.Second
 	platformIdle     = 8
 	peerWriteTimeout = 2 * time.Second
+	peerSilence      = time.Second
 	// commitMaxWrites and commitMaxBytes stay under the 128 operations and
 	// 1.5 MiB that etcd takes in a transaction by default.
 	commitMaxWrites = 100
@@ -105,10 +106,13 @@
 			newDirectory,
 			newProber,
 			newRollout,
+			newStatuses,
 			newDispatcher,
 			newJobs,
+			newHandover,
 			newLending,
 			newServices,
+			newShutdown,
 			newTimelines,
 			newAPI,
 		),
@@ -117,12 +121,13 @@
 			runBackground,
 			runPeer,
 			runWatch,
+			runRetention,
 			runLeaving,
 			runLending,
 			runAPI,
 		),
 		// The hooks of the life cycle bound themselves by the settings.
-		fx.StopTimeout(time.Duration(o.Settings.ShutdownTimeout)+time.Duration(o.Settings.UnreadyTime)+time.Second),
+		fx.StopTimeout(time.Duration(o.Settings.ShutdownTimeout)+cutAnswerTime+closeTime+time.Second),
 		fx.Options(more...),
 	)
 }
@@ -188,7 +193,7 @@
 }
 
 func newLinks(l log.Interface, n network.Network) *peer.Links {
-	return peer.NewLinks(peer.Config{Logger: l, Network: n, WriteTimeout: peerWriteTimeout})
+	return peer.NewLinks(peer.Config{Logger: l, Network: n, WriteTimeout: peerWriteTimeout, SilenceTimeout: peerSilence})
 }
 
 func newBackendClient(s settings.Settings, n network.Network) *backend.Client {
@@ -226,27 +231,3 @@
 		},
 	})
 }
-
-// runAPI serves callers and operators, and shuts down gracefully.
-func runAPI(life fx.Lifecycle, s settings.Settings, l Listeners, api *API, jobs *Jobs, ring *timeline.Ring, logger log.Interface) {
-	server := &http.Server{Handler: api.Handler(), ReadHeaderTimeout: headerReadTimeout}
-	life.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			ring.Add(time.Now(), timeline.Event{Kind: timeline.Started})
-			logger.WithFields(log.Fields{"api": l.API.Addr().String(), "peer": l.Peer.Addr().String()}).Info("listening")
-			go func() { _ = server.Serve(l.API) }()
-			return nil
-		},
-		OnStop: func(ctx context.Context) error {
-			ring.Add(time.Now(), timeline.Event{Kind: timeline.ShutdownBegun})
-			api.setUnready()
-			time.Sleep(time.Duration(s.UnreadyTime))
-			ctx, cancel := context.WithTimeout(ctx, time.Duration(s.ShutdownTimeout))
-			defer cancel()
-			if err := server.Shutdown(ctx); err != nil {
-				return errors.Wrap(err, "open requests")
-			}
-			return errors.Wrap(jobs.wait(ctx), "open jobs")
-		},
-	})
-}
--- a/entry/services.go
+++ b/entry/services.go
@@ -34,10 +34,11 @@
 type Services struct {
 	store      *resource.Store
 	dispatcher *Dispatcher
+	handover   *Handover
 }
 
-func newServices(s *resource.Store, d *Dispatcher) *Services {
-	return &Services{store: s, dispatcher: d}
+func newServices(s *resource.Store, d *Dispatcher, h *Handover) *Services {
+	return &Services{store: s, dispatcher: d, handover: h}
 }
 
 // Do sends a request and waits for the whole answer. A request that is not
@@ -50,7 +51,30 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeoutOf(c, spec))
 	defer cancel()
-	return s.wait(ctx, s.submit(ctx, c, spec.Pool))
+	if s.handover.begun.Err() != nil {
+		return s.handOver(ctx, c, spec)
+	}
+	q := s.submit(ctx, c, spec, false)
+	select {
+	case r := <-q.done:
+		return r.answer, r.failure
+	case <-ctx.Done():
+	case <-s.handover.begun.Done():
+		if q.work.withdraw() {
+			answer, failure := s.handOver(ctx, c, spec)
+			return answer, q.work.truth(failure)
+		}
+	}
+	return s.wait(ctx, q)
+}
+
+// handOver gives a request that was not sent to another entry host. If none
+// takes it, it runs here.
+func (s *Services) handOver(ctx context.Context, c Call, spec resource.ServiceSpec) ([]byte, *outcome.Error) {
+	if r, taken := s.handover.pass(ctx, c); taken {
+		return r.answer, r.failure
+	}
+	return s.wait(ctx, s.submit(ctx, c, spec, true))
 }
 
 // timeoutOf returns the time that a request has.
@@ -76,15 +100,18 @@
 	failure *outcome.Error
 }
 
-// submit queues a request. A refusal is its result.
-func (s *Services) submit(ctx context.Context, c Call, pool ident.Pool) *submitted {
+// submit queues a request. A refusal is its result. Admitted is true if it was
+// queued before.
+func (s *Services) submit(ctx context.Context, c Call, spec resource.ServiceSpec, admitted bool) *submitted {
 	q := &submitted{done: make(chan result, 1)}
 	q.work = &Work{
 		Context:    ctx,
 		Team:       c.Team,
-		Pool:       pool,
+		Pool:       spec.Pool,
 		Service:    c.Service,
 		Idempotent: c.Idempotent,
+		Hedge:      spec.Hedge,
+		Admitted:   admitted,
 		Body:       c.Body,
 		Done:       func(r backend.Reply, e *outcome.Error) { q.done <- result{r.Body, e} },
 	}
@@ -102,7 +129,7 @@
 	case <-ctx.Done():
 	}
 	if q.work.withdraw() {
-		return nil, ended(ctx, false)
+		return nil, q.work.truth(ended(ctx, false))
 	}
 	select {
 	case r := <-q.done:
