Index backend servers by name; declare the pool of the capacity benchmark first

Cause: the conditions of a backend server were looked up by a search over all servers, each second for each server.

The benchmark declared servers before their pool, which is now refused.

--- a/entry/status.go
+++ b/entry/status.go
@@ -93,12 +93,8 @@
 	snapshot := s.store.Snapshot()
 	switch o.Kind {
 	case resource.KindBackendServer:
-		for _, servers := range snapshot.Servers {
-			for _, server := range servers {
-				if string(server.Name) == o.Name {
-					return s.lookServer(now, server)
-				}
-			}
+		if server, ok := snapshot.Server(ident.Server(o.Name)); ok {
+			return s.lookServer(now, server)
 		}
 	case resource.KindPool:
 		return []resource.Condition{s.lookPool(now, snapshot, ident.Pool(o.Name))}
--- a/integration/capacity_test.go
+++ b/integration/capacity_test.go
@@ -162,12 +162,12 @@
 
 // declareMany declares backend servers and teams.
 func declareMany(k *cluster, workers, teams int) {
+	k.declare(resource.KindPool, "idle", resource.PoolSpec{})
 	for i := range workers {
 		k.declare(resource.KindBackendServer, fmt.Sprintf("worker-%d", i), resource.BackendServerSpec{
 			Pool: "idle", Address: fmt.Sprintf("127.1.%d.%d:80", i/200, i%200), DataCentre: ident.DataCentre(centres[i%len(centres)]), Slots: 64,
 		})
 	}
-	k.declare(resource.KindPool, "idle", resource.PoolSpec{})
 	for i := range teams {
 		k.declare(resource.KindTeam, fmt.Sprintf("team-%d", i), resource.TeamSpec{Weight: 1, TasksPerSecond: 400})
 	}
--- a/resource/resource.go
+++ b/resource/resource.go
@@ -96,6 +96,14 @@
 	Objects  map[Kind]map[string]Object
 	// Rows holds the rows that the snapshot was built from.
 	Rows *rollout.Set
+
+	named map[ident.Server]Server
+}
+
+// Server returns the backend server of a name, of whatever pool.
+func (s *Snapshot) Server(name ident.Server) (Server, bool) {
+	server, ok := s.named[name]
+	return server, ok
 }
 
 // Build returns the snapshot of objects at revision. Objects that can not be
@@ -110,6 +118,7 @@
 		Teams:    map[ident.Team]TeamSpec{},
 		Objects:  map[Kind]map[string]Object{},
 		Rows:     &rollout.Set{},
+		named:    map[ident.Server]Server{},
 	}
 	var failed error
 	for _, o := range objects {
@@ -132,7 +141,9 @@
 		if err != nil {
 			return err
 		}
-		s.Servers[spec.Pool] = append(s.Servers[spec.Pool], Server{Name: ident.Server(o.Name), BackendServerSpec: spec})
+		server := Server{Name: ident.Server(o.Name), BackendServerSpec: spec}
+		s.Servers[spec.Pool] = append(s.Servers[spec.Pool], server)
+		s.named[server.Name] = server
 	case KindPool:
 		spec, err := decode[PoolSpec](o.Spec)
 		if err != nil {
