--- a/entry/lending.go
+++ b/entry/lending.go
@@ -137,11 +137,6 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	now := time.Now()
-	if m.Sequence != 1 && m.Sequence <= q.heard[from] {
-		// A link that was replaced may still deliver.
-		return
-	}
-	q.heard[from] = m.Sequence
 	q.pool.Receive(now, from, m)
 	q.pump()
 	q.exchange(now)
