--- a/entry/apiwatch.go
+++ b/entry/apiwatch.go
@@ -68,7 +68,7 @@
 
 // run sends events until the caller goes away or the host shuts down.
 func (w *resourceWatch) run() {
-	ticker := time.NewTicker(statusInterval)
+	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	for !w.api.shutdown.unready.Load() {
 		changed := w.api.statuses.rollout.Changed()
--- a/entry/services_test.go
+++ b/entry/services_test.go
@@ -64,7 +64,7 @@
 }
 
 // testStore returns a store with one service, one pool and servers of one slot.
-func testStore(t *testing.T, servers ...string) *resource.Store {
+func testStore(t testing.TB, servers ...string) *resource.Store {
 	t.Helper()
 	objects := []resource.Object{
 		{Kind: resource.KindPool, Name: "logs", Spec: json.RawMessage(`{}`)},
--- a/entry/status.go
+++ b/entry/status.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -11,8 +12,12 @@
 	"github.com/catkingap/catkingap/route"
 )
 
-// statusInterval is the pause between two looks at the conditions.
-const statusInterval = time.Second
+const (
+	// statusInterval is the pause between two looks at the conditions.
+	statusInterval = 5 * time.Second
+	// watchInterval is the pause between two looks of a watch.
+	watchInterval = time.Second
+)
 
 // The reasons of conditions.
 const (
@@ -107,24 +112,10 @@
 // lookServer returns whether a server serves, and if not, why.
 func (s *Statuses) lookServer(now time.Time, server resource.Server) []resource.Condition {
 	view, ok := s.dispatcher.view(now, server.Pool, server.Name)
-	leaving := resource.Condition{Type: resource.Leaving, Status: true}
-	switch {
-	case server.Drain:
-		leaving.Reason = reasonDraining
-	case s.directory.Leaving(string(server.Name)):
-		leaving.Reason = reasonListed
-	case view.Leaving:
-		leaving.Reason = reasonAnnounced
-	default:
-		leaving.Status, leaving.Reason = false, reasonDeclared
-	}
-	ejected := resource.Condition{Type: resource.Ejected, Reason: reasonDeclared}
-	if view.Paused {
-		ejected.Status, ejected.Reason = true, reasonRefused
-	}
+	leaving, ejected := s.hindrances(server, view)
 	serving := resource.Condition{
 		Type: resource.Serving, Status: ok && !leaving.Status && !ejected.Status, Reason: reasonServing,
-		Message: fmt.Sprintf("%d tasks of this host run", view.Running),
+		Message: strconv.Itoa(view.Running) + " tasks of this host run",
 	}
 	switch {
 	case !ok:
@@ -137,11 +128,32 @@
 	return []resource.Condition{serving, leaving, ejected}
 }
 
+// hindrances returns what can keep a server from getting work.
+func (s *Statuses) hindrances(server resource.Server, view route.ServerView) (leaving, ejected resource.Condition) {
+	leaving = resource.Condition{Type: resource.Leaving, Status: true}
+	switch {
+	case server.Drain:
+		leaving.Reason = reasonDraining
+	case s.directory.Leaving(string(server.Name)):
+		leaving.Reason = reasonListed
+	case view.Leaving:
+		leaving.Reason = reasonAnnounced
+	default:
+		leaving.Status, leaving.Reason = false, reasonDeclared
+	}
+	ejected = resource.Condition{Type: resource.Ejected, Status: view.Paused, Reason: reasonDeclared}
+	if view.Paused {
+		ejected.Reason = reasonRefused
+	}
+	return leaving, ejected
+}
+
 func (s *Statuses) lookPool(now time.Time, snapshot *resource.Snapshot, name ident.Pool) resource.Condition {
 	servers := snapshot.Servers[name]
 	ready, slots := 0, 0
 	for _, server := range servers {
-		if s.lookServer(now, server)[0].Status {
+		view, ok := s.dispatcher.view(now, server.Pool, server.Name)
+		if leaving, ejected := s.hindrances(server, view); ok && !leaving.Status && !ejected.Status {
 			ready++
 			slots += server.Slots
 		}
