--- a/entry/apiresources_test.go
+++ b/entry/apiresources_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -196,3 +197,28 @@
 	is.Equal(outcome.From(err).Kind, outcome.NotRun)
 	is.Equal(codeOf(err), outcome.StoreDown)
 }
+
+// TestLogHasNoSpecs sends specs and labels that hold the marker, good and bad,
+// and looks for it in the logs at the lowest level.
+func TestLogHasNoSpecs(t *testing.T) {
+	is := is.New(t)
+	logs := &buffer{}
+	d := startDemo(t, demo.Config{Log: logs, LogLevel: "debug"})
+	c := d.Client(0)
+	lower := strings.ToLower(marker)
+	good := team("troupe", `{}`, 0)
+	good.Labels = map[string]string{lower: lower}
+	_, err := c.Create(t.Context(), good)
+	is.NoErr(err)
+	for _, spec := range []string{
+		`{"weight":"` + lower + `"}`, `{"` + lower + `":1}`, `"` + lower + `"`,
+		`{"pool":"` + lower + `","address":"` + lower + `"}`,
+	} {
+		for _, kind := range resource.Kinds() {
+			_, err := c.Create(t.Context(), resource.Object{Kind: kind, Name: "bad", Spec: json.RawMessage(spec)})
+			is.Equal(codeOf(err), outcome.Invalid)
+		}
+	}
+	is.True(strings.Contains(logs.text(), `"route":"/v1/resources/:kind"`)) // the requests were logged
+	is.True(!strings.Contains(logs.text(), lower))
+}
