--- a/entry/fabric_test.go
+++ b/entry/fabric_test.go
@@ -44,6 +44,37 @@
 type fabric struct {
 	mutex     sync.Mutex
 	listeners map[string]*fabricListener
+	// apart names the hosts that are cut off from the others.
+	apart atomic.Pointer[map[string]bool]
+}
+
+// lost returns true if messages between two hosts are lost.
+func (f *fabric) lost(a, b string) bool {
+	apart := f.apart.Load()
+	return apart != nil && (*apart)[a] != (*apart)[b]
+}
+
+// site is the network as one host sees it.
+type site struct {
+	*fabric
+	name string
+}
+
+// DialContext implements network.Network.
+func (s *site) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	if s.lost(s.name, address) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	c, err := s.fabric.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	near := c.(*delayedConn)
+	lost := func() bool { return s.lost(s.name, address) }
+	near.lost.Store(&lost)
+	near.peer.lost.Store(&lost)
+	return near, nil
 }
 
 type fabricListener struct {
@@ -113,12 +144,17 @@
 	rest    []byte
 	done    chan struct{}
 	close   func()
+	peer    *delayedConn
+	lost    atomic.Pointer[func() bool]
 }
 
 func newConnPair() (near, far *delayedConn) {
 	a, b, done := make(chan chunk, 1024), make(chan chunk, 1024), make(chan struct{})
 	once := sync.OnceFunc(func() { close(done) })
-	return &delayedConn{in: a, out: b, done: done, close: once}, &delayedConn{in: b, out: a, done: done, close: once}
+	near = &delayedConn{in: a, out: b, done: done, close: once}
+	far = &delayedConn{in: b, out: a, done: done, close: once, peer: near}
+	near.peer = far
+	return near, far
 }
 
 func (c *delayedConn) Read(p []byte) (int, error) {
@@ -137,6 +173,9 @@
 }
 
 func (c *delayedConn) Write(p []byte) (int, error) {
+	if lost := c.lost.Load(); lost != nil && (*lost)() {
+		return len(p), nil
+	}
 	select {
 	case c.out <- chunk{data: slices.Clone(p), due: time.Now().Add(linkDelay)}:
 		return len(p), nil
@@ -240,7 +279,7 @@
 	logger := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 	ring := timeline.NewRing(s.Host, time.Now(), 100)
 	n.store = resource.NewStore(platform.NewRemoteTable(&http.Client{Transport: n.table}, "http://table"))
-	n.links = newLinks(logger, f.fabric)
+	n.links = newLinks(logger, &site{fabric: f.fabric, name: string(s.Host)})
 	d := newDispatcher(s, testIdentity(), &fakeSender{}, ring, newMetrics())
 	n.prober = newProber(s, Listeners{API: listener, Peer: listener}, n.store, d, n.links, ring)
 	self := probe.Peer{Host: s.Host, Address: string(s.Host), API: string(s.Host), DataCentre: s.DataCentre}
@@ -406,3 +445,44 @@
 		is.Equal(fresh.store.Snapshot().Teams["kusweg"].Weight, 7)
 	})
 }
+
+// TestTwoHalves cuts three of nine hosts off from the table and from the
+// others, silently, for minutes. They go on with what they have, hold the
+// others lost, and are at the newest revision soon after the links are back.
+func TestTwoHalves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t)
+		nodes := f.add(9)
+		time.Sleep(warmUp)
+		old := nodes[0].write(t, 1)
+		inForce(nodes, old)
+		near, far := nodes[:6], nodes[6:]
+		apart := map[string]bool{}
+		for _, m := range f.members[6:] {
+			apart[m.ID] = true
+		}
+		f.fabric.apart.Store(&apart)
+		cutAll(far, true)
+		newest := nodes[0].write(t, 2)
+		is.True(inForce(near, newest)[len(near)-1] < inForceBound)
+		time.Sleep(3 * time.Minute)
+		is.Equal(countStates(near[0]), map[probe.State]int{probe.Alive: 5, probe.Lost: 3})
+		is.Equal(countStates(far[0]), map[probe.State]int{probe.Alive: 2, probe.Lost: 6})
+		for _, n := range far {
+			is.Equal(n.store.Snapshot().Revision, old)
+		}
+		f.fabric.apart.Store(nil)
+		is.True(inForce(far, newest)[len(far)-1] < inForceBound)
+		time.Sleep(warmUp)
+		is.Equal(countStates(far[0]), map[probe.State]int{probe.Alive: 8})
+	})
+}
+
+func countStates(n *node) map[probe.State]int {
+	counts := map[probe.State]int{}
+	for _, v := range n.prober.Views() {
+		counts[v.State]++
+	}
+	return counts
+}
