--- a/resource/patch.go
+++ b/resource/patch.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return o, err
 	}
-	o.Spec, o.Operation = spec, patch.Operation
+	o.Spec, o.Operation, o.decoded = spec, patch.Operation, nil
 	if patch.Labels != nil {
 		o.Labels = patch.Labels
 	}
--- a/resource/resource.go
+++ b/resource/resource.go
@@ -36,6 +36,9 @@
 	Operation string `json:"operation,omitempty"`
 	// Status is what the answering host sees. It is never written.
 	Status *Status `json:"status,omitempty"`
+
+	// decoded is the spec in its own type, once it was decoded.
+	decoded any
 }
 
 // BackendServerSpec declares one backend server or worker.
@@ -98,6 +101,8 @@
 	Rows *rollout.Set
 
 	named map[ident.Server]Server
+	// rows holds the resources by the keys of their rows.
+	rows map[string]Object
 }
 
 // Server returns the backend server of a name, of whatever pool.
@@ -119,10 +124,11 @@
 		Objects:  map[Kind]map[string]Object{},
 		Rows:     &rollout.Set{},
 		named:    map[ident.Server]Server{},
+		rows:     make(map[string]Object, len(objects)),
 	}
 	var failed error
 	for _, o := range objects {
-		if err := s.add(o); err != nil {
+		if err := s.add(&o); err != nil {
 			failed = errors.CombineErrors(failed, errors.Wrapf(err, "%s %s", o.Kind, o.Name))
 			continue
 		}
@@ -130,14 +136,15 @@
 			s.Objects[o.Kind] = map[string]Object{}
 		}
 		s.Objects[o.Kind][o.Name] = o
+		s.rows[Key(o.Kind, o.Name)] = o
 	}
 	return s, failed
 }
 
-func (s *Snapshot) add(o Object) error {
+func (s *Snapshot) add(o *Object) error {
 	switch o.Kind {
 	case KindBackendServer:
-		spec, err := decode[BackendServerSpec](o.Spec)
+		spec, err := decode[BackendServerSpec](o)
 		if err != nil {
 			return err
 		}
@@ -145,19 +152,19 @@
 		s.Servers[spec.Pool] = append(s.Servers[spec.Pool], server)
 		s.named[server.Name] = server
 	case KindPool:
-		spec, err := decode[PoolSpec](o.Spec)
+		spec, err := decode[PoolSpec](o)
 		if err != nil {
 			return err
 		}
 		s.Pools[ident.Pool(o.Name)] = spec
 	case KindService:
-		spec, err := decode[ServiceSpec](o.Spec)
+		spec, err := decode[ServiceSpec](o)
 		if err != nil {
 			return err
 		}
 		s.Services[ident.Service(o.Name)] = spec
 	case KindTeam:
-		spec, err := decode[TeamSpec](o.Spec)
+		spec, err := decode[TeamSpec](o)
 		if err != nil {
 			return err
 		}
@@ -168,8 +175,15 @@
 	return nil
 }
 
-func decode[T any](data json.RawMessage) (T, error) {
+// decode returns the spec of o, which keeps it.
+func decode[T any](o *Object) (T, error) {
+	if spec, ok := o.decoded.(T); ok {
+		return spec, nil
+	}
 	var spec T
-	err := json.Unmarshal(data, &spec)
+	err := json.Unmarshal(o.Spec, &spec)
+	if err == nil {
+		o.decoded = spec
+	}
 	return spec, err
 }
--- a/resource/row.go
+++ b/resource/row.go
@@ -113,17 +113,21 @@
 	return d, nil
 }
 
-// newSnapshot builds the snapshot of a set of rows.
-func newSnapshot(now time.Time, set *rollout.Set) (*Snapshot, error) {
+// newSnapshot builds the snapshot of a set of rows. It takes the resources that
+// did not change from the previous one.
+func newSnapshot(now time.Time, set *rollout.Set, previous *Snapshot) (*Snapshot, error) {
 	rows := set.Rows()
 	objects := make([]Object, 0, len(rows))
 	for _, r := range rows {
 		if r.Deleted || !strings.HasPrefix(r.Key, keyPrefix) {
 			continue
 		}
-		o, err := DecodeObject(r)
-		if err != nil {
-			return nil, err
+		o, ok := previous.rows[r.Key]
+		if !ok || o.Revision != r.Revision {
+			var err error
+			if o, err = DecodeObject(r); err != nil {
+				return nil, err
+			}
 		}
 		objects = append(objects, o)
 	}
--- a/resource/store.go
+++ b/resource/store.go
@@ -114,7 +114,7 @@
 	if set.Revision <= s.Snapshot().Revision {
 		return false, nil
 	}
-	next, err := newSnapshot(now, set)
+	next, err := newSnapshot(now, set, s.Snapshot())
 	if next == nil {
 		return false, err
 	}
