--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -13,6 +13,7 @@
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/resource"
+	"github.com/catkingap/catkingap/retry"
 	"github.com/catkingap/catkingap/route"
 	"github.com/catkingap/catkingap/settings"
 	"github.com/catkingap/catkingap/timeline"
@@ -27,10 +28,19 @@
 	returnTime    = 250 * time.Millisecond
 	fasterWait    = 8 * time.Millisecond
 	lendHeartbeat = time.Second
-	lendTimeout   = 3 * time.Second
+	lendTimeout   = 5 * time.Second
 	exchangeTick  = 20 * time.Millisecond
 )
 
+// The retry budget of a team for one pool on one host.
+const (
+	// retryShare is the number of retries that each first try allows.
+	retryShare = 0.05
+	retryBurst = 10
+	minBackoff = 10 * time.Millisecond
+	maxBackoff = time.Second
+)
+
 // Work is one task or request on its way to a backend server.
 type Work struct {
 	Context context.Context
@@ -42,8 +52,10 @@
 	RunTime time.Duration
 	// Service is set for a request to a service.
 	Service ident.Service
-	// Idempotent is true if the request may run more than once.
+	// Idempotent work may be sent again after it ran or may have run.
 	Idempotent bool
+	// Hedge allows a second copy of slow idempotent work.
+	Hedge bool
 	// Admitted is true for a request that was queued here before, and is not
 	// refused for the length of the queue.
 	Admitted bool
@@ -54,6 +66,8 @@
 
 	claim
 	request ident.Request
+	// stop ends the copies of hedged work.
+	stop context.CancelFunc
 }
 
 // Dispatcher queues work for each pool and binds it to backend servers. Work
@@ -153,8 +167,12 @@
 		return q
 	}
 	q := newPoolQueue(d, name, route.Config{
-		Queue:       admission.Config{Jitter: rand.Float64},
+		Queue: admission.Config{Jitter: rand.Float64},
+		Retry: retry.Config{
+			Share: retryShare, Burst: retryBurst, MinBackoff: minBackoff, MaxBackoff: maxBackoff, Jitter: rand.Float64,
+		},
 		Self:        route.Peer{Name: d.identity.Host, DataCentre: d.identity.DataCentre},
+		Boot:        d.identity.Boot,
 		RemoteDelay: remoteDelay,
 		BusyPause:   busyPause,
 		AskPause:    askPause,
--- a/entry/services.go
+++ b/entry/services.go
@@ -52,16 +52,17 @@
 	ctx, cancel := context.WithTimeout(ctx, timeoutOf(c, spec))
 	defer cancel()
 	if s.handover.begun.Err() != nil {
-		return s.handOver(ctx, c, spec.Pool)
+		return s.handOver(ctx, c, spec)
 	}
-	q := s.submit(ctx, c, spec.Pool, false)
+	q := s.submit(ctx, c, spec, false)
 	select {
 	case r := <-q.done:
 		return r.answer, r.failure
 	case <-ctx.Done():
 	case <-s.handover.begun.Done():
 		if q.work.withdraw() {
-			return s.handOver(ctx, c, spec.Pool)
+			answer, failure := s.handOver(ctx, c, spec)
+			return answer, q.work.truth(failure)
 		}
 	}
 	return s.wait(ctx, q)
@@ -69,11 +70,11 @@
 
 // handOver gives a request that was not sent to another entry host. If none
 // takes it, it runs here.
-func (s *Services) handOver(ctx context.Context, c Call, pool ident.Pool) ([]byte, *outcome.Error) {
+func (s *Services) handOver(ctx context.Context, c Call, spec resource.ServiceSpec) ([]byte, *outcome.Error) {
 	if r, taken := s.handover.pass(ctx, c); taken {
 		return r.answer, r.failure
 	}
-	return s.wait(ctx, s.submit(ctx, c, pool, true))
+	return s.wait(ctx, s.submit(ctx, c, spec, true))
 }
 
 // timeoutOf returns the time that a request has.
@@ -101,14 +102,15 @@
 
 // submit queues a request. A refusal is its result. Admitted is true if it was
 // queued before.
-func (s *Services) submit(ctx context.Context, c Call, pool ident.Pool, admitted bool) *submitted {
+func (s *Services) submit(ctx context.Context, c Call, spec resource.ServiceSpec, admitted bool) *submitted {
 	q := &submitted{done: make(chan result, 1)}
 	q.work = &Work{
 		Context:    ctx,
 		Team:       c.Team,
-		Pool:       pool,
+		Pool:       spec.Pool,
 		Service:    c.Service,
 		Idempotent: c.Idempotent,
+		Hedge:      spec.Hedge,
 		Admitted:   admitted,
 		Body:       c.Body,
 		Done:       func(r backend.Reply, e *outcome.Error) { q.done <- result{r.Body, e} },
@@ -127,7 +129,7 @@
 	case <-ctx.Done():
 	}
 	if q.work.withdraw() {
-		return nil, ended(ctx, false)
+		return nil, q.work.truth(ended(ctx, false))
 	}
 	select {
 	case r := <-q.done:
--- a/entry/services_test.go
+++ b/entry/services_test.go
@@ -144,7 +144,7 @@
 			s := settings.Default()
 			s.Limits.BodyBytes = 1024
 			api := newAPI(s, services.store, nil, services, nil, newMetrics(), newRequestLog(&log.Logger{Handler: discard.Default}),
-				newShutdown(s, nil, nil, services.handover))
+				nil, newShutdown(s, nil, nil, services.handover))
 			method := tt.method
 			if method == "" {
 				method = http.MethodPost
--- a/integration/leaving_test.go
+++ b/integration/leaving_test.go
@@ -199,7 +199,9 @@
 			tt.back(k, leaver)
 			back := time.Now()
 			k.eventually("back at work", func() bool { return k.startsAfter(leaver, back) > 0 })
-			k.is.Equal(len(others.stop()), 0)
+			for _, f := range others.stop() {
+				t.Error(f)
+			}
 			k.is.Equal(len(first.stop()), 0)
 			k.checkRequestsOnce()
 		})
--- a/route/lending.go
+++ b/route/lending.go
@@ -26,6 +26,8 @@
 // Message passes slots between two entry hosts. Messages between two hosts
 // arrive in order or not at all.
 type Message struct {
+	// Boot differs each time that the sender starts.
+	Boot string `msgpack:"boot"`
 	// Sequence numbers the messages to this receiver, starting at 1.
 	Sequence uint64 `msgpack:"sequence"`
 	// Seen is the last sequence that the sender got from the receiver.
@@ -62,7 +64,12 @@
 	sent, seen         uint64
 	// gave is the sequence of the last message that passed slots.
 	gave       uint64
+	boot       string
 	want, free int
+	// owned is the number of slots that the peer owns.
+	owned int
+	// short is since when the peer wants slots and holds none of this host's.
+	short time.Time
 	// silent is true if the peer has not been heard for PeerTimeout. It then
 	// owns no slots.
 	silent        bool
@@ -82,6 +89,9 @@
 	// reserveShare is the share of a host's slots in use that it keeps free
 	// for itself when it lends.
 	reserveShare = 0.05
+	// idleDemand is the number of slots in demand below which a host counts as
+	// one without work.
+	idleDemand = 0.05
 )
 
 // SetPeers replaces the other entry hosts that share the pool. Slots lent to a
@@ -131,9 +141,13 @@
 	if k == nil {
 		return
 	}
-	if m.Sequence == 1 {
+	if m.Boot != k.boot {
 		// The peer started anew and holds nothing.
 		p.forget(k)
+		k.boot, k.seen, k.gave = m.Boot, 0, 0
+	}
+	if m.Sequence <= k.seen {
+		return
 	}
 	k.heard, k.seen = now, m.Sequence
 	k.demand = m.Demand
@@ -141,6 +155,9 @@
 		k.Weight, k.silent = m.Weight, false
 		p.share()
 	}
+	if m.Want == 0 || len(k.lent) > 0 || k.short.IsZero() {
+		k.short = now
+	}
 	k.want, k.limit, k.free, k.wanted = m.Want, m.Limit, m.Free, now
 	defer p.recall(now)
 	for _, g := range m.Give {
@@ -217,18 +234,68 @@
 	return p.Waiting() > 0 && now.Sub(p.asked) >= p.config.AskPause
 }
 
-// Recalled returns true if a peer wants slots of its own back that this host
-// holds. The caller then calls Exchange before Bind when a task has ended, or
-// else work that waits here would take each slot again.
-func (p *Pool[Item]) Recalled(now time.Time) bool {
+// Owes returns true if a peer is due slots that work waiting here would take
+// again: its own ones, or its fair part of this host's. The caller then calls
+// Exchange before Bind when a task has ended.
+func (p *Pool[Item]) Owes(now time.Time) bool {
 	for _, k := range p.peerOrder {
-		if k.want > 0 && len(k.borrowed) > 0 && now.Sub(k.wanted) <= p.config.WantTime {
+		if !k.wants(now, p.config.WantTime) {
+			continue
+		}
+		if len(k.borrowed) > 0 || p.Waiting() > 0 && p.shortOf(now, k, p.Waiting()) > 0 {
 			return true
 		}
 	}
 	return false
 }
 
+// total returns the number of slots in a set of loans.
+func total(loans map[ident.Server]int) int {
+	n := 0
+	for _, count := range loans {
+		n += count
+	}
+	return n
+}
+
+// shortOf returns how many slots a peer lacks to its fair loan while work waits
+// on both. Only a peer that owns no slots is lent any then; the others have
+// their own.
+func (p *Pool[Item]) shortOf(now time.Time, k *peer, waiting int) int {
+	if k.owned > 0 {
+		return 0
+	}
+	return p.fairLoan(now, k, waiting) - total(k.lent)
+}
+
+// fairLoan returns how many of this host's slots a peer is due while work
+// waits on both: the part that the peer has in all work that could use them. A
+// peer that has stood without a slot for longer than WantTime is due one.
+func (p *Pool[Item]) fairLoan(now time.Time, k *peer, waiting int) int {
+	owned := 0
+	for _, s := range p.order {
+		if s.present && !s.Leaving {
+			owned += s.owned
+		}
+	}
+	demand, due := float64(waiting+p.running), 0.0
+	for _, other := range p.peerOrder {
+		n := float64(total(other.lent))
+		if other.wants(now, p.config.WantTime) {
+			n += float64(other.want)
+		}
+		demand += n
+		if other == k {
+			due = n
+		}
+	}
+	fair := int(float64(owned) * due / demand)
+	if fair == 0 && owned > 0 && len(k.lent) == 0 && now.Sub(k.short) > p.config.WantTime {
+		return 1
+	}
+	return fair
+}
+
 // Exchange returns the messages that pass slots between this host and its
 // peers. The caller calls it when work waits after Bind, after Receive, and at
 // least each Config.Tick.
@@ -281,10 +348,13 @@
 	for _, g := range given {
 		k.want -= g.Count
 	}
-	if waiting > 0 || k.want <= 0 {
+	if k.want <= 0 {
 		return given
 	}
 	spare := p.freeSlots(now) - p.reserve()
+	if waiting > 0 {
+		spare = p.shortOf(now, k, waiting)
+	}
 	for _, s := range p.order {
 		n := min(s.free(), s.spareOwned(), spare, k.want)
 		if n <= 0 || now.Before(s.paused) || k.limit > 0 && s.runTime > k.limit {
@@ -299,8 +369,12 @@
 	return given
 }
 
-// reserve returns the number of free slots that this host does not lend.
+// reserve returns the number of free slots that this host does not lend. A
+// host without work of its own lends all.
 func (p *Pool[Item]) reserve() int {
+	if p.running == 0 && p.demand < idleDemand {
+		return 0
+	}
 	return 1 + int(reserveShare*float64(p.running))
 }
 
@@ -412,7 +486,12 @@
 		k.gave = k.sent
 	}
 	k.told = now
-	m := Message{Sequence: k.sent, Seen: k.seen, Want: min(waiting, maxWant), Limit: p.limit, Give: give, Weight: p.weight, Demand: p.demand}
+	want := waiting
+	if lent := total(k.lent); lent > 0 && k.owned == 0 {
+		// The peer keeps its fair part of this host's slots.
+		want = max(lent-p.fairLoan(now, k, waiting), 0)
+	}
+	m := Message{Boot: p.config.Boot, Sequence: k.sent, Seen: k.seen, Want: min(want, maxWant), Limit: p.limit, Give: give, Weight: p.weight, Demand: p.demand}
 	if waiting == 0 {
 		m.Free = max(p.freeSlots(now)-p.reserve(), 0)
 	}
