--- a/entry/shutdown_test.go
+++ b/entry/shutdown_test.go
@@ -25,7 +25,7 @@
 	services := testServices(t, &fakeSender{})
 	s := settings.Default()
 	shutdown := newShutdown(s, nil, nil, services.handover)
-	handler := newAPI(s, services.store, nil, services, nil, newMetrics(), newRequestLog(&log.Logger{Handler: discard.Default}), shutdown).Handler()
+	handler := newAPI(s, services.store, nil, services, nil, newMetrics(), newRequestLog(&log.Logger{Handler: discard.Default}), nil, shutdown).Handler()
 	post := func(path string) *httptest.ResponseRecorder {
 		recorder := httptest.NewRecorder()
 		handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, path, strings.NewReader("1ms")))
