Submit the job of the shutdown test when all slots are taken

The test was wrong: a task of its job could take one of the two slots, and then only one request was sent. Seen once: notRun 5, unknown 1 instead of 4 and 2.

--- a/integration/shutdown_test.go
+++ b/integration/shutdown_test.go
@@ -302,12 +302,14 @@
 			for i := range requests {
 				go func() { errs <- k.call(k.hosts[0], uint64(i), 20*time.Second) }()
 			}
+			k.eventually("queued", func() bool { return len(k.startsOf(k.backends[0])) >= slots })
+			// The job comes when all slots are taken, so that none of its tasks
+			// starts.
 			jobs := make(chan error, 1)
 			go func() {
 				_, err := k.submit(k.hosts[0], submission("tide", 9, 2, time.Second))
 				jobs <- err
 			}()
-			k.eventually("queued", func() bool { return len(k.startsOf(k.backends[0])) >= slots })
 			time.Sleep(300 * time.Millisecond)
 			told := time.Now()
 			k.hosts[0].signal(syscall.SIGTERM)
