Eject servers that fail all they get and start new ones slowly

A failing server answers at once and so drew all work: without ejection each task that it was sent failed. Package ejection judges a server by failures in a row and by its failure rate against the pool's, ejects at most 0.3 of the pool, tries an ejected one by one task at a time after 1 s to 30 s (with work that may be sent again; other work ten times later), and lets a new or returned server run 1 + 2 tasks for each answer. Hosts tell each other whom they have ejected on the heartbeat, so that the next host ejects at the first failure.

A server's own word that it is leaving now holds for 30 heartbeats although the lagging list still calls it live; until now the next list undid it.

Loans and returns are now told apart.

--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -10,6 +10,7 @@
 
 	"github.com/catkingap/catkingap/admission"
 	"github.com/catkingap/catkingap/backend"
+	"github.com/catkingap/catkingap/ejection"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/peer"
@@ -29,6 +30,15 @@
 	maxBackoff = time.Second
 )
 
+// The ejection of backend servers.
+const (
+	// maxEjected is the largest share of a pool that is ejected.
+	maxEjected      = 0.3
+	failuresToEject = 3
+	minProbe        = time.Second
+	maxProbe        = 30 * time.Second
+)
+
 // Work is one task or request on its way to a backend server.
 type Work struct {
 	Context context.Context
@@ -136,7 +146,8 @@
 		return q
 	}
 	q := newPoolQueue(d, name, route.Config{
-		Queue: admission.Config{Jitter: rand.Float64},
+		Queue:    admission.Config{Jitter: rand.Float64},
+		Ejection: ejection.Config{MaxShare: maxEjected, Failures: failuresToEject, MinProbe: minProbe, MaxProbe: maxProbe},
 		Retry: retry.Config{
 			Share: retryShare, Burst: retryBurst, MinBackoff: minBackoff, MaxBackoff: maxBackoff, Jitter: rand.Float64,
 		},
--- a/entry/poolqueue.go
+++ b/entry/poolqueue.go
@@ -7,6 +7,7 @@
 
 	"github.com/catkingap/catkingap/admission"
 	"github.com/catkingap/catkingap/backend"
+	"github.com/catkingap/catkingap/ejection"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/route"
@@ -204,7 +205,15 @@
 		// There is no time left to send it again.
 		e.Result = route.Withdrawn
 	}
-	next := q.pool.Ended(time.Now(), b, e)
+	now := time.Now()
+	next := q.pool.Ended(now, b, e)
+	for _, c := range q.pool.Changes() {
+		kind := timeline.Ejected
+		if c.Change == ejection.Returned {
+			kind = timeline.Returned
+		}
+		q.dispatcher.ring.Add(now, timeline.Event{Kind: kind, Server: c.Server})
+	}
 	q.pump()
 	return next
 }
--- a/policy/baseline_test.go
+++ b/policy/baseline_test.go
@@ -24,6 +24,10 @@
 			i.refused, i.ended = true, w.now+away
 			return
 		}
+		if f.failing {
+			i.starts++
+			return
+		}
 		f.running++
 		i.starts++
 		w.after(time.Duration(float64(i.work)/f.speed), func() {
--- a/policy/table_test.go
+++ b/policy/table_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/catkingap/catkingap/ejection"
 	"github.com/catkingap/catkingap/retry"
 	"github.com/catkingap/catkingap/route"
 )
@@ -25,6 +26,7 @@
 	FasterWait:  8 * time.Millisecond,
 	Heartbeat:   time.Second,
 	PeerTimeout: 5 * time.Second,
+	Ejection:    ejection.Config{MaxShare: 0.3, Failures: 3, MinProbe: time.Second, MaxProbe: 30 * time.Second},
 	Retry: retry.Config{
 		Share: 0.05, Burst: 10, MinBackoff: 10 * time.Millisecond, MaxBackoff: time.Second,
 		Jitter: func() float64 { return 0.5 },
--- a/route/lending.go
+++ b/route/lending.go
@@ -39,12 +39,15 @@
 	Limit float64 `msgpack:"limit,omitempty"`
 	// Free is the number of slots that the sender could lend.
 	Free int `msgpack:"free"`
-	// Give is the slots that pass from the sender to the receiver, as a loan
-	// or as the return of one.
-	Give []Slots `msgpack:"give,omitempty"`
+	// Lend is slots of the sender that the receiver may use from now on.
+	Lend []Slots `msgpack:"lend,omitempty"`
+	// Return is slots of the receiver that the sender uses no more.
+	Return []Slots `msgpack:"return,omitempty"`
 	// Held is set on heartbeats: the receiver's slots that the sender holds.
 	Held      []Slots `msgpack:"held,omitempty"`
 	Heartbeat bool    `msgpack:"heartbeat,omitempty"`
+	// Ejected is set on heartbeats: the servers that the sender has ejected.
+	Ejected []ident.Server `msgpack:"ejected,omitempty"`
 	// Weight is the sender's share of the slots.
 	Weight int `msgpack:"weight"`
 	// Demand is the number of slots that the sender's arrivals need.
@@ -62,7 +65,7 @@
 	Peer
 	heard, asked, told time.Time
 	sent, seen         uint64
-	// gave is the sequence of the last message that passed slots.
+	// gave is the sequence of the last message that lent slots.
 	gave       uint64
 	boot       string
 	want, free int
@@ -150,8 +153,21 @@
 	}
 	k.want, k.limit, k.free, k.wanted = m.Want, m.Limit, m.Free, now
 	defer p.recall(now)
-	for _, g := range m.Give {
-		p.take(k, g)
+	for _, name := range m.Ejected {
+		p.judge.Hint(now, name)
+	}
+	for _, l := range m.Lend {
+		if s := p.servers[l.Server]; s != nil {
+			move(k.borrowed, l.Server, l.Count)
+			s.borrowed += l.Count
+		}
+	}
+	for _, r := range m.Return {
+		if s := p.servers[r.Server]; s != nil {
+			n := min(r.Count, k.lent[r.Server])
+			move(k.lent, r.Server, -n)
+			s.lent -= n
+		}
 	}
 	if m.Heartbeat && m.Seen >= k.gave {
 		p.reconcile(k, m.Held)
@@ -182,19 +198,6 @@
 	return k.want > 0 && k.limit == 0 && now.Sub(k.wanted) <= holds
 }
 
-// take adds slots that a peer gave: first as the return of a loan.
-func (p *Pool[Item]) take(k *peer, g Slots) {
-	s := p.servers[g.Server]
-	if s == nil {
-		return
-	}
-	back := min(g.Count, k.lent[g.Server])
-	move(k.lent, g.Server, -back)
-	s.lent -= back
-	move(k.borrowed, g.Server, g.Count-back)
-	s.borrowed += g.Count - back
-}
-
 // reconcile replaces what this host believes to have lent to a peer by what
 // the peer says to hold. It mends what lost messages left behind.
 func (p *Pool[Item]) reconcile(k *peer, held []Slots) {
@@ -242,8 +245,9 @@
 			k.heard, k.silent = time.Time{}, true
 			p.share()
 		}
-		if give := p.give(now, k, waiting); len(give) > 0 {
-			out = append(out, p.message(now, k, give, waiting))
+		lend, back := p.give(now, k, waiting)
+		if len(lend)+len(back) > 0 {
+			out = append(out, p.message(now, k, lend, back, waiting))
 		}
 	}
 	if waiting > 0 {
@@ -259,39 +263,37 @@
 func (p *Pool[Item]) freeSlots(now time.Time) int {
 	free := 0
 	for _, s := range p.order {
-		if s.usable(now) {
-			free += s.free()
-		}
+		free += max(p.available(now, s, false), 0)
 	}
 	return free
 }
 
 // give returns the slots that pass to a peer that wants some: its own first,
 // even if work waits here, and this host's spare ones.
-func (p *Pool[Item]) give(now time.Time, k *peer, waiting int) []Slots {
+func (p *Pool[Item]) give(now time.Time, k *peer, waiting int) (lend, back []Slots) {
 	if k.want <= 0 || now.Sub(k.wanted) > p.config.WantTime {
-		return nil
+		return nil, nil
 	}
-	given := p.giveBack(k, k.want)
-	for _, g := range given {
+	back = p.giveBack(k, k.want)
+	for _, g := range back {
 		k.want -= g.Count
 	}
 	if waiting > 0 || k.want <= 0 {
-		return given
+		return nil, back
 	}
 	spare := p.freeSlots(now) - p.reserve()
 	for _, s := range p.order {
-		n := min(s.free(), s.spareOwned(), spare, k.want)
-		if n <= 0 || now.Before(s.paused) || k.limit > 0 && s.runTime > k.limit {
+		n := min(p.available(now, s, false), s.spareOwned(), spare, k.want)
+		if n <= 0 || k.limit > 0 && s.runTime > k.limit {
 			continue
 		}
 		s.lent += n
 		move(k.lent, s.Name, n)
-		given = append(given, Slots{s.Name, n})
+		lend = append(lend, Slots{s.Name, n})
 		spare -= n
 		k.want -= n
 	}
-	return given
+	return lend, back
 }
 
 // reserve returns the number of free slots that this host does not lend.
@@ -305,7 +307,7 @@
 	for _, name := range slices.Sorted(maps.Keys(k.borrowed)) {
 		s := p.servers[name]
 		n := min(k.borrowed[name], limit)
-		if s != nil && s.present && !s.Leaving {
+		if s != nil && s.present && !s.isLeaving() {
 			n = min(n, s.unused())
 		}
 		if n <= 0 {
@@ -333,7 +335,7 @@
 			idle -= g.Count
 		}
 		if len(given) > 0 {
-			out = append(out, p.message(now, k, given, 0))
+			out = append(out, p.message(now, k, nil, given, 0))
 		}
 	}
 	return out
@@ -362,7 +364,7 @@
 	fanOut := max(askFanOut, waiting/wantPerPeer)
 	for _, k := range candidates[:min(fanOut, len(candidates))] {
 		k.asked, p.asked = now, now
-		out = append(out, p.message(now, k, nil, waiting))
+		out = append(out, p.message(now, k, nil, nil, waiting))
 	}
 	return out
 }
@@ -386,13 +388,15 @@
 	p.beaten = now
 	for _, s := range p.order {
 		s.withheld, s.fresh, s.excess = s.fresh, 0, 0
+		s.announced = max(s.announced-1, 0)
 	}
 	for _, k := range p.peerOrder {
 		if p.near(k) == 0 && len(k.lent)+len(k.borrowed) == 0 && p.beats%2 == 0 {
 			continue
 		}
-		o := p.message(now, k, nil, waiting)
+		o := p.message(now, k, nil, nil, waiting)
 		o.Message.Heartbeat = true
+		o.Message.Ejected = p.judge.List()
 		for _, name := range slices.Sorted(maps.Keys(k.borrowed)) {
 			o.Message.Held = append(o.Message.Held, Slots{name, k.borrowed[name]})
 		}
@@ -401,13 +405,16 @@
 	return out
 }
 
-func (p *Pool[Item]) message(now time.Time, k *peer, give []Slots, waiting int) Outgoing {
+func (p *Pool[Item]) message(now time.Time, k *peer, lend, back []Slots, waiting int) Outgoing {
 	k.sent++
-	if len(give) > 0 {
+	if len(lend) > 0 {
 		k.gave = k.sent
 	}
 	k.told = now
-	m := Message{Boot: p.config.Boot, Sequence: k.sent, Seen: k.seen, Want: min(waiting, maxWant), Limit: p.limit, Give: give, Weight: p.weight, Demand: p.demand}
+	m := Message{
+		Boot: p.config.Boot, Sequence: k.sent, Seen: k.seen, Weight: p.weight, Demand: p.demand,
+		Want: min(waiting, maxWant), Limit: p.limit, Lend: lend, Return: back,
+	}
 	if waiting == 0 {
 		m.Free = max(p.freeSlots(now)-p.reserve(), 0)
 	}
--- a/route/pool.go
+++ b/route/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/catkingap/catkingap/admission"
+	"github.com/catkingap/catkingap/ejection"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/retry"
@@ -17,6 +18,8 @@
 type Config struct {
 	// Queue builds the queue of the pool.
 	Queue admission.Config
+	// Ejection builds the judge of the servers.
+	Ejection ejection.Config
 	// Retry builds the retry budget of each team.
 	Retry retry.Config
 	// Self is this entry host.
@@ -62,6 +65,11 @@
 	order   []*server
 	running int
 
+	// judge decides which servers get no work. changes holds what it decided
+	// and the caller has not seen.
+	judge   *ejection.Judge[ident.Server]
+	changes []ServerChange
+
 	// policies holds the retry budgets of the teams.
 	policies map[ident.Team]*retry.Policy
 	// slow is the learned run time from which an entry counts as slow.
@@ -96,6 +104,7 @@
 	return &Pool[Item]{
 		config: c, weight: initialWeight, queue: admission.NewQueue[Item](c.Queue),
 		servers: map[ident.Server]*server{}, peers: map[ident.Host]*peer{},
+		judge:    ejection.NewJudge[ident.Server](c.Ejection),
 		policies: map[ident.Team]*retry.Policy{}, slow: retry.Quantile{Part: hedgeQuantile},
 		copies: map[*admission.Entry[Item]]int{}, answered: map[*admission.Entry[Item]]bool{},
 	}
@@ -108,13 +117,19 @@
 		s.present = false
 	}
 	p.order = p.order[:0]
+	names := make([]ident.Server, 0, len(servers))
 	for _, s := range servers {
+		names = append(names, s.Name)
 		known := p.servers[s.Name]
 		if known == nil {
 			known = &server{}
 			p.servers[s.Name] = known
 		}
 		known.Server = s
+		if s.Leaving {
+			// The list has caught up, and tells when the server is back.
+			known.announced = 0
+		}
 		known.present = true
 		p.order = append(p.order, known)
 	}
@@ -123,6 +138,7 @@
 			delete(p.servers, name)
 		}
 	}
+	p.judge.SetServers(names)
 	p.share()
 }
 
@@ -171,12 +187,11 @@
 	if head == nil {
 		return Binding[Item]{}, false
 	}
-	best := p.choose(now, head.Queued)
+	best := p.choose(now, head.Queued, head.Idempotent)
 	if best == nil {
 		return Binding[Item]{}, false
 	}
-	best.running++
-	p.running++
+	p.enter(best)
 	if head.Tries == 0 {
 		p.retries(head.Team).First()
 	}
@@ -186,10 +201,10 @@
 // choose returns the server with a free slot and the least expected finish. It
 // returns nil for a short time if that server is slow, while peers are asked
 // for slots on faster ones.
-func (p *Pool[Item]) choose(now, queued time.Time) *server {
+func (p *Pool[Item]) choose(now, queued time.Time, safe bool) *server {
 	p.limit = 0
 	mean := p.meanRunTime()
-	best, cost := p.cheapest(now, mean, nil)
+	best, cost := p.cheapest(now, mean, safe, nil)
 	if best == nil {
 		return nil
 	}
@@ -204,11 +219,11 @@
 // cheapest returns the server with a free slot and the least expected time of a
 // task, and that time in seconds. A server that is not known yet counts as a
 // mean one; except is left out.
-func (p *Pool[Item]) cheapest(now time.Time, mean float64, except *server) (*server, float64) {
+func (p *Pool[Item]) cheapest(now time.Time, mean float64, safe bool, except *server) (*server, float64) {
 	var best *server
 	cost := math.Inf(1)
 	for _, s := range p.order {
-		if s == except || !s.usable(now) {
+		if s == except || p.available(now, s, safe) <= 0 {
 			continue
 		}
 		c := s.runTime
@@ -225,12 +240,21 @@
 	return best, cost
 }
 
+// available returns how many more tasks a server may get now. Safe work may be
+// sent again if it fails.
+func (p *Pool[Item]) available(now time.Time, s *server, safe bool) int {
+	if now.Before(s.paused) || !p.judge.Allowed(now, s.Name, safe) {
+		return 0
+	}
+	return min(s.free(), p.judge.Limit(s.Name)-s.running)
+}
+
 // meanRunTime returns the mean run time on a slot of the pool, in seconds, or
 // zero before the first task has ended.
 func (p *Pool[Item]) meanRunTime() float64 {
 	rate, slots := 0.0, 0.0
 	for _, s := range p.order {
-		if s.samples > 0 && !s.Leaving {
+		if s.samples > 0 && !s.isLeaving() {
 			rate += float64(s.Slots) / s.runTime
 			slots += float64(s.Slots)
 		}
@@ -287,8 +311,12 @@
 
 // Ended tells that a bound entry ended, and returns what follows.
 func (p *Pool[Item]) Ended(now time.Time, b Binding[Item], e End) Next {
-	if s := p.leave(b); s != nil && (e.Result == Answered || !p.answered[b.Entry]) {
-		p.judge(now, s, e)
+	if s := p.leave(b); s != nil {
+		if p.answered[b.Entry] && e.Result != Answered {
+			p.judge.Withdrawn(s.Name)
+		} else {
+			p.record(now, s, e)
+		}
 	}
 	left, hedged := p.copies[b.Entry]
 	if hedged {
@@ -318,16 +346,42 @@
 	return Finish
 }
 
-// judge updates what is known of a server by how an entry ended.
-func (p *Pool[Item]) judge(now time.Time, s *server, e End) {
+// record updates what is known of a server by how an entry ended.
+func (p *Pool[Item]) record(now time.Time, s *server, e End) {
+	change := ejection.None
 	switch e.Result {
 	case Answered:
 		s.refusals = 0
 		s.learn(e.Took)
 		p.slow.Add(e.Took)
-	case Refused, Unreachable:
+		change = p.judge.Answered(s.Name)
+	case Broken, Lost:
+		change = p.judge.Failed(now, s.Name)
+	case Unreachable:
+		s.refuse(now, p.config.BusyPause)
+		change = p.judge.Failed(now, s.Name)
+	case Refused:
 		s.refuse(now, p.config.BusyPause)
+		p.judge.Withdrawn(s.Name)
+	case Withdrawn:
+		p.judge.Withdrawn(s.Name)
 	}
+	if change != ejection.None {
+		p.changes = append(p.changes, ServerChange{s.Name, change})
+	}
+}
+
+// ServerChange tells that a server was ejected or has returned.
+type ServerChange struct {
+	Server ident.Server
+	Change ejection.Change
+}
+
+// Changes returns the changes of servers since the last call.
+func (p *Pool[Item]) Changes() []ServerChange {
+	changes := p.changes
+	p.changes = nil
+	return changes
 }
 
 // again queues an entry again if the retry policy allows it.
@@ -376,16 +430,22 @@
 		return Binding[Item]{}, false
 	}
 	first := p.servers[b.Server.Name]
-	best, _ := p.cheapest(now, p.meanRunTime(), first)
+	best, _ := p.cheapest(now, p.meanRunTime(), true, first)
 	if best == nil || !p.retries(b.Entry.Team).Take() {
 		return Binding[Item]{}, false
 	}
 	p.copies[b.Entry] = 2
-	best.running++
-	p.running++
+	p.enter(best)
 	return Binding[Item]{Entry: b.Entry, Server: best.Server}, true
 }
 
+// enter takes a slot of a server.
+func (p *Pool[Item]) enter(s *server) {
+	s.running++
+	p.running++
+	p.judge.Started(s.Name)
+}
+
 // leave frees the slot of a binding.
 func (p *Pool[Item]) leave(b Binding[Item]) *server {
 	p.running--
@@ -399,7 +459,7 @@
 // MarkLeaving records that a server announced that it is leaving.
 func (p *Pool[Item]) MarkLeaving(name ident.Server) {
 	if s := p.servers[name]; s != nil {
-		s.Leaving = true
+		s.announced = announcedBeats
 	}
 }
 
--- a/route/pool_test.go
+++ b/route/pool_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/catkingap/catkingap/admission"
+	"github.com/catkingap/catkingap/ejection"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/retry"
 )
@@ -18,6 +19,7 @@
 	p := NewPool[int](Config{
 		Queue:     admission.Config{Jitter: half},
 		Retry:     retry.Config{Share: 0.1, Burst: 2, MinBackoff: tick, MaxBackoff: time.Second, Jitter: half},
+		Ejection:  ejection.Config{MaxShare: 0.5, Failures: 3, MinProbe: time.Second, MaxProbe: time.Minute},
 		Self:      Peer{Name: "host", DataCentre: "dc"},
 		BusyPause: tick,
 	})
@@ -117,3 +119,39 @@
 	b, _ := p.Bind(start)
 	is.Equal(p.HedgeAfter(b.Entry), time.Duration(0)) // Never of work that is not idempotent.
 }
+
+func TestLeavingServerGetsNoWork(t *testing.T) {
+	is := is.New(t)
+	p := newPool(2)
+	p.MarkLeaving("server-0")
+	// The membership list lags behind the server's own word.
+	p.SetServers([]Server{{Name: "server-0", DataCentre: "dc", Slots: 1}, {Name: "server-1", DataCentre: "dc", Slots: 1}})
+	for range 2 {
+		p.push(request(false))
+	}
+	b, ok := p.Bind(start)
+	is.True(ok)
+	is.Equal(b.Server.Name, ident.Server("server-1"))
+	_, ok = p.Bind(start)
+	is.True(!ok)
+}
+
+func TestFailingServerIsEjected(t *testing.T) {
+	is := is.New(t)
+	p := newPool(4)
+	starts := 0
+	for range 40 {
+		p.push(request(false))
+		b, ok := p.Bind(start)
+		is.True(ok)
+		if b.Server.Name == "server-0" {
+			starts++
+			p.Ended(start, b, End{Result: Broken, Took: time.Millisecond})
+		} else {
+			p.Ended(start, b, End{Result: Answered, Took: time.Second})
+		}
+	}
+	is.Equal(starts, 3)
+	is.Equal(p.Changes(), []ServerChange{{"server-0", ejection.Ejected}})
+	is.Equal(p.Changes(), nil)
+}
--- a/route/server.go
+++ b/route/server.go
@@ -22,6 +22,9 @@
 type server struct {
 	Server
 	present bool
+	// announced is the number of heartbeats for which the server's own word
+	// that it is leaving still counts, because the membership list lags.
+	announced int
 	// owned is the number of slots that are this host's share.
 	owned int
 	// lent and borrowed count slots that other hosts use or have given.
@@ -49,13 +52,19 @@
 const (
 	// learnShare is the weight of a new run time in the learned mean.
 	learnShare = 0.05
+	// announcedBeats is the number of heartbeats for which a server's own word
+	// that it is leaving counts.
+	announcedBeats = 30
 	// maxPauseDoublings bounds the growth of the pause after refusals.
 	maxPauseDoublings = 6
 )
 
+// isLeaving returns true if the server must get no new work.
+func (s *server) isLeaving() bool { return s.Leaving || s.announced > 0 }
+
 // unused returns how many slots that this host holds on the server are unused.
 func (s *server) unused() int {
-	if s.Leaving || !s.present {
+	if s.isLeaving() || !s.present {
 		return 0
 	}
 	return min(s.spareOwned()+s.borrowed, s.Slots) - s.running
@@ -69,11 +78,6 @@
 // free returns how many more tasks this host may start on the server.
 func (s *server) free() int { return s.unused() - s.recalled }
 
-// usable returns true if the server may get a task now.
-func (s *server) usable(now time.Time) bool {
-	return s.free() > 0 && !now.Before(s.paused)
-}
-
 // learn adds a run time to the learned mean.
 func (s *server) learn(took time.Duration) {
 	s.samples++
--- a/route/share.go
+++ b/route/share.go
@@ -88,7 +88,7 @@
 	slots, weights := map[ident.DataCentre]float64{}, map[ident.DataCentre]float64{}
 	allSlots, allWeights := 0.0, 0.0
 	for _, s := range servers {
-		if !s.Leaving {
+		if !s.isLeaving() {
 			slots[s.DataCentre] += float64(s.Slots)
 			allSlots += float64(s.Slots)
 		}
