--- a/policy/table_test.go
+++ b/policy/table_test.go
@@ -59,10 +59,12 @@
 	fmt.Fprintln(t.Output(), "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for _, name := range slices.Sorted(maps.Keys(scenarios)) {
 		s := scenarios[name]
-		f := s.run(withPolicy).measure(s.counts)
-		f.print(t, name, "catkingap")
-		s.run(withRandom).measure(s.counts).print(t, name, "random, one try")
-		t.Run(name, func(t *testing.T) { s.bounds.check(t, f) })
+		t.Run(name, func(t *testing.T) {
+			f := s.run(withPolicy).measure(s.counts)
+			f.print(t, name, "catkingap")
+			s.run(withRandom).measure(s.counts).print(t, name, "random, one try")
+			s.bounds.check(t, f)
+		})
 	}
 }
 
