--- a/client/client.go
+++ b/client/client.go
@@ -18,7 +18,6 @@
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/job"
 	"github.com/catkingap/catkingap/outcome"
-	"github.com/catkingap/catkingap/resource"
 	"github.com/catkingap/catkingap/timeline"
 )
 
@@ -45,6 +44,39 @@
 	return answer, err
 }
 
+// Retry says how SubmitAny goes on after an attempt without an outcome.
+type Retry struct {
+	// Pause is the time between two attempts.
+	Pause time.Duration
+	// Notify is told of each attempt without an outcome.
+	Notify func(*outcome.Error)
+}
+
+// SubmitAny submits a job to hosts in turn until it has an outcome or ctx
+// ends. Once an attempt may have run, the next ones say that they are
+// resubmissions.
+func SubmitAny(ctx context.Context, hosts []*Client, s *job.Submission, r Retry) (entry.JobAnswer, error) {
+	attempt := *s
+	for i := 0; ; i++ {
+		answer, err := hosts[i%len(hosts)].Submit(ctx, &attempt)
+		failure := outcome.From(err)
+		if err == nil || failure.RetryAfter == 0 {
+			return answer, err
+		}
+		if failure.Kind != outcome.NotRun {
+			attempt.Resubmission = true
+		}
+		if r.Notify != nil {
+			r.Notify(failure)
+		}
+		select {
+		case <-ctx.Done():
+			return answer, err
+		case <-time.After(r.Pause):
+		}
+	}
+}
+
 // Cancel gives up a job.
 func (c *Client) Cancel(ctx context.Context, j ident.Job) error {
 	return c.do(ctx, http.MethodDelete, "/v1/jobs/"+url.PathEscape(string(j.Team))+"/"+url.PathEscape(string(j.Key)), nil, nil, nil)
@@ -63,29 +95,30 @@
 	return answer, err
 }
 
-// Put creates or replaces a resource and returns its new state.
-func (c *Client) Put(ctx context.Context, o resource.Object) (resource.Object, error) {
-	body, err := json.Marshal(o)
-	if err != nil {
-		return o, err
-	}
-	err = c.do(ctx, http.MethodPut, resourcePath(o.Kind, o.Name), nil, body, &o)
-	return o, err
+// Timeline returns the events of the host alone that f selects.
+func (c *Client) Timeline(ctx context.Context, f timeline.Filter) ([]timeline.Event, error) {
+	var events []timeline.Event
+	err := c.do(ctx, http.MethodGet, "/v1/timeline/local?"+timelineQuery(f), nil, nil, &events)
+	return events, err
 }
 
-// Get returns a resource.
-func (c *Client) Get(ctx context.Context, k resource.Kind, name string) (resource.Object, error) {
-	var o resource.Object
-	err := c.do(ctx, http.MethodGet, resourcePath(k, name), nil, nil, &o)
-	return o, err
+// MergedTimeline returns the events of all hosts that f selects, as the host
+// sees them.
+func (c *Client) MergedTimeline(ctx context.Context, f timeline.Filter) (timeline.View, error) {
+	var view timeline.View
+	err := c.do(ctx, http.MethodGet, "/v1/timeline?"+timelineQuery(f), nil, nil, &view)
+	return view, err
 }
 
-// Timeline returns the events of the host that f selects.
-func (c *Client) Timeline(ctx context.Context, f timeline.Filter) ([]timeline.Event, error) {
-	query := url.Values{"team": {string(f.Team)}, "job": {string(f.Job)}, "service": {string(f.Service)}}
-	var events []timeline.Event
-	err := c.do(ctx, http.MethodGet, "/v1/timeline?"+query.Encode(), nil, nil, &events)
-	return events, err
+func timelineQuery(f timeline.Filter) string {
+	query := url.Values{"host": {string(f.Host)}, "team": {string(f.Team)}, "job": {string(f.Job)}, "service": {string(f.Service)}}
+	spans := map[string]time.Time{"since": f.Since, "until": f.Until}
+	for name, wall := range spans {
+		if !wall.IsZero() {
+			query.Set(name, wall.Format(time.RFC3339Nano))
+		}
+	}
+	return query.Encode()
 }
 
 // Ready returns nil if the host takes requests.
@@ -93,10 +126,6 @@
 	return c.do(ctx, http.MethodGet, "/readyz", nil, nil, nil)
 }
 
-func resourcePath(k resource.Kind, name string) string {
-	return "/v1/resources/" + url.PathEscape(string(k)) + "/" + url.PathEscape(name)
-}
-
 // do sends one request and decodes the answer into answer unless it is nil.
 func (c *Client) do(ctx context.Context, method, path string, header http.Header, body []byte, answer any) error {
 	request, err := http.NewRequestWithContext(ctx, method, c.url+path, bytes.NewReader(body))
@@ -121,11 +150,7 @@
 		return outcome.New(outcome.Unknown, outcome.LinkLost, "the answer was cut: %v", err).After(time.Second)
 	}
 	if response.StatusCode >= http.StatusBadRequest {
-		var failure entry.ErrorAnswer
-		if json.Unmarshal(data, &failure) != nil || failure.Error == nil {
-			return outcome.New(outcome.Unknown, outcome.Internal, "the host answered %s", response.Status)
-		}
-		return failure.Error
+		return decodeFailure(response.Status, data)
 	}
 	if answer == nil || len(data) == 0 {
 		return nil
@@ -135,3 +160,15 @@
 	}
 	return nil
 }
+
+// decodeFailure returns the error that an answer carries.
+func decodeFailure(status string, data []byte) error {
+	var failure entry.ErrorAnswer
+	if json.Unmarshal(data, &failure) != nil || failure.Error == nil {
+		return outcome.New(outcome.Unknown, outcome.Internal, "the host answered %s", status)
+	}
+	if failure.Revision != 0 || len(failure.Problems) > 0 {
+		return &ResourceError{Outcome: failure.Error, Present: failure.Revision, Problems: failure.Problems}
+	}
+	return failure.Error
+}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -35,6 +35,8 @@
 	Progress io.Writer
 	// Log receives the logs of the entry hosts.
 	Log io.Writer
+	// LogLevel replaces the default level of the logs.
+	LogLevel string
 	// Cross makes a backend server give one wrong answer.
 	Cross bool
 }
@@ -48,6 +50,7 @@
 	seed             = 20261204
 	outage           = 3 * time.Second
 	writeTime        = 4 * time.Millisecond
+	writesPerSecond  = 400
 	membershipLag    = 2 * time.Second
 	readyTimeout     = 10 * time.Second
 	jobTimeout       = 30 * time.Second
@@ -76,7 +79,9 @@
 	settings settings.Settings
 	app      *fx.App
 	network  *network.Severable
+	url      string
 	client   *client.Client
+	killed   bool
 }
 
 // Summary is what the demo found.
@@ -126,7 +131,10 @@
 
 func (d *Demo) start(ctx context.Context) error {
 	var err error
-	d.platform = standin.NewPlatform(standin.PlatformConfig{WriteTime: writeTime, MembershipLag: membershipLag})
+	d.platform = standin.NewPlatform(standin.PlatformConfig{
+		Table:         standin.TableConfig{WriteTime: writeTime, WritesPerSecond: writesPerSecond},
+		MembershipLag: membershipLag,
+	})
 	if d.address, err = d.serve(d.platform.Handler()); err != nil {
 		return err
 	}
@@ -155,13 +163,17 @@
 	h.settings.Platform.Table, h.settings.Platform.Objects, h.settings.Platform.Membership = base, base+"/objects", base+"/members"
 	h.settings.ConfigPoll = settings.Duration(100 * time.Millisecond)
 	h.settings.UnreadyTime = 0
+	if d.config.LogLevel != "" {
+		h.settings.LogLevel = d.config.LogLevel
+	}
 	var listeners entry.Listeners
 	h.app = entry.New(entry.Options{Settings: h.settings, Log: d.config.Log, Network: h.network}, fx.Populate(&listeners))
 	if err := h.app.Start(ctx); err != nil {
 		return err
 	}
 	api := listeners.API.Addr().String()
-	h.client = client.New(&http.Client{Transport: &http.Transport{}}, "http://"+api)
+	h.url = "http://" + api
+	h.client = newClient(h.url)
 	d.platform.Members.Set(platform.TargetGroup{Targets: []string{listeners.Peer.Addr().String()}, Labels: map[string]string{
 		platform.LabelID: string(name), platform.LabelRole: string(platform.EntryHost), platform.LabelAPI: api,
 		platform.LabelDataCentre: string(centre), platform.LabelState: string(platform.Live),
@@ -248,19 +260,13 @@
 func (d *Demo) submit(ctx context.Context, s *job.Submission, first int) (entry.JobAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
 	defer cancel()
-	for i := first; ; i++ {
-		answer, err := d.hosts[i%len(d.hosts)].client.Submit(ctx, s)
-		failure := outcome.From(err)
-		if err == nil || failure.RetryAfter == 0 {
-			return answer, err
-		}
-		d.say("  %s: %v; the client asks the next host", s.Key, failure)
-		select {
-		case <-ctx.Done():
-			return answer, err
-		case <-time.After(retryPause):
-		}
+	hosts := make([]*client.Client, 0, len(d.hosts))
+	for i := range d.hosts {
+		hosts = append(hosts, d.hosts[(first+i)%len(d.hosts)].client)
 	}
+	return client.SubmitAny(ctx, hosts, s, client.Retry{Pause: retryPause, Notify: func(e *outcome.Error) {
+		d.say("  %s: %v; the client asks the next host", s.Key, e)
+	}})
 }
 
 // work runs the jobs and the faults.
@@ -377,6 +383,7 @@
 
 // kill cuts all sockets of a host at once.
 func (d *Demo) kill(i int) {
+	d.hosts[i].killed = true
 	d.hosts[i].network.Sever()
 	d.platform.Members.Remove(string(d.hosts[i].settings.Host))
 }
@@ -385,7 +392,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
 	defer cancel()
 	for _, h := range d.hosts {
-		_ = h.app.Stop(ctx)
+		if !h.killed {
+			_ = h.app.Stop(ctx)
+		}
 	}
 	for _, s := range d.servers {
 		s.Close()
--- a/entry/api.go
+++ b/entry/api.go
@@ -1,39 +1,44 @@
 package entry
 
 import (
-	"expvar"
 	"io"
 	"math"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
 
+	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/resource"
 	"github.com/catkingap/catkingap/settings"
-	"github.com/catkingap/catkingap/timeline"
 )
 
 // API serves callers and operators over HTTP.
 type API struct {
-	settings settings.Settings
-	store    *resource.Store
-	jobs     *Jobs
-	services *Services
-	ring     *timeline.Ring
-	unready  atomic.Bool
+	settings  settings.Settings
+	store     *resource.Store
+	jobs      *Jobs
+	services  *Services
+	timelines *Timelines
+	metrics   *Metrics
+	log       *requestLog
+	statuses  *Statuses
+	shutdown  *Shutdown
 }
 
-func newAPI(s settings.Settings, store *resource.Store, j *Jobs, services *Services, r *timeline.Ring) *API {
-	return &API{settings: s, store: store, jobs: j, services: services, ring: r}
+func newAPI(s settings.Settings, store *resource.Store, j *Jobs, services *Services, t *Timelines, m *Metrics, l *requestLog, st *Statuses, down *Shutdown) *API {
+	return &API{settings: s, store: store, jobs: j, services: services, timelines: t, metrics: m, log: l, statuses: st, shutdown: down}
 }
 
 // ErrorAnswer is the body of each answer that is an error.
 type ErrorAnswer struct {
 	Error *outcome.Error `json:"error"`
+	// Revision is the present revision of a resource in conflict.
+	Revision ident.Revision `json:"revision,omitempty"`
+	// Problems lists all that is wrong with a resource.
+	Problems []resource.Problem `json:"problems,omitempty"`
 }
 
 // Handler returns the HTTP handler.
@@ -42,7 +47,9 @@
 	router := gin.New()
 	router.GET("/healthz", func(c *gin.Context) { c.Status(http.StatusNoContent) })
 	router.GET("/readyz", a.ready)
-	router.GET("/debug/vars", gin.WrapH(expvar.Handler()))
+	router.GET("/debug/vars", gin.WrapH(a.metrics.set.Handler()))
+	router.Use(a.metrics.measure, a.log.log, a.shutdown.stage)
+	a.guard(router)
 	a.routeJobs(router)
 	a.routeResources(router)
 	a.routeServices(router)
@@ -50,11 +57,9 @@
 	return router
 }
 
-func (a *API) setUnready() { a.unready.Store(true) }
-
 // ready answers 204 once a configuration is in force and until shutdown.
 func (a *API) ready(c *gin.Context) {
-	if a.unready.Load() || a.store.Snapshot().Revision == 0 {
+	if a.shutdown.unready.Load() || a.store.Snapshot().Revision == 0 {
 		c.Status(http.StatusServiceUnavailable)
 		return
 	}
@@ -62,10 +67,16 @@
 }
 
 func refuse(c *gin.Context, e *outcome.Error) {
+	refuseWith(c, ErrorAnswer{Error: e})
+}
+
+func refuseWith(c *gin.Context, answer ErrorAnswer) {
+	e := answer.Error
+	c.Set(contextOutcome, e)
 	if e.RetryAfter > 0 {
 		c.Header("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
 	}
-	c.JSON(e.Status(), ErrorAnswer{Error: e})
+	c.JSON(e.Status(), answer)
 }
 
 // body reads the whole body of a request or refuses the request.
--- a/entry/apijobs.go
+++ b/entry/apijobs.go
@@ -19,9 +19,12 @@
 	Error   *outcome.Error `json:"error,omitempty"`
 }
 
+// pathJobs is the path of submissions.
+const pathJobs = "/v1/jobs"
+
 // routeJobs adds the paths of jobs.
 func (a *API) routeJobs(r *gin.Engine) {
-	r.POST("/v1/jobs", a.submit)
+	r.POST(pathJobs, a.submit)
 	r.GET("/v1/jobs/:team/:key", a.getJob)
 	r.DELETE("/v1/jobs/:team/:key", a.cancelJob)
 }
@@ -36,6 +39,7 @@
 		refuse(c, outcome.New(outcome.NotRun, outcome.Invalid, "the body is not a job: %v", err))
 		return
 	}
+	c.Set(contextJob, s.Job)
 	o := a.jobs.Submit(c.Request.Context(), &s)
 	if o.State != job.Complete {
 		refuse(c, o.Error)
@@ -45,7 +49,9 @@
 }
 
 func jobOf(c *gin.Context) ident.Job {
-	return ident.Job{Team: ident.Team(c.Param("team")), Key: ident.JobKey(c.Param("key"))}
+	j := ident.Job{Team: ident.Team(c.Param("team")), Key: ident.JobKey(c.Param("key"))}
+	c.Set(contextJob, j)
+	return j
 }
 
 func (a *API) getJob(c *gin.Context) {
@@ -62,8 +68,8 @@
 }
 
 func (a *API) cancelJob(c *gin.Context) {
-	if !a.jobs.Cancel(jobOf(c)) {
-		refuse(c, outcome.New(outcome.NotRun, outcome.NotFound, "this host holds no job %s", jobOf(c)))
+	if !a.jobs.Cancel(c.Request.Context(), jobOf(c)) {
+		refuse(c, outcome.New(outcome.NotRun, outcome.NotFound, "no host holds job %s", jobOf(c)))
 		return
 	}
 	c.Status(http.StatusAccepted)
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -13,7 +13,6 @@
 	"github.com/catkingap/catkingap/ejection"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/outcome"
-	"github.com/catkingap/catkingap/peer"
 	"github.com/catkingap/catkingap/resource"
 	"github.com/catkingap/catkingap/retry"
 	"github.com/catkingap/catkingap/route"
@@ -21,6 +20,19 @@
 	"github.com/catkingap/catkingap/timeline"
 )
 
+// The times of the policy of a pool; route.Config says what each is.
+const (
+	remoteDelay   = 3 * time.Millisecond
+	busyPause     = 10 * time.Millisecond
+	askPause      = 5 * time.Millisecond
+	wantTime      = 200 * time.Millisecond
+	returnTime    = 250 * time.Millisecond
+	fasterWait    = 8 * time.Millisecond
+	lendHeartbeat = time.Second
+	lendTimeout   = 5 * time.Second
+	exchangeTick  = 20 * time.Millisecond
+)
+
 // The retry budget of a team for one pool on one host.
 const (
 	// retryShare is the number of retries that each first try allows.
@@ -54,11 +66,15 @@
 	Idempotent bool
 	// Hedge allows a second copy of slow idempotent work.
 	Hedge bool
-	Body  []byte
+	// Admitted is true for a request that was queued here before, and is not
+	// refused for the length of the queue.
+	Admitted bool
+	Body     []byte
 	// Done is called once, with the answer or an *outcome.Error, unless the
-	// work was dropped.
+	// work was dropped or withdrawn.
 	Done func(backend.Reply, *outcome.Error)
 
+	claim
 	request ident.Request
 	// stop ends the copies of hedged work.
 	stop context.CancelFunc
@@ -71,27 +87,30 @@
 	identity Identity
 	sender   backend.Sender
 	ring     *timeline.Ring
+	metrics  *Metrics
 	requests *ident.Sequence
-	loans    *loans
+	// leaving returns true for servers that said that they are leaving.
+	leaving func(resource.Server) bool
+	// lend sends messages that pass slots to other hosts. It must not block.
+	lend func(ident.Pool, []route.Outgoing)
 
 	// pools is replaced as a whole when a pool is added.
 	pools atomic.Pointer[map[ident.Pool]*poolQueue]
 	mutex sync.Mutex
 }
 
-func newDispatcher(
-	s settings.Settings, i Identity, sender backend.Sender, ring *timeline.Ring, l *peer.Links, directory *Directory,
-) *Dispatcher {
+func newDispatcher(s settings.Settings, i Identity, sender backend.Sender, ring *timeline.Ring, m *Metrics) *Dispatcher {
 	d := &Dispatcher{
 		settings: s,
 		identity: i,
 		sender:   sender,
 		ring:     ring,
+		metrics:  m,
 		requests: ident.NewSequence(),
-		loans:    newLoans(l, directory, i.Host),
+		leaving:  func(resource.Server) bool { return false },
+		lend:     func(ident.Pool, []route.Outgoing) {},
 	}
 	d.pools.Store(&map[ident.Pool]*poolQueue{})
-	peer.Handle(l, kindSlots, d.receiveSlots)
 	return d
 }
 
@@ -106,7 +125,7 @@
 				Address:    b.Address,
 				DataCentre: b.DataCentre,
 				Slots:      b.Slots,
-				Leaving:    b.Drain || directory.Leaving(string(b.Name)),
+				Leaving:    b.Drain || directory.Leaving(string(b.Name)) || d.leaving(b),
 			})
 		}
 		limit := d.settings.Limits.QueueTasks
@@ -159,8 +178,8 @@
 		WantTime:    wantTime,
 		ReturnTime:  returnTime,
 		FasterWait:  fasterWait,
-		Heartbeat:   slotsHeartbeat,
-		PeerTimeout: slotsPeerTimeout,
+		Heartbeat:   lendHeartbeat,
+		PeerTimeout: lendTimeout,
 	})
 	next := maps.Clone(pools)
 	next[name] = q
--- a/entry/dispatcher_test.go
+++ b/entry/dispatcher_test.go
@@ -12,8 +12,6 @@
 	"testing"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 
 	"github.com/catkingap/catkingap/backend"
@@ -21,7 +19,6 @@
 	"github.com/catkingap/catkingap/job"
 	"github.com/catkingap/catkingap/network"
 	"github.com/catkingap/catkingap/outcome"
-	"github.com/catkingap/catkingap/peer"
 	"github.com/catkingap/catkingap/resource"
 	"github.com/catkingap/catkingap/settings"
 	"github.com/catkingap/catkingap/standin"
@@ -35,15 +32,19 @@
 	return f(ctx, r)
 }
 
+// Check implements backend.Sender.
+func (f senderFunc) Check(context.Context, string) (backend.Health, error) {
+	return backend.Health{}, nil
+}
+
 // newTestDispatcher returns a dispatcher of one host with servers at the given
 // addresses.
 func newTestDispatcher(sender backend.Sender, slots int, addresses ...string) *Dispatcher {
 	s := settings.Default()
 	s.Host = "host"
-	links := peer.NewLinks(peer.Config{Logger: &log.Logger{Handler: discard.New()}, Network: network.Real{}})
 	directory := newDirectory()
 	ring := timeline.NewRing(s.Host, time.Now(), s.Limits.TimelineEvents)
-	d := newDispatcher(s, Identity{Holder: job.Holder{Host: "host", Boot: "boot"}, DataCentre: "dc"}, sender, ring, links, directory)
+	d := newDispatcher(s, Identity{Holder: job.Holder{Host: "host", Boot: "boot"}, DataCentre: "dc"}, sender, ring, newMetrics())
 	snapshot := &resource.Snapshot{
 		Pools:   map[ident.Pool]resource.PoolSpec{"pool": {}},
 		Servers: map[ident.Pool][]resource.Server{},
@@ -59,7 +60,7 @@
 }
 
 // call submits one request and waits for its end.
-func (d *Dispatcher) call(ctx context.Context, w Work) (backend.Reply, *outcome.Error) {
+func (d *Dispatcher) call(ctx context.Context, w *Work) (backend.Reply, *outcome.Error) {
 	type end struct {
 		reply   backend.Reply
 		failure *outcome.Error
@@ -67,7 +68,7 @@
 	done := make(chan end, 1)
 	w.Context, w.Team, w.Pool, w.Service = ctx, "team", "pool", "call"
 	w.Done = func(r backend.Reply, e *outcome.Error) { done <- end{r, e} }
-	if e := d.Submit(&w); e != nil {
+	if e := d.Submit(w); e != nil {
 		return backend.Reply{}, e
 	}
 	e := <-done
@@ -102,7 +103,7 @@
 				}
 				return backend.Reply{}, nil
 			}), 1, "a", "b")
-			_, failure := d.call(t.Context(), Work{Idempotent: test.idempotent})
+			_, failure := d.call(t.Context(), &Work{Idempotent: test.idempotent})
 			is.Equal(sent, test.sent)
 			is.Equal(failure == nil, test.failure == nil || test.sent == 2)
 		})
@@ -121,7 +122,7 @@
 	is.Equal(d.Submit(&Work{Context: t.Context(), Pool: "pool", Service: "call", Done: func(backend.Reply, *outcome.Error) {}}), nil)
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	_, failure := d.call(ctx, Work{})
+	_, failure := d.call(ctx, &Work{})
 	is.Equal(failure.Kind, outcome.NotRun)
 	is.True(failure.RetryAfter > 0)
 }
@@ -147,10 +148,10 @@
 		return backend.Reply{}, nil
 	}), 1, "a", "b")
 	for range 20 {
-		_, failure := d.call(t.Context(), Work{Body: []byte("fast"), Idempotent: true, Hedge: true})
+		_, failure := d.call(t.Context(), &Work{Body: []byte("fast"), Idempotent: true, Hedge: true})
 		is.Equal(failure, nil)
 	}
-	_, failure := d.call(t.Context(), Work{Body: []byte("slow"), Idempotent: true, Hedge: true})
+	_, failure := d.call(t.Context(), &Work{Body: []byte("slow"), Idempotent: true, Hedge: true})
 	is.Equal(failure, nil)
 	is.Equal(sent["slow"], 2)
 	<-hang // The slower copy is cancelled.
@@ -195,7 +196,7 @@
 			return err
 		},
 		"dispatcher": func(int) error {
-			if _, e := d.call(b.Context(), Work{Body: body}); e != nil {
+			if _, e := d.call(b.Context(), &Work{Body: body}); e != nil {
 				return e
 			}
 			return nil
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/json"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
@@ -30,17 +29,34 @@
 // The times and bounds that are the same on each entry host.
 const (
 	// ConnectTimeout bounds the time to open a connection.
-	ConnectTimeout     = time.Second
-	idleTimeout        = 90 * time.Second
-	platformIdle       = 8
-	peerWriteTimeout   = 2 * time.Second
-	commitMaxRows      = 400
-	commitInFlight     = 2
-	busyPause          = 5 * time.Millisecond
-	remoteDelay        = 3 * time.Millisecond
+	ConnectTimeout   = time.Second
+	idleTimeout      = 90 * time.Second
+	platformIdle     = 8
+	peerWriteTimeout = 2 * time.Second
+	peerSilence      = time.Second
+	// commitMaxWrites and commitMaxBytes stay under the 128 operations and
+	// 1.5 MiB that etcd takes in a transaction by default.
+	commitMaxWrites = 100
+	commitMaxBytes  = 1 << 20
+	commitBurst     = 10
+	commitMinPause  = 20 * time.Millisecond
+	commitMaxPause  = 250 * time.Millisecond
+	// tableWrites is the share of the table's writes per second that all entry
+	// hosts together take.
+	tableWrites        = 300
 	headerReadTimeout  = 10 * time.Second
 	storeRetry         = time.Second
 	settleReadInterval = 100 * time.Millisecond
+
+	// serverIdleTimeout is the age beyond which an idle connection to a
+	// backend server carries no request.
+	serverIdleTimeout  = time.Second
+	serverCheckTimeout = time.Second
+	// serverSilence, or serverSilenceFactor times the longest run time of a
+	// server, is how long a busy connection may show no life.
+	serverSilence       = 10 * time.Second
+	serverSilenceFactor = 8
+	serverChecks        = 3
 )
 
 // Listeners holds the open sockets of the daemon.
@@ -73,6 +89,8 @@
 			func() network.Network { return o.Network },
 			func(s settings.Settings) (log.Interface, error) { return newLogger(o.Log, s) },
 			newIdentity,
+			newMetrics,
+			newRequestLog,
 			newRing,
 			newListeners,
 			newPlatformClient,
@@ -82,35 +100,46 @@
 			newBatcher,
 			resource.NewStore,
 			newLinks,
+			newBackendClient,
+			newLeaving,
 			newSender,
 			newDirectory,
+			newProber,
+			newRollout,
+			newStatuses,
 			newDispatcher,
 			newJobs,
+			newHandover,
+			newLending,
 			newServices,
+			newShutdown,
+			newTimelines,
 			newAPI,
 		),
-		fx.Invoke(runBackground, runLoans, runPeer, runAPI),
+		fx.Invoke(
+			showMetrics,
+			runBackground,
+			runPeer,
+			runWatch,
+			runRetention,
+			runLeaving,
+			runLending,
+			runAPI,
+		),
 		// The hooks of the life cycle bound themselves by the settings.
-		fx.StopTimeout(time.Duration(o.Settings.ShutdownTimeout)+time.Duration(o.Settings.UnreadyTime)+time.Second),
+		fx.StopTimeout(time.Duration(o.Settings.ShutdownTimeout)+cutAnswerTime+closeTime+time.Second),
 		fx.Options(more...),
 	)
 }
 
-func newLogger(w io.Writer, s settings.Settings) (log.Interface, error) {
-	level, err := log.ParseLevel(s.LogLevel)
-	if err != nil {
-		return nil, err
-	}
-	logger := &log.Logger{Handler: json.New(w), Level: level}
-	return logger.WithFields(log.Fields{"host": string(s.Host), "dataCentre": string(s.DataCentre)}), nil
-}
-
 func newIdentity(s settings.Settings) Identity {
 	return Identity{Holder: job.Holder{Host: s.Host, Boot: ident.NewToken()}, DataCentre: s.DataCentre}
 }
 
-func newRing(s settings.Settings) *timeline.Ring {
-	return timeline.NewRing(s.Host, time.Now(), s.Limits.TimelineEvents)
+func newRing(s settings.Settings, l log.Interface) *timeline.Ring {
+	ring := timeline.NewRing(s.Host, time.Now(), s.Limits.TimelineEvents)
+	ring.Observe(logEvents(l, s))
+	return ring
 }
 
 func newListeners(s settings.Settings, n network.Network) (Listeners, error) {
@@ -127,15 +156,17 @@
 }
 
 // newPlatformClient returns the HTTP client for all services of the platform.
-func newPlatformClient(s settings.Settings, n network.Network) *http.Client {
+func newPlatformClient(s settings.Settings, n network.Network, m *Metrics) *http.Client {
+	recording := &network.Recording{Network: n}
+	m.showPlatform(recording)
 	return &http.Client{
 		Timeout:   time.Duration(s.Platform.Timeout),
-		Transport: &http.Transport{DialContext: n.DialContext, MaxIdleConnsPerHost: platformIdle, IdleConnTimeout: idleTimeout},
+		Transport: &http.Transport{DialContext: recording.DialContext, MaxIdleConnsPerHost: platformIdle, IdleConnTimeout: idleTimeout},
 	}
 }
 
-func newTable(s settings.Settings, c *http.Client) platform.Table {
-	return platform.NewRemoteTable(c, s.Platform.Table)
+func newTable(s settings.Settings, c *http.Client, m *Metrics) platform.Table {
+	return measuredTable{Table: platform.NewRemoteTable(c, s.Platform.Table), metrics: m}
 }
 
 func newObjects(s settings.Settings, c *http.Client) platform.Objects {
@@ -148,28 +179,46 @@
 
 func newBatcher(s settings.Settings, t platform.Table) *commit.Batcher {
 	return commit.NewBatcher(commit.Config{
-		Table:    t,
-		Timeout:  time.Duration(s.Platform.Timeout),
-		MaxRows:  commitMaxRows,
-		InFlight: commitInFlight,
+		Table:   t,
+		Timeout: time.Duration(s.Platform.Timeout),
+		Window: commit.WindowConfig{
+			Rate:      tableWrites,
+			Burst:     commitBurst,
+			MaxWrites: commitMaxWrites,
+			MaxBytes:  commitMaxBytes,
+			MinPause:  commitMinPause,
+			MaxPause:  commitMaxPause,
+		},
 	})
 }
 
 func newLinks(l log.Interface, n network.Network) *peer.Links {
-	return peer.NewLinks(peer.Config{Logger: l, Network: n, WriteTimeout: peerWriteTimeout})
+	return peer.NewLinks(peer.Config{Logger: l, Network: n, WriteTimeout: peerWriteTimeout, SilenceTimeout: peerSilence})
 }
 
-func newSender(s settings.Settings, n network.Network) backend.Sender {
+func newBackendClient(s settings.Settings, n network.Network) *backend.Client {
 	return backend.NewClient(backend.ClientConfig{
-		Network:     n,
-		Connections: s.Limits.Connections,
-		IdleTimeout: idleTimeout,
+		Network:      n,
+		Connections:  s.Limits.Connections,
+		IdleTimeout:  serverIdleTimeout,
+		CheckTimeout: serverCheckTimeout,
+		Silence: backend.SilenceConfig{
+			Floor: serverSilence, Factor: serverSilenceFactor, Checks: serverChecks, CheckPause: serverCheckTimeout,
+		},
 	})
 }
 
+// showMetrics adds the counters of all parts to the metrics.
+func showMetrics(m *Metrics, b *commit.Batcher, d *Dispatcher, j *Jobs, l *peer.Links, r *timeline.Ring, client *backend.Client, store *resource.Store) {
+	m.show(measured{batcher: b, dispatcher: d, jobs: j, links: l, ring: r, sender: client, store: store})
+}
+
 // runPeer serves the links to other entry hosts.
-func runPeer(life fx.Lifecycle, l Listeners, links *peer.Links, jobs *Jobs) {
+func runPeer(life fx.Lifecycle, l Listeners, links *peer.Links, jobs *Jobs, timelines *Timelines, p *Prober, r *Rollout) {
 	jobs.register(links)
+	p.register(links)
+	r.register(links)
+	timelines.register(links)
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			go func() { _ = links.Serve(l.Peer) }()
@@ -182,27 +231,3 @@
 		},
 	})
 }
-
-// runAPI serves callers and operators, and shuts down gracefully.
-func runAPI(life fx.Lifecycle, s settings.Settings, l Listeners, api *API, jobs *Jobs, ring *timeline.Ring, logger log.Interface) {
-	server := &http.Server{Handler: api.Handler(), ReadHeaderTimeout: headerReadTimeout}
-	life.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			ring.Add(time.Now(), timeline.Event{Kind: timeline.Started})
-			logger.WithFields(log.Fields{"api": l.API.Addr().String(), "peer": l.Peer.Addr().String()}).Info("listening")
-			go func() { _ = server.Serve(l.API) }()
-			return nil
-		},
-		OnStop: func(ctx context.Context) error {
-			ring.Add(time.Now(), timeline.Event{Kind: timeline.ShutdownBegun})
-			api.setUnready()
-			time.Sleep(time.Duration(s.UnreadyTime))
-			ctx, cancel := context.WithTimeout(ctx, time.Duration(s.ShutdownTimeout))
-			defer cancel()
-			if err := server.Shutdown(ctx); err != nil {
-				return errors.Wrap(err, "open requests")
-			}
-			return errors.Wrap(jobs.wait(ctx), "open jobs")
-		},
-	})
-}
--- a/entry/poolqueue.go
+++ b/entry/poolqueue.go
@@ -58,7 +58,7 @@
 		}
 		w.request = q.dispatcher.requests.Next()
 		e := &admission.Entry[*Work]{Item: w, Team: w.Team, Flow: w.flow(), RunTime: w.RunTime, Deadline: a.Deadline, Idempotent: w.Idempotent, Hedge: w.Hedge}
-		if w.Task == nil {
+		if w.Task == nil && !w.Admitted {
 			a.MaxWait = requestMaxWait
 			e.GiveUp = now.Add(requestMaxAge)
 			if !a.Deadline.IsZero() && a.Deadline.Before(e.GiveUp) {
@@ -70,7 +70,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	if e := q.pool.Submit(now, a, entries); e != nil {
-		q.dispatcher.note(timeline.Refused, works[0], "", e.Error())
+		q.dispatcher.note(timeline.Refused, works[0], "", label(e))
 		return e
 	}
 	q.pump()
@@ -102,8 +102,12 @@
 	now := time.Now()
 	expired, refusals := q.pool.Expire(now)
 	for i, e := range expired {
-		q.dispatcher.note(timeline.Refused, e.Item, "", refusals[i].Error())
-		go e.Item.Done(backend.Reply{}, refusals[i])
+		if !e.Item.take() {
+			continue
+		}
+		refusal := e.Item.truth(refusals[i])
+		q.dispatcher.note(timeline.Refused, e.Item, "", label(refusal))
+		go e.Item.Done(backend.Reply{}, refusal)
 	}
 	for {
 		b, ok := q.pool.Bind(now)
@@ -121,41 +125,52 @@
 	}
 }
 
-// run sends one bound entry and reports how it ended.
+// run sends one bound entry unless it was withdrawn or its time has passed.
 func (q *poolQueue) run(b route.Binding[*Work]) {
 	w := b.Entry.Item
-	if err := w.Context.Err(); err != nil {
-		if q.ended(b, route.End{Result: route.Withdrawn}, false) != route.Finish {
-			return
+	if !w.take() {
+		q.ended(b, route.End{Result: route.Withdrawn}, false)
+		return
+	}
+	if w.Context.Err() != nil {
+		if q.ended(b, route.End{Result: route.Withdrawn}, false) == route.Finish {
+			w.Done(backend.Reply{}, w.truth(ended(w.Context, false)))
 		}
-		w.Done(backend.Reply{}, outcome.New(outcome.NotRun, outcome.DeadlinePassed, "no free slot in time"))
 		return
 	}
+	if w.stop != nil {
+		defer q.hedgeLater(b).Stop()
+	}
+	q.send(b)
+}
+
+// send sends one copy of a bound entry and reports how it ended.
+func (q *poolQueue) send(b route.Binding[*Work]) {
+	w := b.Entry.Item
 	start := time.Now()
 	event := q.dispatcher.note(timeline.TaskStarted, w, b.Server.Name, "")
 	task := ""
 	if w.Task != nil {
 		task = w.Task.String()
 	}
-	if w.stop != nil {
-		defer q.hedgeLater(b).Stop()
-	}
 	reply, err := q.dispatcher.sender.Send(w.Context, backend.Request{ID: w.request, Task: task, Address: b.Server.Address, Body: w.Body})
 	failure := outcome.From(err)
 	now := time.Now()
-	event.Kind = timeline.TaskEnded
-	if failure != nil {
-		event.Detail = failure.Error()
-	}
+	q.dispatcher.metrics.dispatched(start.Sub(b.Entry.Queued), now.Sub(start), failure)
+	event.Kind, event.Detail = timeline.TaskEnded, label(failure)
 	q.dispatcher.ring.Add(now, event)
-	switch q.ended(b, route.End{Result: result(failure), Took: now.Sub(start)}, reply.Leaving) {
+	end := route.End{Result: policyResult(failure), Took: now.Sub(start)}
+	if end.Result == route.Broken || end.Result == route.Lost {
+		w.markRan()
+	}
+	switch q.ended(b, end, reply.Leaving) {
 	case route.Finish:
 		if w.stop != nil {
 			w.stop()
 		}
-		w.Done(reply, failure)
+		w.Done(reply, w.truth(failure))
 	case route.Queued:
-		q.dispatcher.note(timeline.Retried, w, b.Server.Name, failure.Error())
+		q.dispatcher.note(timeline.Retried, w, b.Server.Name, label(failure))
 	}
 }
 
@@ -174,13 +189,13 @@
 		q.mutex.Unlock()
 		if ok {
 			q.dispatcher.note(timeline.Retried, b.Entry.Item, second.Server.Name, "hedged")
-			q.run(second)
+			q.send(second)
 		}
 	})
 }
 
-// result returns what an outcome tells the policy.
-func result(failure *outcome.Error) route.Result {
+// policyResult returns what an outcome tells the policy.
+func policyResult(failure *outcome.Error) route.Result {
 	switch {
 	case failure == nil:
 		return route.Answered
@@ -214,6 +229,13 @@
 		}
 		q.dispatcher.ring.Add(now, timeline.Event{Kind: kind, Server: c.Server})
 	}
+	if next == route.Queued {
+		// Nothing binds it before the mutex is free.
+		b.Entry.Item.release()
+	}
+	if q.pool.Owes(now) {
+		q.exchange(now)
+	}
 	q.pump()
 	return next
 }
--- /dev/null
+++ b/entry/timeline_test.go
@@ -0,0 +1,126 @@
+package entry_test
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/demo"
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/job"
+	"github.com/catkingap/catkingap/repairlog"
+	"github.com/catkingap/catkingap/standin"
+	"github.com/catkingap/catkingap/timeline"
+)
+
+// startDemo starts three entry hosts with stand-ins.
+func startDemo(t *testing.T, c demo.Config) *demo.Demo {
+	t.Helper()
+	c.Progress = io.Discard
+	if c.Log == nil {
+		c.Log = io.Discard
+	}
+	d, err := demo.Start(t.Context(), c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Stop)
+	return d
+}
+
+// shortJob returns a job of n tasks that run for 10 ms each.
+func shortJob(key ident.JobKey, n int) *job.Submission {
+	logs := repairlog.Generate(3, n)
+	for i := range logs {
+		logs[i].RunTimeMS = 10
+	}
+	return demo.Submission(key, logs)
+}
+
+// waitPeers waits until the host sees all three entry hosts.
+func waitPeers(t *testing.T, d *demo.Demo, host int) {
+	t.Helper()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		view, err := d.Client(host).MergedTimeline(t.Context(), timeline.Filter{})
+		if err == nil && len(view.Sources) == 3 {
+			return
+		}
+	}
+	t.Fatal("the hosts do not see each other")
+}
+
+// TestMergedTimeline runs a job on one host, attaches to it at another, cuts
+// the third off and asks the second for the time line.
+func TestMergedTimeline(t *testing.T) {
+	is := is.New(t)
+	d := startDemo(t, demo.Config{})
+	waitPeers(t, d, 1)
+	s := shortJob("tide", 20)
+	_, err := d.Client(0).Submit(t.Context(), s)
+	is.NoErr(err)
+	_, err = d.Client(1).Submit(t.Context(), s)
+	is.NoErr(err)
+	d.Sever(2)
+
+	view, err := d.Client(1).MergedTimeline(t.Context(), timeline.Filter{Team: s.Team, Job: s.Key})
+	is.NoErr(err)
+	is.Equal(len(view.Sources), 3)
+	is.Equal(view.Sources[0].Error, "")
+	is.True(view.Sources[2].Error != "") // entry-3 is marked
+	counts := map[timeline.Kind]int{}
+	for _, e := range view.Entries {
+		counts[e.Kind]++
+		is.Equal(e.Job, s.Key)
+	}
+	is.Equal(counts[timeline.TaskStarted], 20)
+	is.Equal(counts[timeline.TaskEnded], 20)
+	is.Equal(counts[timeline.Claimed], 1)
+	is.Equal(view.Entries[0].Kind, timeline.Claimed)
+	is.Equal(view.Entries[0].Host, ident.Host("entry-1"))
+	is.True(view.Entries[0].Revision > 0)
+
+	view, err = d.Client(1).MergedTimeline(t.Context(), timeline.Filter{Host: "entry-2"})
+	is.NoErr(err)
+	is.Equal(len(view.Sources), 1)
+	view, err = d.Client(1).MergedTimeline(t.Context(), timeline.Filter{Since: time.Now().Add(time.Hour)})
+	is.NoErr(err)
+	is.Equal(len(view.Entries), 0)
+}
+
+// TestTimelineOfMirror takes the table away while a job runs: the time line
+// shows that the holder sent the outcome to its mirror before the mirror got
+// it.
+func TestTimelineOfMirror(t *testing.T) {
+	is := is.New(t)
+	d := startDemo(t, demo.Config{})
+	waitPeers(t, d, 0)
+	s := shortJob("tide", 8)
+	for i := range s.Tasks {
+		s.Tasks[i].Payload = []byte(`{"groyneId":"G-7","runTimeMs":900}`)
+	}
+	cut := time.AfterFunc(450*time.Millisecond, func() { d.Platform().SetFaults(standin.Faults{Mode: standin.Refuse}) })
+	defer cut.Stop()
+	_, err := d.Client(0).Submit(t.Context(), s)
+	d.Platform().SetFaults(standin.Faults{})
+	is.NoErr(err)
+	view, err := d.Client(0).MergedTimeline(t.Context(), timeline.Filter{Team: s.Team, Job: s.Key})
+	is.NoErr(err)
+	sent, received, returned := -1, -1, -1
+	for i, e := range view.Entries {
+		switch {
+		case e.Detail != "mirrorKeep":
+		case e.Kind == timeline.CallSent && sent < 0:
+			sent = i
+			is.Equal(e.Host, ident.Host("entry-1"))
+		case e.Kind == timeline.CallReceived && received < 0:
+			received = i
+			is.True(e.Host != "entry-1")
+		case e.Kind == timeline.CallReturned && returned < 0:
+			returned = i
+		}
+	}
+	is.True(0 <= sent && sent < received && received < returned)
+	is.Equal(view.Entries[received].Request, view.Entries[sent].Request)
+}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -13,11 +13,13 @@
 
 // Start is one entry of a backend server's own log of starts.
 type Start struct {
-	Server  string    `json:"server"`
-	Task    string    `json:"task"`
-	Request string    `json:"request"`
-	At      time.Time `json:"at"`
-	Done    bool      `json:"done"`
+	Server  string `json:"server"`
+	Task    string `json:"task"`
+	Request string `json:"request"`
+	// Digest is the digest of the request's body.
+	Digest string    `json:"digest"`
+	At     time.Time `json:"at"`
+	Done   bool      `json:"done"`
 }
 
 // BackendConfig builds a Backend.
@@ -28,6 +30,9 @@
 	Speed float64
 	// Work computes the answer and the run time from the body of a request.
 	Work func(body []byte) (answer []byte, runTime time.Duration, err error)
+	// Log receives each start as a line of JSON before the work runs, so that
+	// it outlives the process. Nil means no log.
+	Log io.Writer
 }
 
 // Backend is a stand-in for a backend server.
@@ -39,7 +44,7 @@
 	mutex    sync.Mutex
 	starts   []Start
 	previous []byte
-	refused  int
+	refusals []time.Time
 }
 
 // NewBackend returns a backend server that has started nothing yet.
@@ -61,7 +66,14 @@
 func (b *Backend) Refused() int {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return b.refused
+	return len(b.refusals)
+}
+
+// Refusals returns when requests were refused as not run.
+func (b *Backend) Refusals() []time.Time {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return append([]time.Time{}, b.refusals...)
 }
 
 // Handler returns the HTTP handler of the server.
@@ -69,21 +81,36 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+backend.PathRun, b.Faults.guard(b.serveRun))
 	mux.HandleFunc("GET /starts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, b.Starts()) })
-	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("GET /refusals", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, b.Refusals()) })
+	mux.HandleFunc("GET "+backend.PathHealth, b.serveHealth)
 	mux.Handle("PUT "+PathFaults, &b.Faults)
 	return mux
 }
 
+// serveHealth answers without a slot, and tells when the server is leaving.
+func (b *Backend) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	switch b.Faults.mode() {
+	case Close:
+		w.Header().Set("Connection", "close")
+	case Drain:
+		w.Header().Set(backend.HeaderLeaving, "true")
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (b *Backend) serveRun(w http.ResponseWriter, r *http.Request, f Faults) {
+	if f.Mode == Close {
+		w.Header().Set("Connection", "close")
+	}
 	if f.Mode == Drain {
 		w.Header().Set(backend.HeaderLeaving, "true")
-		b.refuse(w, "leaving")
+		b.refuse(w, r, "leaving")
 		return
 	}
 	select {
 	case b.slots <- struct{}{}:
 	default:
-		b.refuse(w, "all slots taken")
+		b.refuse(w, r, "all slots taken")
 		return
 	}
 	defer func() { <-b.slots }()
@@ -109,10 +136,12 @@
 	_, _ = w.Write(answer)
 }
 
-func (b *Backend) refuse(w http.ResponseWriter, reason string) {
+// refuse answers that the request did not run.
+func (b *Backend) refuse(w http.ResponseWriter, r *http.Request, reason string) {
 	b.mutex.Lock()
-	b.refused++
+	b.refusals = append(b.refusals, time.Now())
 	b.mutex.Unlock()
+	w.Header().Set(backend.HeaderRequest, r.Header.Get(backend.HeaderRequest))
 	w.Header().Set(backend.HeaderOutcome, string(outcome.NotRun))
 	http.Error(w, reason, http.StatusServiceUnavailable)
 }
@@ -120,12 +149,17 @@
 func (b *Backend) logStart(r *http.Request) int {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.starts = append(b.starts, Start{
+	start := Start{
 		Server:  b.config.Name,
 		Task:    r.Header.Get(backend.HeaderTask),
 		Request: r.Header.Get(backend.HeaderRequest),
+		Digest:  r.Header.Get(backend.HeaderDigest),
 		At:      time.Now(),
-	})
+	}
+	b.starts = append(b.starts, start)
+	if b.config.Log != nil {
+		_ = json.NewEncoder(b.config.Log).Encode(start)
+	}
 	return len(b.starts) - 1
 }
 
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -3,7 +3,6 @@
 package timeline
 
 import (
-	"sync"
 	"time"
 
 	"github.com/catkingap/catkingap/ident"
@@ -17,9 +16,14 @@
 	Adopted       Kind = "adopted"
 	Answered      Kind = "answered"
 	Attached      Kind = "attached"
+	CallAnswered  Kind = "callAnswered"
+	CallReceived  Kind = "callReceived"
+	CallReturned  Kind = "callReturned"
+	CallSent      Kind = "callSent"
 	Cancelled     Kind = "cancelled"
 	Claimed       Kind = "claimed"
 	ConfigApplied Kind = "configApplied"
+	ConfigWritten Kind = "configWritten"
 	Drained       Kind = "drained"
 	Ejected       Kind = "ejected"
 	HostLost      Kind = "hostLost"
@@ -54,65 +58,45 @@
 	Request   ident.Request    `json:"request,omitempty" msgpack:"request,omitempty"`
 	Service   ident.Service    `json:"service,omitempty" msgpack:"service,omitempty"`
 	Server    ident.Server     `json:"server,omitempty" msgpack:"server,omitempty"`
-	Detail    string           `json:"detail,omitempty" msgpack:"detail,omitempty"`
-}
-
-// Ring keeps the newest events of one process. It is safe for concurrent use.
-type Ring struct {
-	host    ident.Host
-	started time.Time
-
-	mutex  sync.Mutex
-	events []Event
-	next   uint64
-}
-
-// NewRing returns a ring that keeps up to size events.
-func NewRing(host ident.Host, now time.Time, size int) *Ring {
-	return &Ring{host: host, started: now, events: make([]Event, 0, size)}
-}
-
-// Add appends an event and fills in its host, sequence and times.
-func (r *Ring) Add(now time.Time, e Event) {
-	e.Host = r.host
-	e.Wall = now
-	e.Monotonic = now.Sub(r.started)
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	e.Sequence = r.next
-	if len(r.events) < cap(r.events) {
-		r.events = append(r.events, e)
-	} else {
-		r.events[r.next%uint64(cap(r.events))] = e
-	}
-	r.next++
+	// Epoch counts the holders of the job, where it is known.
+	Epoch ident.Epoch `json:"epoch,omitempty" msgpack:"epoch,omitempty"`
+	// Revision is that of the row that was written or of the configuration.
+	Revision ident.Revision `json:"revision,omitempty" msgpack:"revision,omitempty"`
+	Detail   string         `json:"detail,omitempty" msgpack:"detail,omitempty"`
 }
 
 // Filter selects events. Empty fields select all.
 type Filter struct {
+	Host    ident.Host    `msgpack:"host"`
 	Team    ident.Team    `msgpack:"team"`
 	Job     ident.JobKey  `msgpack:"job"`
 	Service ident.Service `msgpack:"service"`
-	Since   time.Time     `msgpack:"since"`
+	// Since and Until bound the wall time; Until is left out.
+	Since time.Time `msgpack:"since"`
+	Until time.Time `msgpack:"until"`
 }
 
-func (f Filter) match(e Event) bool {
-	return (f.Team == "" || f.Team == e.Team) &&
-		(f.Job == "" || f.Job == e.Job) &&
-		(f.Service == "" || f.Service == e.Service) &&
-		!e.Wall.Before(f.Since)
+// Within returns true if the time is within the span of f.
+func (f Filter) Within(wall time.Time) bool {
+	return !wall.Before(f.Since) && (f.Until.IsZero() || wall.Before(f.Until))
 }
 
-// Events returns the kept events that f selects, oldest first.
-func (r *Ring) Events(f Filter) []Event {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	var events []Event
-	count := uint64(len(r.events))
-	for i := r.next - count; i < r.next; i++ {
-		if e := r.events[i%uint64(cap(r.events))]; f.match(e) {
-			events = append(events, e)
-		}
+// Shift returns f with its span moved by offset and widened by margin on both
+// sides.
+func (f Filter) Shift(offset, margin time.Duration) Filter {
+	if !f.Since.IsZero() {
+		f.Since = f.Since.Add(offset - margin)
 	}
-	return events
+	if !f.Until.IsZero() {
+		f.Until = f.Until.Add(offset + margin)
+	}
+	return f
+}
+
+func (f Filter) match(e Event) bool {
+	return (f.Host == "" || f.Host == e.Host) &&
+		(f.Team == "" || f.Team == e.Team) &&
+		(f.Job == "" || f.Job == e.Job) &&
+		(f.Service == "" || f.Service == e.Service) &&
+		f.Within(e.Wall)
 }
