--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -10,6 +10,7 @@
 
 	"github.com/catkingap/catkingap/admission"
 	"github.com/catkingap/catkingap/backend"
+	"github.com/catkingap/catkingap/ejection"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/resource"
@@ -41,6 +42,15 @@
 	maxBackoff = time.Second
 )
 
+// The ejection of backend servers.
+const (
+	// maxEjected is the largest share of a pool that is ejected.
+	maxEjected      = 0.3
+	failuresToEject = 3
+	minProbe        = time.Second
+	maxProbe        = 30 * time.Second
+)
+
 // Work is one task or request on its way to a backend server.
 type Work struct {
 	Context context.Context
@@ -81,6 +91,10 @@
 	requests *ident.Sequence
 	// leaving returns true for servers that said that they are leaving.
 	leaving func(resource.Server) bool
+
+	configuring sync.Mutex
+	// newest is the snapshot in force.
+	newest *resource.Snapshot
 	// lend sends messages that pass slots to other hosts. It must not block.
 	lend func(ident.Pool, []route.Outgoing)
 
@@ -105,7 +119,15 @@
 }
 
 // Configure puts the servers and teams of a snapshot in force.
+//
+// Callers may come at once and out of order: the newest snapshot counts.
 func (d *Dispatcher) Configure(s *resource.Snapshot, directory *Directory) {
+	d.configuring.Lock()
+	defer d.configuring.Unlock()
+	if d.newest != nil && d.newest.Revision > s.Revision {
+		s = d.newest
+	}
+	d.newest = s
 	peers := d.peers(directory)
 	for name, pool := range s.Pools {
 		servers := make([]route.Server, 0, len(s.Servers[name]))
@@ -155,7 +177,8 @@
 		return q
 	}
 	q := newPoolQueue(d, name, route.Config{
-		Queue: admission.Config{Jitter: rand.Float64},
+		Queue:    admission.Config{Jitter: rand.Float64},
+		Ejection: ejection.Config{MaxShare: maxEjected, Failures: failuresToEject, MinProbe: minProbe, MaxProbe: maxProbe},
 		Retry: retry.Config{
 			Share: retryShare, Burst: retryBurst, MinBackoff: minBackoff, MaxBackoff: maxBackoff, Jitter: rand.Float64,
 		},
