--- a/entry/apiresources.go
+++ b/entry/apiresources.go
@@ -17,6 +17,7 @@
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/resource"
+	"github.com/catkingap/catkingap/timeline"
 )
 
 const (
@@ -236,6 +237,7 @@
 	}
 	o := change.Object
 	o.Revision = revision
+	a.timelines.ring.Add(time.Now(), timeline.Event{Kind: timeline.ConfigWritten, Revision: revision, Detail: string(o.Kind) + " " + o.Name})
 	c.JSON(status, o)
 }
 
--- a/entry/timeline_test.go
+++ b/entry/timeline_test.go
@@ -15,6 +15,7 @@
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/job"
 	"github.com/catkingap/catkingap/repairlog"
+	"github.com/catkingap/catkingap/resource"
 	"github.com/catkingap/catkingap/standin"
 	"github.com/catkingap/catkingap/timeline"
 )
@@ -169,3 +170,32 @@
 	is.True(0 <= sent && sent < received && received < returned)
 	is.Equal(view.Entries[received].Request, view.Entries[sent].Request)
 }
+
+// TestTimelineOfConfiguration holds that a change is shown as written on the
+// host that took it before it is shown as applied on another. The host that
+// took it applies it with the answer of the write, before it notes the write.
+func TestTimelineOfConfiguration(t *testing.T) {
+	is := is.New(t)
+	d := startDemo(t, demo.Config{})
+	waitPeers(t, d, 1)
+	o, err := d.Client(0).Put(t.Context(), resource.Object{Kind: resource.KindTeam, Name: "school", Spec: []byte(`{}`)})
+	is.NoErr(err)
+	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		view, err := d.Client(1).MergedTimeline(t.Context(), timeline.Filter{})
+		is.NoErr(err)
+		written, applied := -1, 0
+		for i, e := range view.Entries {
+			if e.Kind == timeline.ConfigWritten && e.Revision == o.Revision {
+				written = i
+			}
+			if e.Kind == timeline.ConfigApplied && e.Revision >= o.Revision {
+				is.True(written >= 0 || e.Host == "entry-1") // written before applied elsewhere
+				applied++
+			}
+		}
+		if applied == 3 {
+			return
+		}
+		is.True(time.Now().Before(deadline)) // in force on three hosts
+	}
+}
