--- a/policy/table_test.go
+++ b/policy/table_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/catkingap/catkingap/ejection"
 	"github.com/catkingap/catkingap/retry"
 	"github.com/catkingap/catkingap/route"
 )
@@ -25,6 +26,7 @@
 	FasterWait:  8 * time.Millisecond,
 	Heartbeat:   time.Second,
 	PeerTimeout: 5 * time.Second,
+	Ejection:    ejection.Config{MaxShare: 0.3, Failures: 3, MinProbe: time.Second, MaxProbe: 30 * time.Second},
 	Retry: retry.Config{
 		Share: 0.05, Burst: 10, MinBackoff: 10 * time.Millisecond, MaxBackoff: time.Second,
 		Jitter: func() float64 { return 0.5 },
@@ -57,10 +59,12 @@
 	fmt.Fprintln(t.Output(), "|---|---|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for _, name := range slices.Sorted(maps.Keys(scenarios)) {
 		s := scenarios[name]
-		f := s.run(withPolicy).measure(s.counts)
-		f.print(t, name, "catkingap")
-		s.run(withRandom).measure(s.counts).print(t, name, "random, one try")
-		t.Run(name, func(t *testing.T) { s.bounds.check(t, f) })
+		t.Run(name, func(t *testing.T) {
+			f := s.run(withPolicy).measure(s.counts)
+			f.print(t, name, "catkingap")
+			s.run(withRandom).measure(s.counts).print(t, name, "random, one try")
+			s.bounds.check(t, f)
+		})
 	}
 }
 
