Let a host without slots of its own meet the leaving server first

Since slots are passed between hosts, the host that was met first in TestLeavingServer owned the leaving server's slots and lent none, so the test stayed green with the message to the others off.

--- a/integration/leaving_test.go
+++ b/integration/leaving_test.go
@@ -182,17 +182,18 @@
 			t.Parallel()
 			k := newCluster(t, clusterConfig{hosts: 3, backends: 2, slots: 8})
 			leaver := k.backends[0]
-			// The load of the first host keeps contact with the server.
-			first := k.startLoad(12, 50*time.Millisecond, k.hosts[0])
+			// The load of one host keeps contact with the server. It is not the
+			// host of the data centre of the server.
+			first := k.startLoad(12, 50*time.Millisecond, k.hosts[1])
 			k.eventually("loaded", func() bool { return len(k.startsOf(leaver)) >= 20 })
-			long := k.startLoad(2, 2*time.Second, k.hosts[0])
+			long := k.startLoad(2, 2*time.Second, k.hosts[1])
 			time.Sleep(500 * time.Millisecond)
 			tt.leave(k, leaver)
 			left := time.Now()
 			k.is.Equal(len(long.stop()), 0)
 			time.Sleep(time.Until(left.Add(leavingBound)))
 			// The other hosts had no contact with the server until now.
-			others := k.startLoad(12, 50*time.Millisecond, k.hosts[1], k.hosts[2])
+			others := k.startLoad(12, 50*time.Millisecond, k.hosts[0], k.hosts[2])
 			time.Sleep(2 * time.Second)
 			k.is.Equal(k.startsAfter(leaver, left.Add(leavingBound)), 0)
 			k.is.Equal(k.refusedAfter(leaver, left.Add(leavingBound)), 0)
