--- a/policy/table_test.go
+++ b/policy/table_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"flag"
 	"fmt"
 	"maps"
 	"slices"
@@ -14,8 +15,8 @@
 	"github.com/catkingap/catkingap/route"
 )
 
-// seed is the seed of all scenarios.
-const seed = 1
+// seed is the seed of all scenarios. CI runs the default.
+var seed = flag.Uint64("seed", 1, "seed of the scenarios")
 
 var config = route.Config{
 	RemoteDelay: 2 * remoteDistance,
@@ -37,7 +38,7 @@
 	if s.speeds == nil {
 		s.speeds = ordinary
 	}
-	w := newWorld(seed, s.speeds)
+	w := newWorld(*seed, s.speeds)
 	start(w)
 	s.plan(w)
 	w.deliver()
