Let the list alone bring a server back that it calls leaving

Cause: the check puts the server out before the end of the same request marks it once more. The word now counts only until the list says the same.

--- a/route/pool.go
+++ b/route/pool.go
@@ -459,7 +459,7 @@
 
 // MarkLeaving records that a server announced that it is leaving.
 func (p *Pool[Item]) MarkLeaving(name ident.Server) {
-	if s := p.servers[name]; s != nil {
+	if s := p.servers[name]; s != nil && !s.Leaving {
 		s.announced = announcedBeats
 	}
 }
--- a/route/pool_test.go
+++ b/route/pool_test.go
@@ -155,3 +155,18 @@
 	is.Equal(p.Changes(), []ServerChange{{"server-0", ejection.Ejected}})
 	is.Equal(p.Changes(), nil)
 }
+
+// TestServerThatIsBackGetsWork marks a server that the list already calls
+// leaving; the list alone then tells when it is back.
+func TestServerThatIsBackGetsWork(t *testing.T) {
+	is := is.New(t)
+	p := newPool(1)
+	server := Server{Name: "server-0", DataCentre: "dc", Slots: 1, Leaving: true}
+	p.SetServers([]Server{server})
+	p.MarkLeaving(server.Name)
+	server.Leaving = false
+	p.SetServers([]Server{server})
+	p.push(request(false))
+	_, ok := p.Bind(start)
+	is.True(ok)
+}
