--- a/route/pool.go
+++ b/route/pool.go
@@ -243,10 +243,11 @@
 // available returns how many more tasks a server may get now. Safe work may be
 // sent again if it fails.
 func (p *Pool[Item]) available(now time.Time, s *server, safe bool) int {
-	if now.Before(s.paused) || !p.judge.Allowed(now, s.Name, safe) {
+	free := s.free()
+	if free <= 0 || now.Before(s.paused) || !p.judge.Allowed(now, s.Name, safe) {
 		return 0
 	}
-	return min(s.free(), p.judge.Limit(s.Name)-s.running)
+	return min(free, p.judge.Limit(s.Name)-s.running)
 }
 
 // meanRunTime returns the mean run time on a slot of the pool, in seconds, or
@@ -458,7 +459,7 @@
 
 // MarkLeaving records that a server announced that it is leaving.
 func (p *Pool[Item]) MarkLeaving(name ident.Server) {
-	if s := p.servers[name]; s != nil {
+	if s := p.servers[name]; s != nil && !s.Leaving {
 		s.announced = announcedBeats
 	}
 }
