Let a host use the slots of a new backend server at once

Cause: a host held back the slots that fell to it for two heartbeats, since the host that had them may still use them; it did so too for servers that nobody had before. The first job of a host, and each job on a new server, waited about 2.4 s between the record of its intent and its first start.

Ruled out: the claim (claim to first start takes 0.05 to 0.07 ms apart from slots) and the connections.

Change: slots are held back only where the shares of a known server change.

--- a/route/server.go
+++ b/route/server.go
@@ -25,8 +25,10 @@
 	// announced is the number of heartbeats for which the server's own word
 	// that it is leaving still counts, because the membership list lags.
 	announced int
-	// owned is the number of slots that are this host's share.
-	owned int
+	// owned is the number of slots that are this host's share. It is valid
+	// once shared is true.
+	owned  int
+	shared bool
 	// lent and borrowed count slots that other hosts use or have given.
 	lent, borrowed int
 	// recalled counts borrowed slots whose owner wants them back.
--- a/route/share.go
+++ b/route/share.go
@@ -54,11 +54,11 @@
 				k.owned += shares[k.Name]
 			}
 		}
-		if p.beats > 0 {
+		if s.shared {
 			s.fresh += max(owned-s.owned, 0)
 			s.excess += max(s.owned-owned, 0)
 		}
-		s.owned = owned
+		s.owned, s.shared = owned, true
 	}
 }
 
