Keep servers that lose their work from drawing all of it

Cause: TestTwoSilentServers went red: with two of three backend servers silent the third got nothing for a minute. Run times were learned from answers only, so the silent servers kept looking fast, and their slots, emptied by timeouts, were always the first free ones. Ejection may take one of three out at most.

Change: a task that was lost counts as one that took at least its time, and a server that lost one is paused as one that refused is, for longer each time. Admitted work that servers refuse is slowed when the retry budget is spent, in place of being refused: in TestShutdownCutsNothing callers were told busy while slots changed hands.

Ruled out: a larger share for ejection, which would take a pool out whole when all fail alike.

Also: a host that has no work looks at its slots only when a heartbeat is due or a peer wants some, and an unchanged membership list configures nothing.

--- a/entry/directory.go
+++ b/entry/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,9 @@
 type Directory struct {
 	members atomic.Pointer[map[string]platform.Member]
 	prober  atomic.Pointer[Prober]
+	// list is the list that was read last. Only set uses it.
+	list []platform.Member
+	read bool
 }
 
 func newDirectory() *Directory {
@@ -59,12 +63,18 @@
 	return p.Views()
 }
 
-func (d *Directory) set(members []platform.Member) {
+// set takes a list that was read. It returns false if nothing has changed.
+func (d *Directory) set(members []platform.Member) bool {
+	if d.read && slices.Equal(d.list, members) {
+		return false
+	}
+	d.list, d.read = members, true
 	next := make(map[string]platform.Member, len(members))
 	for _, m := range members {
 		next[m.ID] = m
 	}
 	d.members.Store(&next)
+	return true
 }
 
 // Background holds what the loops of runBackground need.
@@ -121,7 +131,9 @@
 		b.Logger.WithError(err).Debug("membership list not read")
 		return
 	}
-	b.Directory.set(members)
+	changed := b.Directory.set(members)
 	b.Prober.list(members)
-	b.Rollout.Configure()
+	if changed {
+		b.Rollout.Configure()
+	}
 }
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -27,9 +27,6 @@
 	Idempotent bool
 	// Overloaded is true if other work waits for a slot.
 	Overloaded bool
-	// Task is true for a task of a job. Its retries after a refusal are slowed
-	// in place of being given up, because the job would fail.
-	Task bool
 	// Deadline is when the work is of no more use. Zero means never.
 	Deadline time.Time
 }
@@ -60,6 +57,8 @@
 // Again returns the time after which work is sent again, or false if it is
 // not. Only idempotent work and work that provably did not run is. The first
 // retry after a refusal is immediate, and free unless the pool is overloaded.
+// Refused work for which the budget has nothing left is slowed in place of
+// being given up: it was admitted, and its caller would ask again.
 func (p *Policy) Again(now time.Time, a Attempt) (time.Duration, bool) {
 	if !a.NotRun && !a.Idempotent {
 		return 0, false
@@ -74,7 +73,7 @@
 	if a.NotRun && !a.Overloaded || p.Take() {
 		return after, true
 	}
-	if a.NotRun && a.Task {
+	if a.NotRun && (a.Deadline.IsZero() || now.Add(p.config.MaxBackoff).Before(a.Deadline)) {
 		return p.config.MaxBackoff, true
 	}
 	return 0, false
--- a/route/lending.go
+++ b/route/lending.go
@@ -252,6 +252,9 @@
 // peers. The caller calls it when work waits after Bind, after Receive, and at
 // least each Config.Tick.
 func (p *Pool[Item]) Exchange(now time.Time) []Outgoing {
+	if p.isQuiet(now) {
+		return nil
+	}
 	var out []Outgoing
 	p.recall(now)
 	waiting := 0
@@ -280,6 +283,20 @@
 	return p.beat(now, out, waiting)
 }
 
+// isQuiet returns true if this host has no work and no slots to pass on, and no
+// heartbeat is due.
+func (p *Pool[Item]) isQuiet(now time.Time) bool {
+	if p.running > 0 || p.Waiting() > 0 || now.Sub(p.beaten) >= p.config.Heartbeat {
+		return false
+	}
+	for _, k := range p.peerOrder {
+		if len(k.borrowed) > 0 || k.wants(now, p.config.WantTime) {
+			return false
+		}
+	}
+	return true
+}
+
 // freeSlots returns the number of tasks that could start at once.
 func (p *Pool[Item]) freeSlots(now time.Time) int {
 	free := 0
--- a/route/pool.go
+++ b/route/pool.go
@@ -356,7 +356,15 @@
 		s.learn(e.Took)
 		p.slow.Add(e.Took)
 		change = p.judge.Answered(s.Name)
-	case Broken, Lost:
+	case Broken:
+		change = p.judge.Failed(now, s.Name)
+	case Lost:
+		// The task took at least that long. A server that loses tasks at once
+		// is paused, or its free slots would draw all work.
+		if e.Took.Seconds() > s.runTime {
+			s.learn(e.Took)
+		}
+		s.refuse(now, p.config.BusyPause)
 		change = p.judge.Failed(now, s.Name)
 	case Unreachable:
 		s.refuse(now, p.config.BusyPause)
@@ -393,7 +401,6 @@
 		NotRun:     end.Result == Refused || end.Result == Unreachable,
 		Idempotent: e.Idempotent,
 		Overloaded: p.Waiting() > 0,
-		Task:       e.Flow.Service == "",
 		Deadline:   e.Deadline,
 	})
 	switch {
--- a/route/pool_test.go
+++ b/route/pool_test.go
@@ -170,3 +170,32 @@
 	_, ok := p.Bind(start)
 	is.True(ok)
 }
+
+// TestServersThatLoseWorkDrawNoMore checks that two of three servers whose
+// slots are free because they lose all they get do not draw the work of the
+// third. Ejection is bounded to one of them.
+func TestServersThatLoseWorkDrawNoMore(t *testing.T) {
+	tests := map[string]time.Duration{"at once": tick / 10, "after the timeout": 2 * time.Second}
+	for name, took := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPool(3)
+			now, lost := start, 0
+			for range 200 {
+				p.push(request(false))
+				b, ok := p.Bind(now)
+				for ; !ok; b, ok = p.Bind(now) {
+					now = now.Add(tick)
+				}
+				end := End{Result: Answered, Took: 5 * tick}
+				if b.Server.Name != "server-2" {
+					end = End{Result: Lost, Took: took}
+					lost++
+				}
+				now = now.Add(end.Took)
+				p.Ended(now, b, end)
+			}
+			is.True(lost <= 40)
+		})
+	}
+}
