Let the limit of a new backend server grow with time too

Cause: a server that is new to a host ran one task until it had answered one; with tasks of 20 s only one of its two slots was used for 20 s (TestShutdownCutIsTruthful waited a minute for the second start).

Change: the limit doubles each 100 ms after the first start, beside its growth with answers; the pool wakes when it does. After 0.3 s a runner of eight slots is open, while a server that fails all is still met by one task first.

Ruled out: no slow start for new servers, which the issue asks for.

--- a/ejection/ejection.go
+++ b/ejection/ejection.go
@@ -43,13 +43,19 @@
 	// warmStarts is the number of starts that each answer adds while a server
 	// is new or has returned.
 	warmStarts = 2
+	// warmTime is the time in which the limit of such a server doubles, and
+	// maxWarmDoublings bounds how often it does.
+	warmTime         = 100 * time.Millisecond
+	maxWarmDoublings = 10
 )
 
 // record is what a Judge knows of one server.
 type record struct {
-	rate     float64
-	streak   int
-	answers  int
+	rate    float64
+	streak  int
+	answers int
+	// first is when the server got its first work since it is new or returned.
+	first    time.Time
 	ejected  bool
 	probing  bool
 	probe    time.Duration
@@ -105,17 +111,41 @@
 }
 
 // Limit returns how many tasks a server may run at once while it is new or has
-// just returned.
-func (j *Judge[Name]) Limit(n Name) int {
-	if r := j.records[n]; r != nil {
-		return 1 + warmStarts*r.answers
+// just returned. It grows with answers, and doubles with time, so that long
+// tasks do not wait for each other.
+func (j *Judge[Name]) Limit(now time.Time, n Name) int {
+	r := j.records[n]
+	if r == nil || r.first.IsZero() {
+		return 1
+	}
+	doublings := min(now.Sub(r.first)/warmTime, maxWarmDoublings)
+	return 1<<doublings + warmStarts*r.answers
+}
+
+// Grows returns when the limit of a server grows next, or the zero time if time
+// does not change it.
+func (j *Judge[Name]) Grows(now time.Time, n Name) time.Time {
+	r := j.records[n]
+	if r == nil || r.first.IsZero() {
+		return time.Time{}
 	}
-	return 1
+	doublings := now.Sub(r.first) / warmTime
+	if doublings >= maxWarmDoublings {
+		return time.Time{}
+	}
+	return r.first.Add((doublings + 1) * warmTime)
 }
 
 // Started tells that a server got work. For an ejected one it is a trial.
-func (j *Judge[Name]) Started(n Name) {
-	if r := j.records[n]; r != nil && r.ejected {
+func (j *Judge[Name]) Started(now time.Time, n Name) {
+	r := j.records[n]
+	if r == nil {
+		return
+	}
+	if r.first.IsZero() {
+		r.first = now
+	}
+	if r.ejected {
 		r.probing = true
 	}
 }
--- a/ejection/ejection_test.go
+++ b/ejection/ejection_test.go
@@ -38,17 +38,20 @@
 	is.True(j.Allowed(start.Add(second), 0, true))
 	is.True(!j.Allowed(start.Add(second), 0, false)) // A task of a job is not used for an early trial.
 	is.True(j.Allowed(start.Add(10*second), 0, false))
-	j.Started(0)
+	j.Started(start, 0)
 	is.True(!j.Allowed(start.Add(second), 0, true)) // One trial at a time.
 	is.Equal(j.Failed(start.Add(second), 0), None)
 	is.True(!j.Allowed(start.Add(3*second-1), 0, true)) // The next trial is later.
 	is.True(j.Allowed(start.Add(3*second), 0, true))
-	j.Started(0)
+	j.Started(start, 0)
 	is.Equal(j.Answered(0), Returned)
 	is.True(j.Allowed(start.Add(3*second), 0, false))
-	is.Equal(j.Limit(0), 1) // Starts slowly.
+	is.Equal(j.Limit(start, 0), 1) // Starts slowly.
 	j.Answered(0)
-	is.Equal(j.Limit(0), 3)
+	is.Equal(j.Limit(start, 0), 1) // Nothing has started since.
+	j.Started(start, 0)
+	is.Equal(j.Limit(start, 0), 3)
+	is.Equal(j.Limit(start.Add(3*warmTime), 0), 10)
 }
 
 func TestSomeFailuresDoNotEject(t *testing.T) {
--- a/route/pool.go
+++ b/route/pool.go
@@ -191,7 +191,7 @@
 	if best == nil {
 		return Binding[Item]{}, false
 	}
-	p.enter(best)
+	p.enter(now, best)
 	if head.Tries == 0 {
 		p.retries(head.Team).First()
 	}
@@ -247,7 +247,7 @@
 	if free <= 0 || now.Before(s.paused) || !p.judge.Allowed(now, s.Name, safe) {
 		return 0
 	}
-	return min(free, p.judge.Limit(s.Name)-s.running)
+	return min(free, p.judge.Limit(now, s.Name)-s.running)
 }
 
 // meanRunTime returns the mean run time on a slot of the pool, in seconds, or
@@ -443,15 +443,15 @@
 		return Binding[Item]{}, false
 	}
 	p.copies[b.Entry] = 2
-	p.enter(best)
+	p.enter(now, best)
 	return Binding[Item]{Entry: b.Entry, Server: best.Server}, true
 }
 
 // enter takes a slot of a server.
-func (p *Pool[Item]) enter(s *server) {
+func (p *Pool[Item]) enter(now time.Time, s *server) {
 	s.running++
 	p.running++
-	p.judge.Started(s.Name)
+	p.judge.Started(now, s.Name)
 }
 
 // leave frees the slot of a binding.
@@ -478,9 +478,16 @@
 	if p.limit > 0 && p.slowUntil.After(now) && (next.IsZero() || p.slowUntil.Before(next)) {
 		next = p.slowUntil
 	}
+	earlier := func(at time.Time) {
+		if at.After(now) && (next.IsZero() || at.Before(next)) {
+			next = at
+		}
+	}
 	for _, s := range p.order {
-		if s.paused.After(now) && (next.IsZero() || s.paused.Before(next)) {
-			next = s.paused
+		earlier(s.paused)
+		if p.Waiting() > 0 && s.free() > 0 && s.running > 0 {
+			// The limit of a new server grows with time.
+			earlier(p.judge.Grows(now, s.Name))
 		}
 	}
 	return next
