Take over the slots of an entry host that refuses connections at once

Change: a host that can not be dialed owns no slots until it is heard again. Two hosts that use one slot meet the runner's own refusal, which is not run.

Ruled out: a shorter timeout for silence, which a paused host would trip.

--- a/entry/lending.go
+++ b/entry/lending.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 	"go.uber.org/fx"
 
 	"github.com/catkingap/catkingap/ident"
@@ -98,8 +99,13 @@
 	for {
 		select {
 		case m := <-box:
-			if err := l.cast(to, m); err != nil {
-				l.logger.WithError(err).WithField("peer", string(to)).Debug("slots not sent")
+			err := l.cast(to, m)
+			if err == nil {
+				continue
+			}
+			l.logger.WithError(err).WithField("peer", string(to)).Debug("slots not sent")
+			if errors.As(err, new(*peer.UnreachableError)) {
+				l.dispatcher.peerLost(to)
 			}
 		case <-l.stopped:
 			return
@@ -123,6 +129,16 @@
 	}
 }
 
+// peerLost lets all pools use the slots of a host that can not be reached.
+func (d *Dispatcher) peerLost(host ident.Host) {
+	for _, q := range *d.pools.Load() {
+		q.mutex.Lock()
+		q.pool.PeerLost(host)
+		q.pump()
+		q.mutex.Unlock()
+	}
+}
+
 // exchange lets all pools pass slots on.
 func (d *Dispatcher) exchange() {
 	for _, q := range *d.pools.Load() {
--- a/route/lending.go
+++ b/route/lending.go
@@ -265,9 +265,7 @@
 	p.low = min(p.low, free)
 	for _, k := range p.peerOrder {
 		if !k.heard.IsZero() && now.Sub(k.heard) > p.config.PeerTimeout {
-			p.forget(k)
-			k.heard, k.silent = time.Time{}, true
-			p.share()
+			p.lose(k)
 		}
 		lend, back := p.give(now, k, waiting)
 		if len(lend)+len(back) > 0 {
@@ -283,6 +281,21 @@
 	return p.beat(now, out, waiting)
 }
 
+// PeerLost tells that a peer can not be reached. It owns no slots until it is
+// heard again.
+func (p *Pool[Item]) PeerLost(name ident.Host) {
+	if k := p.peers[name]; k != nil && !k.silent {
+		p.lose(k)
+	}
+}
+
+// lose ends all loans from and to a peer and shares its slots out.
+func (p *Pool[Item]) lose(k *peer) {
+	p.forget(k)
+	k.heard, k.silent = time.Time{}, true
+	p.share()
+}
+
 // isQuiet returns true if this host has no work and no slots to pass on, and no
 // heartbeat is due.
 func (p *Pool[Item]) isQuiet(now time.Time) bool {
--- a/route/lending_test.go
+++ b/route/lending_test.go
@@ -229,3 +229,24 @@
 		is.Equal(h.held(name), testSlots)
 	}
 }
+
+// TestUnreachablePeerOwnsNothing checks that the slots of a host that can not
+// be reached fall to the others at once, and go back when it is heard.
+func TestUnreachablePeerOwnsNothing(t *testing.T) {
+	is := is.New(t)
+	p := newPool(6)
+	p.SetPeers([]Peer{{Name: "other", DataCentre: "dc"}})
+	owned := func() int {
+		n := 0
+		for _, s := range p.order {
+			n += s.owned
+		}
+		return n
+	}
+	shared := owned()
+	is.True(0 < shared && shared < 6)
+	p.PeerLost("other")
+	is.Equal(owned(), 6)
+	p.Receive(start, "other", Message{Boot: "1", Sequence: 1, Weight: initialWeight})
+	is.Equal(owned(), shared)
+}
