Give a job one outcome at its deadline

Change: a task that fails at or after the job's deadline ends the job as the deadline does.

Ruled out: waiting for the other event; either may be late by any time.

Seen failing first: TestDeadlineIsOneOutcome, the case of the task, without the change. go test ./job passes.

--- a/job/job_test.go
+++ b/job/job_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/outcome"
 )
 
@@ -118,3 +119,31 @@
 		})
 	}
 }
+
+// TestDeadlineIsOneOutcome checks that a job ends alike whether its deadline or
+// the end of a task that the deadline cut is heard of first.
+func TestDeadlineIsOneOutcome(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	deadline := start.Add(time.Second)
+	tests := map[string]Event{
+		"deadline first": Expired{},
+		"task first":     TaskEnded{Error: outcome.New(outcome.Unknown, outcome.DeadlinePassed, "no answer in time")},
+	}
+	for name, event := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := modelSubmission("tide", 2)
+			s.Deadline = deadline
+			m := NewMachine(Config{Self: Holder{Host: "a", Boot: "1"}, Submission: s, Ready: true})
+			m.Start(start)
+			for revision := ident.Revision(1); m.Phase() != Running && revision < 5; revision++ {
+				m.Step(start, Written{Applied: true, Revision: revision})
+			}
+			is.Equal(m.Phase(), Running)
+			m.Step(deadline, event)
+			is.Equal(m.Row().State, Failed)
+			is.Equal(m.Row().Outcome.Error.Kind, outcome.Failed)
+			is.Equal(m.Row().Outcome.Error.Code, outcome.DeadlinePassed)
+		})
+	}
+}
--- a/job/machine.go
+++ b/job/machine.go
@@ -200,7 +200,7 @@
 	case TaskEnded:
 		return m.taskEnded(now, e)
 	case Expired:
-		return m.abandon(now, outcome.New(m.abandonKind(), outcome.DeadlinePassed, "the job's deadline passed"))
+		return m.expire(now)
 	case CancelRequested:
 		return m.abandon(now, outcome.New(m.abandonKind(), outcome.Cancelled, "the job was cancelled"))
 	case Woken:
@@ -350,10 +350,20 @@
 	return m.abandon(now, &reason)
 }
 
+// expire ends the job because its deadline has passed.
+func (m *Machine) expire(now time.Time) []Action {
+	return m.abandon(now, outcome.New(m.abandonKind(), outcome.DeadlinePassed, "the job's deadline passed"))
+}
+
 func (m *Machine) taskEnded(now time.Time, e TaskEnded) []Action {
 	if m.phase != Running || m.outcome != nil {
 		return nil
 	}
+	if deadline := m.row.Deadline; e.Error != nil && !deadline.IsZero() && !now.Before(deadline) {
+		// The deadline ends the job and its tasks at once: which is heard of
+		// first must not change the outcome.
+		return m.expire(now)
+	}
 	if e.Error != nil {
 		reason := outcome.New(e.Error.Kind, e.Error.Code, "task %d: %s", e.Index, e.Error.Reason)
 		if reason.Kind == outcome.NotRun {
