Send no second copy of a request that has just ended

Cause: read in review: the timer of a hedge can fire while the first copy ends. It then took a slot and sent a second copy of an answered request, and its end was counted a second time.

Change: the pool's mutex guards a count of ends; a timer that finds it changed does nothing. The shutdown tests share the steps that stood twice.

Ruled out: stopping the timer under the mutex, since a timer that has fired can not be stopped.

Measured: go test ./entry -run 'Hedge|SafeWork|Deadline' passes; the race itself is not brought about by a test.

--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -78,6 +78,8 @@
 	request ident.Request
 	// stop ends the copies of hedged work.
 	stop context.CancelFunc
+	// ends counts the copies that have ended. The pool's mutex guards it.
+	ends int
 }
 
 // Dispatcher queues work for each pool and binds it to backend servers. Work
--- a/entry/poolqueue.go
+++ b/entry/poolqueue.go
@@ -177,7 +177,7 @@
 // hedgeLater sends a second copy of b once it counts as slow.
 func (q *poolQueue) hedgeLater(b route.Binding[*Work]) *time.Timer {
 	q.mutex.Lock()
-	after := q.pool.HedgeAfter(b.Entry)
+	after, ends := q.pool.HedgeAfter(b.Entry), b.Entry.Item.ends
 	q.mutex.Unlock()
 	if after == 0 {
 		// Nothing is known of run times yet.
@@ -185,6 +185,11 @@
 	}
 	return time.AfterFunc(after, func() {
 		q.mutex.Lock()
+		if b.Entry.Item.ends != ends {
+			// The first copy ended while the timer fired.
+			q.mutex.Unlock()
+			return
+		}
 		second, ok := q.pool.Hedge(time.Now(), b)
 		q.mutex.Unlock()
 		if ok {
@@ -221,6 +226,7 @@
 		e.Result = route.Withdrawn
 	}
 	now := time.Now()
+	b.Entry.Item.ends++
 	next := q.pool.Ended(now, b, e)
 	for _, c := range q.pool.Changes() {
 		kind := timeline.Ejected
--- a/integration/shutdown_test.go
+++ b/integration/shutdown_test.go
@@ -199,19 +199,7 @@
 	k.listGhost()
 	time.Sleep(membershipRead)
 	const requests = 20
-	errs := make(chan error, requests)
-	for i := range requests {
-		go func() { errs <- k.call(k.hosts[0], uint64(i), 120*time.Millisecond) }()
-	}
-	k.eventually("queued", func() bool { return len(k.startsOf(k.backends[0])) >= 2 })
-	told := time.Now()
-	k.hosts[0].signal(syscall.SIGTERM)
-	for range requests {
-		k.is.NoErr(<-errs)
-	}
-	code, _ := k.hosts[0].exit(told)
-	k.is.Equal(code, cmd.ExitDone)
-	k.checkRequestsOnce()
+	k.shutDownWithQueue(requests, 120*time.Millisecond)
 	k.is.Equal(len(k.startsOf(k.backends[0])), requests)
 	k.is.True(k.hosts[0].printed(`"handedOver":[1-9]`))
 }
@@ -228,10 +216,17 @@
 func TestShutdownAlone(t *testing.T) {
 	t.Parallel()
 	k := newCluster(t, clusterConfig{hosts: 1, backends: 1, slots: 2, settings: "shutdownTimeout: 30s\n"})
-	const requests = 10
+	k.shutDownWithQueue(10, 300*time.Millisecond)
+}
+
+// shutDownWithQueue ends the first host by SIGTERM while some of its requests
+// run and the others wait. All are answered, none starts twice, and the host
+// exits with 0.
+func (k *cluster) shutDownWithQueue(requests int, run time.Duration) {
+	k.t.Helper()
 	errs := make(chan error, requests)
 	for i := range requests {
-		go func() { errs <- k.call(k.hosts[0], uint64(i), 300*time.Millisecond) }()
+		go func() { errs <- k.call(k.hosts[0], uint64(i), run) }()
 	}
 	k.eventually("queued", func() bool { return len(k.startsOf(k.backends[0])) >= 2 })
 	told := time.Now()
