--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -6,9 +6,10 @@
 	"fmt"
 	"io"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/settings"
-	"github.com/cockroachdb/errors"
 )
 
 // The exit codes of the command line.
--- a/entry/services_test.go
+++ b/entry/services_test.go
@@ -20,28 +20,12 @@
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/job"
 	"github.com/catkingap/catkingap/outcome"
-	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/resource"
+	"github.com/catkingap/catkingap/rollout"
 	"github.com/catkingap/catkingap/settings"
 	"github.com/catkingap/catkingap/timeline"
 )
 
-// rowsTable is a table that holds resources for a snapshot.
-type rowsTable struct {
-	platform.Table
-	rows []platform.Row
-}
-
-// Get implements platform.Table.
-func (r *rowsTable) Get(context.Context, string) (*platform.Row, ident.Revision, error) {
-	return &platform.Row{Revision: 1}, 1, nil
-}
-
-// List implements platform.Table.
-func (r *rowsTable) List(context.Context, string, string, int) ([]platform.Row, ident.Revision, error) {
-	return r.rows, 1, nil
-}
-
 // fakeSender runs each request for the duration in its body.
 type fakeSender struct {
 	sent    atomic.Int32
@@ -75,13 +59,13 @@
 		spec, _ := json.Marshal(resource.BackendServerSpec{Pool: "logs", Address: name + ":1", DataCentre: "coast-a", Slots: 1})
 		objects = append(objects, resource.Object{Kind: resource.KindBackendServer, Name: name, Spec: spec})
 	}
-	table := &rowsTable{}
+	all := rollout.Delta{Revision: ident.Revision(len(objects))}
 	for i, o := range objects {
 		value, _ := json.Marshal(o)
-		table.rows = append(table.rows, platform.Row{Key: resource.Key(o.Kind, o.Name), Value: value, Revision: ident.Revision(i + 1)})
+		all.Rows = append(all.Rows, rollout.Row{Key: resource.Key(o.Kind, o.Name), Value: value, Revision: ident.Revision(i + 1)})
 	}
-	store := resource.NewStore(table)
-	if _, err := store.Refresh(t.Context(), time.Now()); err != nil {
+	store := resource.NewStore(nil)
+	if _, err := store.Apply(time.Now(), store.Snapshot().Rows.Merge(all)); err != nil {
 		t.Fatal(err)
 	}
 	return store
--- a/resource/store.go
+++ b/resource/store.go
@@ -39,23 +39,6 @@
 	return s.snapshot.Load()
 }
 
-// Refresh lists all resources and puts them in force if they are newer than
-// the snapshot in force. It returns true if it did.
-func (s *Store) Refresh(ctx context.Context, now time.Time) (bool, error) {
-	rows, _, err := s.table.List(ctx, keyPrefix, "", 0)
-	if err != nil {
-		return false, err
-	}
-	d, err := newDelta(0, rows)
-	if err != nil {
-		return false, err
-	}
-	for _, r := range d.Rows {
-		d.Revision = max(d.Revision, r.Revision)
-	}
-	return s.Apply(now, s.Snapshot().Rows.Merge(d))
-}
-
 // Poll reads what changed after the snapshot in force. Its revision is zero if
 // nothing did.
 func (s *Store) Poll(ctx context.Context) (rollout.Delta, error) {
