Call one finder of pools, and take out what nothing reads

The lookup of a pool's queue stood five times; the end of loans to a peer stood twice in route; a time of the last message and a test of withdrawn work were written and never read; a comment named a setting that does not exist; hasRoom of the dispatcher stood with jobs.

Change: Dispatcher.find and Pool.endLent serve all callers, the rest is gone or moved. Behaviour and tests are as before.

Ruled out for now: computing the shares of slots once in place of twice when servers and hosts are configured together, which changes what route offers.

--- a/entry/claim.go
+++ b/entry/claim.go
@@ -50,8 +50,6 @@
 	return &unknown
 }
 
-func (c *claim) withdrawn() bool { return c.state.Load() == claimWithdrawn }
-
 // errCut is the cause with which a shutdown that runs out of time ends the
 // contexts of open requests.
 var errCut = errors.New("the entry host shuts down")
--- a/entry/dispatcher.go
+++ b/entry/dispatcher.go
@@ -201,9 +201,25 @@
 	return q
 }
 
+// find returns the queue of a pool, or nil if there is none.
+func (d *Dispatcher) find(name ident.Pool) *poolQueue {
+	return (*d.pools.Load())[name]
+}
+
+// hasRoom returns true if less than one task a server waits in a pool.
+func (d *Dispatcher) hasRoom(name ident.Pool) bool {
+	q := d.find(name)
+	if q == nil {
+		return false
+	}
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return q.pool.Waiting() < q.pool.Size()
+}
+
 // Submit queues work of one pool, team and flow, or refuses all of it.
 func (d *Dispatcher) Submit(works ...*Work) *outcome.Error {
-	q := (*d.pools.Load())[works[0].Pool]
+	q := d.find(works[0].Pool)
 	if q == nil {
 		return outcome.New(outcome.NotRun, outcome.NotFound, "there is no pool %s", works[0].Pool)
 	}
@@ -213,7 +229,7 @@
 // Drop removes the queued tasks of a job. Those that were bound and are
 // refused are not sent again.
 func (d *Dispatcher) Drop(pool ident.Pool, j ident.Job) {
-	if q := (*d.pools.Load())[pool]; q != nil {
+	if q := d.find(pool); q != nil {
 		q.drop(j)
 	}
 }
--- a/entry/jobrun.go
+++ b/entry/jobrun.go
@@ -263,17 +263,6 @@
 	r.post(job.RoomMade{})
 }
 
-// hasRoom returns true if less than one task a server waits in a pool.
-func (d *Dispatcher) hasRoom(name ident.Pool) bool {
-	q := (*d.pools.Load())[name]
-	if q == nil {
-		return false
-	}
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	return q.pool.Waiting() < q.pool.Size()
-}
-
 // start queues all tasks of the job.
 func (r *running) start() {
 	works := make([]*Work, 0, len(r.submission.Tasks))
--- a/entry/lending.go
+++ b/entry/lending.go
@@ -124,7 +124,7 @@
 }
 
 func (l *Lending) receive(m SlotsMessage) {
-	if q := (*l.dispatcher.pools.Load())[m.Pool]; q != nil {
+	if q := l.dispatcher.find(m.Pool); q != nil {
 		q.receive(m.From, m.Message)
 	}
 }
--- a/entry/status.go
+++ b/entry/status.go
@@ -170,7 +170,7 @@
 
 // view returns what the queue of a pool holds of a server.
 func (d *Dispatcher) view(now time.Time, pool ident.Pool, name ident.Server) (route.ServerView, bool) {
-	q := (*d.pools.Load())[pool]
+	q := d.find(pool)
 	if q == nil {
 		return route.ServerView{}, false
 	}
--- a/route/lending.go
+++ b/route/lending.go
@@ -12,8 +12,8 @@
 // peer is what this host knows of another one.
 type peer struct {
 	Peer
-	heard, asked, told time.Time
-	sent, seen         uint64
+	heard, asked time.Time
+	sent, seen   uint64
 	// gave is the sequence of the last message that lent slots.
 	gave       uint64
 	boot       string
@@ -70,19 +70,24 @@
 	p.share()
 }
 
-// forget ends all loans from and to a peer.
-func (p *Pool[Item]) forget(k *peer) {
+// endLent ends all loans to a peer.
+func (p *Pool[Item]) endLent(k *peer) {
 	for name, n := range k.lent {
 		if s := p.servers[name]; s != nil {
 			s.lent -= n
 		}
 	}
+	clear(k.lent)
+}
+
+// forget ends all loans from and to a peer.
+func (p *Pool[Item]) forget(k *peer) {
+	p.endLent(k)
 	for name, n := range k.borrowed {
 		if s := p.servers[name]; s != nil {
 			s.borrowed -= n
 		}
 	}
-	clear(k.lent)
 	clear(k.borrowed)
 	k.want, k.free = 0, 0
 }
@@ -160,12 +165,7 @@
 // reconcile replaces what this host believes to have lent to a peer by what
 // the peer says to hold. It mends what lost messages left behind.
 func (p *Pool[Item]) reconcile(k *peer, held []Slots) {
-	for name, n := range k.lent {
-		if s := p.servers[name]; s != nil {
-			s.lent -= n
-		}
-	}
-	clear(k.lent)
+	p.endLent(k)
 	for _, h := range held {
 		if s := p.servers[h.Server]; s != nil {
 			k.lent[h.Server] = h.Count
@@ -249,8 +249,8 @@
 }
 
 // Exchange returns the messages that pass slots between this host and its
-// peers. The caller calls it when work waits after Bind, after Receive, and at
-// least each Config.Tick.
+// peers. The caller calls it when work waits after Bind, after Receive, and in
+// short intervals.
 func (p *Pool[Item]) Exchange(now time.Time) []Outgoing {
 	if p.isQuiet(now) {
 		return nil
@@ -468,7 +468,6 @@
 	if len(lend) > 0 {
 		k.gave = k.sent
 	}
-	k.told = now
 	want := waiting
 	if lent := total(k.lent); lent > 0 && k.owned == 0 {
 		// The peer keeps its fair part of this host's slots.
