--- a/commit/capacity_test.go
+++ b/commit/capacity_test.go
@@ -13,13 +13,13 @@
 
 	"github.com/catkingap/catkingap/commit"
 	"github.com/catkingap/catkingap/ident"
-	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/storage"
 )
 
 // pacedTable is a table that takes one transaction each period and answers each
 // after a delay.
 type pacedTable struct {
-	platform.Table
+	storage.Table
 	period, delay time.Duration
 
 	transactions atomic.Int64
@@ -27,8 +27,8 @@
 	free         time.Time
 }
 
-// Commit implements platform.Table.
-func (p *pacedTable) Commit(_ context.Context, writes []platform.Write) ([]platform.Result, error) {
+// Commit implements storage.Table.
+func (p *pacedTable) Commit(_ context.Context, writes []storage.Write) ([]storage.Result, error) {
 	p.transactions.Add(1)
 	now := time.Now()
 	p.mutex.Lock()
@@ -39,9 +39,9 @@
 	wait := p.free.Sub(now) + p.delay
 	p.mutex.Unlock()
 	time.Sleep(wait)
-	results := make([]platform.Result, len(writes))
+	results := make([]storage.Result, len(writes))
 	for i := range results {
-		results[i] = platform.Result{Applied: true, Revision: ident.Revision(1)}
+		results[i] = storage.Result{Applied: true, Revision: ident.Revision(1)}
 	}
 	return results, nil
 }
@@ -86,7 +86,7 @@
 		for i := range int(span / pause) {
 			waiting.Go(func() {
 				start := time.Now()
-				if _, err := batchers[i%hosts].Commit(t.Context(), platform.Write{}); err != nil {
+				if _, err := batchers[i%hosts].Commit(t.Context(), storage.Write{}); err != nil {
 					t.Error(err)
 				}
 				mutex.Lock()
--- a/commit/commit.go
+++ b/commit/commit.go
@@ -8,12 +8,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/storage"
 )
 
 // Config builds a Batcher.
 type Config struct {
-	Table platform.Table
+	Table storage.Table
 	// Timeout bounds one transaction.
 	Timeout time.Duration
 	Window  WindowConfig
@@ -32,13 +32,13 @@
 	mutex  sync.Mutex
 	window *Window
 	// writes and dones hold what waits, in the same order.
-	writes []platform.Write
+	writes []storage.Write
 	dones  []chan<- reply
 	timer  *time.Timer
 }
 
 type reply struct {
-	result platform.Result
+	result storage.Result
 	err    error
 }
 
@@ -55,8 +55,8 @@
 }
 
 // Commit sends w with others and returns its own result. The error is that of
-// platform.Table.
-func (b *Batcher) Commit(ctx context.Context, w platform.Write) (platform.Result, error) {
+// storage.Table.
+func (b *Batcher) Commit(ctx context.Context, w storage.Write) (storage.Result, error) {
 	done := make(chan reply, 1)
 	b.mutex.Lock()
 	b.writes = append(b.writes, w)
@@ -67,7 +67,7 @@
 	case r := <-done:
 		return r.result, r.err
 	case <-ctx.Done():
-		return platform.Result{}, ctx.Err()
+		return storage.Result{}, ctx.Err()
 	}
 }
 
@@ -94,7 +94,7 @@
 	go b.transact(writes, dones)
 }
 
-func (b *Batcher) transact(writes []platform.Write, dones []chan<- reply) {
+func (b *Batcher) transact(writes []storage.Write, dones []chan<- reply) {
 	ctx, cancel := context.WithTimeout(context.Background(), b.config.Timeout)
 	defer cancel()
 	b.Transactions.Add(1)
--- a/commit/commit_test.go
+++ b/commit/commit_test.go
@@ -11,12 +11,12 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
-	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/storage"
 )
 
 // fakeTable takes a fixed time for each transaction.
 type fakeTable struct {
-	platform.Table
+	storage.Table
 	writeTime time.Duration
 	fails     bool
 
@@ -26,7 +26,7 @@
 	most     int
 }
 
-func (f *fakeTable) Commit(_ context.Context, writes []platform.Write) ([]platform.Result, error) {
+func (f *fakeTable) Commit(_ context.Context, writes []storage.Write) ([]storage.Result, error) {
 	f.mutex.Lock()
 	f.sizes = append(f.sizes, len(writes))
 	f.underWay++
@@ -39,15 +39,15 @@
 	if f.fails {
 		return nil, errors.New("refused")
 	}
-	return make([]platform.Result, len(writes)), nil
+	return make([]storage.Result, len(writes)), nil
 }
 
 var testWindow = WindowConfig{
 	Rate: 100, Burst: 10, MaxWrites: 100, MaxBytes: 1 << 20, MinPause: 20 * time.Millisecond, MaxPause: 250 * time.Millisecond,
 }
 
-func put(key string, size int) platform.Write {
-	return platform.Write{Puts: []platform.Put{{Key: key, Value: make([]byte, size)}}}
+func put(key string, size int) storage.Write {
+	return storage.Write{Puts: []storage.Put{{Key: key, Value: make([]byte, size)}}}
 }
 
 // runJobs lets clients do the two writes of a job and its tasks, again and
@@ -146,21 +146,21 @@
 }
 
 func TestWindowFit(t *testing.T) {
-	many := make([]platform.Write, 0, 150)
+	many := make([]storage.Write, 0, 150)
 	for i := range 150 {
 		many = append(many, put(fmt.Sprint(i), 10))
 	}
 	tests := map[string]struct {
-		waiting []platform.Write
+		waiting []storage.Write
 		want    int
 	}{
 		"one":                       {waiting: many[:1], want: 1},
 		"rows are bounded":          {waiting: many, want: 100},
-		"bytes are bounded":         {waiting: []platform.Write{put("a", 400<<10), put("b", 300<<10), put("c", 300<<10)}, want: 2},
-		"a large write goes alone":  {waiting: []platform.Write{put("a", 4<<20), put("b", 1)}, want: 1},
-		"a key goes once":           {waiting: []platform.Write{put("a", 1), put("b", 1), put("a", 1)}, want: 2},
-		"a deleted key counts too":  {waiting: []platform.Write{{Deletes: []string{"a"}}, put("a", 1)}, want: 1},
-		"conditions do not clash":   {waiting: []platform.Write{{Conditions: []platform.Condition{{Key: "a"}}}, put("a", 1)}, want: 2},
+		"bytes are bounded":         {waiting: []storage.Write{put("a", 400<<10), put("b", 300<<10), put("c", 300<<10)}, want: 2},
+		"a large write goes alone":  {waiting: []storage.Write{put("a", 4<<20), put("b", 1)}, want: 1},
+		"a key goes once":           {waiting: []storage.Write{put("a", 1), put("b", 1), put("a", 1)}, want: 2},
+		"a deleted key counts too":  {waiting: []storage.Write{{Deletes: []string{"a"}}, put("a", 1)}, want: 1},
+		"conditions do not clash":   {waiting: []storage.Write{{Conditions: []storage.Condition{{Key: "a"}}}, put("a", 1)}, want: 2},
 		"nothing waits, nothing go": {want: 0},
 	}
 	for name, tt := range tests {
--- a/commit/window.go
+++ b/commit/window.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/storage"
 )
 
 // WindowConfig builds a Window.
@@ -52,7 +52,7 @@
 // Begin returns how many of the waiting writes go now in one transaction. If
 // none go, wait is the time after which to ask again; it is zero if that is
 // when the transaction under way has ended or a write comes.
-func (w *Window) Begin(now time.Time, waiting []platform.Write) (count int, wait time.Duration) {
+func (w *Window) Begin(now time.Time, waiting []storage.Write) (count int, wait time.Duration) {
 	if w.underWay || len(waiting) == 0 {
 		return 0, 0
 	}
@@ -71,7 +71,7 @@
 
 // fit returns how many of the first writes go together: the table bounds the
 // number and the bytes, and takes each key at most once in a transaction.
-func (w *Window) fit(waiting []platform.Write) int {
+func (w *Window) fit(waiting []storage.Write) int {
 	keys := map[string]bool{}
 	size := 0
 	for i, write := range waiting {
@@ -107,7 +107,7 @@
 // maxDoublings keeps the doubled pause within the range of a duration.
 const maxDoublings = 16
 
-func clashes(keys map[string]bool, w platform.Write) bool {
+func clashes(keys map[string]bool, w storage.Write) bool {
 	for _, p := range w.Puts {
 		if keys[p.Key] {
 			return true
@@ -123,7 +123,7 @@
 
 // bytesOf returns the bytes that a write adds to a transaction, after the
 // encoding of values in base64.
-func bytesOf(w platform.Write) int {
+func bytesOf(w storage.Write) int {
 	size := 0
 	for _, c := range w.Conditions {
 		size += 2 * len(c.Key)
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -22,11 +22,11 @@
 	"github.com/catkingap/catkingap/job"
 	"github.com/catkingap/catkingap/network"
 	"github.com/catkingap/catkingap/outcome"
-	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/repairlog"
 	"github.com/catkingap/catkingap/resource"
 	"github.com/catkingap/catkingap/settings"
 	"github.com/catkingap/catkingap/standin"
+	"github.com/catkingap/catkingap/storage"
 )
 
 // Config builds a Demo.
@@ -174,9 +174,9 @@
 	api := listeners.API.Addr().String()
 	h.url = "http://" + api
 	h.client = newClient(h.url)
-	d.platform.Members.Set(platform.TargetGroup{Targets: []string{listeners.Peer.Addr().String()}, Labels: map[string]string{
-		platform.LabelID: string(name), platform.LabelRole: string(platform.EntryHost), platform.LabelAPI: api,
-		platform.LabelDataCentre: string(centre), platform.LabelState: string(platform.Live),
+	d.platform.Members.Set(storage.TargetGroup{Targets: []string{listeners.Peer.Addr().String()}, Labels: map[string]string{
+		storage.LabelID: string(name), storage.LabelRole: string(storage.EntryHost), storage.LabelAPI: api,
+		storage.LabelDataCentre: string(centre), storage.LabelState: string(storage.Live),
 	}})
 	d.hosts = append(d.hosts, h)
 	return nil
--- a/entry/adoption.go
+++ b/entry/adoption.go
@@ -13,7 +13,7 @@
 	"github.com/catkingap/catkingap/job"
 	"github.com/catkingap/catkingap/lease"
 	"github.com/catkingap/catkingap/peer"
-	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/storage"
 	"github.com/catkingap/catkingap/timeline"
 )
 
@@ -131,7 +131,7 @@
 		w.jobs.logger.WithError(err).Error("heartbeat not encoded")
 		return
 	}
-	_, err = w.jobs.batcher.Commit(ctx, platform.Write{Puts: []platform.Put{{Key: keyHosts + string(b.Host), Value: value}}})
+	_, err = w.jobs.batcher.Commit(ctx, storage.Write{Puts: []storage.Put{{Key: keyHosts + string(b.Host), Value: value}}})
 	if err != nil {
 		w.interrupted()
 	}
@@ -300,8 +300,8 @@
 
 // removeIndex deletes an index row that its job has left behind.
 func (w *watch) removeIndex(ctx context.Context, lost job.Holder, id ident.Job, revision ident.Revision) {
-	_, _ = w.jobs.batcher.Commit(ctx, platform.Write{
-		Conditions: []platform.Condition{{Key: keyJobs + id.String(), Revision: revision}},
+	_, _ = w.jobs.batcher.Commit(ctx, storage.Write{
+		Conditions: []storage.Condition{{Key: keyJobs + id.String(), Revision: revision}},
 		Deletes:    []string{heldPrefix(lost) + id.String()},
 	})
 }
@@ -312,8 +312,8 @@
 		return
 	}
 	key := keyHosts + string(l.Host)
-	_, _ = w.jobs.batcher.Commit(ctx, platform.Write{
-		Conditions: []platform.Condition{{Key: key, Revision: l.Heartbeat.Revision}},
+	_, _ = w.jobs.batcher.Commit(ctx, storage.Write{
+		Conditions: []storage.Condition{{Key: key, Revision: l.Heartbeat.Revision}},
 		Deletes:    []string{key},
 	})
 }
--- a/entry/apiresources.go
+++ b/entry/apiresources.go
@@ -15,8 +15,8 @@
 
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/outcome"
-	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/resource"
+	"github.com/catkingap/catkingap/storage"
 	"github.com/catkingap/catkingap/timeline"
 )
 
@@ -246,7 +246,7 @@
 	answer := ErrorAnswer{}
 	var conflict *resource.ConflictError
 	var invalid *resource.InvalidError
-	var notSent *platform.NotSentError
+	var notSent *storage.NotSentError
 	switch {
 	case errors.As(err, &conflict) && conflict.Present == 0:
 		answer.Error = outcome.New(outcome.NotRun, outcome.NotFound, "%v", conflict)
--- a/entry/apitimeline.go
+++ b/entry/apitimeline.go
@@ -11,7 +11,7 @@
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/peer"
-	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/storage"
 	"github.com/catkingap/catkingap/timeline"
 )
 
@@ -102,7 +102,7 @@
 }
 
 // fetch returns the events of another host and estimates its clock.
-func (t *Timelines) fetch(ctx context.Context, m platform.Member, f timeline.Filter) timeline.Source {
+func (t *Timelines) fetch(ctx context.Context, m storage.Member, f timeline.Filter) timeline.Source {
 	source := timeline.Source{Host: ident.Host(m.ID), DataCentre: m.DataCentre}
 	sent := time.Now()
 	answer, err := peer.Call[TimelineFetch, TimelineEvents](ctx, t.links, m.Address, kindTimelineFetch, TimelineFetch{Filter: f, Now: sent})
--- a/entry/directory.go
+++ b/entry/directory.go
@@ -10,37 +10,37 @@
 	"go.uber.org/fx"
 
 	"github.com/catkingap/catkingap/ident"
-	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/probe"
 	"github.com/catkingap/catkingap/settings"
+	"github.com/catkingap/catkingap/storage"
 )
 
 // Directory is the newest membership list that this host has read.
 type Directory struct {
-	members atomic.Pointer[map[string]platform.Member]
+	members atomic.Pointer[map[string]storage.Member]
 	prober  atomic.Pointer[Prober]
 	// list is the list that was read last. Only set uses it.
-	list []platform.Member
+	list []storage.Member
 	read bool
 }
 
 func newDirectory() *Directory {
 	d := &Directory{}
-	d.members.Store(&map[string]platform.Member{})
+	d.members.Store(&map[string]storage.Member{})
 	return d
 }
 
 // Host returns the member of an entry host.
-func (d *Directory) Host(h ident.Host) (platform.Member, bool) {
+func (d *Directory) Host(h ident.Host) (storage.Member, bool) {
 	m, ok := (*d.members.Load())[string(h)]
-	return m, ok && m.Role == platform.EntryHost
+	return m, ok && m.Role == storage.EntryHost
 }
 
 // Hosts returns all entry hosts of the list.
-func (d *Directory) Hosts() []platform.Member {
-	var hosts []platform.Member
+func (d *Directory) Hosts() []storage.Member {
+	var hosts []storage.Member
 	for _, m := range *d.members.Load() {
-		if m.Role == platform.EntryHost {
+		if m.Role == storage.EntryHost {
 			hosts = append(hosts, m)
 		}
 	}
@@ -49,7 +49,7 @@
 
 // Leaving returns true if the list says that the member is leaving.
 func (d *Directory) Leaving(id string) bool {
-	return (*d.members.Load())[id].State == platform.Leaving
+	return (*d.members.Load())[id].State == storage.Leaving
 }
 
 // Peers returns the other entry hosts with what probing holds of them: whether
@@ -64,12 +64,12 @@
 }
 
 // set takes a list that was read. It returns false if nothing has changed.
-func (d *Directory) set(members []platform.Member) bool {
+func (d *Directory) set(members []storage.Member) bool {
 	if d.read && slices.Equal(d.list, members) {
 		return false
 	}
 	d.list, d.read = members, true
-	next := make(map[string]platform.Member, len(members))
+	next := make(map[string]storage.Member, len(members))
 	for _, m := range members {
 		next[m.ID] = m
 	}
@@ -82,7 +82,7 @@
 	fx.In
 
 	Settings   settings.Settings
-	Membership platform.Membership
+	Membership storage.Membership
 	Directory  *Directory
 	Prober     *Prober
 	Rollout    *Rollout
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -20,9 +20,9 @@
 	"github.com/catkingap/catkingap/job"
 	"github.com/catkingap/catkingap/network"
 	"github.com/catkingap/catkingap/peer"
-	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/resource"
 	"github.com/catkingap/catkingap/settings"
+	"github.com/catkingap/catkingap/storage"
 	"github.com/catkingap/catkingap/timeline"
 )
 
@@ -165,19 +165,19 @@
 	}
 }
 
-func newTable(s settings.Settings, c *http.Client, m *Metrics) platform.Table {
-	return measuredTable{Table: platform.NewRemoteTable(c, s.Platform.Table), metrics: m}
+func newTable(s settings.Settings, c *http.Client, m *Metrics) storage.Table {
+	return measuredTable{Table: storage.NewRemoteTable(c, s.Platform.Table), metrics: m}
 }
 
-func newObjects(s settings.Settings, c *http.Client) platform.Objects {
-	return platform.NewRemoteObjects(c, s.Platform.Objects)
+func newObjects(s settings.Settings, c *http.Client) storage.Objects {
+	return storage.NewRemoteObjects(c, s.Platform.Objects)
 }
 
-func newMembership(s settings.Settings, c *http.Client) platform.Membership {
-	return platform.NewRemoteMembership(c, s.Platform.Membership)
+func newMembership(s settings.Settings, c *http.Client) storage.Membership {
+	return storage.NewRemoteMembership(c, s.Platform.Membership)
 }
 
-func newBatcher(s settings.Settings, t platform.Table) *commit.Batcher {
+func newBatcher(s settings.Settings, t storage.Table) *commit.Batcher {
 	return commit.NewBatcher(commit.Config{
 		Table:   t,
 		Timeout: time.Duration(s.Platform.Timeout),
--- a/entry/fabric_test.go
+++ b/entry/fabric_test.go
@@ -23,11 +23,11 @@
 
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/peer"
-	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/probe"
 	"github.com/catkingap/catkingap/resource"
 	"github.com/catkingap/catkingap/settings"
 	"github.com/catkingap/catkingap/standin"
+	"github.com/catkingap/catkingap/storage"
 	"github.com/catkingap/catkingap/timeline"
 )
 
@@ -239,7 +239,7 @@
 	ctx     context.Context
 	fabric  *fabric
 	table   http.Handler
-	members []platform.Member
+	members []storage.Member
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -278,7 +278,7 @@
 	n := &node{table: &tableLink{handler: f.table}}
 	logger := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 	ring := timeline.NewRing(s.Host, time.Now(), 100)
-	n.store = resource.NewStore(platform.NewRemoteTable(&http.Client{Transport: n.table}, "http://table"))
+	n.store = resource.NewStore(storage.NewRemoteTable(&http.Client{Transport: n.table}, "http://table"))
 	n.links = newLinks(logger, &site{fabric: f.fabric, name: string(s.Host)})
 	d := newDispatcher(s, testIdentity(), &fakeSender{}, ring, newMetrics())
 	n.prober = newProber(s, Listeners{API: listener, Peer: listener}, n.store, d, n.links, ring)
@@ -292,8 +292,8 @@
 		listener.Close()
 		n.links.Close()
 	})
-	f.members = append(f.members, platform.Member{
-		ID: string(s.Host), Role: platform.EntryHost, Address: string(s.Host), API: string(s.Host), DataCentre: s.DataCentre,
+	f.members = append(f.members, storage.Member{
+		ID: string(s.Host), Role: storage.EntryHost, Address: string(s.Host), API: string(s.Host), DataCentre: s.DataCentre,
 	})
 	return n
 }
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -11,7 +11,7 @@
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/peer"
-	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/storage"
 )
 
 const (
@@ -54,7 +54,7 @@
 	turn  atomic.Int64
 
 	asked  sync.Once
-	takers []platform.Member
+	takers []storage.Member
 }
 
 func newHandover(i Identity, d *Directory, l *peer.Links) *Handover {
@@ -120,9 +120,9 @@
 
 // hosts returns the hosts that take requests, those of the own data centre
 // first, each request beginning with another one.
-func (h *Handover) hosts() []platform.Member {
+func (h *Handover) hosts() []storage.Member {
 	h.asked.Do(h.ask)
-	var near, far []platform.Member
+	var near, far []storage.Member
 	for _, m := range h.takers {
 		if m.DataCentre == h.identity.DataCentre {
 			near = append(near, m)
@@ -142,7 +142,7 @@
 	var group sync.WaitGroup
 	var mutex sync.Mutex
 	for _, m := range h.directory.Hosts() {
-		if m.ID == string(h.identity.Host) || m.State == platform.Leaving {
+		if m.ID == string(h.identity.Host) || m.State == storage.Leaving {
 			continue
 		}
 		group.Go(func() {
--- a/entry/jobrow.go
+++ b/entry/jobrow.go
@@ -9,7 +9,7 @@
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/job"
 	"github.com/catkingap/catkingap/outcome"
-	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/storage"
 )
 
 const (
@@ -28,9 +28,9 @@
 }
 
 // encodeWrite returns the conditional write of a job's row and its index row.
-func (j *Jobs) encodeWrite(a job.Write) (platform.Write, error) {
+func (j *Jobs) encodeWrite(a job.Write) (storage.Write, error) {
 	key := keyJobs + a.Row.Job.String()
-	w := platform.Write{Conditions: []platform.Condition{{Key: key, Revision: a.Condition}}}
+	w := storage.Write{Conditions: []storage.Condition{{Key: key, Revision: a.Condition}}}
 	kept, err := j.keepAnswers(a.Row)
 	if err != nil {
 		return w, err
@@ -40,7 +40,7 @@
 	if err != nil {
 		return w, err
 	}
-	w.Puts = []platform.Put{{Key: key, Value: value}}
+	w.Puts = []storage.Put{{Key: key, Value: value}}
 	index := heldPrefix(a.Row.Holder) + a.Row.Job.String()
 	if a.Previous != (job.Holder{}) && a.Previous != a.Row.Holder {
 		w.Deletes = append(w.Deletes, heldPrefix(a.Previous)+a.Row.Job.String())
@@ -54,7 +54,7 @@
 		if err != nil {
 			return w, err
 		}
-		w.Puts = append(w.Puts, platform.Put{Key: index, Value: id})
+		w.Puts = append(w.Puts, storage.Put{Key: index, Value: id})
 	}
 	return w, nil
 }
@@ -122,7 +122,7 @@
 	tasks := row.Payload
 	if row.PayloadObject != "" {
 		data, err := j.objects.Get(ctx, row.PayloadObject)
-		var missing *platform.NotFoundError
+		var missing *storage.NotFoundError
 		if errors.As(err, &missing) {
 			return nil, nil
 		}
@@ -148,7 +148,7 @@
 	return decodeRow(found), found.Revision, nil
 }
 
-func decodeRow(r *platform.Row) *job.Row {
+func decodeRow(r *storage.Row) *job.Row {
 	var row job.Row
 	if err := json.Unmarshal(r.Value, &row); err != nil {
 		return &job.Row{State: job.Failed, Outcome: &job.Outcome{
--- a/entry/jobrun.go
+++ b/entry/jobrun.go
@@ -11,7 +11,7 @@
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/job"
 	"github.com/catkingap/catkingap/outcome"
-	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/storage"
 	"github.com/catkingap/catkingap/timeline"
 )
 
@@ -199,7 +199,7 @@
 	}
 	result, err := r.jobs.batcher.Commit(context.Background(), w)
 	if err != nil {
-		var notSent *platform.NotSentError
+		var notSent *storage.NotSentError
 		r.note(timeline.StoreLost, err.Error())
 		r.post(job.WriteUnsure{NotSent: errors.As(err, &notSent)})
 		return
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -12,8 +12,8 @@
 	"github.com/catkingap/catkingap/job"
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/peer"
-	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/resource"
+	"github.com/catkingap/catkingap/storage"
 	"github.com/catkingap/catkingap/timeline"
 )
 
@@ -30,8 +30,8 @@
 type Jobs struct {
 	identity   Identity
 	batcher    *commit.Batcher
-	table      platform.Table
-	objects    platform.Objects
+	table      storage.Table
+	objects    storage.Objects
 	store      *resource.Store
 	dispatcher *Dispatcher
 	directory  *Directory
@@ -46,7 +46,7 @@
 	open  sync.WaitGroup
 }
 
-func newJobs(i Identity, b *commit.Batcher, t platform.Table, o platform.Objects, s *resource.Store,
+func newJobs(i Identity, b *commit.Batcher, t storage.Table, o storage.Objects, s *resource.Store,
 	d *Dispatcher, directory *Directory, l *peer.Links, r *timeline.Ring, logger log.Interface,
 ) *Jobs {
 	j := &Jobs{
--- a/entry/leaving.go
+++ b/entry/leaving.go
@@ -12,8 +12,8 @@
 	"github.com/catkingap/catkingap/backend"
 	"github.com/catkingap/catkingap/drain"
 	"github.com/catkingap/catkingap/peer"
-	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/resource"
+	"github.com/catkingap/catkingap/storage"
 	"github.com/catkingap/catkingap/timeline"
 )
 
@@ -170,7 +170,7 @@
 	}
 }
 
-func (l *Leaving) tellHost(m platform.Member, server drain.Server) {
+func (l *Leaving) tellHost(m storage.Member, server drain.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
 	defer cancel()
 	if _, err := peer.Call[ServerLeaving, struct{}](ctx, l.links, m.Address, kindServerLeaving, ServerLeaving{Server: server}); err != nil {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -16,8 +16,8 @@
 	"github.com/catkingap/catkingap/network"
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/peer"
-	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/resource"
+	"github.com/catkingap/catkingap/storage"
 	"github.com/catkingap/catkingap/timeline"
 )
 
@@ -172,12 +172,12 @@
 
 // measuredTable is a table whose calls are counted.
 type measuredTable struct {
-	platform.Table
+	storage.Table
 	metrics *Metrics
 }
 
-// Commit implements platform.Table.
-func (t measuredTable) Commit(ctx context.Context, writes []platform.Write) ([]platform.Result, error) {
+// Commit implements storage.Table.
+func (t measuredTable) Commit(ctx context.Context, writes []storage.Write) ([]storage.Result, error) {
 	for _, w := range writes {
 		t.metrics.tableReads.Add(int64(len(w.Reads)))
 	}
@@ -187,8 +187,8 @@
 	return results, err
 }
 
-// Get implements platform.Table.
-func (t measuredTable) Get(ctx context.Context, key string) (*platform.Row, ident.Revision, error) {
+// Get implements storage.Table.
+func (t measuredTable) Get(ctx context.Context, key string) (*storage.Row, ident.Revision, error) {
 	t.metrics.tableReads.Add(1)
 	start := time.Now()
 	row, revision, err := t.Table.Get(ctx, key)
@@ -196,8 +196,8 @@
 	return row, revision, err
 }
 
-// List implements platform.Table.
-func (t measuredTable) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, ident.Revision, error) {
+// List implements storage.Table.
+func (t measuredTable) List(ctx context.Context, prefix, after string, limit int) ([]storage.Row, ident.Revision, error) {
 	t.metrics.tableReads.Add(1)
 	start := time.Now()
 	rows, revision, err := t.Table.List(ctx, prefix, after, limit)
@@ -205,8 +205,8 @@
 	return rows, revision, err
 }
 
-// ListChanged implements platform.Table.
-func (t measuredTable) ListChanged(ctx context.Context, r platform.Read) ([]platform.Row, error) {
+// ListChanged implements storage.Table.
+func (t measuredTable) ListChanged(ctx context.Context, r storage.Read) ([]storage.Row, error) {
 	t.metrics.tableReads.Add(1)
 	start := time.Now()
 	rows, err := t.Table.ListChanged(ctx, r)
--- a/entry/probing.go
+++ b/entry/probing.go
@@ -8,10 +8,10 @@
 
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/peer"
-	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/probe"
 	"github.com/catkingap/catkingap/resource"
 	"github.com/catkingap/catkingap/settings"
+	"github.com/catkingap/catkingap/storage"
 	"github.com/catkingap/catkingap/timeline"
 )
 
@@ -102,10 +102,10 @@
 }
 
 // list takes the entry hosts of the platform's list.
-func (p *Prober) list(members []platform.Member) {
+func (p *Prober) list(members []storage.Member) {
 	var peers []probe.Peer
 	for _, m := range members {
-		if m.Role == platform.EntryHost {
+		if m.Role == storage.EntryHost {
 			peers = append(peers, probe.Peer{Host: ident.Host(m.ID), Address: m.Address, API: m.API, DataCentre: m.DataCentre})
 		}
 	}
--- a/entry/retention.go
+++ b/entry/retention.go
@@ -9,7 +9,7 @@
 
 	"github.com/catkingap/catkingap/commit"
 	"github.com/catkingap/catkingap/lease"
-	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/storage"
 )
 
 const (
@@ -22,7 +22,7 @@
 
 // retention deletes the rows of jobs that ended long ago, a page at a time.
 type retention struct {
-	table   platform.Table
+	table   storage.Table
 	batcher *commit.Batcher
 	// after is the last key of the page before.
 	after string
@@ -72,8 +72,8 @@
 }
 
 // expired returns the rows of jobs that ended long ago.
-func expired(rows []platform.Row, now time.Time) []platform.Row {
-	var old []platform.Row
+func expired(rows []storage.Row, now time.Time) []storage.Row {
+	var old []storage.Row
 	for _, row := range rows {
 		if decoded := decodeRow(&row); decoded.Expired(now, jobRetention) {
 			old = append(old, row)
@@ -83,14 +83,14 @@
 }
 
 // remove deletes rows that have not changed since they were read.
-func (r *retention) remove(ctx context.Context, rows []platform.Row) int {
+func (r *retention) remove(ctx context.Context, rows []storage.Row) int {
 	var mutex sync.Mutex
 	var writes sync.WaitGroup
 	removed := 0
 	for _, row := range rows {
 		writes.Go(func() {
-			result, err := r.batcher.Commit(ctx, platform.Write{
-				Conditions: []platform.Condition{{Key: row.Key, Revision: row.Revision}},
+			result, err := r.batcher.Commit(ctx, storage.Write{
+				Conditions: []storage.Condition{{Key: row.Key, Revision: row.Revision}},
 				Deletes:    []string{row.Key},
 			})
 			mutex.Lock()
--- a/entry/retention_test.go
+++ b/entry/retention_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/catkingap/catkingap/commit"
 	"github.com/catkingap/catkingap/job"
-	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/standin"
+	"github.com/catkingap/catkingap/storage"
 )
 
 func newTestRetention(t *testing.T) (*retention, *standin.Table) {
@@ -24,7 +24,7 @@
 	table.Register(mux)
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
-	remote := platform.NewRemoteTable(server.Client(), server.URL)
+	remote := storage.NewRemoteTable(server.Client(), server.URL)
 	return &retention{table: remote, batcher: commit.NewBatcher(commit.Config{
 		Table: remote, Timeout: time.Second, Window: commit.WindowConfig{Rate: 1000, Burst: 10, MaxWrites: 100, MaxBytes: 1 << 20},
 	})}, table
@@ -37,7 +37,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := r.batcher.Commit(t.Context(), platform.Write{Puts: []platform.Put{{Key: key, Value: value}}}); err != nil {
+	if _, err := r.batcher.Commit(t.Context(), storage.Write{Puts: []storage.Put{{Key: key, Value: value}}}); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -26,10 +26,10 @@
 	"github.com/catkingap/catkingap/entry"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/job"
-	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/repairlog"
 	"github.com/catkingap/catkingap/resource"
 	"github.com/catkingap/catkingap/standin"
+	"github.com/catkingap/catkingap/storage"
 )
 
 // binary is the path of the binary under test.
@@ -262,9 +262,9 @@
 	h.api = "http://" + listening.Fields.API
 	h.client = client.New(&http.Client{Transport: &http.Transport{}}, h.api)
 	h.peer = newProxy(k.t, listening.Fields.Peer)
-	k.list(platform.TargetGroup{Targets: []string{h.peer.Listen}, Labels: map[string]string{
-		platform.LabelID: name, platform.LabelRole: string(platform.EntryHost), platform.LabelAPI: listening.Fields.API,
-		platform.LabelDataCentre: centre, platform.LabelState: string(platform.Live),
+	k.list(storage.TargetGroup{Targets: []string{h.peer.Listen}, Labels: map[string]string{
+		storage.LabelID: name, storage.LabelRole: string(storage.EntryHost), storage.LabelAPI: listening.Fields.API,
+		storage.LabelDataCentre: centre, storage.LabelState: string(storage.Live),
 	}})
 	k.hosts = append(k.hosts, h)
 	return h
@@ -293,7 +293,7 @@
 }
 
 // list adds or replaces a member of the membership list.
-func (k *cluster) list(g platform.TargetGroup) {
+func (k *cluster) list(g storage.TargetGroup) {
 	k.t.Helper()
 	k.put("http://"+k.platform+"/members", g)
 }
--- a/integration/leaving_test.go
+++ b/integration/leaving_test.go
@@ -9,10 +9,10 @@
 	"time"
 
 	"github.com/catkingap/catkingap/entry"
-	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/repairlog"
 	"github.com/catkingap/catkingap/resource"
 	"github.com/catkingap/catkingap/standin"
+	"github.com/catkingap/catkingap/storage"
 )
 
 // leavingBound is the time after which a leaving backend server gets no work.
@@ -141,10 +141,10 @@
 }
 
 // listServer lists a backend server in the membership list.
-func (k *cluster) listServer(b *backendServer, state platform.State) {
+func (k *cluster) listServer(b *backendServer, state storage.State) {
 	k.t.Helper()
-	k.list(platform.TargetGroup{Targets: []string{b.proxy.Listen}, Labels: map[string]string{
-		platform.LabelID: b.name, platform.LabelRole: string(platform.BackendServer), platform.LabelState: string(state),
+	k.list(storage.TargetGroup{Targets: []string{b.proxy.Listen}, Labels: map[string]string{
+		storage.LabelID: b.name, storage.LabelRole: string(storage.BackendServer), storage.LabelState: string(state),
 	}})
 }
 
@@ -173,8 +173,8 @@
 			back: func(k *cluster, b *backendServer) { k.faults(b.url+standin.PathFaults, standin.Faults{}) },
 		},
 		"membership list": {
-			leave: func(k *cluster, b *backendServer) { k.listServer(b, platform.Leaving) },
-			back:  func(k *cluster, b *backendServer) { k.listServer(b, platform.Live) },
+			leave: func(k *cluster, b *backendServer) { k.listServer(b, storage.Leaving) },
+			back:  func(k *cluster, b *backendServer) { k.listServer(b, storage.Live) },
 		},
 	}
 	for name, tt := range tests {
--- a/integration/shutdown_test.go
+++ b/integration/shutdown_test.go
@@ -14,8 +14,8 @@
 	"github.com/catkingap/catkingap/cmd"
 	"github.com/catkingap/catkingap/entry"
 	"github.com/catkingap/catkingap/outcome"
-	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/repairlog"
+	"github.com/catkingap/catkingap/storage"
 )
 
 // balancer sends each request to a host that was ready at its last look, as
@@ -183,9 +183,9 @@
 			c.Close()
 		}
 	}()
-	k.list(platform.TargetGroup{Targets: []string{listener.Addr().String()}, Labels: map[string]string{
-		platform.LabelID: "ghost", platform.LabelRole: string(platform.EntryHost), platform.LabelDataCentre: centres[0],
-		platform.LabelState: string(platform.Live),
+	k.list(storage.TargetGroup{Targets: []string{listener.Addr().String()}, Labels: map[string]string{
+		storage.LabelID: "ghost", storage.LabelRole: string(storage.EntryHost), storage.LabelDataCentre: centres[0],
+		storage.LabelState: string(storage.Live),
 	}})
 }
 
--- a/resource/row.go
+++ b/resource/row.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/catkingap/catkingap/ident"
-	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/rollout"
+	"github.com/catkingap/catkingap/storage"
 )
 
 // The keys of resources in the table. The head row is written with each
@@ -90,7 +90,7 @@
 
 // newDelta returns the delta of rows that were read together. Its revision is
 // that of the head row among them, and zero without one.
-func newDelta(after ident.Revision, rows []platform.Row) (rollout.Delta, error) {
+func newDelta(after ident.Revision, rows []storage.Row) (rollout.Delta, error) {
 	d := rollout.Delta{After: after}
 	for _, r := range rows {
 		switch r.Key {
--- a/resource/store.go
+++ b/resource/store.go
@@ -5,8 +5,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/rollout"
+	"github.com/catkingap/catkingap/storage"
 )
 
 // catchUpTries bounds the reads of one catchUp.
@@ -14,13 +14,13 @@
 
 // Store keeps resources in the table and holds the snapshot in force.
 type Store struct {
-	table    platform.Table
+	table    storage.Table
 	snapshot atomic.Pointer[Snapshot]
 	offer    func(rollout.Delta)
 }
 
 // NewStore returns a store with an empty snapshot of revision zero.
-func NewStore(table platform.Table) *Store {
+func NewStore(table storage.Table) *Store {
 	s := &Store{table: table}
 	empty, _ := Build(time.Time{}, 0, nil)
 	s.snapshot.Store(empty)
@@ -43,7 +43,7 @@
 // nothing did.
 func (s *Store) Poll(ctx context.Context) (rollout.Delta, error) {
 	after := s.Snapshot().Revision
-	rows, err := s.table.ListChanged(ctx, platform.Read{Prefix: keyPrefix, After: after})
+	rows, err := s.table.ListChanged(ctx, storage.Read{Prefix: keyPrefix, After: after})
 	if err != nil {
 		return rollout.Delta{}, err
 	}
@@ -53,22 +53,22 @@
 // Load reads all rows in a transaction, whose answer is never stale. It writes
 // the head row of an installation that has none.
 func (s *Store) Load(ctx context.Context) (rollout.Delta, error) {
-	all := platform.Read{Prefix: keyPrefix}
-	d, err := s.transact(ctx, platform.Write{Reads: []platform.Read{all}})
+	all := storage.Read{Prefix: keyPrefix}
+	d, err := s.transact(ctx, storage.Write{Reads: []storage.Read{all}})
 	if err != nil || d.Revision > 0 {
 		return d, err
 	}
-	return s.transact(ctx, platform.Write{
-		Conditions: []platform.Condition{{Key: keyHead}},
-		Puts:       []platform.Put{{Key: keyHead, Value: []byte("{}")}},
-		Reads:      []platform.Read{all},
+	return s.transact(ctx, storage.Write{
+		Conditions: []storage.Condition{{Key: keyHead}},
+		Puts:       []storage.Put{{Key: keyHead, Value: []byte("{}")}},
+		Reads:      []storage.Read{all},
 	})
 }
 
 // transact commits w alone and returns what it read. The revision is zero if
 // it did not take effect.
-func (s *Store) transact(ctx context.Context, w platform.Write) (rollout.Delta, error) {
-	results, err := s.table.Commit(ctx, []platform.Write{w})
+func (s *Store) transact(ctx context.Context, w storage.Write) (rollout.Delta, error) {
+	results, err := s.table.Commit(ctx, []storage.Write{w})
 	if err != nil || !results[0].Applied {
 		return rollout.Delta{}, err
 	}
@@ -81,7 +81,7 @@
 	var failed error
 	for range catchUpTries {
 		after := s.Snapshot().Revision
-		d, err := s.transact(ctx, platform.Write{Reads: []platform.Read{{Prefix: keyPrefix, After: after}}})
+		d, err := s.transact(ctx, storage.Write{Reads: []storage.Read{{Prefix: keyPrefix, After: after}}})
 		if err == nil {
 			s.offer(d)
 			return nil
--- a/resource/sweep.go
+++ b/resource/sweep.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
-	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/rollout"
+	"github.com/catkingap/catkingap/storage"
 )
 
 const (
@@ -31,10 +31,10 @@
 	if err != nil {
 		return err
 	}
-	w := platform.Write{
-		Conditions: []platform.Condition{{Key: keyHead, Revision: set.Revision}},
-		Puts:       []platform.Put{{Key: keyFloor, Value: floor}, {Key: keyHead, Value: []byte("{}")}},
-		Reads:      []platform.Read{{Prefix: keyPrefix, After: set.Revision}},
+	w := storage.Write{
+		Conditions: []storage.Condition{{Key: keyHead, Revision: set.Revision}},
+		Puts:       []storage.Put{{Key: keyFloor, Value: floor}, {Key: keyHead, Value: []byte("{}")}},
+		Reads:      []storage.Read{{Prefix: keyPrefix, After: set.Revision}},
 	}
 	for _, r := range old {
 		w.Deletes = append(w.Deletes, r.Key)
--- a/resource/write.go
+++ b/resource/write.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/catkingap/catkingap/ident"
-	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/storage"
 )
 
 // The pauses between tries to settle a write whose answer was lost. Each is
@@ -81,7 +81,7 @@
 		}
 		// Each way to come here means that the change did not take effect.
 		if err := s.catchUp(ctx); err != nil {
-			return 0, &platform.NotSentError{Cause: err}
+			return 0, &storage.NotSentError{Cause: err}
 		}
 		fresh = true
 	}
@@ -140,13 +140,13 @@
 	if err != nil {
 		return 0, err
 	}
-	w := platform.Write{
-		Conditions: []platform.Condition{{Key: key, Revision: base}},
-		Puts:       []platform.Put{{Key: key, Value: value}, {Key: keyHead, Value: []byte("{}")}},
-		Reads:      []platform.Read{{Prefix: keyPrefix, After: snapshot.Revision}},
+	w := storage.Write{
+		Conditions: []storage.Condition{{Key: key, Revision: base}},
+		Puts:       []storage.Put{{Key: key, Value: value}, {Key: keyHead, Value: []byte("{}")}},
+		Reads:      []storage.Read{{Prefix: keyPrefix, After: snapshot.Revision}},
 	}
 	if c.dependsOnOthers() {
-		w.Conditions = append(w.Conditions, platform.Condition{Key: keyHead, Revision: snapshot.Revision})
+		w.Conditions = append(w.Conditions, storage.Condition{Key: keyHead, Revision: snapshot.Revision})
 	}
 	result, unsure, err := s.settle(ctx, c.Operation, w)
 	if err != nil {
@@ -170,21 +170,21 @@
 // settle commits w until an answer says whether it took effect, and returns
 // true if an earlier answer was lost. Repeating w does no harm: its conditions
 // hold at most once, and its refusal reads the row back.
-func (s *Store) settle(ctx context.Context, id string, w platform.Write) (platform.Result, bool, error) {
+func (s *Store) settle(ctx context.Context, id string, w storage.Write) (storage.Result, bool, error) {
 	unsure := false
 	for pause := settleFirstPause; ; pause = min(2*pause, settlePause) {
-		results, err := s.table.Commit(ctx, []platform.Write{w})
+		results, err := s.table.Commit(ctx, []storage.Write{w})
 		if err == nil {
 			return results[0], unsure, nil
 		}
-		var notSent *platform.NotSentError
+		var notSent *storage.NotSentError
 		unsure = unsure || !errors.As(err, &notSent)
 		if !unsure {
-			return platform.Result{}, false, err
+			return storage.Result{}, false, err
 		}
 		select {
 		case <-ctx.Done():
-			return platform.Result{}, true, &UnsettledError{Operation: id, Cause: err}
+			return storage.Result{}, true, &UnsettledError{Operation: id, Cause: err}
 		case <-time.After(pause):
 		}
 	}
@@ -192,7 +192,7 @@
 
 // refused tells what a write that the table refused means: it took effect
 // before, somebody else was first, or another resource changed.
-func (s *Store) refused(c Change, base ident.Revision, current []platform.Row, unsure bool) (ident.Revision, error) {
+func (s *Store) refused(c Change, base ident.Revision, current []storage.Row, unsure bool) (ident.Revision, error) {
 	key := Key(c.Kind, c.Name)
 	for _, r := range current {
 		if r.Key != key {
--- a/resource/write_test.go
+++ b/resource/write_test.go
@@ -14,8 +14,8 @@
 	"github.com/matryer/is"
 
 	"github.com/catkingap/catkingap/ident"
-	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/standin"
+	"github.com/catkingap/catkingap/storage"
 )
 
 const writeTime = time.Millisecond
@@ -28,7 +28,7 @@
 	server := httptest.NewServer(p.Handler())
 	t.Cleanup(server.Close)
 	return p, func() *Store {
-		s := NewStore(platform.NewRemoteTable(&http.Client{Timeout: time.Second}, server.URL))
+		s := NewStore(storage.NewRemoteTable(&http.Client{Timeout: time.Second}, server.URL))
 		d, err := s.Load(t.Context())
 		if err != nil {
 			t.Fatal(err)
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/storage"
 )
 
 // Objects is a stand-in for the platform's object store.
@@ -62,28 +62,28 @@
 
 // version is the present and the coming state of a member.
 type version struct {
-	previous platform.TargetGroup
+	previous storage.TargetGroup
 	listed   bool
-	current  platform.TargetGroup
+	current  storage.TargetGroup
 	removed  bool
 	from     time.Time
 }
 
 // Set adds or replaces a member.
-func (m *Members) Set(g platform.TargetGroup) {
+func (m *Members) Set(g storage.TargetGroup) {
 	m.change(g, false)
 }
 
 // Remove takes a member off the list.
 func (m *Members) Remove(id string) {
-	m.change(platform.TargetGroup{Labels: map[string]string{platform.LabelID: id}}, true)
+	m.change(storage.TargetGroup{Labels: map[string]string{storage.LabelID: id}}, true)
 }
 
-func (m *Members) change(g platform.TargetGroup, removed bool) {
+func (m *Members) change(g storage.TargetGroup, removed bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	now := m.now()
-	id := g.Labels[platform.LabelID]
+	id := g.Labels[storage.LabelID]
 	v, known := m.members[id]
 	previous, listed := v.visible(now)
 	from := now.Add(m.Lag)
@@ -94,7 +94,7 @@
 	m.members[id] = version{previous: previous, listed: listed, current: g, removed: removed, from: from}
 }
 
-func (v version) visible(now time.Time) (platform.TargetGroup, bool) {
+func (v version) visible(now time.Time) (storage.TargetGroup, bool) {
 	if now.Before(v.from) {
 		return v.previous, v.listed
 	}
@@ -102,11 +102,11 @@
 }
 
 // list returns the visible members in the order of their ids.
-func (m *Members) list() []platform.TargetGroup {
+func (m *Members) list() []storage.TargetGroup {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	now := m.now()
-	groups := []platform.TargetGroup{}
+	groups := []storage.TargetGroup{}
 	for _, id := range slices.Sorted(maps.Keys(m.members)) {
 		if g, ok := m.members[id].visible(now); ok {
 			groups = append(groups, g)
@@ -129,7 +129,7 @@
 		http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(data))
 	}))
 	mux.HandleFunc("PUT /members", func(w http.ResponseWriter, r *http.Request) {
-		var g platform.TargetGroup
+		var g storage.TargetGroup
 		if err := json.NewDecoder(r.Body).Decode(&g); err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
--- a/standin/table.go
+++ b/standin/table.go
@@ -11,7 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/storage"
 )
 
 // maxOperations is the limit of etcd for the operations of one level of a
@@ -35,16 +35,16 @@
 	mutex  sync.Mutex
 	// free is when the table has carried all transactions taken so far.
 	free     time.Time
-	rows     map[string]platform.KeyValue
-	stale    map[string]platform.KeyValue
-	revision platform.Int64
+	rows     map[string]storage.KeyValue
+	stale    map[string]storage.KeyValue
+	revision storage.Int64
 	writes   atomic.Int64
 	reads    atomic.Int64
 }
 
 // NewTable returns an empty table.
 func NewTable(c TableConfig) *Table {
-	return &Table{config: c, rows: map[string]platform.KeyValue{}, revision: 1}
+	return &Table{config: c, rows: map[string]storage.KeyValue{}, revision: 1}
 }
 
 // TableStatistics counts what the table has done.
@@ -63,8 +63,8 @@
 
 // Register adds the table's paths to mux.
 func (t *Table) Register(mux *http.ServeMux) {
-	mux.HandleFunc("POST "+platform.PathTxn, t.Faults.guard(t.serveTxn))
-	mux.HandleFunc("POST "+platform.PathRange, t.Faults.guard(t.serveRange))
+	mux.HandleFunc("POST "+storage.PathTxn, t.Faults.guard(t.serveTxn))
+	mux.HandleFunc("POST "+storage.PathRange, t.Faults.guard(t.serveRange))
 	mux.HandleFunc("GET /table/statistics", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, t.Statistics()) })
 	mux.HandleFunc("PUT /table"+PathFaults, func(w http.ResponseWriter, r *http.Request) {
 		t.keepStale()
@@ -76,14 +76,14 @@
 func (t *Table) keepStale() {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.stale = make(map[string]platform.KeyValue, len(t.rows))
+	t.stale = make(map[string]storage.KeyValue, len(t.rows))
 	for k, v := range t.rows {
 		t.stale[k] = v
 	}
 }
 
 func (t *Table) serveTxn(w http.ResponseWriter, r *http.Request, _ Faults) {
-	var request platform.TxnRequest
+	var request storage.TxnRequest
 	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -104,7 +104,7 @@
 }
 
 func (t *Table) serveRange(w http.ResponseWriter, r *http.Request, f Faults) {
-	var request platform.RangeRequest
+	var request storage.RangeRequest
 	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -137,7 +137,7 @@
 
 // check refuses what etcd refuses: too many operations, or a key that is
 // written twice. Written collects the keys.
-func check(request platform.TxnRequest, written map[string]bool) error {
+func check(request storage.TxnRequest, written map[string]bool) error {
 	if max(len(request.Compare), len(request.Success), len(request.Failure)) > maxOperations {
 		return errors.New("too many operations in txn request")
 	}
@@ -165,8 +165,8 @@
 }
 
 // apply executes a transaction. The caller holds the mutex.
-func (t *Table) apply(request platform.TxnRequest) platform.TxnResponse {
-	response := platform.TxnResponse{Header: platform.Header{Revision: t.revision}, Succeeded: true}
+func (t *Table) apply(request storage.TxnRequest) storage.TxnResponse {
+	response := storage.TxnResponse{Header: storage.Header{Revision: t.revision}, Succeeded: true}
 	for _, c := range request.Compare {
 		if t.rows[string(c.Key)].ModRevision != c.ModRevision {
 			response.Succeeded = false
@@ -183,27 +183,27 @@
 }
 
 // operate executes one operation of a transaction. The caller holds the mutex.
-func (t *Table) operate(o platform.RequestOp) platform.ResponseOp {
+func (t *Table) operate(o storage.RequestOp) storage.ResponseOp {
 	switch {
 	case o.RequestTxn != nil:
 		response := t.apply(*o.RequestTxn)
-		return platform.ResponseOp{ResponseTxn: &response}
+		return storage.ResponseOp{ResponseTxn: &response}
 	case o.RequestPut != nil:
 		key := string(o.RequestPut.Key)
-		t.rows[key] = platform.KeyValue{Key: o.RequestPut.Key, Value: o.RequestPut.Value, ModRevision: t.revision}
-		return platform.ResponseOp{ResponsePut: &struct{}{}}
+		t.rows[key] = storage.KeyValue{Key: o.RequestPut.Key, Value: o.RequestPut.Value, ModRevision: t.revision}
+		return storage.ResponseOp{ResponsePut: &struct{}{}}
 	case o.RequestDeleteRange != nil:
 		delete(t.rows, string(o.RequestDeleteRange.Key))
-		return platform.ResponseOp{ResponseDeleteRange: &struct{}{}}
+		return storage.ResponseOp{ResponseDeleteRange: &struct{}{}}
 	default:
 		response := t.find(t.rows, *o.RequestRange)
-		return platform.ResponseOp{ResponseRange: &response}
+		return storage.ResponseOp{ResponseRange: &response}
 	}
 }
 
 // find returns the rows that request asks for. The caller holds the mutex.
-func (t *Table) find(rows map[string]platform.KeyValue, request platform.RangeRequest) platform.RangeResponse {
-	response := platform.RangeResponse{Header: platform.Header{Revision: t.revision}}
+func (t *Table) find(rows map[string]storage.KeyValue, request storage.RangeRequest) storage.RangeResponse {
+	response := storage.RangeResponse{Header: storage.Header{Revision: t.revision}}
 	if len(request.RangeEnd) == 0 {
 		if kv, ok := rows[string(request.Key)]; ok {
 			response.KVs = append(response.KVs, kv)
@@ -217,7 +217,7 @@
 			response.KVs = append(response.KVs, kv)
 		}
 	}
-	slices.SortFunc(response.KVs, func(a, b platform.KeyValue) int {
+	slices.SortFunc(response.KVs, func(a, b storage.KeyValue) int {
 		return strings.Compare(string(a.Key), string(b.Key))
 	})
 	if limit := int(request.Limit); limit > 0 && len(response.KVs) > limit {
--- a/standin/table_test.go
+++ b/standin/table_test.go
@@ -11,22 +11,22 @@
 	"github.com/matryer/is"
 
 	"github.com/catkingap/catkingap/ident"
-	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/storage"
 )
 
-func newTestTable(t *testing.T, c TableConfig) (*Table, platform.Table) {
+func newTestTable(t *testing.T, c TableConfig) (*Table, storage.Table) {
 	table := NewTable(c)
 	mux := http.NewServeMux()
 	table.Register(mux)
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
-	return table, platform.NewRemoteTable(server.Client(), server.URL)
+	return table, storage.NewRemoteTable(server.Client(), server.URL)
 }
 
-func put(key string, condition ident.Revision, value string) platform.Write {
-	return platform.Write{
-		Conditions: []platform.Condition{{Key: key, Revision: condition}},
-		Puts:       []platform.Put{{Key: key, Value: []byte(value)}},
+func put(key string, condition ident.Revision, value string) storage.Write {
+	return storage.Write{
+		Conditions: []storage.Condition{{Key: key, Revision: condition}},
+		Puts:       []storage.Put{{Key: key, Value: []byte(value)}},
 	}
 }
 
@@ -34,18 +34,18 @@
 	is := is.New(t)
 	_, table := newTestTable(t, TableConfig{})
 	ctx := t.Context()
-	first, err := table.Commit(ctx, []platform.Write{put("a", 0, "1")})
+	first, err := table.Commit(ctx, []storage.Write{put("a", 0, "1")})
 	is.NoErr(err)
 	is.True(first[0].Applied)
 
-	results, err := table.Commit(ctx, []platform.Write{
+	results, err := table.Commit(ctx, []storage.Write{
 		put("a", 0, "lost"),
 		put("b", 0, "2"),
-		{Conditions: []platform.Condition{{Key: "c"}}, Deletes: []string{"none"}},
+		{Conditions: []storage.Condition{{Key: "c"}}, Deletes: []string{"none"}},
 	})
 	is.NoErr(err)
 	is.True(!results[0].Applied)
-	is.Equal(results[0].Current, []platform.Row{{Key: "a", Value: []byte("1"), Revision: first[0].Revision}})
+	is.Equal(results[0].Current, []storage.Row{{Key: "a", Value: []byte("1"), Revision: first[0].Revision}})
 	is.True(results[1].Applied)
 	is.True(results[1].Revision > first[0].Revision)
 	is.True(results[2].Applied)
@@ -57,11 +57,11 @@
 }
 
 func TestCommitRefusesWhatEtcdRefuses(t *testing.T) {
-	large := make([]platform.Write, maxOperations+1)
+	large := make([]storage.Write, maxOperations+1)
 	for i := range large {
 		large[i] = put(strconv.Itoa(i), 0, "x")
 	}
-	tests := map[string][]platform.Write{
+	tests := map[string][]storage.Write{
 		"key written twice":   {put("a", 0, "1"), put("a", 0, "2")},
 		"too many operations": large,
 	}
@@ -95,9 +95,9 @@
 			standIn.Faults.Set(Faults{Mode: test.mode, Count: 1})
 			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 			defer cancel()
-			_, err := table.Commit(ctx, []platform.Write{put("a", 0, "1")})
+			_, err := table.Commit(ctx, []storage.Write{put("a", 0, "1")})
 			is.True(err != nil)
-			_, notSent := err.(*platform.NotSentError)
+			_, notSent := err.(*storage.NotSentError)
 			is.Equal(notSent, test.notSent)
 			row, _, err := table.Get(t.Context(), "a")
 			is.NoErr(err)
--- a/platform/counting_test.go
+++ b/storage/counting_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package storage_test
 
 import (
 	"io"
--- a/platform/http.go
+++ b/storage/http.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import (
 	"bytes"
--- a/platform/http_test.go
+++ b/storage/http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package storage_test
 
 import (
 	"net/http/httptest"
@@ -6,13 +6,13 @@
 
 	"github.com/matryer/is"
 
-	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/standin"
+	"github.com/catkingap/catkingap/storage"
 )
 
-func member(id string, state platform.State) platform.TargetGroup {
-	return platform.TargetGroup{Targets: []string{"127.0.0.1:1"}, Labels: map[string]string{
-		platform.LabelID: id, platform.LabelRole: string(platform.Worker), platform.LabelState: string(state),
+func member(id string, state storage.State) storage.TargetGroup {
+	return storage.TargetGroup{Targets: []string{"127.0.0.1:1"}, Labels: map[string]string{
+		storage.LabelID: id, storage.LabelRole: string(storage.Worker), storage.LabelState: string(state),
 	}}
 }
 
@@ -23,12 +23,12 @@
 	server := httptest.NewServer(stand.Handler())
 	defer server.Close()
 	for _, id := range []string{"a", "b", "c"} {
-		stand.Members.Set(member(id, platform.Live))
+		stand.Members.Set(member(id, storage.Live))
 	}
 	counted := &countingTransport{next: server.Client().Transport}
 	client := *server.Client()
 	client.Transport = counted
-	list := platform.NewRemoteMembership(&client, server.URL+"/members")
+	list := storage.NewRemoteMembership(&client, server.URL+"/members")
 	first, err := list.Members(t.Context())
 	is.NoErr(err)
 	is.Equal(len(first), 3)
@@ -37,8 +37,8 @@
 	is.NoErr(err)
 	is.Equal(second, first)
 	is.Equal(counted.bytes, whole)
-	stand.Members.Set(member("b", platform.Leaving))
+	stand.Members.Set(member("b", storage.Leaving))
 	third, err := list.Members(t.Context())
 	is.NoErr(err)
-	is.Equal(third[1].State, platform.Leaving)
+	is.Equal(third[1].State, storage.Leaving)
 }
--- a/platform/platform.go
+++ b/storage/storage.go
@@ -1,6 +1,6 @@
-// Package platform reaches the services of the platform: the transactional
+// Package storage reaches the services of the platform: the transactional
 // table, the object store and the membership list.
-package platform
+package storage
 
 import (
 	"context"
