--- /dev/null
+++ b/cmd/servecmd.go
@@ -0,0 +1,117 @@
+package cmd
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+	"go.uber.org/fx"
+
+	"github.com/catkingap/catkingap/fleet"
+	"github.com/catkingap/catkingap/platform"
+)
+
+const (
+	// headerTimeout bounds the time in which a caller must send the header of a
+	// request.
+	headerTimeout = 3 * time.Second
+	// callerIdle is how long a caller's connection may be idle. It is longer
+	// than callers keep idle ones, so that none is closed under a request.
+	callerIdle = time.Minute
+	// tableConnections bounds the idle connections to the platform's table: two
+	// feeds, the list of workers and a write.
+	tableConnections = 4
+	// memoryShare is the share of the host's memory at which the collector of
+	// garbage works harder.
+	memoryShare = 0.6
+)
+
+func (c *Config) newServeCmd() *cobra.Command {
+	var file string
+	command := &cobra.Command{
+		Use:   "serve",
+		Short: "Run the daemon of an entry host on the users' platform",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return c.runServeCmd(command.Context(), file)
+		},
+	}
+	command.Flags().StringVar(&file, "settings", os.Getenv(platform.SettingsVariable),
+		"settings file of the platform, by default the one that "+platform.SettingsVariable+" names")
+	return command
+}
+
+// runServeCmd runs the daemon until SIGTERM or SIGINT, and then shuts it down
+// gracefully.
+func (c *Config) runServeCmd(ctx context.Context, file string) error {
+	if file == "" {
+		return errors.Newf("no settings: name a file by --settings or by %s", platform.SettingsVariable)
+	}
+	s, err := platform.LoadSettings(file)
+	if err != nil {
+		return err
+	}
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	// SIGHUP tells that the settings file has changed; what a host knows of
+	// itself does not change while it runs.
+	signal.Ignore(syscall.SIGHUP)
+	var shutdown *fleet.Shutdown
+	var submitter *fleet.Submitter
+	var configuration *fleet.Configuration
+	app := fleet.New(c.fleetOptions(s), fx.Populate(&shutdown, &submitter, &configuration))
+	if err := app.Err(); err != nil {
+		return err
+	}
+	if err := app.Start(ctx); err != nil {
+		return err
+	}
+	ingress := platform.NewIngress(platform.IngressConfig{
+		Dispatcher: submitter, Queues: configuration.Table,
+		Ready: shutdown.Ready, Closing: shutdown.Closing, Refusing: shutdown.Refusing,
+	})
+	callers, err := c.serveHTTP(s.CallerAddress, ingress.Handler())
+	if err != nil {
+		return errors.Wrap(err, "address for callers")
+	}
+	looks, err := c.serveHTTP(s.ReadyAddress, ingress.ReadyHandler())
+	if err != nil {
+		return errors.Wrap(err, "address for the balancer")
+	}
+	<-signals
+	shutdown.Run(ctx)
+	_ = looks.Close()
+	_ = callers.Close()
+	return app.Stop(ctx)
+}
+
+// fleetOptions returns how the daemon reaches the platform.
+func (c *Config) fleetOptions(s platform.Settings) fleet.Options {
+	table := platform.NewTable(&http.Client{Transport: &http.Transport{
+		DialContext: c.network.DialContext, MaxIdleConnsPerHost: tableConnections, DisableCompression: true,
+	}}, s.TableAddress)
+	return fleet.Options{
+		Settings: s.Fleet, Log: c.stdout, Network: c.network, Table: table, Feed: table,
+		Decoder: platform.Decoder{}, Workers: platform.NewWorkers(c.network.DialContext),
+	}
+}
+
+// serveHTTP serves a handler at an address.
+func (c *Config) serveHTTP(address string, h http.Handler) (*http.Server, error) {
+	listener, err := c.network.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
+	go func() { _ = server.Serve(listener) }()
+	return server, nil
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,388 @@
+// Package dispatch decides what runs on the workers that one entry host owns:
+// which task starts where and when, what is tried again, what is refused, and
+// when the runs of a caller that left are stopped. It is pure: the caller
+// passes the present time and carries out the actions.
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/catkingap/catkingap/ejection"
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/worker"
+)
+
+// Config builds a Machine.
+type Config struct {
+	// Token is the fencing token of the ownership.
+	Token worker.Token
+	// MaxLease is the longest lease that workers grant.
+	MaxLease time.Duration
+	// FarFactor is how many times as long a task takes away from its rack.
+	FarFactor float64
+	// Ejection builds the judge of the workers.
+	Ejection ejection.Config
+}
+
+const (
+	// watchTime is how long a worker waits for an end before it answers a
+	// look. With MaxLease of a second it leaves time for two more looks before
+	// the lease lapses.
+	watchTime = 300 * time.Millisecond
+	// lookPause is the time between a look that failed and the next one.
+	lookPause = 50 * time.Millisecond
+	// maxLookPause bounds the pause between looks at a worker that stays
+	// silent.
+	maxLookPause = time.Second
+	// forgetPause is how long ends may wait to be acknowledged by the look that
+	// a next start brings. The pages count an end as noted 100 ms after its
+	// listing, and want four of five noted within seconds.
+	forgetPause = 400 * time.Millisecond
+	// stopPause is the time between two tries to stop a run.
+	stopPause = 100 * time.Millisecond
+	// clockDrift is how much slower than true time a worker's clock may run.
+	clockDrift = 0.02
+	// lapseMargin is added to the time at which a lease must have lapsed, for
+	// the time that a worker takes to end its runs.
+	lapseMargin = 60 * time.Millisecond
+	// orphanTime is how long a run of an unknown job is kept for its host to
+	// submit the job again, after the workers were taken over.
+	orphanTime = 600 * time.Millisecond
+	// outcomeTime is how long the outcome of a job is kept for callers that
+	// send it again, which they do some seconds later at most.
+	outcomeTime = 5 * time.Second
+)
+
+// Submission is a job that an entry host hands in for its caller.
+type Submission struct {
+	Job work.Job `msgpack:"job"`
+	// Host is the entry host that has the caller's connection, and Call is its
+	// number for the try.
+	Host ident.Host `msgpack:"host"`
+	Call uint64     `msgpack:"call"`
+	// Waited is the time since the caller's request arrived.
+	Waited time.Duration `msgpack:"waited"`
+	// Left is the time until the caller gives up.
+	Left time.Duration `msgpack:"left"`
+	// Final is true if no other owner has room: the job is queued if it can
+	// not start at once.
+	Final bool `msgpack:"final"`
+}
+
+// Result is how a submission ends.
+type Result string
+
+// The results of submissions.
+const (
+	// Busy means that nothing was started, and that another owner may be
+	// asked.
+	Busy Result = "busy"
+	// Completed means that all tasks are done.
+	Completed Result = "completed"
+	// Failed means that the job can not be done.
+	Failed Result = "failed"
+	// Interrupted means that the job did not end here. What ran of it has
+	// ended or will end before the caller sends it again.
+	Interrupted Result = "interrupted"
+	// Expired means that the caller's deadline passed after something had
+	// started.
+	Expired Result = "expired"
+	// Moved means that the host that was asked does not own the workers.
+	Moved Result = "moved"
+	// Refused means that nothing was started and that nothing will be.
+	Refused Result = "refused"
+	// Superseded means that the caller has sent the job again, to another host.
+	Superseded Result = "superseded"
+)
+
+// Reply ends a submission.
+type Reply struct {
+	Host   ident.Host `msgpack:"host"`
+	Call   uint64     `msgpack:"call"`
+	Job    work.ID    `msgpack:"job"`
+	Result Result     `msgpack:"result"`
+	// Reason says why in a few words.
+	Reason string `msgpack:"reason,omitempty"`
+	// RetryAfter is when a refused caller should come back.
+	RetryAfter time.Duration `msgpack:"retryAfter,omitempty"`
+	// Load is the owner's load at the time.
+	Load Load `msgpack:"load"`
+}
+
+// Load tells other hosts how much the workers of one owner can take.
+type Load struct {
+	// Room is the number of tasks of mean size that can start at once. It is
+	// negative if more wait than can start.
+	Room int `msgpack:"room"`
+}
+
+// Actions is what a caller of a Machine must carry out.
+type Actions struct {
+	Starts  []worker.Start
+	Stops   []worker.Stop
+	Looks   []worker.Look
+	Replies []Reply
+}
+
+// Machine is the state of the workers that one entry host owns.
+type Machine struct {
+	config  Config
+	actions Actions
+	nodes   map[worker.ID]*node
+	ordered []*node
+	jobs    map[work.ID]*job
+	// queue holds the jobs with tasks that may start, the first one first.
+	queue    []*job
+	outcomes map[work.ID]ended
+	// orphans are runs and ends that belong to no known job, by task.
+	orphans     map[string]*run
+	orphansDone map[string]time.Time
+	// past holds what earlier submissions of jobs left running.
+	past  map[work.ID]*past
+	judge *ejection.Judge[worker.ID]
+	// open is when work may start although some workers have not answered yet.
+	open time.Time
+	// cores is the mean of the cores of recent tasks.
+	cores float64
+	// stopped is true once the ownership has ended.
+	stopped bool
+}
+
+// ended is the outcome of a job that was answered.
+type ended struct {
+	result Result
+	at     time.Time
+}
+
+// New returns the machine of an ownership that was taken at now.
+func New(now time.Time, c Config) *Machine {
+	return &Machine{
+		config:      c,
+		nodes:       map[worker.ID]*node{},
+		jobs:        map[work.ID]*job{},
+		outcomes:    map[work.ID]ended{},
+		orphans:     map[string]*run{},
+		orphansDone: map[string]time.Time{},
+		past:        map[work.ID]*past{},
+		judge:       ejection.NewJudge[worker.ID](c.Ejection),
+		open:        now.Add(lapse(c.MaxLease)),
+	}
+}
+
+// lapse returns the time after which a lease of d has lapsed on a worker's
+// clock, however slow it is.
+func lapse(d time.Duration) time.Duration {
+	return time.Duration(float64(d)/(1-clockDrift)) + lapseMargin
+}
+
+// Take returns the actions of the events since the last call.
+func (m *Machine) Take() Actions {
+	a := m.actions
+	m.actions = Actions{}
+	return a
+}
+
+// SetWorkers replaces the list of workers. A worker that is missing gets no
+// new work; what runs there is watched to its end.
+func (m *Machine) SetWorkers(now time.Time, workers []worker.Worker) {
+	listed := make(map[worker.ID]bool, len(workers))
+	for _, w := range workers {
+		listed[w.ID] = true
+		n := m.nodes[w.ID]
+		if n == nil {
+			n = &node{runs: map[runKey]*run{}}
+			m.nodes[w.ID] = n
+		} else if w.Life > n.Life || w.Address != n.Address {
+			m.reborn(now, n)
+		}
+		life := max(n.Life, w.Life)
+		n.Worker, n.listed = w, true
+		n.Life = life
+	}
+	ids := make([]worker.ID, 0, len(m.nodes))
+	for id, n := range m.nodes {
+		n.listed = listed[id]
+		if !n.listed && len(n.runs) == 0 {
+			delete(m.nodes, id)
+			continue
+		}
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	m.ordered = m.ordered[:0]
+	for _, id := range ids {
+		m.ordered = append(m.ordered, m.nodes[id])
+	}
+	m.judge.SetServers(ids)
+	m.pump(now)
+}
+
+// Started tells the answer to a start.
+func (m *Machine) Started(now time.Time, s worker.Start, a worker.Answer) {
+	n := m.nodes[s.Worker]
+	if n == nil || m.stopped {
+		return
+	}
+	n.hear(now, a.Verdict, a.Clock)
+	r := n.runs[runKey{task: s.Task.String(), run: s.Run}]
+	if r == nil || r.state == stopping {
+		m.pump(now)
+		return
+	}
+	switch a.Verdict {
+	case worker.Accepted:
+		if r.state == ordered {
+			r.state, r.confirmed = atWork, now
+		}
+	case worker.Unanswered:
+		m.judge.Withdrawn(n.ID)
+		m.stop(now, r)
+	default:
+		m.refusedStart(now, n, r, a.Verdict)
+	}
+	m.pump(now)
+}
+
+// refusedStart handles a start that the worker provably did not carry out.
+func (m *Machine) refusedStart(now time.Time, n *node, r *run, v worker.Verdict) {
+	m.judge.Withdrawn(n.ID)
+	switch v {
+	case worker.Unhealthy:
+		m.judge.Failed(now, n.ID)
+	case worker.Full, worker.Late:
+		// The worker holds something that is not known here, or its clock is
+		// not what was expected: a look tells.
+		n.holdUntil = now.Add(lookPause)
+		m.look(now, n)
+	case worker.Replaced:
+		n.adopted = false
+	case worker.Rejected:
+		if r.task != nil && r.task.job.live {
+			m.finish(now, r.task.job, Failed, "a worker can not read the task")
+		}
+	}
+	m.gone(now, n, r, worker.Lost)
+}
+
+// Stopped tells the answer to a stop.
+func (m *Machine) Stopped(now time.Time, s worker.Stop, a worker.Answer) {
+	n := m.nodes[s.Worker]
+	if n == nil || m.stopped {
+		return
+	}
+	n.hear(now, a.Verdict, a.Clock)
+	if r := n.runs[runKey{task: s.Task, run: s.Run}]; r != nil && r.state == stopping && r.barred.IsZero() {
+		switch a.Verdict {
+		case worker.Accepted, worker.Old:
+			r.barred = now
+			m.look(now, n)
+		case worker.Replaced:
+			m.gone(now, n, r, worker.Lost)
+		default:
+			r.nextStop = now.Add(stopPause)
+		}
+	}
+	m.pump(now)
+}
+
+// HostLost tells that an entry host is not heard from any more: its callers
+// will send their jobs to other hosts.
+func (m *Machine) HostLost(now time.Time, h ident.Host) {
+	for _, j := range m.sortedJobs() {
+		if j.host == h {
+			m.drop(now, j)
+		}
+	}
+	m.pump(now)
+}
+
+// Withdraw ends a submission whose caller has left.
+func (m *Machine) Withdraw(now time.Time, h ident.Host, call uint64, id work.ID) {
+	if j := m.jobs[id]; j != nil && j.host == h && j.call == call {
+		m.drop(now, j)
+	}
+	m.pump(now)
+}
+
+// Depose ends the ownership: all submissions are interrupted, and no more
+// orders are given.
+func (m *Machine) Depose(now time.Time) {
+	for _, j := range m.sortedJobs() {
+		m.reply(now, j, Interrupted, "another host owns the workers")
+		j.live = false
+	}
+	m.jobs = map[work.ID]*job{}
+	m.queue = nil
+	m.stopped = true
+	m.actions.Starts, m.actions.Stops, m.actions.Looks = nil, nil, nil
+}
+
+// Tick does what the time asks for. It must be called in short intervals.
+func (m *Machine) Tick(now time.Time) {
+	if m.stopped {
+		return
+	}
+	for _, j := range m.sortedJobs() {
+		if !now.Before(j.deadline) {
+			m.expire(now, j)
+		}
+	}
+	for _, n := range m.ordered {
+		m.tickNode(now, n)
+	}
+	for id, o := range m.outcomes {
+		if now.Sub(o.at) > outcomeTime {
+			delete(m.outcomes, id)
+		}
+	}
+	for id, p := range m.past {
+		if len(p.runs) == 0 && now.Sub(p.at) > outcomeTime {
+			delete(m.past, id)
+		}
+	}
+	for name, at := range m.orphansDone {
+		if now.Sub(at) > outcomeTime {
+			delete(m.orphansDone, name)
+		}
+	}
+	m.pump(now)
+}
+
+// Load returns what the workers can take.
+func (m *Machine) Load(now time.Time) Load {
+	if m.cores == 0 {
+		return Load{Room: len(m.ordered)}
+	}
+	room := 0
+	for _, n := range m.ordered {
+		if m.usable(now, n) {
+			room += int(float64(n.Capacity.Cores-n.used.Cores) / m.cores)
+		}
+	}
+	for _, j := range m.queue {
+		room -= len(j.waiting)
+	}
+	return Load{Room: room}
+}
+
+// sortedJobs returns the jobs in a fixed order.
+func (m *Machine) sortedJobs() []*job {
+	jobs := make([]*job, 0, len(m.jobs))
+	for _, j := range m.jobs {
+		jobs = append(jobs, j)
+	}
+	slices.SortFunc(jobs, func(a, b *job) int { return compareText(a.spec.ID, b.spec.ID) })
+	return jobs
+}
+
+func compareText[T ~string](a, b T) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/dispatch/job.go
@@ -0,0 +1,234 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/worker"
+)
+
+// job is a job that was submitted and is not answered.
+type job struct {
+	spec work.Job
+	host ident.Host
+	call uint64
+	// objective is when the caller expects the answer, deadline when the
+	// caller gives up.
+	objective, deadline time.Time
+	tasks               []*task
+	// waiting holds the tasks that may start.
+	waiting []*task
+	// left is the number of tasks that are not done, stepLeft that of each
+	// step.
+	left     int
+	stepLeft []int
+	// begun is true once a start was sent for any task.
+	begun bool
+	// queued is true while the job is in the queue.
+	queued bool
+	// live is false once the job was answered or dropped.
+	live bool
+}
+
+// task is one task of a job.
+type task struct {
+	job  *job
+	name work.Task
+	text string
+	// run is the run that counts, or nil.
+	run *run
+	// number is the number of the last run.
+	number   work.Run
+	failures int
+	// failed lists the workers on which the task did not get done.
+	failed []worker.ID
+	done   bool
+}
+
+func (t *task) step() *work.Step { return &t.job.spec.Steps[t.name.Step] }
+
+func (t *task) estimate() time.Duration { return t.step().Estimate }
+
+func newJob(now time.Time, s Submission) *job {
+	j := &job{
+		spec:      s.Job,
+		host:      s.Host,
+		call:      s.Call,
+		objective: now.Add(s.Job.Objective() - s.Waited),
+		deadline:  now.Add(s.Left),
+		live:      true,
+	}
+	for i, st := range s.Job.Steps {
+		j.stepLeft = append(j.stepLeft, st.Count)
+		j.left += st.Count
+		for k := range st.Count {
+			name := work.Task{Job: s.Job.ID, Step: i, Index: k}
+			j.tasks = append(j.tasks, &task{job: j, name: name, text: name.String()})
+		}
+	}
+	return j
+}
+
+// ready returns true if the steps before step i are done.
+func (j *job) ready(i int) bool {
+	return !slices.ContainsFunc(j.spec.Steps[i].After, func(a int) bool { return j.stepLeft[a] > 0 })
+}
+
+// Submit takes a job. A job that is known already goes on, for the new caller.
+func (m *Machine) Submit(now time.Time, s Submission) {
+	if m.stopped {
+		m.refuse(now, s, Moved, "another host owns the workers", 0)
+		return
+	}
+	if old, ok := m.outcomes[s.Job.ID]; ok {
+		m.refuse(now, s, old.result, "", 0)
+		return
+	}
+	if j := m.jobs[s.Job.ID]; j != nil {
+		if j.host != s.Host || j.call != s.Call {
+			m.reply(now, j, Superseded, "the caller has sent the job again")
+		}
+		j.host, j.call, j.deadline = s.Host, s.Call, now.Add(s.Left)
+		return
+	}
+	j := newJob(now, s)
+	known := m.reclaim(now, j)
+	if !known {
+		if reason, wait := m.unfit(now, j, s.Final); reason != "" {
+			result := Refused
+			if !s.Final {
+				result = Busy
+			}
+			m.refuse(now, s, result, reason, wait)
+			return
+		}
+		if !m.possible(j) {
+			m.refuse(now, s, Failed, "no worker is large enough for a task", 0)
+			return
+		}
+	}
+	m.jobs[j.spec.ID] = j
+	m.refill(now, j)
+	if j.left == 0 {
+		m.finish(now, j, Completed, "")
+	}
+	m.pump(now)
+}
+
+// reclaim attaches the runs and ends that an earlier owner left of a job. It
+// returns true if there are any.
+func (m *Machine) reclaim(now time.Time, j *job) bool {
+	if len(m.orphans) == 0 && len(m.orphansDone) == 0 {
+		return false
+	}
+	found := false
+	for _, t := range j.tasks {
+		if _, ok := m.orphansDone[t.text]; ok {
+			t.done = true
+			j.left--
+			j.stepLeft[t.name.Step]--
+			found = true
+			continue
+		}
+		r := m.orphans[t.text]
+		if r == nil {
+			continue
+		}
+		delete(m.orphans, t.text)
+		r.task, r.size, r.orphanUntil = t, t.step().Size, time.Time{}
+		r.sent = now
+		r.node.used = r.node.used.Plus(r.size)
+		t.run, t.number = r, r.key.run
+		found = true
+	}
+	j.begun = found
+	return found
+}
+
+// refill queues the tasks that may start now.
+func (m *Machine) refill(now time.Time, j *job) {
+	j.waiting = j.waiting[:0]
+	for _, t := range j.tasks {
+		if !t.done && t.run == nil && j.ready(t.name.Step) {
+			j.waiting = append(j.waiting, t)
+		}
+	}
+	m.enqueue(now, j)
+}
+
+// taskEnded takes the end of the run that counts.
+func (m *Machine) taskEnded(now time.Time, t *task, n *node, how worker.How) {
+	j := t.job
+	if !j.live {
+		return
+	}
+	switch how {
+	case worker.Done:
+		t.done = true
+		j.left--
+		j.stepLeft[t.name.Step]--
+		if j.left == 0 {
+			m.finish(now, j, Completed, "")
+		} else if j.stepLeft[t.name.Step] == 0 {
+			m.refill(now, j)
+		}
+		return
+	case worker.Failed:
+		t.failures++
+		if t.failures >= max(1, j.spec.Attempts) {
+			m.finish(now, j, Failed, "a task has failed "+string(n.ID))
+			return
+		}
+	}
+	t.failed = append(t.failed, n.ID)
+	j.waiting = append(j.waiting, t)
+	m.enqueue(now, j)
+}
+
+// finish answers a job and stops what still runs of it.
+func (m *Machine) finish(now time.Time, j *job, r Result, reason string) {
+	m.reply(now, j, r, reason)
+	m.outcomes[j.spec.ID] = ended{result: r, at: now}
+	m.drop(now, j)
+}
+
+// expire ends a job whose caller has given up.
+func (m *Machine) expire(now time.Time, j *job) {
+	if j.begun {
+		m.reply(now, j, Expired, "the deadline has passed")
+	} else {
+		m.reply(now, j, Refused, "the deadline has passed")
+	}
+	m.drop(now, j)
+}
+
+// drop forgets a job and stops its runs.
+func (m *Machine) drop(now time.Time, j *job) {
+	j.live = false
+	j.waiting = nil
+	delete(m.jobs, j.spec.ID)
+	for _, t := range j.tasks {
+		switch r := t.run; {
+		case r == nil:
+		case r.state == stopping:
+			m.linger(r)
+		default:
+			m.stop(now, r)
+		}
+	}
+}
+
+func (m *Machine) reply(now time.Time, j *job, r Result, reason string) {
+	m.actions.Replies = append(m.actions.Replies, Reply{
+		Host: j.host, Call: j.call, Job: j.spec.ID, Result: r, Reason: reason, Load: m.Load(now),
+	})
+}
+
+// refuse answers a submission that was not taken.
+func (m *Machine) refuse(now time.Time, s Submission, r Result, reason string, wait time.Duration) {
+	m.actions.Replies = append(m.actions.Replies, Reply{
+		Host: s.Host, Call: s.Call, Job: s.Job.ID, Result: r, Reason: reason, RetryAfter: wait, Load: m.Load(now),
+	})
+}
--- /dev/null
+++ b/dispatch/node.go
@@ -0,0 +1,364 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/worker"
+)
+
+// runState is how far a run is known to be.
+type runState int
+
+const (
+	// ordered means that the start was sent and is not answered.
+	ordered runState = iota
+	// atWork means that the worker has accepted the run.
+	atWork
+	// stopping means that the run is to end.
+	stopping
+)
+
+// runKey names a run on one worker.
+type runKey struct {
+	task string
+	run  work.Run
+}
+
+// run is one run of a task on a worker.
+type run struct {
+	key  runKey
+	node *node
+	// task is nil for a run of a job that is not known here.
+	task  *task
+	size  work.Size
+	state runState
+	sent  time.Time
+	// confirmed is when the worker was known to have the run.
+	confirmed time.Time
+	// barred is when the worker accepted the stop: from then on the run can not
+	// begin.
+	barred   time.Time
+	nextStop time.Time
+	// orphanUntil is when a run of an unknown job is stopped.
+	orphanUntil time.Time
+}
+
+// node is a worker and what runs there.
+type node struct {
+	worker.Worker
+	listed bool
+	// adopted is true once the worker has answered a look of this ownership in
+	// its present life.
+	adopted bool
+	// clock was the worker's clock at clockAt.
+	clock   worker.Clock
+	clockAt time.Time
+	// lapsed is when all that runs there must have ended if no further order
+	// arrives.
+	lapsed time.Time
+	// seen is the highest end that was handled, noted the highest that the
+	// worker was told of.
+	seen, noted worker.EndNumber
+	// watching is true while a look that waits is open.
+	watching bool
+	// silent is when the worker began to leave orders without an answer, or
+	// zero.
+	silent   time.Time
+	nextLook time.Time
+	pause    time.Duration
+	noteAt   time.Time
+	// holdUntil is until when no work is started there.
+	holdUntil time.Time
+	runs      map[runKey]*run
+	used      work.Size
+	pace      pace
+}
+
+// pace is what was learned of how long tasks take on a worker.
+type pace struct {
+	// log is the mean logarithm of the run time over the estimate.
+	log   float64
+	known bool
+}
+
+const (
+	// paceWeight is the weight of a new run time in what is known of a worker:
+	// the estimates are off by some 40 %, so about a dozen are needed.
+	paceWeight = 0.12
+	// maxPace bounds what one run time can say.
+	maxPace = 2.5
+)
+
+func (p *pace) learn(took, estimate time.Duration) {
+	if took <= 0 || estimate <= 0 {
+		return
+	}
+	x := min(max(math.Log(float64(took)/float64(estimate)), -maxPace), maxPace)
+	if !p.known {
+		p.known = true
+		// One run time says little: it is drawn towards the estimate.
+		x /= 2
+		p.log = x
+		return
+	}
+	p.log += paceWeight * (x - p.log)
+}
+
+// scale returns the expected run time of a task with an estimate.
+func (p *pace) scale(estimate time.Duration) time.Duration {
+	return time.Duration(float64(estimate) * math.Exp(p.log))
+}
+
+// hear takes a sign of life, or its lack.
+func (n *node) hear(now time.Time, v worker.Verdict, clock worker.Clock) {
+	if v == worker.Unanswered || v == worker.Unsent {
+		if n.silent.IsZero() {
+			n.silent = now
+		}
+		return
+	}
+	n.silent, n.pause = time.Time{}, 0
+	if clock > 0 && v != worker.Replaced {
+		n.clock, n.clockAt = clock, now
+	}
+}
+
+// until returns the worker's clock after d, and notes that its lease may last
+// until then.
+func (n *node) until(now time.Time, d time.Duration) worker.Clock {
+	if n.clock == 0 {
+		return 0
+	}
+	clock := n.clock + worker.Clock((now.Sub(n.clockAt) + d).Milliseconds())
+	lapsed := n.clockAt.Add(lapse(time.Duration(clock-n.clock) * time.Millisecond))
+	if lapsed.After(n.lapsed) {
+		n.lapsed = lapsed
+	}
+	return clock
+}
+
+func (m *Machine) order(n *node) worker.Order {
+	return worker.Order{Worker: n.ID, Address: n.Address, Token: m.config.Token}
+}
+
+// look asks a worker what it does, beside the look that watches it.
+func (m *Machine) look(now time.Time, n *node) {
+	m.lookFor(now, n, worker.Look{Extra: true})
+}
+
+// lookFor completes and sends a look.
+func (m *Machine) lookFor(now time.Time, n *node, l worker.Look) {
+	l.Order, l.Seen = m.order(n), n.seen
+	if len(n.runs) > 0 {
+		l.Until = n.until(now, m.config.MaxLease)
+	}
+	n.noteAt = time.Time{}
+	m.actions.Looks = append(m.actions.Looks, l)
+}
+
+// Looked tells the answer to a look that was sent at sent. The report is nil
+// unless the verdict is Accepted.
+func (m *Machine) Looked(now, sent time.Time, l worker.Look, report *worker.Report, v worker.Verdict) {
+	n := m.nodes[l.Worker]
+	if n == nil || m.stopped {
+		return
+	}
+	if !l.Extra {
+		n.watching = false
+	}
+	if report == nil {
+		n.hear(now, v, 0)
+		n.pause = min(max(2*n.pause, lookPause), maxLookPause)
+		if len(n.runs) > 0 {
+			// The leases of the runs must not lapse for one lost look.
+			n.pause = lookPause
+		}
+		n.nextLook = now.Add(n.pause)
+		m.pump(now)
+		return
+	}
+	if report.Life < n.Life {
+		m.pump(now)
+		return
+	}
+	if report.Life > n.Life {
+		m.reborn(now, n)
+		n.Life = report.Life
+	}
+	n.hear(now, worker.Accepted, report.Clock)
+	n.noted = max(n.noted, min(l.Seen, n.seen))
+	m.takeEnds(now, n, report.Ended)
+	m.takeRunning(now, sent, n, report.Running)
+	n.adopted = true
+	m.pump(now)
+}
+
+func (m *Machine) takeEnds(now time.Time, n *node, ends []worker.Ended) {
+	for _, e := range ends {
+		if e.Number <= n.seen {
+			continue
+		}
+		n.seen = e.Number
+		if n.noteAt.IsZero() {
+			n.noteAt = now.Add(forgetPause)
+		}
+		r := n.runs[runKey{task: e.Task, run: e.Run}]
+		if r == nil || r.task == nil {
+			if e.How == worker.Done {
+				m.orphansDone[e.Task] = now
+			}
+		}
+		if r != nil {
+			m.gone(now, n, r, e.How)
+		}
+	}
+}
+
+func (m *Machine) takeRunning(now, sent time.Time, n *node, running []worker.Running) {
+	there := make(map[runKey]bool, len(running))
+	for _, x := range running {
+		k := runKey{task: x.Task, run: x.Run}
+		there[k] = true
+		r := n.runs[k]
+		if r == nil {
+			m.adopt(now, n, k)
+			continue
+		}
+		if r.state == ordered {
+			r.state, r.confirmed = atWork, now
+		}
+	}
+	for k, r := range n.runs {
+		if there[k] {
+			continue
+		}
+		known := r.state == atWork && r.confirmed.Before(sent)
+		barred := r.state == stopping && !r.barred.IsZero() && r.barred.Before(sent)
+		if known || barred {
+			m.gone(now, n, r, worker.Lost)
+		}
+	}
+}
+
+// adopt takes in a run that this ownership did not start. Its host may submit
+// the job again; else the run is stopped.
+func (m *Machine) adopt(now time.Time, n *node, k runKey) {
+	r := &run{key: k, node: n, state: atWork, sent: now, confirmed: now, orphanUntil: now.Add(orphanTime)}
+	n.runs[k] = r
+	if other := m.orphans[k.task]; other == nil {
+		m.orphans[k.task] = r
+	} else {
+		m.stop(now, r)
+	}
+}
+
+// stop ends a run. Its task may start elsewhere once the run is known to have
+// ended.
+func (m *Machine) stop(now time.Time, r *run) {
+	r.state, r.barred = stopping, time.Time{}
+	if m.orphans[r.key.task] == r {
+		delete(m.orphans, r.key.task)
+	}
+	r.nextStop = now.Add(stopTimeout)
+	m.linger(r)
+	m.actions.Stops = append(m.actions.Stops, worker.Stop{Order: m.order(r.node), Task: r.key.task, Run: r.key.run})
+}
+
+// stopTimeout is when a stop is sent again if nothing was heard of it. The
+// sender gives up earlier.
+const stopTimeout = time.Second
+
+// gone removes a run that has ended on its worker.
+func (m *Machine) gone(now time.Time, n *node, r *run, how worker.How) {
+	delete(n.runs, r.key)
+	if m.orphans[r.key.task] == r {
+		delete(m.orphans, r.key.task)
+	}
+	n.used = n.used.Minus(r.size)
+	m.settle(now, r)
+	t := r.task
+	if t == nil {
+		return
+	}
+	if how == worker.Done {
+		n.pace.learn(now.Sub(r.sent), t.estimate())
+	}
+	m.judgeEnd(now, n, t, how)
+	if t.run == r {
+		t.run = nil
+		m.taskEnded(now, t, n, how)
+	}
+}
+
+// judgeEnd records what an end says about the worker.
+func (m *Machine) judgeEnd(now time.Time, n *node, t *task, how worker.How) {
+	switch {
+	case how == worker.Done:
+		m.judge.Answered(n.ID)
+	case how == worker.Failed && t.failures == 0:
+		m.judge.Failed(now, n.ID)
+	default:
+		// A task that has failed elsewhere too says nothing about the worker.
+		m.judge.Withdrawn(n.ID)
+	}
+}
+
+// reborn ends all that ran in an earlier life of a worker.
+func (m *Machine) reborn(now time.Time, n *node) {
+	m.lose(now, n)
+	n.adopted, n.watching = false, false
+	n.seen, n.noted, n.clock = 0, 0, 0
+	n.lapsed, n.noteAt = time.Time{}, time.Time{}
+	n.pace = pace{}
+}
+
+// lose ends all runs of a worker.
+func (m *Machine) lose(now time.Time, n *node) {
+	for _, r := range n.sortedRuns() {
+		m.gone(now, n, r, worker.Lost)
+	}
+}
+
+// sortedRuns returns the runs in a fixed order.
+func (n *node) sortedRuns() []*run {
+	runs := make([]*run, 0, len(n.runs))
+	for _, r := range n.runs {
+		runs = append(runs, r)
+	}
+	sortRuns(runs)
+	return runs
+}
+
+func (m *Machine) tickNode(now time.Time, n *node) {
+	if !n.silent.IsZero() && len(n.runs) > 0 && now.After(n.lapsed) {
+		m.lose(now, n)
+		n.adopted = false
+	}
+	for _, r := range n.sortedRuns() {
+		switch {
+		case r.state == stopping && r.barred.IsZero() && !now.Before(r.nextStop):
+			m.stop(now, r)
+		case r.task == nil && r.state != stopping && now.After(r.orphanUntil):
+			m.stop(now, r)
+		case r.state == atWork && r.task != nil && m.hangs(now, n, r):
+			m.judge.Failed(now, n.ID)
+			m.stop(now, r)
+		}
+	}
+}
+
+const (
+	// hangFactor and hangTime bound how much longer than expected a run may
+	// take: the estimates are off by some 40 % and tasks are uneven.
+	hangFactor = 4
+	hangTime   = 150 * time.Millisecond
+)
+
+// hangs returns true if a run has taken so long that another worker would do it
+// sooner.
+func (m *Machine) hangs(now time.Time, n *node, r *run) bool {
+	expected := n.pace.scale(r.task.estimate())
+	return now.Sub(r.sent) > hangFactor*expected+hangTime && now.Add(expected).Before(r.task.job.deadline)
+}
--- /dev/null
+++ b/dispatch/place.go
@@ -0,0 +1,366 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/worker"
+)
+
+const (
+	// answerTime is what remains of the objective for the answer's way back.
+	answerTime = 8 * time.Millisecond
+	// paceMargin is how much longer than expected a task may take on a slow
+	// worker that is chosen to spare a faster one.
+	paceMargin = 1.2
+	// uselessFactor is how many times the objective may pass before the answer
+	// is of no use to the caller.
+	uselessFactor = 3
+	// coresWeight is the weight of a new task in the mean size of tasks.
+	coresWeight = 0.05
+)
+
+// usable returns true if a worker may get work.
+func (m *Machine) usable(now time.Time, n *node) bool {
+	return n.listed && n.adopted && !n.Draining && n.silent.IsZero() && !now.Before(n.holdUntil) &&
+		m.judge.Allowed(now, n.ID, true) && !n.hasOrphans()
+}
+
+func (n *node) hasOrphans() bool {
+	for _, r := range n.runs {
+		if r.task == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// suits returns true if a worker is of the kind that a task needs.
+func (n *node) suits(t *task) bool {
+	s := t.step()
+	return n.Pool == t.job.spec.Pool && s.Size.Fits(n.Capacity) && (s.Label == "" || slices.Contains(n.Labels, s.Label))
+}
+
+// possible returns true if each task of a job has a worker that suits it, or
+// may have one that has not shown itself yet.
+func (m *Machine) possible(j *job) bool {
+	if len(m.ordered) == 0 {
+		return true
+	}
+	for i, s := range j.spec.Steps {
+		t := &task{job: j, name: work.Task{Step: i}}
+		if s.Count > 0 && !slices.ContainsFunc(m.ordered, func(n *node) bool { return n.suits(t) }) {
+			return false
+		}
+	}
+	return true
+}
+
+// expected returns the run time that a task is expected to have on a worker.
+func (m *Machine) expected(n *node, t *task) time.Duration {
+	d := n.pace.scale(t.estimate())
+	if rack := t.step().Rack; rack != "" && !slices.Contains(n.Labels, rack) {
+		d = time.Duration(float64(d) * m.config.FarFactor)
+	}
+	return d
+}
+
+// opened returns true if nothing of an earlier owner can run unseen.
+func (m *Machine) opened(now time.Time) bool {
+	if !now.Before(m.open) {
+		return true
+	}
+	return !slices.ContainsFunc(m.ordered, func(n *node) bool { return !n.adopted })
+}
+
+// enqueue puts a job with waiting tasks into its place in the queue.
+func (m *Machine) enqueue(_ time.Time, j *job) {
+	if j.queued || !j.live || len(j.waiting) == 0 {
+		return
+	}
+	j.queued = true
+	i, _ := slices.BinarySearchFunc(m.queue, j, compareJobs)
+	m.queue = slices.Insert(m.queue, i, j)
+}
+
+// compareJobs orders jobs by priority and then by the time at which they must
+// start to meet their objective. Load: bursts, in which short jobs have little
+// time to spare and long ones much.
+func compareJobs(a, b *job) int {
+	if c := cmp.Compare(a.spec.Priority, b.spec.Priority); c != 0 {
+		return c
+	}
+	if c := a.latest().Compare(b.latest()); c != 0 {
+		return c
+	}
+	return compareText(a.spec.ID, b.spec.ID)
+}
+
+// latest returns when the job must start to meet its objective.
+func (j *job) latest() time.Time { return j.objective.Add(-j.spec.Chain()) }
+
+// pump starts what can start, and keeps the watch over all workers.
+func (m *Machine) pump(now time.Time) {
+	if m.stopped {
+		return
+	}
+	if len(m.queue) > 0 && m.opened(now) {
+		m.startQueued(now)
+	}
+	for _, n := range m.ordered {
+		m.watch(now, n)
+	}
+}
+
+// startQueued starts tasks in the order of the queue: first those of jobs that
+// can still meet their objective, then the late ones.
+func (m *Machine) startQueued(now time.Time) {
+	fastest := m.fastest(now)
+	for _, late := range []bool{false, true} {
+		for _, j := range m.queue {
+			if j.late(now, fastest) == late {
+				m.startJob(now, j, late)
+			}
+		}
+	}
+	m.queue = slices.DeleteFunc(m.queue, func(j *job) bool {
+		keep := j.live && len(j.waiting) > 0
+		j.queued = keep
+		return !keep
+	})
+}
+
+// fastest returns the pace of the fastest worker.
+func (m *Machine) fastest(now time.Time) pace {
+	best := pace{log: maxPace}
+	for _, n := range m.ordered {
+		if m.usable(now, n) && n.pace.log < best.log {
+			best = n.pace
+		}
+	}
+	return best
+}
+
+// late returns true if not even the fastest worker could meet the objective.
+func (j *job) late(now time.Time, fastest pace) bool {
+	return now.Add(fastest.scale(j.spec.Chain())).After(j.objective)
+}
+
+func (m *Machine) startJob(now time.Time, j *job, late bool) {
+	if m.lingers(j.spec.ID) {
+		return
+	}
+	kept := j.waiting[:0]
+	for _, t := range j.waiting {
+		n := m.choose(now, t, late)
+		if n == nil {
+			kept = append(kept, t)
+			continue
+		}
+		m.start(now, t, n)
+	}
+	j.waiting = kept
+}
+
+// choose returns the worker for a task, or nil if it has to wait. A task waits
+// for a faster worker as long as that can still meet the objective. Of those
+// that meet it, the slowest with a margin is taken, so that fast ones are left
+// for long tasks; among equals the one with the least room left.
+func (m *Machine) choose(now time.Time, t *task, late bool) *node {
+	var best *node
+	var bestScore placeScore
+	size := t.step().Size
+	left := t.job.objective.Sub(now) - answerTime
+	for _, n := range m.ordered {
+		if !n.suits(t) || !size.Fits(n.Capacity.Minus(n.used)) || !m.usable(now, n) || !m.apart(n, t) {
+			continue
+		}
+		expected := m.expected(n, t)
+		if !late && expected > left {
+			continue
+		}
+		score := placeScore{
+			failed:   slices.Contains(t.failed, n.ID),
+			spare:    !late && time.Duration(float64(expected)*paceMargin) <= left,
+			expected: expected,
+			room:     n.Capacity.Cores - n.used.Cores - size.Cores,
+		}
+		if best == nil || score.better(bestScore) {
+			best, bestScore = n, score
+		}
+	}
+	return best
+}
+
+// placeScore compares workers for a task.
+type placeScore struct {
+	failed   bool
+	spare    bool
+	expected time.Duration
+	room     int
+}
+
+// similarPace is the ratio of run times below which two workers count as
+// equally fast.
+const similarPace = 1.15
+
+func (s placeScore) better(o placeScore) bool {
+	if s.failed != o.failed {
+		return !s.failed
+	}
+	if s.spare != o.spare {
+		return s.spare
+	}
+	slower := float64(s.expected) > similarPace*float64(o.expected)
+	faster := float64(o.expected) > similarPace*float64(s.expected)
+	if slower || faster {
+		return slower == s.spare
+	}
+	return s.room < o.room
+}
+
+// apart returns true if the bound of tasks of one step on a worker allows one
+// more.
+func (m *Machine) apart(n *node, t *task) bool {
+	bound := t.step().PerWorker
+	if bound == 0 {
+		return true
+	}
+	for _, r := range n.runs {
+		if r.task != nil && r.task.job == t.job && r.task.name.Step == t.name.Step {
+			bound--
+		}
+	}
+	return bound > 0
+}
+
+// start orders a run of a task on a worker.
+func (m *Machine) start(now time.Time, t *task, n *node) {
+	t.number = max(t.number, m.highest(t)) + 1
+	r := &run{key: runKey{task: t.text, run: t.number}, node: n, task: t, size: t.step().Size, state: ordered, sent: now}
+	n.runs[r.key] = r
+	n.used = n.used.Plus(r.size)
+	t.run = r
+	t.job.begun = true
+	m.judge.Started(now, n.ID)
+	if m.cores == 0 {
+		m.cores = float64(r.size.Cores)
+	}
+	m.cores += coresWeight * (float64(r.size.Cores) - m.cores)
+	m.actions.Starts = append(m.actions.Starts, worker.Start{
+		Order: m.order(n), Task: t.name, Run: t.number, Payload: t.job.spec.Payload, Until: n.until(now, m.config.MaxLease),
+	})
+}
+
+// watch looks at a worker as long as something runs there, is not known or must
+// be acknowledged.
+func (m *Machine) watch(now time.Time, n *node) {
+	if n.watching || now.Before(n.nextLook) {
+		return
+	}
+	l := worker.Look{}
+	switch {
+	case !n.adopted || !n.silent.IsZero():
+		if !n.listed && len(n.runs) == 0 {
+			return
+		}
+	case n.hasConfirmed():
+		l.Wait = watchTime
+	case n.noted >= n.seen || n.noteAt.IsZero() || now.Before(n.noteAt):
+		return
+	}
+	n.watching = true
+	m.lookFor(now, n, l)
+}
+
+// hasConfirmed returns true if the worker is known to have a run.
+func (n *node) hasConfirmed() bool {
+	for _, r := range n.runs {
+		if r.state != ordered {
+			return true
+		}
+	}
+	return false
+}
+
+func sortRuns(runs []*run) {
+	slices.SortFunc(runs, func(a, b *run) int {
+		if c := compareText(a.key.task, b.key.task); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.key.run, b.key.run)
+	})
+}
+
+// unfit returns why a job is not taken, and when its caller should come back,
+// or nothing. Load: an overload that lasts, in which work that can not end in
+// time would take the room of work that can.
+func (m *Machine) unfit(now time.Time, j *job, final bool) (string, time.Duration) {
+	wait, atOnce := m.expectedWait(now, j)
+	if atOnce {
+		return "", 0
+	}
+	if !final {
+		return "there is no room at once", wait
+	}
+	useless := j.objective.Add((uselessFactor - 1) * j.spec.Objective())
+	if j.deadline.Before(useless) {
+		useless = j.deadline
+	}
+	if now.Add(wait + j.spec.Chain()).After(useless) {
+		return "the work ahead takes too long", wait
+	}
+	return "", 0
+}
+
+// expectedWait returns how long the work ahead of a job takes, and true if
+// there is none and all tasks of the first steps have room.
+func (m *Machine) expectedWait(now time.Time, j *job) (time.Duration, bool) {
+	var ahead, capacity float64
+	for _, q := range m.queue {
+		if compareJobs(q, j) < 0 {
+			ahead += q.waitingWork()
+		}
+	}
+	room := 0
+	for _, n := range m.ordered {
+		if !n.listed || n.Pool != j.spec.Pool {
+			continue
+		}
+		capacity += float64(n.Capacity.Cores)
+		if m.usable(now, n) {
+			room += n.roomFor(j.spec.Steps[0].Size)
+		}
+	}
+	if ahead == 0 && room >= j.spec.Steps[0].Count && m.opened(now) {
+		return 0, true
+	}
+	if capacity == 0 {
+		return 0, false
+	}
+	return time.Duration(ahead / capacity), false
+}
+
+// waitingWork returns the work that waits, in thousandths of a core times
+// nanoseconds.
+func (j *job) waitingWork() float64 {
+	total := 0.0
+	for _, t := range j.waiting {
+		total += float64(t.estimate()) * float64(t.step().Size.Cores)
+	}
+	return total
+}
+
+// roomFor returns how many tasks of a size a worker has room for.
+func (n *node) roomFor(s work.Size) int {
+	free := n.Capacity.Minus(n.used)
+	count := len(n.runs) + 1000
+	for _, d := range [][2]int{{free.Cores, s.Cores}, {free.Memory, s.Memory}, {free.Graphics, s.Graphics}} {
+		if d[1] > 0 {
+			count = min(count, d[0]/d[1])
+		}
+	}
+	return max(0, count)
+}
--- /dev/null
+++ b/fleet/configuration.go
@@ -0,0 +1,189 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/fx"
+
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/ownership"
+	"github.com/catkingap/catkingap/peer"
+	"github.com/catkingap/catkingap/queue"
+	"github.com/catkingap/catkingap/rollout"
+	"github.com/catkingap/catkingap/storage"
+)
+
+const (
+	kindFetch = peer.Kind("configFetch")
+	// fetchTimeout bounds the fetch of a configuration from another host.
+	fetchTimeout = 500 * time.Millisecond
+	// configRow is the key of the one row of the rollout.
+	configRow = "queues"
+)
+
+// fetchRequest asks a host for the configuration after a revision.
+type fetchRequest struct {
+	After ident.Revision `msgpack:"after"`
+}
+
+// Configuration has the queues in force on this host. It learns of new versions
+// from the platform's table and from other hosts, and never goes back.
+type Configuration struct {
+	links   *peer.Links
+	decoder Decoder
+	view    *storage.View
+	key     string
+	logger  log.Interface
+	table   atomic.Pointer[queue.Table]
+
+	mutex     sync.Mutex
+	machine   *rollout.Machine
+	addresses map[ident.Host]string
+	fetches   chan rollout.Fetch
+}
+
+func newConfiguration(l *peer.Links, d Decoder, t storage.Table, f storage.Feed, logger log.Interface) *Configuration {
+	_, group, key := d.Groups()
+	c := &Configuration{
+		links: l, decoder: d, view: storage.NewView(t, f, group), key: key, logger: logger,
+		machine:   rollout.NewMachine(rollout.Config{FetchTimeout: fetchTimeout}),
+		addresses: map[ident.Host]string{},
+		fetches:   make(chan rollout.Fetch, 1),
+	}
+	peer.Handle(l, kindFetch, func(_ context.Context, r fetchRequest) (rollout.Delta, error) {
+		c.mutex.Lock()
+		defer c.mutex.Unlock()
+		return c.machine.Set().Since(r.After), nil
+	})
+	return c
+}
+
+func runConfiguration(life fx.Lifecycle, c *Configuration) {
+	background(life, c.follow, c.fetch)
+}
+
+// Table returns the queues in force, or nil before the first version.
+func (c *Configuration) Table() *queue.Table { return c.table.Load() }
+
+// Revision returns the revision of the configuration in force.
+func (c *Configuration) Revision() ident.Revision {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.machine.Set().Revision
+}
+
+// Heard tells the revision that another host has in force.
+func (c *Configuration) Heard(h ownership.Host, r ident.Revision) {
+	c.mutex.Lock()
+	c.addresses[h.Name] = h.Address
+	c.mutex.Unlock()
+	c.post(rollout.Heard{Host: h.Name, Revision: r})
+}
+
+// follow reads the configuration from the platform's table.
+func (c *Configuration) follow(ctx context.Context) {
+	lost := false
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, feedWait+storeTimeout)
+		changed, err := c.view.Next(call, feedWait)
+		cancel()
+		if err != nil {
+			if !lost && ctx.Err() == nil {
+				c.logger.WithError(err).Warn("lost the table of the configuration")
+			}
+			lost = true
+			pause(ctx, storePause)
+			continue
+		}
+		if lost {
+			lost = false
+			c.logger.WithField("revision", int64(c.view.Revision())).Info("regained the table of the configuration")
+		}
+		if changed {
+			c.offer()
+		}
+	}
+}
+
+// offer takes in the row of the view.
+func (c *Configuration) offer() {
+	row, ok := c.view.Rows()[c.key]
+	if !ok {
+		return
+	}
+	q, err := c.decoder.Configuration(row)
+	if err != nil {
+		c.logger.WithField("revision", int64(row.Revision)).WithError(err).Error("configuration can not be read")
+		return
+	}
+	value, err := msgpack.Marshal(q)
+	if err != nil {
+		c.logger.WithError(err).Error("configuration can not be passed on")
+		return
+	}
+	r := rollout.Row{Key: configRow, Value: value, Revision: row.Revision}
+	c.post(rollout.Offered{Delta: rollout.Delta{Revision: row.Revision, Rows: []rollout.Row{r}}})
+}
+
+func (c *Configuration) post(e rollout.Event) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, a := range c.machine.Step(time.Now(), e) {
+		switch a := a.(type) {
+		case rollout.Apply:
+			c.apply(a.Set)
+		case rollout.Fetch:
+			select {
+			case c.fetches <- a:
+			default:
+				// A fetch is under way; the next contact asks again.
+			}
+		}
+	}
+}
+
+// apply puts a version in force.
+func (c *Configuration) apply(s *rollout.Set) {
+	row, ok := s.Row(configRow)
+	if !ok {
+		return
+	}
+	var q queue.Configuration
+	if err := msgpack.Unmarshal(row.Value, &q); err != nil {
+		c.logger.WithError(err).Error("configuration can not be read")
+		return
+	}
+	c.table.Store(queue.NewTable(q))
+	c.logger.WithFields(log.Fields{
+		"revision": int64(s.Revision), "version": int64(q.Version), "queues": len(q.Queues),
+	}).Info("configuration in force")
+}
+
+// fetch gets newer versions from other hosts.
+func (c *Configuration) fetch(ctx context.Context) {
+	for {
+		var f rollout.Fetch
+		select {
+		case <-ctx.Done():
+			return
+		case f = <-c.fetches:
+		}
+		c.mutex.Lock()
+		address := c.addresses[f.Host]
+		c.mutex.Unlock()
+		call, cancel := context.WithTimeout(ctx, fetchTimeout)
+		d, err := peer.Call[fetchRequest, rollout.Delta](call, c.links, address, kindFetch, fetchRequest{After: f.After})
+		cancel()
+		if err != nil {
+			c.logger.WithField("peer", string(f.Host)).WithError(err).Warn("configuration not fetched")
+			c.post(rollout.FetchFailed{Host: f.Host})
+			continue
+		}
+		c.post(rollout.Fetched{Host: f.Host, Delta: d})
+	}
+}
--- /dev/null
+++ b/fleet/contacts.go
@@ -0,0 +1,250 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"go.uber.org/fx"
+
+	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/ownership"
+	"github.com/catkingap/catkingap/peer"
+)
+
+const (
+	kindContact = peer.Kind("contact")
+	// contactInterval is the time between two contacts with a host: four fit
+	// into the silence after which an owner is replaced.
+	contactInterval = 150 * time.Millisecond
+	// contactTimeout bounds a contact.
+	contactTimeout = 400 * time.Millisecond
+	// maxContactPause bounds the pause between contacts with a host that does
+	// not answer.
+	maxContactPause = 1500 * time.Millisecond
+	// pausedTime is the time without a turn of its own loop after which a
+	// process takes itself to have been paused: what it knows of others is old
+	// then.
+	pausedTime = 400 * time.Millisecond
+)
+
+// contactRequest says who is there.
+type contactRequest struct {
+	Host ownership.Host `msgpack:"host"`
+	// Revision is that of the configuration in force.
+	Revision ident.Revision `msgpack:"revision"`
+	Leaving  bool           `msgpack:"leaving,omitempty"`
+}
+
+// contactAnswer says what the host that was asked owns.
+type contactAnswer struct {
+	Host     ownership.Host    `msgpack:"host"`
+	Revision ident.Revision    `msgpack:"revision"`
+	Leaving  bool              `msgpack:"leaving,omitempty"`
+	Owned    []ownership.Owner `msgpack:"owned,omitempty"`
+	Loads    []dispatch.Load   `msgpack:"loads,omitempty"`
+	Others   []ownership.Owner `msgpack:"others,omitempty"`
+}
+
+// Contacts keeps in touch with the other hosts that matter to this one: those
+// of its data centre, and the owners of the others.
+type Contacts struct {
+	self          ownership.Host
+	settings      Settings
+	links         *peer.Links
+	directory     *Directory
+	configuration *Configuration
+	logger        log.Interface
+
+	mutex    sync.Mutex
+	contacts map[ident.Host]ownership.Contact
+	// asked is when each host last asked this one.
+	asked map[ident.Host]time.Time
+	loops map[string]bool
+	loads map[ident.DataCentre]dispatch.Load
+	// awake is since when this process runs without a pause.
+	awake   time.Time
+	leaving bool
+	owned   func() ([]ownership.Owner, []dispatch.Load)
+}
+
+func newContacts(self ownership.Host, s Settings, l *peer.Links, d *Directory, c *Configuration, logger log.Interface) *Contacts {
+	contacts := &Contacts{
+		self: self, settings: s, links: l, directory: d, configuration: c, logger: logger,
+		contacts: map[ident.Host]ownership.Contact{},
+		asked:    map[ident.Host]time.Time{},
+		loops:    map[string]bool{},
+		loads:    map[ident.DataCentre]dispatch.Load{},
+		awake:    time.Now(),
+		owned:    func() ([]ownership.Owner, []dispatch.Load) { return nil, nil },
+	}
+	peer.Handle(l, kindContact, contacts.answer)
+	return contacts
+}
+
+func runContacts(life fx.Lifecycle, c *Contacts) {
+	background(life, c.follow)
+}
+
+// follow opens a loop for each host that matters.
+func (c *Contacts) follow(ctx context.Context) {
+	last := time.Now()
+	for pause(ctx, contactInterval) {
+		now := time.Now()
+		if now.Sub(last) > contactInterval+pausedTime {
+			c.mutex.Lock()
+			c.awake = now
+			c.mutex.Unlock()
+			c.logger.WithField("pauseMs", now.Sub(last).Milliseconds()).Warn("process was paused")
+		}
+		last = now
+		for _, a := range c.targets() {
+			c.mutex.Lock()
+			running := c.loops[a]
+			c.loops[a] = true
+			c.mutex.Unlock()
+			if !running {
+				go c.keep(ctx, a)
+			}
+		}
+	}
+}
+
+// targets returns the addresses of the hosts to keep in touch with.
+func (c *Contacts) targets() []string {
+	wanted := map[string]bool{}
+	for _, h := range c.directory.Hosts() {
+		if h.DataCentre == c.self.DataCentre {
+			wanted[h.Address] = true
+		}
+	}
+	for _, o := range c.directory.Owners() {
+		wanted[o.Address] = true
+	}
+	for _, a := range c.settings.Seeds {
+		wanted[a] = true
+	}
+	delete(wanted, c.self.Address)
+	delete(wanted, "")
+	addresses := make([]string, 0, len(wanted))
+	for a := range wanted {
+		addresses = append(addresses, a)
+	}
+	return addresses
+}
+
+// keep stays in touch with one host.
+func (c *Contacts) keep(ctx context.Context, address string) {
+	wait := contactInterval
+	for ctx.Err() == nil {
+		if c.contact(ctx, address) {
+			wait = contactInterval
+		} else {
+			wait = min(2*wait, maxContactPause)
+		}
+		if !pause(ctx, wait) {
+			return
+		}
+	}
+}
+
+// contact asks one host, and returns true if it answers.
+func (c *Contacts) contact(ctx context.Context, address string) bool {
+	sent := time.Now()
+	call, cancel := context.WithTimeout(ctx, contactTimeout)
+	defer cancel()
+	c.mutex.Lock()
+	leaving := c.leaving
+	c.mutex.Unlock()
+	a, err := peer.Call[contactRequest, contactAnswer](call, c.links, address, kindContact, contactRequest{
+		Host: c.self, Revision: c.configuration.Revision(), Leaving: leaving,
+	})
+	if err != nil {
+		return false
+	}
+	c.mutex.Lock()
+	old, known := c.contacts[a.Host.Name]
+	c.contacts[a.Host.Name] = ownership.Contact{Boot: a.Host.Boot, Heard: sent, Leaving: a.Leaving}
+	for i, o := range a.Owned {
+		if i < len(a.Loads) {
+			c.loads[o.DataCentre] = a.Loads[i]
+		}
+	}
+	c.mutex.Unlock()
+	if !known || old.Boot != a.Host.Boot {
+		c.logger.WithFields(log.Fields{"peer": string(a.Host.Name), "boot": a.Host.Boot}).Info("host met")
+	}
+	c.directory.Meet(a.Host, append(a.Owned, a.Others...))
+	c.configuration.Heard(a.Host, a.Revision)
+	return true
+}
+
+// answer answers another host.
+func (c *Contacts) answer(_ context.Context, r contactRequest) (contactAnswer, error) {
+	now := time.Now()
+	c.mutex.Lock()
+	c.asked[r.Host.Name] = now
+	leaving := c.leaving
+	c.mutex.Unlock()
+	c.directory.Meet(r.Host, nil)
+	c.configuration.Heard(r.Host, r.Revision)
+	a := contactAnswer{Host: c.self, Revision: c.configuration.Revision(), Leaving: leaving}
+	a.Owned, a.Loads = c.owned()
+	for _, o := range c.directory.Owners() {
+		a.Others = append(a.Others, o)
+	}
+	return a, nil
+}
+
+// Leave tells other hosts that this one shuts down.
+func (c *Contacts) Leave() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.leaving = true
+}
+
+// View returns what this host knows of the others.
+func (c *Contacts) View() ownership.View {
+	hosts, owners := c.directory.Hosts(), c.directory.Owners()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	contacts := make(map[ident.Host]ownership.Contact, len(c.contacts))
+	for h, x := range c.contacts {
+		contacts[h] = x
+	}
+	return ownership.View{
+		Self: c.self, Started: c.awake, Hosts: hosts, Owners: owners, Contacts: contacts, Leaving: c.leaving,
+	}
+}
+
+// Contact returns the last contact with a host.
+func (c *Contacts) Contact(h ident.Host) (ownership.Contact, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	x, ok := c.contacts[h]
+	return x, ok
+}
+
+// Asked returns when a host last asked this one.
+func (c *Contacts) Asked(h ident.Host) time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.asked[h]
+}
+
+// Load returns the last known load of the owner of a data centre.
+func (c *Contacts) Load(d ident.DataCentre) (dispatch.Load, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	l, ok := c.loads[d]
+	return l, ok
+}
+
+// SetLoad takes in the load that came with an owner's answer.
+func (c *Contacts) SetLoad(d ident.DataCentre, l dispatch.Load) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.loads[d] = l
+}
--- /dev/null
+++ b/fleet/directory.go
@@ -0,0 +1,247 @@
+package fleet
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/fx"
+
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/ownership"
+	"github.com/catkingap/catkingap/storage"
+	"github.com/catkingap/catkingap/worker"
+)
+
+// The group of the rows that hosts keep for each other, and the prefixes of
+// their keys.
+const (
+	hostsGroup  = "catkingap"
+	hostPrefix  = hostsGroup + "/host."
+	ownerPrefix = hostsGroup + "/owner."
+)
+
+const (
+	// storeTimeout bounds a call of the platform's table, beyond the time that
+	// it is asked to wait.
+	storeTimeout = time.Second
+	// feedWait is how long the table waits for a change. A connection that has
+	// gone silent is found after it and storeTimeout.
+	feedWait = 2 * time.Second
+	// storePause is the time between a call that failed and the next one.
+	storePause = 200 * time.Millisecond
+)
+
+// Directory knows the hosts and the owners of the data centres.
+type Directory struct {
+	self   ownership.Host
+	table  storage.Table
+	view   *storage.View
+	logger log.Interface
+
+	mutex  sync.Mutex
+	hosts  map[ident.Host]ownership.Host
+	owners map[ident.DataCentre]ownership.Owner
+	// stored is the owners' rows as the table has them.
+	stored map[ident.DataCentre]storage.Row
+	onMove []func()
+}
+
+func newDirectory(self ownership.Host, t storage.Table, f storage.Feed, l log.Interface) *Directory {
+	return &Directory{
+		self: self, table: t, view: storage.NewView(t, f, hostsGroup), logger: l,
+		hosts:  map[ident.Host]ownership.Host{self.Name: self},
+		owners: map[ident.DataCentre]ownership.Owner{},
+		stored: map[ident.DataCentre]storage.Row{},
+	}
+}
+
+func runDirectory(life fx.Lifecycle, d *Directory) {
+	background(life, d.register, d.follow)
+}
+
+// OnMove has f called after an ownership may have changed. It must be called
+// before the start.
+func (d *Directory) OnMove(f func()) { d.onMove = append(d.onMove, f) }
+
+// register writes the row of this host.
+func (d *Directory) register(ctx context.Context) {
+	value, err := msgpack.Marshal(d.self)
+	if err != nil {
+		d.logger.WithError(err).Error("host row can not be written")
+		return
+	}
+	put := storage.Write{Puts: []storage.Put{{Key: hostPrefix + string(d.self.Name), Value: value}}}
+	for {
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		_, err := d.table.Commit(call, []storage.Write{put})
+		cancel()
+		if err == nil {
+			d.logger.Info("host registered")
+			return
+		}
+		d.logger.WithError(err).Warn("host not registered")
+		if !pause(ctx, storePause) {
+			return
+		}
+	}
+}
+
+// follow keeps the copy of the rows.
+func (d *Directory) follow(ctx context.Context) {
+	lost := false
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, feedWait+storeTimeout)
+		changed, err := d.view.Next(call, feedWait)
+		cancel()
+		if err != nil {
+			if !lost && ctx.Err() == nil {
+				d.logger.WithError(err).Warn("lost the table of hosts")
+			}
+			lost = true
+			pause(ctx, storePause)
+			continue
+		}
+		if lost {
+			lost = false
+			d.logger.WithField("revision", int64(d.view.Revision())).Info("regained the table of hosts")
+		}
+		if changed {
+			d.take()
+		}
+	}
+}
+
+// take reads the rows of the view.
+func (d *Directory) take() {
+	d.mutex.Lock()
+	for key, r := range d.view.Rows() {
+		if name, ok := strings.CutPrefix(key, hostPrefix); ok {
+			var h ownership.Host
+			if err := msgpack.Unmarshal(r.Value, &h); err != nil {
+				d.logger.WithField("key", key).WithError(err).Error("host row can not be read")
+			} else if h.Name == ident.Host(name) && h.Name != d.self.Name {
+				d.hosts[h.Name] = h
+			}
+			continue
+		}
+		name, ok := strings.CutPrefix(key, ownerPrefix)
+		if !ok {
+			continue
+		}
+		var o ownership.Owner
+		if err := msgpack.Unmarshal(r.Value, &o); err != nil {
+			d.logger.WithField("key", key).WithError(err).Error("owner row can not be read")
+		}
+		o.DataCentre, o.Token = ident.DataCentre(name), worker.Token(r.Revision)
+		d.stored[o.DataCentre] = r
+		d.learn(o)
+	}
+	d.mutex.Unlock()
+	d.moved()
+}
+
+// learn takes in a claim of an ownership. The caller holds the mutex.
+func (d *Directory) learn(o ownership.Owner) bool {
+	old, ok := d.owners[o.DataCentre]
+	if ok && ownership.Newest(old, o) == old {
+		return false
+	}
+	d.owners[o.DataCentre] = o
+	d.logger.WithFields(log.Fields{
+		"dataCentre": string(o.DataCentre), "owner": string(o.Host), "token": int64(o.Token),
+	}).Info("owner changed")
+	return true
+}
+
+func (d *Directory) moved() {
+	for _, f := range d.onMove {
+		f()
+	}
+}
+
+// Meet takes in a host, and what it claims to own.
+func (d *Directory) Meet(h ownership.Host, owned []ownership.Owner) {
+	changed := false
+	d.mutex.Lock()
+	if h.Name != d.self.Name {
+		d.hosts[h.Name] = h
+	}
+	for _, o := range owned {
+		changed = d.learn(o) || changed
+	}
+	d.mutex.Unlock()
+	if changed {
+		d.moved()
+	}
+}
+
+// Hosts returns all hosts, this one included.
+func (d *Directory) Hosts() []ownership.Host {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	hosts := make([]ownership.Host, 0, len(d.hosts))
+	for _, h := range d.hosts {
+		hosts = append(hosts, h)
+	}
+	return hosts
+}
+
+// Owners returns the owner of each data centre.
+func (d *Directory) Owners() map[ident.DataCentre]ownership.Owner {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	owners := make(map[ident.DataCentre]ownership.Owner, len(d.owners))
+	for c, o := range d.owners {
+		owners[c] = o
+	}
+	return owners
+}
+
+// Claim writes that this host owns a data centre, unless another host has
+// written so first. The answer may be lost after the write took effect; the
+// view then tells.
+func (d *Directory) Claim(ctx context.Context, centre ident.DataCentre) error {
+	key := ownerPrefix + string(centre)
+	o := ownership.Owner{DataCentre: centre, Host: d.self.Name, Boot: d.self.Boot, Address: d.self.Address}
+	value, err := msgpack.Marshal(o)
+	if err != nil {
+		return err
+	}
+	d.mutex.Lock()
+	revision := d.stored[centre].Revision
+	d.mutex.Unlock()
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	results, err := d.table.Commit(call, []storage.Write{{
+		Conditions: []storage.Condition{{Key: key, Revision: revision}},
+		Puts:       []storage.Put{{Key: key, Value: value}},
+	}})
+	if err != nil {
+		return err
+	}
+	r := results[0]
+	row := storage.Row{Key: key, Value: value, Revision: r.Revision}
+	if !r.Applied {
+		if len(r.Current) == 0 {
+			return nil
+		}
+		row = r.Current[0]
+		o = ownership.Owner{}
+		if err := msgpack.Unmarshal(row.Value, &o); err != nil {
+			return err
+		}
+	}
+	o.DataCentre, o.Token = centre, worker.Token(row.Revision)
+	d.mutex.Lock()
+	if row.Revision > d.stored[centre].Revision {
+		d.stored[centre] = row
+	}
+	d.learn(o)
+	d.mutex.Unlock()
+	d.moved()
+	return nil
+}
--- /dev/null
+++ b/fleet/log.go
@@ -0,0 +1,72 @@
+package fleet
+
+import (
+	"context"
+	"expvar"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/fx"
+
+	"github.com/catkingap/catkingap/metrics"
+	"github.com/catkingap/catkingap/network"
+	"github.com/catkingap/catkingap/ownership"
+	"github.com/catkingap/catkingap/peer"
+)
+
+// newLogger returns a logger of JSON lines.
+func newLogger(w io.Writer, s Settings) (log.Interface, error) {
+	level, err := log.ParseLevel(s.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	logger := &log.Logger{Handler: json.New(w), Level: level}
+	return logger.WithField("host", string(s.Host)), nil
+}
+
+// Counters counts what this host does.
+type Counters struct {
+	// orders counts the orders to workers by kind and verdict.
+	orders *expvar.Map
+	// results counts the jobs of this host's callers by result.
+	results *expvar.Map
+	// response is the time from a caller's request to its answer.
+	response *metrics.Histogram
+}
+
+func newCounters(s *metrics.Set, l *peer.Links) *Counters {
+	s.Func("peerSentBytes", func() any { return l.Statistics.SentBytes.Load() })
+	s.Func("peerReceivedBytes", func() any { return l.Statistics.ReceivedBytes.Load() })
+	s.Func("peerSilentLinks", func() any { return l.Statistics.Silent.Load() })
+	return &Counters{
+		orders: s.Counters("orders"), results: s.Counters("results"), response: s.Histogram("response"),
+	}
+}
+
+// runMetrics serves the metrics.
+func runMetrics(life fx.Lifecycle, s Settings, n network.Network, set *metrics.Set, self ownership.Host, logger log.Interface) {
+	if s.MetricsAddress == "" {
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", set.Handler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	var listener net.Listener
+	life.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			var err error
+			if listener, err = n.Listen(s.MetricsAddress); err != nil {
+				return errors.Wrap(err, "metrics address")
+			}
+			logger.WithField("boot", self.Boot).Info("started")
+			go func() { _ = server.Serve(listener) }()
+			return nil
+		},
+		OnStop: func(context.Context) error { return server.Close() },
+	})
+}
--- /dev/null
+++ b/fleet/owner.go
@@ -0,0 +1,213 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/ejection"
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/ownership"
+	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/worker"
+)
+
+const (
+	// tickInterval is the time between two ticks of an ownership.
+	tickInterval = 50 * time.Millisecond
+	// hostSilence is how long an entry host may be silent before the jobs of its
+	// callers are stopped. Callers send them again 1.3 s after their connection
+	// broke, and nothing of the first try may run then.
+	hostSilence = 700 * time.Millisecond
+	// orderTimeout bounds a start or a stop: a worker answers within
+	// milliseconds.
+	orderTimeout = 250 * time.Millisecond
+	// lookTimeout bounds a look, beyond the time that the worker waits.
+	lookTimeout = 200 * time.Millisecond
+)
+
+// The policy by which workers that fail their work are left out.
+const (
+	maxEjectedShare  = 0.5
+	ejectionFailures = 3
+	minProbePause    = 500 * time.Millisecond
+	maxProbePause    = 5 * time.Second
+)
+
+// caller names a submission that waits for its reply.
+type caller struct {
+	host ident.Host
+	call uint64
+}
+
+// Owner drives the workers of one data centre under one token.
+type Owner struct {
+	owners *Owners
+	owner  ownership.Owner
+	ctx    context.Context
+	cancel context.CancelFunc
+	logger log.Interface
+
+	mutex   sync.Mutex
+	machine *dispatch.Machine
+	waiting map[caller]chan dispatch.Reply
+	hosts   map[ident.Host]bool
+}
+
+func newOwner(ctx context.Context, o *Owners, x ownership.Owner) *Owner {
+	w := &Owner{
+		owners: o, owner: x,
+		logger: o.logger.WithFields(log.Fields{"dataCentre": string(x.DataCentre), "token": int64(x.Token)}),
+		machine: dispatch.New(time.Now(), dispatch.Config{
+			Token: x.Token, MaxLease: o.settings.MaxLease, FarFactor: o.settings.FarFactor,
+			Ejection: ejection.Config{
+				MaxShare: maxEjectedShare, Failures: ejectionFailures, MinProbe: minProbePause, MaxProbe: maxProbePause,
+			},
+		}),
+		waiting: map[caller]chan dispatch.Reply{},
+		hosts:   map[ident.Host]bool{},
+	}
+	w.ctx, w.cancel = context.WithCancel(ctx)
+	go w.run()
+	go o.roster.follow(w.ctx, x.DataCentre, w.setWorkers)
+	return w
+}
+
+// run keeps the time of the machine.
+func (w *Owner) run() {
+	for pause(w.ctx, tickInterval) {
+		w.step(func(now time.Time, m *dispatch.Machine) {
+			for h := range w.hosts {
+				if h != w.owners.self.Name && now.Sub(w.owners.contacts.Asked(h)) > hostSilence {
+					delete(w.hosts, h)
+					w.logger.WithField("peer", string(h)).Warn("host is silent, its jobs are stopped")
+					m.HostLost(now, h)
+				}
+			}
+			m.Tick(now)
+		})
+	}
+}
+
+func (w *Owner) setWorkers(workers []worker.Worker) {
+	w.step(func(now time.Time, m *dispatch.Machine) { m.SetWorkers(now, workers) })
+}
+
+// step lets the machine decide, and carries its actions out.
+func (w *Owner) step(decide func(now time.Time, m *dispatch.Machine)) {
+	w.mutex.Lock()
+	decide(time.Now(), w.machine)
+	actions := w.machine.Take()
+	for _, r := range actions.Replies {
+		w.reply(r)
+	}
+	w.mutex.Unlock()
+	if w.ctx.Err() != nil {
+		return
+	}
+	for _, s := range actions.Starts {
+		go w.start(s)
+	}
+	for _, s := range actions.Stops {
+		go w.stop(s)
+	}
+	for _, l := range actions.Looks {
+		go w.look(l)
+	}
+}
+
+// reply hands a reply to its waiting submission. The caller holds the mutex.
+func (w *Owner) reply(r dispatch.Reply) {
+	k := caller{host: r.Host, call: r.Call}
+	if c := w.waiting[k]; c != nil {
+		delete(w.waiting, k)
+		c <- r
+	}
+}
+
+// submit hands a job in, and waits for its end. If ctx ends first, the job goes
+// on: its host submits it again or withdraws it.
+func (w *Owner) submit(ctx context.Context, s dispatch.Submission) (dispatch.Reply, error) {
+	c := make(chan dispatch.Reply, 1)
+	k := caller{host: s.Host, call: s.Call}
+	w.step(func(now time.Time, m *dispatch.Machine) {
+		w.waiting[k] = c
+		w.hosts[s.Host] = true
+		m.Submit(now, s)
+	})
+	select {
+	case r := <-c:
+		return r, nil
+	case <-ctx.Done():
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.waiting[k] == c {
+		delete(w.waiting, k)
+	}
+	return dispatch.Reply{}, ctx.Err()
+}
+
+func (w *Owner) withdraw(h ident.Host, call uint64, id work.ID) {
+	w.step(func(now time.Time, m *dispatch.Machine) { m.Withdraw(now, h, call, id) })
+}
+
+func (w *Owner) load() dispatch.Load {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.machine.Load(time.Now())
+}
+
+// close ends the ownership: no more orders are given, and the submissions are
+// told so.
+func (w *Owner) close() {
+	w.cancel()
+	w.step(func(now time.Time, m *dispatch.Machine) { m.Depose(now) })
+}
+
+func (w *Owner) start(s worker.Start) {
+	ctx, cancel := context.WithTimeout(w.ctx, orderTimeout)
+	defer cancel()
+	a := w.owners.workers.Start(ctx, s)
+	w.note("start", a.Verdict, s.Order, s.Task.String(), s.Run)
+	w.step(func(now time.Time, m *dispatch.Machine) { m.Started(now, s, a) })
+}
+
+func (w *Owner) stop(s worker.Stop) {
+	ctx, cancel := context.WithTimeout(w.ctx, orderTimeout)
+	defer cancel()
+	a := w.owners.workers.Stop(ctx, s)
+	w.note("stop", a.Verdict, s.Order, s.Task, s.Run)
+	w.step(func(now time.Time, m *dispatch.Machine) { m.Stopped(now, s, a) })
+}
+
+func (w *Owner) look(l worker.Look) {
+	ctx, cancel := context.WithTimeout(w.ctx, l.Wait+lookTimeout)
+	defer cancel()
+	sent := time.Now()
+	report, v := w.owners.workers.Look(ctx, l)
+	if v != worker.Accepted {
+		w.note("look", v, l.Order, "", 0)
+	}
+	w.step(func(now time.Time, m *dispatch.Machine) { m.Looked(now, sent, l, report, v) })
+}
+
+// note counts and logs the answer to an order.
+func (w *Owner) note(order string, v worker.Verdict, o worker.Order, task string, run work.Run) {
+	w.owners.counters.orders.Add(order+string("."+v), 1)
+	if v == worker.Accepted {
+		return
+	}
+	if w.ctx.Err() != nil {
+		return
+	}
+	w.logger.WithFields(log.Fields{
+		"order": order, "verdict": string(v), "worker": string(o.Worker), "task": task, "run": int(run),
+	}).Warn("order not accepted")
+	if v == worker.Fenced {
+		w.owners.fenced(w.owner)
+	}
+}
--- /dev/null
+++ b/fleet/roster.go
@@ -0,0 +1,172 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/storage"
+	"github.com/catkingap/catkingap/worker"
+)
+
+const (
+	// rosterInterval is the time between two reads of the list of workers. A
+	// worker that leaves must get no work 2 s after it has said so.
+	rosterInterval = 500 * time.Millisecond
+	// absentTime is how long a worker may be missing from the list before it
+	// counts as gone: entries that lapsed while the table was away come back
+	// within two seconds.
+	absentTime = 2500 * time.Millisecond
+	// reachTries is how many workers of a data centre are tried before it counts
+	// as not reachable.
+	reachTries   = 2
+	reachTimeout = 300 * time.Millisecond
+)
+
+// Roster reads the list of workers.
+type Roster struct {
+	table   storage.Table
+	feed    storage.Feed
+	decoder Decoder
+	logger  log.Interface
+}
+
+func newRoster(t storage.Table, f storage.Feed, d Decoder, l log.Interface) *Roster {
+	return &Roster{table: t, feed: f, decoder: d, logger: l}
+}
+
+// follow passes on the workers of a data centre whenever the list changes.
+func (r *Roster) follow(ctx context.Context, centre ident.DataCentre, set func([]worker.Worker)) {
+	group, _, _ := r.decoder.Groups()
+	view := storage.NewView(r.table, r.feed, group)
+	list := newRosterList(r.decoder, r.logger, centre)
+	lost := false
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		_, err := view.Next(call, 0)
+		cancel()
+		switch {
+		case err != nil && !lost && ctx.Err() == nil:
+			r.logger.WithError(err).Warn("lost the list of workers")
+			lost = true
+		case err == nil && lost:
+			r.logger.Info("regained the list of workers")
+			lost = false
+		}
+		if err == nil && list.update(time.Now(), view.Rows()) {
+			set(list.workers())
+		}
+		pause(ctx, rosterInterval)
+	}
+}
+
+// Reach returns true if a worker of a data centre accepts a connection.
+func (r *Roster) Reach(ctx context.Context, w Workers, centre ident.DataCentre) bool {
+	group, _, _ := r.decoder.Groups()
+	view := storage.NewView(r.table, r.feed, group)
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if _, err := view.Next(call, 0); err != nil {
+		return false
+	}
+	list := newRosterList(r.decoder, r.logger, centre)
+	list.update(time.Now(), view.Rows())
+	for i, x := range list.workers() {
+		if i == reachTries {
+			break
+		}
+		call, cancel := context.WithTimeout(ctx, reachTimeout)
+		err := w.Reach(call, x)
+		cancel()
+		if err == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// rosterList is the list of workers of one data centre.
+type rosterList struct {
+	decoder Decoder
+	logger  log.Interface
+	centre  ident.DataCentre
+	known   map[string]*rosterEntry
+	// unread holds the revisions of rows that can not be read, which are logged
+	// once.
+	unread map[string]ident.Revision
+}
+
+type rosterEntry struct {
+	worker   worker.Worker
+	revision ident.Revision
+	absent   time.Time
+}
+
+func newRosterList(d Decoder, l log.Interface, c ident.DataCentre) *rosterList {
+	return &rosterList{decoder: d, logger: l, centre: c, known: map[string]*rosterEntry{}, unread: map[string]ident.Revision{}}
+}
+
+// update takes in the rows, and returns true if a worker changed.
+func (l *rosterList) update(now time.Time, rows map[string]storage.Row) bool {
+	changed := false
+	for key, r := range rows {
+		e := l.known[key]
+		if e != nil && e.revision == r.Revision {
+			e.absent = time.Time{}
+			continue
+		}
+		changed = l.read(key, r, e) || changed
+	}
+	for key, e := range l.known {
+		if _, ok := rows[key]; ok {
+			continue
+		}
+		if e.absent.IsZero() {
+			e.absent = now
+		}
+		if now.Sub(e.absent) >= absentTime {
+			delete(l.known, key)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// read takes in one row.
+func (l *rosterList) read(key string, r storage.Row, e *rosterEntry) bool {
+	w, err := l.decoder.Worker(r)
+	if err != nil {
+		if _, logged := l.unread[key]; !logged {
+			l.logger.WithField("key", key).WithError(err).Warn("entry names no worker")
+		}
+		l.unread[key] = r.Revision
+		if e != nil {
+			delete(l.known, key)
+			return true
+		}
+		return false
+	}
+	delete(l.unread, key)
+	if w.DataCentre != l.centre {
+		return false
+	}
+	changed := e == nil || !sameWorker(e.worker, w)
+	l.known[key] = &rosterEntry{worker: w, revision: r.Revision}
+	return changed
+}
+
+// sameWorker returns true if two entries tell the same of a worker.
+func sameWorker(a, b worker.Worker) bool {
+	return a.ID == b.ID && a.Life == b.Life && a.Address == b.Address && a.Pool == b.Pool &&
+		a.Capacity == b.Capacity && a.Draining == b.Draining && len(a.Labels) == len(b.Labels)
+}
+
+func (l *rosterList) workers() []worker.Worker {
+	workers := make([]worker.Worker, 0, len(l.known))
+	for _, e := range l.known {
+		workers = append(workers, e.worker)
+	}
+	return workers
+}
--- /dev/null
+++ b/fleet/submit.go
@@ -0,0 +1,268 @@
+package fleet
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/ownership"
+	"github.com/catkingap/catkingap/peer"
+	"github.com/catkingap/catkingap/work"
+)
+
+const (
+	// retryPause is the time between two tries to reach an owner.
+	retryPause = 20 * time.Millisecond
+	// noOwnerTime is how long a job waits for an owner before it is refused. An
+	// owner that was lost is replaced within about a second.
+	noOwnerTime = 1200 * time.Millisecond
+	// withdrawTries bounds the tries to tell an owner that a caller has left.
+	withdrawTries = 5
+	// withdrawTimeout bounds one of them.
+	withdrawTimeout = 250 * time.Millisecond
+	// ownerSilence is how long an owner may be silent before jobs are handed to
+	// another one that is heard.
+	ownerSilence = 500 * time.Millisecond
+	// refusedRetry is when a caller should come back if no owner was found.
+	refusedRetry = time.Second
+)
+
+// Submitter hands the jobs of this host's callers to owners.
+type Submitter struct {
+	self      ownership.Host
+	links     *peer.Links
+	directory *Directory
+	contacts  *Contacts
+	owners    *Owners
+	counters  *Counters
+	logger    log.Interface
+	calls     atomic.Uint64
+	open      atomic.Int64
+}
+
+func newSubmitter(self ownership.Host, l *peer.Links, d *Directory, c *Contacts, o *Owners, counters *Counters, logger log.Interface) *Submitter {
+	return &Submitter{self: self, links: l, directory: d, contacts: c, owners: o, counters: counters, logger: logger}
+}
+
+// attempt is a job on its way to an owner.
+type attempt struct {
+	job      work.Job
+	call     uint64
+	arrived  time.Time
+	deadline time.Time
+	// bound is the data centre in which something of the job may have started,
+	// or empty.
+	bound ident.DataCentre
+	// boundAt is since when no owner is known to have the job.
+	boundAt time.Time
+	// tried holds the data centres without room.
+	tried map[ident.DataCentre]bool
+	tries int
+}
+
+// Submit hands a job to an owner and waits for its end. It ends early if ctx
+// does, which means that the caller has left.
+func (s *Submitter) Submit(ctx context.Context, j work.Job, arrived, deadline time.Time) dispatch.Reply {
+	s.open.Add(1)
+	defer s.open.Add(-1)
+	a := &attempt{job: j, call: s.calls.Add(1), arrived: arrived, deadline: deadline, tried: map[ident.DataCentre]bool{}}
+	r := s.run(ctx, a)
+	took := time.Since(arrived)
+	s.counters.results.Add(string(r.Result), 1)
+	s.counters.response.Record(took)
+	s.logger.WithFields(log.Fields{
+		"job": string(j.ID), "queue": string(j.Queue), "result": string(r.Result), "reason": r.Reason,
+		"tookMs": took.Milliseconds(), "tries": a.tries, "tasks": j.Tasks(), "retryAfterMs": r.RetryAfter.Milliseconds(),
+	}).Info("job answered")
+	return r
+}
+
+// Open returns the number of jobs that wait for their end.
+func (s *Submitter) Open() int { return int(s.open.Load()) }
+
+func (s *Submitter) run(ctx context.Context, a *attempt) dispatch.Reply {
+	for {
+		now := time.Now()
+		if ctx.Err() != nil {
+			return dispatch.Reply{Result: dispatch.Expired, Reason: "the caller has left"}
+		}
+		if !now.Before(a.deadline) {
+			return a.giveUp("the deadline has passed")
+		}
+		o, final, ok := s.pick(now, a)
+		if !ok {
+			if reply, ended := a.unowned(now); ended {
+				return reply
+			}
+			pause(ctx, retryPause)
+			continue
+		}
+		reply, ended := s.try(ctx, a, o, final)
+		if ended {
+			return reply
+		}
+	}
+}
+
+// try hands a job to one owner. It returns true with the final reply.
+func (s *Submitter) try(ctx context.Context, a *attempt, o ownership.Owner, final bool) (dispatch.Reply, bool) {
+	a.tries++
+	now := time.Now()
+	sub := dispatch.Submission{
+		Job: a.job, Host: s.self.Name, Call: a.call, Waited: now.Sub(a.arrived), Left: a.deadline.Sub(now), Final: final,
+	}
+	reply, err := s.call(ctx, o, sub)
+	if err != nil {
+		if ctx.Err() != nil {
+			s.withdraw(o, a)
+			return dispatch.Reply{Result: dispatch.Expired, Reason: "the caller has left"}, true
+		}
+		if !errors.As(err, new(*peer.UnreachableError)) {
+			a.bind(now, o.DataCentre)
+		}
+		s.logger.WithFields(log.Fields{
+			"job": string(a.job.ID), "owner": string(o.Host), "token": int64(o.Token),
+		}).WithError(err).Warn("owner did not answer")
+		pause(ctx, retryPause)
+		return reply, false
+	}
+	if reply.Result != dispatch.Moved {
+		s.contacts.SetLoad(o.DataCentre, reply.Load)
+	}
+	switch reply.Result {
+	case dispatch.Busy:
+		a.tried[o.DataCentre] = true
+		return reply, false
+	case dispatch.Moved:
+		pause(ctx, retryPause)
+		return reply, false
+	case dispatch.Interrupted:
+		a.bind(now, o.DataCentre)
+		return reply, false
+	case dispatch.Refused:
+		if a.bound != "" {
+			return a.giveUp(reply.Reason), true
+		}
+	}
+	return reply, true
+}
+
+// bind notes that something of the job may have started in a data centre: only
+// the owner of its workers can tell, or go on.
+func (a *attempt) bind(now time.Time, c ident.DataCentre) {
+	a.bound, a.boundAt = c, now
+}
+
+// giveUp returns the reply to a job that ends without an owner's word.
+func (a *attempt) giveUp(reason string) dispatch.Reply {
+	if a.bound != "" {
+		return dispatch.Reply{Result: dispatch.Interrupted, Reason: reason}
+	}
+	return dispatch.Reply{Result: dispatch.Refused, Reason: reason, RetryAfter: refusedRetry}
+}
+
+// unowned returns the reply if no owner was found for too long.
+func (a *attempt) unowned(now time.Time) (dispatch.Reply, bool) {
+	since := a.arrived
+	if a.bound != "" {
+		since = a.boundAt
+	}
+	if now.Sub(since) < noOwnerTime {
+		return dispatch.Reply{}, false
+	}
+	return a.giveUp("no owner of workers is known"), true
+}
+
+// pick returns the owner to ask next, and true if it must take or refuse the
+// job.
+func (s *Submitter) pick(now time.Time, a *attempt) (ownership.Owner, bool, bool) {
+	owners := s.directory.Owners()
+	if a.bound != "" {
+		o, ok := owners[a.bound]
+		return o, true, ok && s.heard(now, o)
+	}
+	tasks := a.job.Steps[0].Count
+	var best, fallback ownership.Owner
+	bestRoom, fallbackRoom := 0, 0
+	for c, o := range owners {
+		if !s.heard(now, o) {
+			continue
+		}
+		load, known := s.contacts.Load(c)
+		room := load.Room
+		if !known {
+			room = tasks
+		}
+		home := c == s.self.DataCentre
+		if fallback.Host == "" || spillScore(room, home) > spillScore(fallbackRoom, fallback.DataCentre == s.self.DataCentre) {
+			fallback, fallbackRoom = o, room
+		}
+		if a.tried[c] || (!home && room < tasks) {
+			continue
+		}
+		if home {
+			room += homeBonus
+		}
+		if best.Host == "" || room > bestRoom {
+			best, bestRoom = o, room
+		}
+	}
+	if best.Host != "" && len(a.tried) < len(owners) {
+		return best, false, true
+	}
+	return fallback, true, fallback.Host != ""
+}
+
+// homeBonus makes the owner of the host's own data centre be asked first: bytes
+// between data centres are dear.
+const homeBonus = 1 << 20
+
+// homeSpill is how many more waiting tasks the own data centre may have than
+// another one before a job that no owner can start at once goes there.
+const homeSpill = 6
+
+func spillScore(room int, home bool) int {
+	if home {
+		return room + homeSpill
+	}
+	return room
+}
+
+// heard returns true if an owner is this host or has answered it lately.
+func (s *Submitter) heard(now time.Time, o ownership.Owner) bool {
+	if o.Host == s.self.Name {
+		return o.Boot == s.self.Boot
+	}
+	c, ok := s.contacts.Contact(o.Host)
+	return ok && c.Boot == o.Boot && now.Sub(c.Heard) < ownerSilence
+}
+
+func (s *Submitter) call(ctx context.Context, o ownership.Owner, sub dispatch.Submission) (dispatch.Reply, error) {
+	if o.Host == s.self.Name {
+		return s.owners.Submit(ctx, o.DataCentre, sub)
+	}
+	return peer.Call[submitRequest, dispatch.Reply](ctx, s.links, o.Address, kindSubmit, submitRequest{DataCentre: o.DataCentre, Submission: sub})
+}
+
+// withdraw tells an owner that the caller of a job has left.
+func (s *Submitter) withdraw(o ownership.Owner, a *attempt) {
+	r := withdrawRequest{DataCentre: o.DataCentre, Host: s.self.Name, Call: a.call, Job: a.job.ID}
+	if o.Host == s.self.Name {
+		s.owners.Withdraw(r.DataCentre, r.Host, r.Call, r.Job)
+		return
+	}
+	for range withdrawTries {
+		ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
+		_, err := peer.Call[withdrawRequest, struct{}](ctx, s.links, o.Address, kindWithdraw, r)
+		cancel()
+		if err == nil {
+			return
+		}
+		s.logger.WithFields(log.Fields{"job": string(a.job.ID), "owner": string(o.Host)}).WithError(err).Warn("job not withdrawn")
+	}
+}
--- /dev/null
+++ b/queue/queue.go
@@ -0,0 +1,75 @@
+// Package queue holds the queues that the operator has configured, and finds
+// the one of a request.
+package queue
+
+import (
+	"strings"
+	"time"
+
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/work"
+)
+
+// Version is the version of a configuration. Later ones are higher.
+type Version int64
+
+// Queue is one queue of jobs.
+type Queue struct {
+	Name work.Queue `msgpack:"name"`
+	// Host and Prefix select the requests of the queue.
+	Host     string        `msgpack:"host"`
+	Prefix   string        `msgpack:"prefix"`
+	Pool     ident.Pool    `msgpack:"pool"`
+	Priority work.Priority `msgpack:"priority"`
+	// Attempts is the number of failed runs of one task that fail its job.
+	Attempts int           `msgpack:"attempts"`
+	Stretch  float64       `msgpack:"stretch"`
+	Target   time.Duration `msgpack:"target"`
+	// Timeout bounds the time of one request.
+	Timeout time.Duration `msgpack:"timeout"`
+	// Advised is true if only some workers may run the queue's steps.
+	Advised bool `msgpack:"advised,omitempty"`
+}
+
+// Limits bounds requests.
+type Limits struct {
+	BodyBytes int64 `msgpack:"bodyBytes"`
+}
+
+// Configuration is one version of what the operator wants.
+type Configuration struct {
+	Version Version `msgpack:"version"`
+	Queues  []Queue `msgpack:"queues"`
+	Limits  Limits  `msgpack:"limits"`
+}
+
+// Table finds queues by request. It is not changed once built.
+type Table struct {
+	Configuration
+	byHost map[string][]*Queue
+}
+
+// NewTable returns the table of a configuration.
+func NewTable(c Configuration) *Table {
+	t := &Table{Configuration: c, byHost: map[string][]*Queue{}}
+	for i := range c.Queues {
+		q := &c.Queues[i]
+		t.byHost[q.Host] = append(t.byHost[q.Host], q)
+	}
+	return t
+}
+
+// Find returns the queue with the longest prefix of path, and what follows the
+// prefix. It returns nil if there is none.
+func (t *Table) Find(host, path string) (*Queue, string) {
+	var best *Queue
+	for _, q := range t.byHost[host] {
+		if strings.HasPrefix(path, q.Prefix) && (best == nil || len(q.Prefix) > len(best.Prefix)) {
+			best = q
+		}
+	}
+	if best == nil {
+		return nil, ""
+	}
+	return best, path[len(best.Prefix):]
+}
--- /dev/null
+++ b/work/work.go
@@ -0,0 +1,200 @@
+// Package work holds what callers hand in: jobs of steps, whose tasks have
+// sizes.
+package work
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/catkingap/catkingap/ident"
+)
+
+// ID identifies a job. The caller chooses it and sends it again with each try.
+type ID string
+
+// Queue names the queue that a job was submitted to.
+type Queue string
+
+// Priority orders queues: jobs of a lower number start first.
+type Priority int
+
+// Size is what a task takes, or what a worker has.
+type Size struct {
+	// Cores is in thousandths of a processor core.
+	Cores int `msgpack:"cores"`
+	// Memory is in megabytes.
+	Memory int `msgpack:"memory"`
+	// Graphics counts graphics processors.
+	Graphics int `msgpack:"graphics,omitempty"`
+}
+
+// Plus returns the sum of s and o.
+func (s Size) Plus(o Size) Size {
+	return Size{Cores: s.Cores + o.Cores, Memory: s.Memory + o.Memory, Graphics: s.Graphics + o.Graphics}
+}
+
+// Minus returns s less o.
+func (s Size) Minus(o Size) Size {
+	return Size{Cores: s.Cores - o.Cores, Memory: s.Memory - o.Memory, Graphics: s.Graphics - o.Graphics}
+}
+
+// Fits returns true if s is at most room in each dimension.
+func (s Size) Fits(room Size) bool {
+	return s.Cores <= room.Cores && s.Memory <= room.Memory && s.Graphics <= room.Graphics
+}
+
+// Step is a set of like tasks.
+type Step struct {
+	// Count is the number of tasks.
+	Count int `msgpack:"count"`
+	// Size is what each task takes.
+	Size Size `msgpack:"size"`
+	// Estimate is the caller's rough guess of a task's run time.
+	Estimate time.Duration `msgpack:"estimate"`
+	// After lists the steps that must be done before this one starts.
+	After []int `msgpack:"after,omitempty"`
+	// Label is one that a worker must have to run the step, or empty.
+	Label string `msgpack:"label,omitempty"`
+	// Rack is where the step's data is, or empty.
+	Rack string `msgpack:"rack,omitempty"`
+	// PerWorker bounds the tasks of the step on one worker. Zero means no
+	// bound.
+	PerWorker int `msgpack:"perWorker,omitempty"`
+}
+
+// Job is what a caller hands in, with what the configuration says of its queue.
+type Job struct {
+	ID    ID         `msgpack:"id"`
+	Queue Queue      `msgpack:"queue"`
+	Pool  ident.Pool `msgpack:"pool"`
+	// Payload is passed to each task as it is.
+	Payload  string   `msgpack:"payload"`
+	Steps    []Step   `msgpack:"steps"`
+	Priority Priority `msgpack:"priority"`
+	// Attempts is the number of failed runs of one task that fail the job.
+	Attempts int `msgpack:"attempts"`
+	// Stretch and Target give the objective of the response time: Stretch
+	// times the run time of the longest chain of tasks, and Target more.
+	Stretch float64       `msgpack:"stretch"`
+	Target  time.Duration `msgpack:"target"`
+}
+
+// InvalidError means that a job can never run as it was handed in.
+type InvalidError struct {
+	Reason string
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string { return "job is invalid: " + e.Reason }
+
+func invalid(format string, a ...any) error {
+	return &InvalidError{Reason: fmt.Sprintf(format, a...)}
+}
+
+// The bounds of a job, over all its steps.
+const (
+	// MaxTasks is well above the largest jobs that callers announced, 1,300
+	// tasks.
+	MaxTasks = 10_000
+	// MaxPayloadBytes is the longest payload that workers take.
+	MaxPayloadBytes = 4000
+)
+
+// Check returns an *InvalidError if the job can not be run as it is.
+func (j *Job) Check() error {
+	if len(j.Payload) > MaxPayloadBytes {
+		return invalid("the payload has %d bytes, at most %d are allowed", len(j.Payload), MaxPayloadBytes)
+	}
+	if len(j.Steps) == 0 {
+		return invalid("it has no step")
+	}
+	for i, s := range j.Steps {
+		if err := s.check(i, len(j.Steps)); err != nil {
+			return err
+		}
+	}
+	if n := j.Tasks(); n > MaxTasks {
+		return invalid("it has %d tasks, at most %d are allowed", n, MaxTasks)
+	}
+	if j.chain() < 0 {
+		return invalid("its steps wait for each other in a circle")
+	}
+	return nil
+}
+
+func (s Step) check(i, steps int) error {
+	if s.Count < 1 || s.Count > MaxTasks {
+		return invalid("step %d has %d tasks, 1 to %d are allowed", i, s.Count, MaxTasks)
+	}
+	if s.Size.Cores < 0 || s.Size.Memory < 0 || s.Size.Graphics < 0 || s.Estimate < 0 || s.PerWorker < 0 {
+		return invalid("step %d has a negative size or time", i)
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= steps {
+			return invalid("step %d comes after step %d, which does not exist", i, a)
+		}
+	}
+	return nil
+}
+
+// Tasks returns the number of tasks of all steps.
+func (j *Job) Tasks() int {
+	n := 0
+	for _, s := range j.Steps {
+		n += s.Count
+	}
+	return n
+}
+
+// Chain returns the estimated run time of the longest chain of steps.
+func (j *Job) Chain() time.Duration { return max(0, j.chain()) }
+
+// chain returns a negative time if the steps wait for each other in a circle.
+func (j *Job) chain() time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	ordered := make([]bool, len(j.Steps))
+	longest := time.Duration(0)
+	for left := len(j.Steps); left > 0; {
+		before := left
+		for i, s := range j.Steps {
+			if ordered[i] || slices.ContainsFunc(s.After, func(a int) bool { return !ordered[a] }) {
+				continue
+			}
+			for _, a := range s.After {
+				ends[i] = max(ends[i], ends[a])
+			}
+			ends[i] += s.Estimate
+			longest = max(longest, ends[i])
+			ordered[i] = true
+			left--
+		}
+		if left == before {
+			return -1
+		}
+	}
+	return longest
+}
+
+// Objective returns the response time that callers of the job's queue expect.
+func (j *Job) Objective() time.Duration {
+	return time.Duration(j.Stretch*float64(j.Chain())) + j.Target
+}
+
+// Task names one task of a job.
+type Task struct {
+	Job  ID
+	Step int
+	// Index counts the tasks of the step from 0.
+	Index int
+}
+
+// String returns the task as job.occurrence.step.index. Jobs without times
+// have the one occurrence 0.
+func (t Task) String() string {
+	return string(t.Job) + ".0." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+}
+
+// Run numbers the starts of a task, from 1.
+type Run int
