--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -137,10 +137,8 @@
 			continue
 		}
 		delete(m.orphans, t.text)
-		r.task, r.size, r.orphanUntil = t, t.step().Size, time.Time{}
 		r.sent = now
-		r.node.used = r.node.used.Plus(r.size)
-		t.run, t.number = r, r.key.run
+		r.attach(t)
 		found = true
 	}
 	j.begun = found
@@ -166,14 +164,7 @@
 	}
 	switch how {
 	case worker.Done:
-		t.done = true
-		j.left--
-		j.stepLeft[t.name.Step]--
-		if j.left == 0 {
-			m.finish(now, j, Completed, "")
-		} else if j.stepLeft[t.name.Step] == 0 {
-			m.refill(now, j)
-		}
+		m.taskDone(now, t)
 		return
 	case worker.Failed:
 		t.failures++
@@ -187,6 +178,20 @@
 	m.enqueue(now, j)
 }
 
+// taskDone takes in that a task has done its work.
+func (m *Machine) taskDone(now time.Time, t *task) {
+	j := t.job
+	t.done = true
+	j.left--
+	j.stepLeft[t.name.Step]--
+	switch {
+	case j.left == 0:
+		m.finish(now, j, Completed, "")
+	case j.stepLeft[t.name.Step] == 0:
+		m.refill(now, j)
+	}
+}
+
 // finish answers a job and stops what still runs of it.
 func (m *Machine) finish(now time.Time, j *job, r Result, reason string) {
 	m.reply(now, j, r, reason)
--- a/dispatch/past.go
+++ b/dispatch/past.go
@@ -21,7 +21,12 @@
 	if r.task != nil {
 		return r.task.job.spec.ID
 	}
-	id, _, _ := strings.Cut(r.key.task, ".")
+	return jobOf(r.key.task)
+}
+
+// jobOf returns the job of a task's name.
+func jobOf(name string) work.ID {
+	id, _, _ := strings.Cut(name, ".")
 	return work.ID(id)
 }
 
