Decide on owners with what is known now, and let only repeated jobs wait

Probes run beside the loop, and ask the hosts of the data centre before its workers. An owner tells the hosts of its data centre which workers it has, so that its successor waits for those, listed or not. Jobs that a host hands in again wait for the lease of an unknown worker to lapse; others start at once.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -24,6 +24,10 @@
 	FarFactor float64
 	// Ejection builds the judge of the workers.
 	Ejection ejection.Config
+	// Known holds the workers of the owner before, as far as it is known.
+	Known []worker.Worker
+	// Sure is true if the owner before had no others.
+	Sure bool
 }
 
 const (
@@ -66,6 +70,9 @@
 	Waited time.Duration `msgpack:"waited"`
 	// Left is the time until the caller gives up.
 	Left time.Duration `msgpack:"left"`
+	// Again is true if something of the job may have started under an earlier
+	// owner of the same workers.
+	Again bool `msgpack:"again,omitempty"`
 	// Final is true if no other owner has room: the job is queued if it can
 	// not start at once.
 	Final bool `msgpack:"final"`
@@ -142,7 +149,7 @@
 	// past holds what earlier submissions of jobs left running.
 	past  map[work.ID]*past
 	judge *ejection.Judge[worker.ID]
-	// open is when work may start although some workers have not answered yet.
+	// open is when nothing that an earlier owner has started can run unseen.
 	open time.Time
 	// cores is the mean of the cores of recent tasks.
 	cores float64
@@ -158,7 +165,7 @@
 
 // New returns the machine of an ownership that was taken at now.
 func New(now time.Time, c Config) *Machine {
-	return &Machine{
+	m := &Machine{
 		config:      c,
 		nodes:       map[worker.ID]*node{},
 		jobs:        map[work.ID]*job{},
@@ -169,6 +176,8 @@
 		judge:       ejection.NewJudge[worker.ID](c.Ejection),
 		open:        now.Add(lapse(c.MaxLease)),
 	}
+	m.SetWorkers(now, nil)
+	return m
 }
 
 // lapse returns the time after which a lease of d has lapsed on a worker's
@@ -188,23 +197,21 @@
 // new work; what runs there is watched to its end.
 func (m *Machine) SetWorkers(now time.Time, workers []worker.Worker) {
 	listed := make(map[worker.ID]bool, len(workers))
+	known := map[worker.ID]bool{}
+	if now.Before(m.open) {
+		for _, w := range m.config.Known {
+			known[w.ID] = true
+			m.setWorker(now, w)
+		}
+	}
 	for _, w := range workers {
 		listed[w.ID] = true
-		n := m.nodes[w.ID]
-		if n == nil {
-			n = &node{runs: map[runKey]*run{}}
-			m.nodes[w.ID] = n
-		} else if w.Life > n.Life || w.Address != n.Address {
-			m.reborn(now, n)
-		}
-		life := max(n.Life, w.Life)
-		n.Worker, n.listed = w, true
-		n.Life = life
+		m.setWorker(now, w)
 	}
 	ids := make([]worker.ID, 0, len(m.nodes))
 	for id, n := range m.nodes {
 		n.listed = listed[id]
-		if !n.listed && len(n.runs) == 0 {
+		if !n.listed && !known[id] && len(n.runs) == 0 {
 			delete(m.nodes, id)
 			continue
 		}
@@ -219,6 +226,31 @@
 	m.pump(now)
 }
 
+// setWorker takes in what is said of one worker.
+func (m *Machine) setWorker(now time.Time, w worker.Worker) {
+	n := m.nodes[w.ID]
+	if n == nil {
+		n = &node{runs: map[runKey]*run{}}
+		m.nodes[w.ID] = n
+	} else if w.Life > n.Life || w.Address != n.Address {
+		m.reborn(now, n)
+	}
+	life := max(n.Life, w.Life)
+	n.Worker = w
+	n.Life = life
+}
+
+// Workers returns the workers that have answered and may be at work.
+func (m *Machine) Workers() []worker.Worker {
+	workers := make([]worker.Worker, 0, len(m.ordered))
+	for _, n := range m.ordered {
+		if n.adopted || len(n.runs) > 0 {
+			workers = append(workers, n.Worker)
+		}
+	}
+	return workers
+}
+
 // Started tells the answer to a start.
 func (m *Machine) Started(now time.Time, s worker.Start, a worker.Answer) {
 	n := m.nodes[s.Worker]
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -23,9 +23,9 @@
 
 func at(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
 
-func newMachine() *dispatch.Machine {
+func newMachine(known ...worker.Worker) *dispatch.Machine {
 	return dispatch.New(begin, dispatch.Config{
-		Token: 7, MaxLease: time.Second, FarFactor: 2,
+		Token: 7, MaxLease: time.Second, FarFactor: 2, Known: known, Sure: known != nil,
 		Ejection: ejection.Config{MaxShare: 0.5, Failures: 3, MinProbe: 500 * time.Millisecond, MaxProbe: 5 * time.Second},
 	})
 }
@@ -86,12 +86,15 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			m := newMachine()
-			m.SetWorkers(begin, []worker.Worker{aWorker("w1"), aWorker("w2")})
+			m := newMachine(aWorker("w1"))
+			m.SetWorkers(begin, []worker.Worker{aWorker("w2")})
 			looks := m.Take().Looks
 			is.Equal(len(looks), 2)
 			m.Looked(at(1), begin, looks[1], &worker.Report{Life: 1, Clock: 1000}, worker.Accepted)
-			m.Submit(at(2), submission("j", 1, 1))
+			s := submission("j", 1, 1)
+			s.Again = true
+			m.Submit(at(2), s)
+			is.Equal(len(m.Take().Starts), 0)
 			m.Looked(at(3), begin, looks[0], &test.report, worker.Accepted)
 			m.Tick(at(50))
 			a := m.Take()
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -28,6 +28,9 @@
 	begun bool
 	// queued is true while the job is in the queue.
 	queued bool
+	// again is true if something of the job may have started under an earlier
+	// owner.
+	again bool
 	// live is false once the job was answered or dropped.
 	live bool
 }
@@ -58,6 +61,7 @@
 		call:      s.Call,
 		objective: now.Add(s.Job.Objective() - s.Waited),
 		deadline:  now.Add(s.Left),
+		again:     s.Again,
 		live:      true,
 	}
 	for i, st := range s.Job.Steps {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -67,12 +67,14 @@
 	return d
 }
 
-// opened returns true if nothing of an earlier owner can run unseen.
-func (m *Machine) opened(now time.Time) bool {
-	if !now.Before(m.open) {
+// opened returns true if nothing of a job can run unseen. Callers send a job
+// again only when what an earlier owner started of it has ended, so that only
+// jobs which a host hands in again have to wait.
+func (m *Machine) opened(now time.Time, j *job) bool {
+	if !j.again || !now.Before(m.open) {
 		return true
 	}
-	return !slices.ContainsFunc(m.ordered, func(n *node) bool { return !n.adopted })
+	return m.config.Sure && !slices.ContainsFunc(m.ordered, func(n *node) bool { return !n.adopted })
 }
 
 // enqueue puts a job with waiting tasks into its place in the queue.
@@ -106,7 +108,7 @@
 	if m.stopped {
 		return
 	}
-	if len(m.queue) > 0 && m.opened(now) {
+	if len(m.queue) > 0 {
 		m.startQueued(now)
 	}
 	for _, n := range m.ordered {
@@ -149,7 +151,7 @@
 }
 
 func (m *Machine) startJob(now time.Time, j *job, late bool) {
-	if m.lingers(j.spec.ID) {
+	if m.lingers(j.spec.ID) || !m.opened(now, j) {
 		return
 	}
 	kept := j.waiting[:0]
@@ -263,7 +265,7 @@
 	l := worker.Look{}
 	switch {
 	case !n.adopted || !n.silent.IsZero():
-		if !n.listed && len(n.runs) == 0 {
+		if !n.listed && len(n.runs) == 0 && !now.Before(m.open) {
 			return
 		}
 	case n.hasConfirmed():
@@ -334,7 +336,7 @@
 			room += n.roomFor(j.spec.Steps[0].Size)
 		}
 	}
-	if ahead == 0 && room >= j.spec.Steps[0].Count && m.opened(now) {
+	if ahead == 0 && room >= j.spec.Steps[0].Count && m.opened(now, j) {
 		return 0, true
 	}
 	if capacity == 0 {
--- a/fleet/contacts.go
+++ b/fleet/contacts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/peer"
+	"github.com/catkingap/catkingap/worker"
 )
 
 const (
@@ -24,6 +26,10 @@
 	// maxContactPause bounds the pause between contacts with a host that does
 	// not answer.
 	maxContactPause = 1500 * time.Millisecond
+	// knownTime is how old an owner's list of workers may be for its successor
+	// to rely on it. A worker that is new to the list may be missed for about as
+	// long as the owner was silent.
+	knownTime = 1500 * time.Millisecond
 	// pausedTime is the time without a turn of its own loop after which a
 	// process takes itself to have been paused: what it knows of others is old
 	// then.
@@ -46,6 +52,9 @@
 	Owned    []ownership.Owner `msgpack:"owned,omitempty"`
 	Loads    []dispatch.Load   `msgpack:"loads,omitempty"`
 	Others   []ownership.Owner `msgpack:"others,omitempty"`
+	// Workers holds the workers of the asking host's data centre, if the host
+	// that was asked owns them.
+	Workers []worker.Worker `msgpack:"workers,omitempty"`
 }
 
 // Contacts keeps in touch with the other hosts that matter to this one: those
@@ -64,10 +73,21 @@
 	asked map[ident.Host]time.Time
 	loops map[string]bool
 	loads map[ident.DataCentre]dispatch.Load
+	// workers is what the owner of this data centre has said of its workers.
+	workers knownWorkers
 	// awake is since when this process runs without a pause.
 	awake   time.Time
 	leaving bool
 	owned   func() ([]ownership.Owner, []dispatch.Load)
+	// working returns the workers of a data centre that this host owns.
+	working func(ident.DataCentre) []worker.Worker
+}
+
+// knownWorkers are the workers of an owner.
+type knownWorkers struct {
+	token   worker.Token
+	workers []worker.Worker
+	heard   time.Time
 }
 
 func newContacts(self ownership.Host, s Settings, l *peer.Links, d *Directory, c *Configuration, logger log.Interface) *Contacts {
@@ -79,6 +99,7 @@
 		loads:    map[ident.DataCentre]dispatch.Load{},
 		awake:    time.Now(),
 		owned:    func() ([]ownership.Owner, []dispatch.Load) { return nil, nil },
+		working:  func(ident.DataCentre) []worker.Worker { return nil },
 	}
 	peer.Handle(l, kindContact, contacts.answer)
 	return contacts
@@ -171,6 +192,9 @@
 		if i < len(a.Loads) {
 			c.loads[o.DataCentre] = a.Loads[i]
 		}
+		if o.DataCentre == c.self.DataCentre && o.Token >= c.workers.token {
+			c.workers = knownWorkers{token: o.Token, workers: a.Workers, heard: sent}
+		}
 	}
 	c.mutex.Unlock()
 	if !known || old.Boot != a.Host.Boot {
@@ -192,12 +216,26 @@
 	c.configuration.Heard(r.Host, r.Revision)
 	a := contactAnswer{Host: c.self, Revision: c.configuration.Revision(), Leaving: leaving}
 	a.Owned, a.Loads = c.owned()
+	if slices.ContainsFunc(a.Owned, func(o ownership.Owner) bool { return o.DataCentre == r.Host.DataCentre }) {
+		a.Workers = c.working(r.Host.DataCentre)
+	}
 	for _, o := range c.directory.Owners() {
 		a.Others = append(a.Others, o)
 	}
 	return a, nil
 }
 
+// Workers returns the workers that an owner had, as it said itself, and true if
+// it can not have got others since then.
+func (c *Contacts) Workers(now time.Time, d ident.DataCentre, before worker.Token) ([]worker.Worker, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if d != c.self.DataCentre || c.workers.token != before {
+		return nil, false
+	}
+	return c.workers.workers, now.Sub(c.workers.heard) < knownTime
+}
+
 // Leave tells other hosts that this one shuts down.
 func (c *Contacts) Leave() {
 	c.mutex.Lock()
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -57,11 +57,13 @@
 	hosts   map[ident.Host]bool
 }
 
-func newOwner(ctx context.Context, o *Owners, x ownership.Owner) *Owner {
+func newOwner(ctx context.Context, o *Owners, x ownership.Owner, before worker.Token) *Owner {
+	known, sure := o.contacts.Workers(time.Now(), x.DataCentre, before)
 	w := &Owner{
 		owners: o, owner: x,
 		logger: o.logger.WithFields(log.Fields{"dataCentre": string(x.DataCentre), "token": int64(x.Token)}),
 		machine: dispatch.New(time.Now(), dispatch.Config{
+			Known: known, Sure: sure,
 			Token: x.Token, MaxLease: o.settings.MaxLease, FarFactor: o.settings.FarFactor,
 			Ejection: ejection.Config{
 				MaxShare: maxEjectedShare, Failures: ejectionFailures, MinProbe: minProbePause, MaxProbe: maxProbePause,
@@ -161,6 +163,12 @@
 	return w.machine.Load(time.Now())
 }
 
+func (w *Owner) working() []worker.Worker {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.machine.Workers()
+}
+
 // close ends the ownership: no more orders are given, and the submissions are
 // told so.
 func (w *Owner) close() {
--- a/fleet/owners.go
+++ b/fleet/owners.go
@@ -14,6 +14,7 @@
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/peer"
 	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/worker"
 )
 
 const (
@@ -21,6 +22,10 @@
 	kindWithdraw = peer.Kind("withdraw")
 	// claimInterval is the time between two looks at who owns what.
 	claimInterval = 50 * time.Millisecond
+	// probeTime is how long the finding of a probe holds.
+	probeTime = 300 * time.Millisecond
+	// probePause is the time after a probe that found nothing to take.
+	probePause = 500 * time.Millisecond
 	// claimPause is the time after a claim that had no clear answer.
 	claimPause = 300 * time.Millisecond
 )
@@ -55,7 +60,13 @@
 	// beaten holds the highest token of each ownership that was lost.
 	beaten   map[ident.DataCentre]ownership.Owner
 	claiming map[ident.DataCentre]bool
-	ctx      context.Context
+	// before holds the token of the owner before, of each data centre.
+	before map[ident.DataCentre]worker.Token
+	// probing holds the data centres of other hosts that are being probed, and
+	// reached when a probe last found workers there but no host.
+	probing map[ident.DataCentre]bool
+	reached map[ident.DataCentre]time.Time
+	ctx     context.Context
 }
 
 func newOwners(self ownership.Host, s Settings, d *Directory, c *Contacts, r *Roster, w Workers, l *peer.Links, counters *Counters, logger log.Interface) *Owners {
@@ -64,9 +75,18 @@
 		owned:    map[ident.DataCentre]*Owner{},
 		beaten:   map[ident.DataCentre]ownership.Owner{},
 		claiming: map[ident.DataCentre]bool{},
+		before:   map[ident.DataCentre]worker.Token{},
+		probing:  map[ident.DataCentre]bool{},
+		reached:  map[ident.DataCentre]time.Time{},
 	}
 	d.OnMove(o.reconcile)
 	c.owned = o.owns
+	c.working = func(d ident.DataCentre) []worker.Worker {
+		if x := o.get(d); x != nil {
+			return x.working()
+		}
+		return nil
+	}
 	peer.Handle(l, kindSubmit, func(ctx context.Context, r submitRequest) (dispatch.Reply, error) {
 		return o.Submit(ctx, r.DataCentre, r.Submission)
 	})
@@ -88,10 +108,11 @@
 	o.mutex.Unlock()
 	o.reconcile()
 	for pause(ctx, claimInterval) {
+		now := time.Now()
 		view := o.contacts.View()
 		centres := o.centres(&view)
-		view.Reachable = o.reachable(ctx, &view, centres)
-		for _, c := range view.Claims(time.Now(), centres) {
+		view.Reachable = o.reachable(ctx, now, &view, centres)
+		for _, c := range view.Claims(now, centres) {
 			o.claim(ctx, c)
 		}
 	}
@@ -106,24 +127,53 @@
 	return ownership.Centres(centres)
 }
 
-// reachable returns the data centres of other hosts that have no owner, and of
-// whose workers one accepts a connection.
-func (o *Owners) reachable(ctx context.Context, v *ownership.View, centres []ident.DataCentre) map[ident.DataCentre]bool {
-	optimistic := map[ident.DataCentre]bool{}
+// reachable returns the data centres of other hosts that have no owner, no host
+// that answers, and a worker that does. It starts probes and never waits for
+// them, since what is known of other hosts grows old meanwhile.
+func (o *Owners) reachable(ctx context.Context, now time.Time, v *ownership.View, centres []ident.DataCentre) map[ident.DataCentre]bool {
+	optimistic := *v
+	optimistic.Reachable = map[ident.DataCentre]bool{}
 	for _, c := range centres {
-		optimistic[c] = c != o.self.DataCentre
+		optimistic.Reachable[c] = true
 	}
-	trial := *v
-	trial.Reachable = optimistic
 	found := map[ident.DataCentre]bool{}
-	for _, c := range trial.Claims(time.Now(), centres) {
-		if c != o.self.DataCentre && !o.isClaiming(c) {
-			found[c] = o.roster.Reach(ctx, o.workers, c)
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for _, c := range optimistic.Claims(now, centres) {
+		if c == o.self.DataCentre {
+			continue
+		}
+		found[c] = now.Sub(o.reached[c]) < probeTime
+		if !found[c] && !o.probing[c] {
+			o.probing[c] = true
+			go o.probe(ctx, c, v.Hosts)
 		}
 	}
 	return found
 }
 
+// probe looks whether a data centre has workers that can be reached, and no
+// host.
+func (o *Owners) probe(ctx context.Context, c ident.DataCentre, hosts []ownership.Host) {
+	found := true
+	for _, h := range hosts {
+		if h.DataCentre == c && o.contacts.contact(ctx, h.Address) {
+			found = false
+			break
+		}
+	}
+	found = found && o.roster.Reach(ctx, o.workers, c)
+	if !found {
+		pause(ctx, probePause)
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.probing[c] = false
+	if found {
+		o.reached[c] = time.Now()
+	}
+}
+
 func (o *Owners) isClaiming(c ident.DataCentre) bool {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -168,13 +218,14 @@
 		if mine && current == nil && x.Token > o.beaten[c].Token {
 			o.owned[c] = o.begin(x)
 		}
+		o.before[c] = x.Token
 	}
 }
 
 // begin starts an ownership. The caller holds the mutex.
 func (o *Owners) begin(x ownership.Owner) *Owner {
 	o.logger.WithFields(log.Fields{"dataCentre": string(x.DataCentre), "token": int64(x.Token)}).Info("ownership taken")
-	return newOwner(o.ctx, o, x)
+	return newOwner(o.ctx, o, x, o.before[x.DataCentre])
 }
 
 // end ends an ownership. The caller holds the mutex.
--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -114,7 +114,8 @@
 	a.tries++
 	now := time.Now()
 	sub := dispatch.Submission{
-		Job: a.job, Host: s.self.Name, Call: a.call, Waited: now.Sub(a.arrived), Left: a.deadline.Sub(now), Final: final,
+		Job: a.job, Host: s.self.Name, Call: a.call, Waited: now.Sub(a.arrived), Left: a.deadline.Sub(now),
+		Final: final, Again: a.bound != "",
 	}
 	reply, err := s.call(ctx, o, sub)
 	if err != nil {
