--- /dev/null
+++ b/ownership/ownership_test.go
@@ -0,0 +1,108 @@
+package ownership_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/ownership"
+)
+
+const (
+	coastA = ident.DataCentre("coast-a")
+	coastB = ident.DataCentre("coast-b")
+)
+
+var now = time.Unix(1_800_000_000, 0)
+
+// host returns a host whose boot is its name.
+func host(name ident.Host, d ident.DataCentre, cores float64) ownership.Host {
+	return ownership.Host{Name: name, Boot: string(name), Address: string(name), DataCentre: d, Cores: cores}
+}
+
+// ago returns a contact with a host's present process.
+func ago(name ident.Host, d time.Duration) ownership.Contact {
+	return ownership.Contact{Boot: string(name), Heard: now.Add(-d)}
+}
+
+func owner(d ident.DataCentre, name ident.Host) map[ident.DataCentre]ownership.Owner {
+	return map[ident.DataCentre]ownership.Owner{d: {DataCentre: d, Host: name, Boot: string(name), Token: 3}}
+}
+
+// TestClaims asks the host a2 which of the data centres it takes.
+func TestClaims(t *testing.T) {
+	hosts := []ownership.Host{host("a1", coastA, 1), host("a2", coastA, 0.4), host("a3", coastA, 0.4), host("b1", coastB, 0.4)}
+	near, silent := 100*time.Millisecond, time.Second
+	tests := map[string]struct {
+		view ownership.View
+		want []ident.DataCentre
+	}{
+		"nobody owns it and a larger host lives": {
+			view: ownership.View{Contacts: map[ident.Host]ownership.Contact{"a1": ago("a1", near)}, Started: now.Add(-900 * time.Millisecond)},
+		},
+		"nobody owns it and the larger host had its turn": {
+			view: ownership.View{Contacts: map[ident.Host]ownership.Contact{"a1": ago("a1", near)}, Started: now.Add(-time.Second)},
+			want: []ident.DataCentre{coastA},
+		},
+		"nobody owns it and this host has just started": {
+			view: ownership.View{Started: now.Add(-700 * time.Millisecond)},
+		},
+		"the owner answers": {
+			view: ownership.View{Owners: owner(coastA, "a1"), Contacts: map[ident.Host]ownership.Contact{"a1": ago("a1", near)}},
+		},
+		"the owner is silent": {
+			view: ownership.View{Owners: owner(coastA, "a1"), Contacts: map[ident.Host]ownership.Contact{"a1": ago("a1", silent)}},
+			want: []ident.DataCentre{coastA},
+		},
+		"the owner is silent and this host has just woken": {
+			view: ownership.View{
+				Owners: owner(coastA, "a1"), Contacts: map[ident.Host]ownership.Contact{"a1": ago("a1", silent)}, Started: now.Add(-100 * time.Millisecond),
+			},
+		},
+		"the owner has started again": {
+			view: ownership.View{Owners: owner(coastA, "a1"), Contacts: map[ident.Host]ownership.Contact{"a1": {Boot: "other", Heard: now}}},
+			want: []ident.DataCentre{coastA},
+		},
+		"the owner leaves": {
+			view: ownership.View{Owners: owner(coastA, "a1"), Contacts: map[ident.Host]ownership.Contact{"a1": {Boot: "a1", Heard: now, Leaving: true}}},
+			want: []ident.DataCentre{coastA},
+		},
+		"this host leaves": {
+			view: ownership.View{Owners: owner(coastA, "a1"), Contacts: map[ident.Host]ownership.Contact{"a1": ago("a1", silent)}, Leaving: true},
+		},
+		"this host owned it before it started again": {
+			view: ownership.View{Owners: map[ident.DataCentre]ownership.Owner{coastA: {DataCentre: coastA, Host: "a2", Boot: "old", Token: 3}}},
+			want: []ident.DataCentre{coastA},
+		},
+		"this host owns it": {
+			view: ownership.View{Owners: owner(coastA, "a2")},
+		},
+		"another data centre is silent and its workers answer": {
+			view: ownership.View{
+				Owners: owner(coastB, "b1"), Contacts: map[ident.Host]ownership.Contact{"a1": ago("a1", near), "b1": ago("b1", 10*time.Second)},
+				Reachable: map[ident.DataCentre]bool{coastB: true},
+			},
+			want: []ident.DataCentre{coastB},
+		},
+		"another data centre is silent and cut off": {
+			view: ownership.View{Owners: owner(coastB, "b1"), Contacts: map[ident.Host]ownership.Contact{"b1": ago("b1", 10*time.Second)}},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			v := test.view
+			v.Self, v.Hosts = hosts[1], hosts
+			if v.Started.IsZero() {
+				v.Started = now.Add(-time.Minute)
+			}
+			centres := []ident.DataCentre{coastA}
+			if _, ok := v.Owners[coastB]; ok {
+				centres = []ident.DataCentre{coastB}
+			}
+			is.Equal(v.Claims(now, centres), test.want)
+		})
+	}
+}
