Play a load and faults through six hosts in virtual time

The stand-ins learn the store and the workers of the users' platform; a judge counts starts and tasks that run twice at the same time. A network in memory carries real HTTP and links between the hosts, so that the whole daemons run in virtual time: a calm load, and eleven faults in the middle of one.

Found by the test of two owners that die: submissions to an ownership of the same host waited for ever once the daemon had stopped. They end now.

--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,333 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/fx"
+
+	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/fleet"
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/network"
+	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/standin"
+	"github.com/catkingap/catkingap/work"
+)
+
+const (
+	storeSite    = "store"
+	hostsPerZone = 2
+	workersEach  = 6
+	coresOfTask  = 27_000
+	queueName    = "q"
+	seed         = 20261204
+)
+
+var zones = []string{"coast-a", "coast-b", "coast-c"}
+
+// world is a fleet on a network in memory, with stand-ins for the platform.
+type world struct {
+	t       *testing.T
+	network *network.Memory
+	store   *standin.RowStore
+	judge   *standin.Judge
+	workers map[string]*standin.Worker
+	hosts   []*member
+	random  *rand.Rand
+	servers []*http.Server
+
+	mutex   sync.Mutex
+	results map[dispatch.Result]int
+}
+
+// member is one entry host.
+type member struct {
+	name, zone string
+	network    *network.Severable
+	app        *fx.App
+	submitter  *fleet.Submitter
+	dead       bool
+}
+
+// zoneOf returns the data centre of a site, which is the first part of its name.
+func zoneOf(site string) string {
+	zone, _, _ := strings.Cut(site, ".")
+	return zone
+}
+
+func delay(from, to string) time.Duration {
+	if zoneOf(from) == zoneOf(to) {
+		return 100 * time.Microsecond
+	}
+	return 1400 * time.Microsecond
+}
+
+// runTime returns the run time of a task: the first part of its job's name is
+// the number of milliseconds.
+func runTime(task string) (time.Duration, int) {
+	var ms int
+	_, _ = fmt.Sscanf(task, "%dms", &ms)
+	return time.Duration(ms) * time.Millisecond, coresOfTask
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{
+		t: t, network: network.NewMemory(network.MemoryConfig{Delay: delay, DialTimeout: time.Second}), judge: standin.NewJudge(),
+		store:   standin.NewRowStore(standin.RowStoreConfig{WriteTime: 4 * time.Millisecond}),
+		workers: map[string]*standin.Worker{}, random: rand.New(rand.NewPCG(seed, 0)), results: map[dispatch.Result]int{},
+	}
+	w.serve(storeSite+":1", w.store.Handler())
+	w.configure(1)
+	for _, z := range zones {
+		for i := range workersEach {
+			w.addWorker(z, fmt.Sprintf("%s.worker-%d", z, i))
+		}
+		for i := range hostsPerZone {
+			w.addHost(z, fmt.Sprintf("%s.host-%d", z, i))
+		}
+	}
+	t.Cleanup(w.close)
+	return w
+}
+
+func (w *world) configure(version int) {
+	w.store.Put("op", "config", map[string]any{
+		"Version": version, "Routes": []any{map[string]any{
+			"Name": queueName, "Host": "a.example", "Prefix": "/q/", "Service": "pool", "MaxAttempts": 3, "Stretch": 1.6, "TargetLatencyMs": 60,
+		}},
+	})
+}
+
+func (w *world) serve(address string, h http.Handler) {
+	l, err := w.network.Site(zoneOf(address)).Listen(address)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	s := &http.Server{Handler: h}
+	w.servers = append(w.servers, s)
+	go func() { _ = s.Serve(l) }()
+}
+
+func (w *world) addWorker(zone, name string) {
+	speed := 1.2
+	if len(w.workers)%4 == 0 {
+		speed = 0.6
+	}
+	x := standin.NewWorker(standin.WorkerConfig{ID: name, Cores: 64_000, Speed: speed, RunTime: runTime, Judge: w.judge, MaxLease: time.Second})
+	w.workers[name] = x
+	w.serve(name+":1", x.Handler())
+	w.store.Put("servers", name, x.Entry("pool", name+":1", zone))
+}
+
+func (w *world) addHost(zone, name string) *member {
+	m := &member{name: name, zone: zone, network: network.NewSeverable(w.network.Site(name))}
+	table := platform.NewTable(&http.Client{Transport: &http.Transport{DialContext: m.network.DialContext}}, storeSite+":1")
+	m.app = fleet.New(fleet.Options{
+		Settings: fleet.Settings{
+			Host: ident.Host(name), DataCentre: ident.DataCentre(zone), PeerAddress: name + ":1", Cores: 0.4,
+			MaxLease: time.Second, FarFactor: 2, ShutdownTimeout: 5 * time.Second, LogLevel: "fatal",
+		},
+		Log: io.Discard, Network: m.network, Table: table, Feed: table, Decoder: platform.Decoder{}, Workers: platform.NewWorkers(m.network.DialContext),
+	}, fx.Populate(&m.submitter))
+	if err := m.app.Start(w.t.Context()); err != nil {
+		w.t.Fatal(err)
+	}
+	w.hosts = append(w.hosts, m)
+	return m
+}
+
+// kill ends a host as a loss of power does: nothing of it is heard any more.
+func (w *world) kill(m *member) {
+	m.dead = true
+	m.network.Sever()
+	_ = m.app.Stop(context.Background())
+}
+
+func (w *world) close() {
+	for _, m := range w.hosts {
+		if !m.dead {
+			_ = m.app.Stop(context.Background())
+		}
+	}
+	for _, s := range w.servers {
+		_ = s.Close()
+	}
+	time.Sleep(5 * time.Second)
+}
+
+// load hands in jobs at random living hosts for a time, and waits for all ends.
+// A caller whose host dies sends its job again to another one.
+func (w *world) load(perSecond int, d time.Duration) {
+	var open sync.WaitGroup
+	end := time.Now().Add(d)
+	for n := 0; time.Now().Before(end); n++ {
+		time.Sleep(time.Duration(w.random.ExpFloat64() * float64(time.Second) / float64(perSecond)))
+		ms, tasks := 60, 1+w.random.IntN(8)
+		if n%4 != 0 {
+			ms, tasks = 200, 1+w.random.IntN(3)
+		}
+		j := work.Job{
+			ID: work.ID(fmt.Sprintf("%dms%d", ms, n)), Queue: queueName, Pool: "pool", Attempts: 3, Stretch: 1.6, Target: 60 * time.Millisecond,
+			Steps: []work.Step{{Count: tasks, Size: work.Size{Cores: coresOfTask, Memory: 64}, Estimate: time.Duration(ms) * time.Millisecond}},
+		}
+		m := w.living()
+		open.Go(func() { w.call(m, j, 2*time.Second) })
+	}
+	open.Wait()
+}
+
+// living returns a random living host.
+func (w *world) living() *member {
+	for {
+		if m := w.hosts[w.random.IntN(len(w.hosts))]; !m.dead {
+			return m
+		}
+	}
+}
+
+// call hands in one job, and again after the host has died or broken it off.
+func (w *world) call(m *member, j work.Job, patience time.Duration) {
+	const resend = 1300 * time.Millisecond
+	deadline := time.Now().Add(patience)
+	var r dispatch.Reply
+	for time.Now().Before(deadline) {
+		r = m.submitter.Submit(w.t.Context(), j, time.Now(), deadline)
+		if r.Result != dispatch.Interrupted && !m.dead {
+			break
+		}
+		time.Sleep(resend)
+		for _, other := range w.hosts {
+			if !other.dead {
+				m = other
+			}
+		}
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.results[r.Result]++
+}
+
+// owner returns the living host that a data centre's workers are ordered by:
+// the largest by name order, since all are of one size.
+func (w *world) owner(zone string) *member {
+	for _, m := range w.hosts {
+		if m.zone == zone && !m.dead {
+			return m
+		}
+	}
+	return nil
+}
+
+const startTime = 3 * time.Second
+
+// TestCalmLoad runs a load for 10 s through six hosts: each task starts once and
+// each job is completed.
+func TestCalmLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		w.load(40, 10*time.Second)
+		starts, done, doubled := w.judge.Verdict()
+		is.Equal(doubled, nil)
+		is.Equal(starts, done)
+		is.True(w.results[dispatch.Completed] > 300)
+		is.Equal(len(w.results), 1)
+	})
+}
+
+// TestFaults runs a load through one fault in its middle. No task may run twice
+// at the same time, and most jobs are completed.
+func TestFaults(t *testing.T) {
+	tests := map[string]struct {
+		fault func(w *world)
+		// served is the least share of jobs that are completed.
+		served float64
+	}{
+		"an owner dies":                 {fault: func(w *world) { w.kill(w.owner("coast-b")) }, served: 0.9},
+		"a host that owns nothing dies": {fault: func(w *world) { w.kill(w.hosts[1]) }, served: 0.9},
+		"an owner is cut off from all and returns": {fault: func(w *world) {
+			name := w.owner("coast-a").name
+			w.cut(3*time.Second, func(from, to string) bool { return from == name || to == name })
+		}, served: 0.8},
+		"a data centre is cut off": {fault: func(w *world) {
+			w.cut(5*time.Second, func(from, to string) bool { return (zoneOf(from) == "coast-a") != (zoneOf(to) == "coast-a") })
+		}, served: 0.85},
+		"an owner is cut off from the store": {fault: func(w *world) {
+			name := w.owner("coast-c").name
+			w.cut(4*time.Second, func(from, to string) bool {
+				return (from == name && to == storeSite) || (to == name && from == storeSite)
+			})
+		}, served: 0.99},
+		"the store is silent": {fault: func(w *world) {
+			w.store.Faults.Set(standin.Faults{Mode: standin.Silent})
+			time.Sleep(4 * time.Second)
+			w.store.Faults.Set(standin.Faults{})
+		}, served: 0.99},
+		"the store loses its history": {fault: func(w *world) { w.store.Forget() }, served: 0.99},
+		"workers are cut off": {fault: func(w *world) {
+			w.cut(3*time.Second, func(from, to string) bool {
+				return strings.HasSuffix(from, "worker-1") || strings.HasSuffix(to, "worker-1")
+			})
+		}, served: 0.9},
+		"workers fail all that they start": {fault: func(w *world) {
+			w.workers["coast-a.worker-1"].Faults.Set(standin.Faults{Mode: standin.FailAll})
+		}, served: 0.97},
+		"workers lose answers": {fault: func(w *world) {
+			for _, x := range w.workers {
+				x.Faults.Set(standin.Faults{Mode: standin.LoseAnswer, Count: 4})
+			}
+		}, served: 0.9},
+		"two owners die one after the other": {fault: func(w *world) {
+			w.kill(w.owner("coast-a"))
+			time.Sleep(500 * time.Millisecond)
+			w.kill(w.owner("coast-c"))
+		}, served: 0.85},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t)
+				time.Sleep(startTime)
+				time.AfterFunc(4*time.Second, func() { test.fault(w) })
+				w.load(40, 12*time.Second)
+				_, _, doubled := w.judge.Verdict()
+				is.Equal(doubled, nil)
+				total := 0
+				for _, n := range w.results {
+					total += n
+				}
+				share := float64(w.results[dispatch.Completed]) / float64(total)
+				t.Logf("results %v, completed %.3f", w.results, share)
+				is.True(share >= test.served)
+			})
+		})
+	}
+}
+
+// cut cuts the network for a time.
+func (w *world) cut(d time.Duration, lost func(from, to string) bool) {
+	w.network.Cut(func(from, to string) bool { return lost(siteOf(from), siteOf(to)) })
+	time.Sleep(d)
+	w.network.Cut(nil)
+}
+
+// siteOf returns a site without its port.
+func siteOf(s string) string {
+	if host, _, err := net.SplitHostPort(s); err == nil {
+		return host
+	}
+	return s
+}
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"github.com/catkingap/catkingap/dispatch"
 	"github.com/catkingap/catkingap/ejection"
@@ -37,6 +38,10 @@
 	maxProbePause    = 5 * time.Second
 )
 
+// errOwnerEnded ends the submissions that wait when the caller leaves or the
+// daemon stops.
+var errOwnerEnded = errors.New("submission ended without a reply")
+
 // caller names a submission that waits for its reply.
 type caller struct {
 	host ident.Host
@@ -144,13 +149,19 @@
 	case r := <-c:
 		return r, nil
 	case <-ctx.Done():
+	case <-w.ctx.Done():
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.waiting[k] == c {
 		delete(w.waiting, k)
 	}
-	return dispatch.Reply{}, ctx.Err()
+	select {
+	case r := <-c:
+		return r, nil
+	default:
+		return dispatch.Reply{}, errOwnerEnded
+	}
 }
 
 func (w *Owner) withdraw(h ident.Host, call uint64, id work.ID) {
@@ -172,8 +183,8 @@
 // close ends the ownership: no more orders are given, and the submissions are
 // told so.
 func (w *Owner) close() {
-	w.cancel()
 	w.step(func(now time.Time, m *dispatch.Machine) { m.Depose(now) })
+	w.cancel()
 }
 
 func (w *Owner) start(s worker.Start) {
--- /dev/null
+++ b/standin/rowstore.go
@@ -0,0 +1,195 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// RowStoreConfig builds a RowStore.
+type RowStoreConfig struct {
+	// WriteTime is the time that a transaction takes.
+	WriteTime time.Duration
+}
+
+// RowStore is a stand-in for the metadata store of the users' platform: rows in
+// tables, conditional transactions and a feed of changes.
+type RowStore struct {
+	Faults Switch
+
+	config RowStoreConfig
+	mutex  sync.Mutex
+	rows   map[rowKey]StoredRow
+	// history holds all changes in order. Those up to forgotten are not kept.
+	history   []StoredRow
+	forgotten int64
+	version   int64
+	changed   chan struct{}
+}
+
+type rowKey struct{ table, part, key string }
+
+// StoredRow is a row of a RowStore on the wire.
+type StoredRow struct {
+	Table   string
+	Part    string `json:"part"`
+	Key     string
+	Value   []byte `json:",omitempty"`
+	Ver     int64
+	Removed bool `json:",omitempty"`
+}
+
+// NewRowStore returns an empty store.
+func NewRowStore(c RowStoreConfig) *RowStore {
+	return &RowStore{config: c, rows: map[rowKey]StoredRow{}, changed: make(chan struct{})}
+}
+
+// Handler serves the store.
+func (s *RowStore) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /rows-tx", s.Faults.guard(s.serveTx))
+	mux.HandleFunc("GET /rows-get", s.Faults.guard(s.serveGet))
+	mux.HandleFunc("GET /rows-feed", s.Faults.guard(s.serveFeed))
+	return mux
+}
+
+// Put writes a row as the operator and the workers do.
+func (s *RowStore) Put(table, key string, value any) {
+	// The values of tests are always encoded.
+	data, _ := json.Marshal(value)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.version++
+	s.set(StoredRow{Table: table, Key: key, Value: data, Ver: s.version})
+}
+
+// Forget drops the history of changes.
+func (s *RowStore) Forget() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.history, s.forgotten = nil, s.version
+	s.wake()
+}
+
+// set writes one row. The caller holds the mutex.
+func (s *RowStore) set(r StoredRow) {
+	k := rowKey{r.Table, r.Part, r.Key}
+	if r.Removed {
+		delete(s.rows, k)
+	} else {
+		s.rows[k] = r
+	}
+	s.history = append(s.history, r)
+	s.wake()
+}
+
+func (s *RowStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+type txRequest struct {
+	ExpectedRevision, Writes, Remove []StoredRow
+}
+
+type rowsAnswer struct {
+	Rows    []StoredRow `json:"rows"`
+	HasMore bool
+	Ver     int64
+}
+
+func (s *RowStore) serveTx(w http.ResponseWriter, r *http.Request, _ Faults) {
+	var x txRequest
+	if err := json.NewDecoder(r.Body).Decode(&x); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	time.Sleep(s.config.WriteTime)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var current []StoredRow
+	holds := true
+	for _, c := range x.ExpectedRevision {
+		row, ok := s.rows[rowKey{c.Table, c.Part, c.Key}]
+		holds = holds && row.Ver == c.Ver
+		if ok {
+			current = append(current, row)
+		}
+	}
+	if !holds {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		writeJSON(w, rowsAnswer{Rows: current, Ver: s.version})
+		return
+	}
+	s.version++
+	for _, p := range x.Writes {
+		p.Ver = s.version
+		s.set(p)
+	}
+	for _, d := range x.Remove {
+		d.Ver, d.Removed, d.Value = s.version, true, nil
+		s.set(d)
+	}
+	writeJSON(w, rowsAnswer{Ver: s.version})
+}
+
+func (s *RowStore) serveGet(w http.ResponseWriter, r *http.Request, _ Faults) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("Limit"))
+	if err != nil {
+		limit = maxRows
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var rows []StoredRow
+	for k, row := range s.rows {
+		if k.table == q.Get("Table") && k.part == q.Get("part") && k.key >= q.Get("From") {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b StoredRow) int { return strings.Compare(a.Key, b.Key) })
+	more := len(rows) > limit
+	writeJSON(w, rowsAnswer{Rows: rows[:min(limit, len(rows))], HasMore: more, Ver: s.version})
+}
+
+// maxRows is the most rows of one answer.
+const maxRows = 500
+
+func (s *RowStore) serveFeed(w http.ResponseWriter, r *http.Request, _ Faults) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseInt(q.Get("After"), 10, 64)
+	wait, _ := strconv.ParseInt(q.Get("WaitMs"), 10, 64)
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mutex.Lock()
+		if after < s.forgotten {
+			s.mutex.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		a := rowsAnswer{Ver: s.version}
+		for _, c := range s.history {
+			if c.Ver > after && c.Table == q.Get("Table") {
+				a.Rows = append(a.Rows, c)
+			}
+		}
+		changed := s.changed
+		s.mutex.Unlock()
+		if len(a.Rows) > 0 {
+			writeJSON(w, a)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			writeJSON(w, a)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
