Start stragglers again, and find orders without an answer sooner

Orders and looks have 120 ms; a worker that leaves an order without an answer is looked at at once; an order that got no connection counts as not sent; a run that is overdue is asked for its progress and started elsewhere if it has not begun, or if a free worker would be done sooner while nothing waits.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -44,8 +44,6 @@
 	// a next start brings. The pages count an end as noted 100 ms after its
 	// listing, and want four of five noted within seconds.
 	forgetPause = 400 * time.Millisecond
-	// stopPause is the time between two tries to stop a run.
-	stopPause = 100 * time.Millisecond
 	// clockDrift is how much slower than true time a worker's clock may run.
 	clockDrift = 0.02
 	// lapseMargin is added to the time at which a lease must have lapsed, for
@@ -257,7 +255,7 @@
 	if n == nil || m.stopped {
 		return
 	}
-	n.hear(now, a.Verdict, a.Clock)
+	m.hear(now, n, a.Verdict, a.Clock)
 	r := n.runs[runKey{task: s.Task.String(), run: s.Run}]
 	if r == nil || r.state == stopping {
 		m.pump(now)
@@ -304,7 +302,7 @@
 	if n == nil || m.stopped {
 		return
 	}
-	n.hear(now, a.Verdict, a.Clock)
+	m.hear(now, n, a.Verdict, a.Clock)
 	if r := n.runs[runKey{task: s.Task, run: s.Run}]; r != nil && r.state == stopping && r.barred.IsZero() {
 		switch a.Verdict {
 		case worker.Accepted, worker.Old:
@@ -313,7 +311,7 @@
 		case worker.Replaced:
 			m.gone(now, n, r, worker.Lost)
 		default:
-			r.nextStop = now.Add(stopPause)
+			m.stop(now, r)
 		}
 	}
 	m.pump(now)
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -44,6 +44,9 @@
 	nextStop time.Time
 	// orphanUntil is when a run of an unknown job is stopped.
 	orphanUntil time.Time
+	// checkAt is when the worker is asked next how far the run is, because it
+	// should have ended.
+	checkAt time.Time
 }
 
 // node is a worker and what runs there.
@@ -108,15 +111,17 @@
 }
 
 // scale returns the expected run time of a task with an estimate.
-func (p *pace) scale(estimate time.Duration) time.Duration {
+func (p pace) scale(estimate time.Duration) time.Duration {
 	return time.Duration(float64(estimate) * math.Exp(p.log))
 }
 
-// hear takes a sign of life, or its lack.
-func (n *node) hear(now time.Time, v worker.Verdict, clock worker.Clock) {
+// hear takes a sign of life, or its lack. A worker that leaves an order without
+// an answer gets no work until it has answered a look.
+func (m *Machine) hear(now time.Time, n *node, v worker.Verdict, clock worker.Clock) {
 	if v == worker.Unanswered || v == worker.Unsent {
 		if n.silent.IsZero() {
 			n.silent = now
+			m.look(now, n)
 		}
 		return
 	}
@@ -170,13 +175,17 @@
 		n.watching = false
 	}
 	if report == nil {
-		n.hear(now, v, 0)
+		m.hear(now, n, v, 0)
+		if l.Extra {
+			m.pump(now)
+			return
+		}
 		n.pause = min(max(2*n.pause, lookPause), maxLookPause)
+		n.nextLook = now.Add(n.pause)
 		if len(n.runs) > 0 {
-			// The leases of the runs must not lapse for one lost look.
-			n.pause = lookPause
+			// The leases of the runs must not lapse for a few lost looks.
+			n.nextLook = now
 		}
-		n.nextLook = now.Add(n.pause)
 		m.pump(now)
 		return
 	}
@@ -188,7 +197,7 @@
 		m.reborn(now, n)
 		n.Life = report.Life
 	}
-	n.hear(now, worker.Accepted, report.Clock)
+	m.hear(now, n, worker.Accepted, report.Clock)
 	n.noted = max(n.noted, min(l.Seen, n.seen))
 	m.takeEnds(now, n, report.Ended)
 	m.takeRunning(now, sent, n, report.Running)
@@ -228,6 +237,9 @@
 		if r.state == ordered {
 			r.state, r.confirmed = atWork, now
 		}
+		if r.state == atWork && r.task != nil {
+			m.judgeProgress(now, n, r, x.Percent)
+		}
 	}
 	for k, r := range n.runs {
 		if there[k] {
@@ -382,29 +394,19 @@
 		m.lose(now, n)
 		n.adopted = false
 	}
+	check := false
 	for _, r := range n.sortedRuns() {
 		switch {
 		case r.state == stopping && r.barred.IsZero() && !now.Before(r.nextStop):
 			m.stop(now, r)
 		case r.task == nil && r.state != stopping && now.After(r.orphanUntil):
 			m.stop(now, r)
-		case r.state == atWork && r.task != nil && m.hangs(now, n, r):
-			m.judge.Failed(now, n.ID)
-			m.stop(now, r)
+		case r.state == atWork && r.task != nil && m.overdue(now, n, r):
+			r.checkAt = now.Add(checkPause)
+			check = true
 		}
 	}
-}
-
-const (
-	// hangFactor and hangTime bound how much longer than expected a run may
-	// take: the estimates are off by some 40 % and tasks are uneven.
-	hangFactor = 4
-	hangTime   = 150 * time.Millisecond
-)
-
-// hangs returns true if a run has taken so long that another worker would do it
-// sooner.
-func (m *Machine) hangs(now time.Time, n *node, r *run) bool {
-	expected := n.pace.scale(r.task.estimate())
-	return now.Sub(r.sent) > hangFactor*expected+hangTime && now.Add(expected).Before(r.task.job.deadline)
+	if check {
+		m.look(now, n)
+	}
 }
--- /dev/null
+++ b/dispatch/straggler.go
@@ -0,0 +1,56 @@
+package dispatch
+
+import "time"
+
+const (
+	// overdueFactor and overdueTime bound how much longer than expected a run
+	// may take before its worker is asked how far it is: the estimates are off
+	// by some 40 %, and tasks of one job by some 15 %.
+	overdueFactor = 1.6
+	overdueTime   = 30 * time.Millisecond
+	// checkPause is the time between two such questions.
+	checkPause = 100 * time.Millisecond
+	// restartTime is what it takes to stop a run and start it elsewhere.
+	restartTime = 40 * time.Millisecond
+	// restartGain is how many times sooner than the run at work a new one must
+	// be done: what has been done of the work is lost.
+	restartGain = 1.5
+)
+
+// overdue returns true if a run should have ended, and its worker was not asked
+// lately how far it is.
+func (m *Machine) overdue(now time.Time, n *node, r *run) bool {
+	return now.Sub(r.sent) > m.limit(n, r) && !now.Before(r.checkAt)
+}
+
+// limit returns how long a run may take without a question.
+func (m *Machine) limit(n *node, r *run) time.Duration {
+	return time.Duration(overdueFactor*float64(m.expected(n, r.task))) + overdueTime
+}
+
+// judgeProgress stops a run that is overdue if it has not begun to work, or if a
+// worker that is free would be done with the task much sooner. Load: workers that hang or have turned slow, which
+// hold up the job of all tasks that run elsewhere.
+func (m *Machine) judgeProgress(now time.Time, n *node, r *run, percent int) {
+	elapsed := now.Sub(r.sent)
+	if elapsed <= m.limit(n, r) {
+		return
+	}
+	if percent <= 0 {
+		if now.Add(restartTime + r.task.estimate()).Before(r.task.job.deadline) {
+			m.judge.Failed(now, n.ID)
+			m.stop(now, r)
+		}
+		return
+	}
+	other := m.choose(now, r.task, true)
+	if other == nil || len(m.queue) > 0 {
+		return
+	}
+	again := m.expected(other, r.task) + restartTime
+	total := elapsed * 100 / time.Duration(percent)
+	if float64(total-elapsed) > restartGain*float64(again) && now.Add(again).Before(r.task.job.deadline) {
+		n.pace.learn(total, r.task.estimate())
+		m.stop(now, r)
+	}
+}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,7 +58,7 @@
 	network    *network.Severable
 	app        *fx.App
 	submitter  *fleet.Submitter
-	dead       bool
+	dead       atomic.Bool
 }
 
 // zoneOf returns the data centre of a site, which is the first part of its name.
@@ -149,14 +150,14 @@
 
 // kill ends a host as a loss of power does: nothing of it is heard any more.
 func (w *world) kill(m *member) {
-	m.dead = true
+	m.dead.Store(true)
 	m.network.Sever()
 	_ = m.app.Stop(context.Background())
 }
 
 func (w *world) close() {
 	for _, m := range w.hosts {
-		if !m.dead {
+		if !m.dead.Load() {
 			_ = m.app.Stop(context.Background())
 		}
 	}
@@ -190,7 +191,7 @@
 // living returns a random living host.
 func (w *world) living() *member {
 	for {
-		if m := w.hosts[w.random.IntN(len(w.hosts))]; !m.dead {
+		if m := w.hosts[w.random.IntN(len(w.hosts))]; !m.dead.Load() {
 			return m
 		}
 	}
@@ -203,12 +204,12 @@
 	var r dispatch.Reply
 	for time.Now().Before(deadline) {
 		r = m.submitter.Submit(w.t.Context(), j, time.Now(), deadline)
-		if r.Result != dispatch.Interrupted && !m.dead {
+		if r.Result != dispatch.Interrupted && !m.dead.Load() {
 			break
 		}
 		time.Sleep(resend)
 		for _, other := range w.hosts {
-			if !other.dead {
+			if !other.dead.Load() {
 				m = other
 			}
 		}
@@ -222,7 +223,7 @@
 // the largest by name order, since all are of one size.
 func (w *world) owner(zone string) *member {
 	for _, m := range w.hosts {
-		if m.zone == zone && !m.dead {
+		if m.zone == zone && !m.dead.Load() {
 			return m
 		}
 	}
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -24,10 +24,11 @@
 	// broke, and nothing of the first try may run then.
 	hostSilence = 700 * time.Millisecond
 	// orderTimeout bounds a start or a stop: a worker answers within
-	// milliseconds.
-	orderTimeout = 250 * time.Millisecond
-	// lookTimeout bounds a look, beyond the time that the worker waits.
-	lookTimeout = 200 * time.Millisecond
+	// milliseconds, and a task of the shortest kind has 150 ms in all.
+	orderTimeout = 120 * time.Millisecond
+	// lookTimeout bounds a look, beyond the time that the worker waits. Four
+	// lost looks fit into a lease of a second.
+	lookTimeout = 120 * time.Millisecond
 )
 
 // The policy by which workers that fail their work are left out.
