Ask overdue runs sooner while answers get lost

A look that got lost hid the ends of runs for up to 400 ms. Within 5 s after an order without an answer, a run that is 1.2 times and 10 ms over its expected time is asked for. Orders have 60 ms.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -149,6 +149,8 @@
 	judge *ejection.Judge[worker.ID]
 	// open is when nothing that an earlier owner has started can run unseen.
 	open time.Time
+	// lossyUntil is until when answers to orders are expected to get lost.
+	lossyUntil time.Time
 	// cores is the mean of the cores of recent tasks.
 	cores float64
 	// stopped is true once the ownership has ended.
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -119,6 +119,7 @@
 // an answer gets no work until it has answered a look.
 func (m *Machine) hear(now time.Time, n *node, v worker.Verdict, clock worker.Clock) {
 	if v == worker.Unanswered || v == worker.Unsent {
+		m.lossyUntil = now.Add(lossyPeriod)
 		if n.silent.IsZero() {
 			n.silent = now
 			m.look(now, n)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -62,7 +62,7 @@
 func (m *Machine) expected(n *node, t *task) time.Duration {
 	d := n.pace.scale(t.estimate())
 	if rack := t.step().Rack; rack != "" && !slices.Contains(n.Labels, rack) {
-		d = time.Duration(float64(d) * m.config.FarFactor)
+		d = scaled(d, m.config.FarFactor)
 	}
 	return d
 }
@@ -185,7 +185,7 @@
 		}
 		score := placeScore{
 			failed:   slices.Contains(t.failed, n.ID),
-			spare:    !late && time.Duration(float64(expected)*paceMargin) <= left,
+			spare:    !late && scaled(expected, paceMargin) <= left,
 			expected: expected,
 			room:     n.Capacity.Cores - n.used.Cores - size.Cores,
 		}
--- a/dispatch/straggler.go
+++ b/dispatch/straggler.go
@@ -8,6 +8,13 @@
 	// by some 40 %, and tasks of one job by some 15 %.
 	overdueFactor = 1.6
 	overdueTime   = 30 * time.Millisecond
+	// lossyFactor and lossyTime take their place while answers get lost: the
+	// look that was to tell of the end may be one of them.
+	lossyFactor = 1.2
+	lossyTime   = 10 * time.Millisecond
+	// lossyPeriod is how long after an order without an answer more are
+	// expected.
+	lossyPeriod = 5 * time.Second
 	// checkPause is the time between two such questions.
 	checkPause = 100 * time.Millisecond
 	// restartTime is what it takes to stop a run and start it elsewhere.
@@ -20,14 +27,23 @@
 // overdue returns true if a run should have ended, and its worker was not asked
 // lately how far it is.
 func (m *Machine) overdue(now time.Time, n *node, r *run) bool {
-	return now.Sub(r.sent) > m.limit(n, r) && !now.Before(r.checkAt)
+	if now.Before(r.checkAt) {
+		return false
+	}
+	if now.Before(m.lossyUntil) {
+		return now.Sub(r.sent) > scaled(m.expected(n, r.task), lossyFactor)+lossyTime
+	}
+	return now.Sub(r.sent) > m.limit(n, r)
 }
 
-// limit returns how long a run may take without a question.
+// limit returns how long a run may take before it counts as a straggler.
 func (m *Machine) limit(n *node, r *run) time.Duration {
-	return time.Duration(overdueFactor*float64(m.expected(n, r.task))) + overdueTime
+	return scaled(m.expected(n, r.task), overdueFactor) + overdueTime
 }
 
+// scaled returns d times x.
+func scaled(d time.Duration, x float64) time.Duration { return time.Duration(x * float64(d)) }
+
 // judgeProgress stops a run that is overdue if it has not begun to work, or if a
 // worker that is free would be done with the task much sooner. Load: workers that hang or have turned slow, which
 // hold up the job of all tasks that run elsewhere.
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -18,14 +18,14 @@
 
 const (
 	// tickInterval is the time between two ticks of an ownership.
-	tickInterval = 50 * time.Millisecond
+	tickInterval = 25 * time.Millisecond
 	// hostSilence is how long an entry host may be silent before the jobs of its
 	// callers are stopped. Callers send them again 1.3 s after their connection
 	// broke, and nothing of the first try may run then.
 	hostSilence = 700 * time.Millisecond
 	// orderTimeout bounds a start or a stop: a worker answers within
 	// milliseconds, and a task of the shortest kind has 150 ms in all.
-	orderTimeout = 120 * time.Millisecond
+	orderTimeout = 60 * time.Millisecond
 	// lookTimeout bounds a look, beyond the time that the worker waits. Four
 	// lost looks fit into a lease of a second.
 	lookTimeout = 120 * time.Millisecond
