Leave workers that are gone alone, and let silent leases lapse

Found by the test of a silent worker: each look that got no answer extended the lease, so that its tasks never started elsewhere.

A worker that another one has replaced loses its runs at once and is asked again after a second; orders that do not leave wait 50 ms; a worker that is silent is not granted more time. The three tests failed first. Not measured yet after.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -289,7 +289,8 @@
 		n.holdUntil = now.Add(lookPause)
 		m.look(now, n)
 	case worker.Replaced:
-		n.adopted = false
+		m.replaced(now, n)
+		return
 	case worker.Rejected:
 		if r.task != nil && r.task.job.live {
 			m.finish(now, r.task.job, Failed, "a worker can not read the task")
@@ -311,9 +312,9 @@
 			r.barred = now
 			m.look(now, n)
 		case worker.Replaced:
-			m.gone(now, n, r, worker.Lost)
+			m.replaced(now, n)
 		default:
-			m.stop(now, r)
+			r.nextStop = now.Add(retryPause(a.Verdict))
 		}
 	}
 	m.pump(now)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -106,3 +106,196 @@
 		})
 	}
 }
+
+// startOne hands in a job of one task and returns the order to start it.
+func startOne(is *is.I, m *dispatch.Machine, now time.Time) worker.Start {
+	m.Submit(now, submission("j", 1, 1))
+	a := m.Take()
+	is.Equal(len(a.Starts), 1)
+	return a.Starts[0]
+}
+
+// TestOrdersThatDoNotLeave has a worker refuse connections: it is not asked in a
+// loop.
+func TestOrdersThatDoNotLeave(t *testing.T) {
+	is := is.New(t)
+	m := openMachine("w1")
+	s := startOne(is, m, at(10))
+	m.Started(at(11), s, worker.Answer{Verdict: worker.Accepted, Clock: 1010})
+	watch := m.Take().Looks
+	is.Equal(len(watch), 1)
+	m.Withdraw(at(12), hostA, 1, "j")
+	stops := m.Take().Stops
+	is.Equal(len(stops), 1)
+	m.Stopped(at(13), stops[0], worker.Answer{Verdict: worker.Unsent})
+	m.Looked(at(13), at(12), watch[0], nil, worker.Unsent)
+	orders := 0
+	for ms := 14; ms < 114; ms++ {
+		a := m.Take()
+		orders += len(a.Stops) + len(a.Looks)
+		for _, l := range a.Looks {
+			m.Looked(at(ms), at(ms), l, nil, worker.Unsent)
+		}
+		for _, x := range a.Stops {
+			m.Stopped(at(ms), x, worker.Answer{Verdict: worker.Unsent})
+		}
+		m.Tick(at(ms))
+	}
+	is.True(orders <= 6)
+}
+
+// TestReplacedWorker has another worker answer at the address of one that runs
+// a task: the task starts elsewhere at once.
+func TestReplacedWorker(t *testing.T) {
+	is := is.New(t)
+	m := openMachine("w1", "w2")
+	s := startOne(is, m, at(10))
+	m.Started(at(11), s, worker.Answer{Verdict: worker.Accepted, Clock: 1010})
+	watch := m.Take().Looks
+	is.Equal(len(watch), 1)
+	m.Looked(at(20), at(12), watch[0], nil, worker.Replaced)
+	a := m.Take()
+	is.Equal(len(a.Starts), 1)
+	is.True(a.Starts[0].Worker != s.Worker)
+	for ms := 21; ms < 521; ms++ {
+		m.Tick(at(ms))
+		for _, l := range m.Take().Looks {
+			is.True(l.Worker != s.Worker)
+		}
+	}
+}
+
+// TestStartWithoutAnswer bars a start that got no answer before the task starts
+// again, with a higher run.
+func TestStartWithoutAnswer(t *testing.T) {
+	is := is.New(t)
+	m := openMachine("w1")
+	s := startOne(is, m, at(10))
+	m.Started(at(70), s, worker.Answer{Verdict: worker.Unanswered})
+	a := m.Take()
+	is.Equal(len(a.Starts), 0)
+	is.Equal(len(a.Stops), 1)
+	answerLooks(m, at(72), a, worker.Report{Life: 1, Clock: 1072})
+	is.Equal(len(m.Take().Starts), 0)
+	m.Stopped(at(73), a.Stops[0], worker.Answer{Verdict: worker.Accepted, Clock: 1073})
+	a = m.Take()
+	is.Equal(len(a.Starts), 0)
+	for _, l := range a.Looks {
+		m.Looked(at(75), at(74), l, &worker.Report{Life: 1, Clock: 1075}, worker.Accepted)
+	}
+	a = m.Take()
+	is.Equal(len(a.Starts), 1)
+	is.Equal(a.Starts[0].Run, work.Run(2))
+}
+
+// TestSameJobFromAnotherHost has a caller send its job again by another host:
+// its runs go on for the new one.
+func TestSameJobFromAnotherHost(t *testing.T) {
+	is := is.New(t)
+	m := openMachine("w1")
+	s := startOne(is, m, at(10))
+	m.Started(at(11), s, worker.Answer{Verdict: worker.Accepted, Clock: 1010})
+	watch := m.Take().Looks
+	again := submission("j", 9, 1)
+	again.Host = hostB
+	m.Submit(at(30), again)
+	a := m.Take()
+	is.Equal(len(a.Starts), 0)
+	is.Equal(a.Replies[0].Host, hostA)
+	is.Equal(a.Replies[0].Result, dispatch.Superseded)
+	done := worker.Report{Life: 1, Clock: 1070, Ended: []worker.Ended{{Number: 1, Task: "j.0.0.0", Run: 1, How: worker.Done}}}
+	m.Looked(at(71), at(12), watch[0], &done, worker.Accepted)
+	a = m.Take()
+	is.Equal(len(a.Replies), 1)
+	is.Equal(a.Replies[0].Host, hostB)
+	is.Equal(a.Replies[0].Result, dispatch.Completed)
+}
+
+// TestJobAgainWhileItStops starts nothing of a job that was dropped before its
+// runs have ended.
+func TestJobAgainWhileItStops(t *testing.T) {
+	is := is.New(t)
+	m := openMachine("w1", "w2")
+	s := startOne(is, m, at(10))
+	m.Started(at(11), s, worker.Answer{Verdict: worker.Accepted, Clock: 1010})
+	watch := m.Take().Looks
+	m.HostLost(at(20), hostA)
+	stops := m.Take().Stops
+	is.Equal(len(stops), 1)
+	again := submission("j", 9, 1)
+	again.Host = hostB
+	m.Submit(at(30), again)
+	is.Equal(len(m.Take().Starts), 0)
+	stopped := worker.Report{Life: 1, Clock: 1050, Ended: []worker.Ended{{Number: 1, Task: "j.0.0.0", Run: 1, How: worker.Lost}}}
+	m.Looked(at(51), at(12), watch[0], &stopped, worker.Accepted)
+	a := m.Take()
+	is.Equal(len(a.Starts), 1)
+	is.Equal(a.Starts[0].Run, work.Run(2))
+}
+
+// TestSilentWorker gives a task to another worker only when its lease must have
+// lapsed.
+func TestSilentWorker(t *testing.T) {
+	is := is.New(t)
+	m := openMachine("w1", "w2")
+	s := startOne(is, m, at(10))
+	m.Started(at(11), s, worker.Answer{Verdict: worker.Accepted, Clock: 1010})
+	last := at(11)
+	for ms := 12; ms < 2000; ms++ {
+		a := m.Take()
+		if len(a.Starts) > 0 {
+			is.True(at(ms).Sub(last) >= time.Second)
+			is.True(at(ms).Sub(last) < 1200*time.Millisecond)
+			return
+		}
+		for _, l := range a.Looks {
+			m.Looked(at(ms), at(ms), l, nil, worker.Unanswered)
+		}
+		m.Tick(at(ms))
+	}
+	is.Fail()
+}
+
+// TestFailures counts the failed runs of a task, and takes only these for
+// attempts.
+func TestFailures(t *testing.T) {
+	tests := map[string]struct {
+		ends   []worker.How
+		result dispatch.Result
+	}{
+		"done":                  {ends: []worker.How{worker.Done}, result: dispatch.Completed},
+		"failed once":           {ends: []worker.How{worker.Failed, worker.Done}, result: dispatch.Completed},
+		"failed twice":          {ends: []worker.How{worker.Failed, worker.Failed}, result: dispatch.Failed},
+		"lost twice and failed": {ends: []worker.How{worker.Lost, worker.Lost, worker.Failed, worker.Done}, result: dispatch.Completed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := openMachine("w1", "w2", "w3", "w4")
+			s := startOne(is, m, at(10))
+			numbers := map[worker.ID]worker.EndNumber{}
+			for i, how := range test.ends {
+				now := at(20 + 10*i)
+				m.Started(now, s, worker.Answer{Verdict: worker.Accepted, Clock: 1010})
+				numbers[s.Worker]++
+				report := worker.Report{Life: 1, Clock: 1020, Ended: []worker.Ended{{
+					Number: numbers[s.Worker], Task: "j.0.0.0", Run: s.Run, How: how,
+				}}}
+				for _, l := range m.Take().Looks {
+					if l.Worker == s.Worker {
+						m.Looked(now, now, l, &report, worker.Accepted)
+					}
+				}
+				a := m.Take()
+				if len(a.Replies) > 0 {
+					is.Equal(i, len(test.ends)-1)
+					is.Equal(a.Replies[0].Result, test.result)
+					return
+				}
+				is.Equal(len(a.Starts), 1)
+				s = a.Starts[0]
+			}
+			is.Fail()
+		})
+	}
+}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -158,7 +158,8 @@
 // lookFor completes and sends a look.
 func (m *Machine) lookFor(now time.Time, n *node, l worker.Look) {
 	l.Order, l.Seen = m.order(n), n.seen
-	if len(n.runs) > 0 {
+	if len(n.runs) > 0 && n.silent.IsZero() {
+		// A worker whose answers get lost must not keep its runs for ever.
 		l.Until = n.until(now, m.config.MaxLease)
 	}
 	n.noteAt = time.Time{}
@@ -177,6 +178,9 @@
 	}
 	if report == nil {
 		m.hear(now, n, v, 0)
+		if v == worker.Replaced {
+			m.replaced(now, n)
+		}
 		if l.Extra {
 			m.pump(now)
 			return
@@ -185,7 +189,10 @@
 		n.nextLook = now.Add(n.pause)
 		if len(n.runs) > 0 {
 			// The leases of the runs must not lapse for a few lost looks.
-			n.nextLook = now
+			n.nextLook = now.Add(retryPause(v))
+		}
+		if v == worker.Replaced {
+			n.nextLook = now.Add(maxLookPause)
 		}
 		m.pump(now)
 		return
@@ -364,6 +371,22 @@
 	}
 }
 
+// retryPause returns how long to wait before an order is sent again: one that
+// got no answer has waited already.
+func retryPause(v worker.Verdict) time.Duration {
+	if v == worker.Unanswered {
+		return 0
+	}
+	return lookPause
+}
+
+// replaced ends all that ran on a worker at whose address another one lives.
+func (m *Machine) replaced(now time.Time, n *node) {
+	m.lose(now, n)
+	n.adopted = false
+	n.nextLook = now.Add(maxLookPause)
+}
+
 // reborn ends all that ran in an earlier life of a worker.
 func (m *Machine) reborn(now time.Time, n *node) {
 	m.lose(now, n)
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -122,7 +122,7 @@
 		return settled, true
 	}
 	if o.Host == v.Self.Name {
-		return settled, o.Boot != v.Self.Boot
+		return v.Started, o.Boot != v.Self.Boot
 	}
 	c, heard := v.Contacts[o.Host]
 	switch {
