Log one record of each dispatched job, without ever blocking

The owner's line of a job has each run with its worker, its start after the submission, its length and how it ended or why it was stopped. Lines that do not fit into the buffer of the output are counted and left out.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -129,6 +129,8 @@
 	Stops   []worker.Stop
 	Looks   []worker.Look
 	Replies []Reply
+	// Records tells how submissions that have ended went.
+	Records []Record
 }
 
 // Machine is the state of the workers that one entry host owns.
@@ -270,7 +272,7 @@
 		}
 	case worker.Unanswered:
 		m.judge.Withdrawn(n.ID)
-		m.stop(now, r)
+		m.stop(now, r, "no answer to the start")
 	default:
 		m.refusedStart(now, n, r, a.Verdict)
 	}
@@ -296,6 +298,7 @@
 			m.finish(now, r.task.job, Failed, "a worker can not read the task")
 		}
 	}
+	r.noteEnd(now, "start refused: "+string(v))
 	m.gone(now, n, r, worker.Lost)
 }
 
@@ -325,6 +328,7 @@
 func (m *Machine) HostLost(now time.Time, h ident.Host) {
 	for _, j := range m.sortedJobs() {
 		if j.host == h {
+			m.close(now, j, Interrupted, "the caller's host is silent")
 			m.drop(now, j)
 		}
 	}
@@ -334,6 +338,7 @@
 // Withdraw ends a submission whose caller has left.
 func (m *Machine) Withdraw(now time.Time, h ident.Host, call uint64, id work.ID) {
 	if j := m.jobs[id]; j != nil && j.host == h && j.call == call {
+		m.close(now, j, Expired, "the caller has left")
 		m.drop(now, j)
 	}
 	m.pump(now)
@@ -343,7 +348,7 @@
 // orders are given.
 func (m *Machine) Depose(now time.Time) {
 	for _, j := range m.sortedJobs() {
-		m.reply(now, j, Interrupted, "another host owns the workers")
+		m.end(now, j, Interrupted, "another host owns the workers")
 		j.live = false
 	}
 	m.jobs = map[work.ID]*job{}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -25,7 +25,9 @@
 	left     int
 	stepLeft []int
 	// begun is true once a start was sent for any task.
-	begun bool
+	begun     bool
+	submitted time.Time
+	record    Record
 	// queued is true while the job is in the queue.
 	queued bool
 	// again is true if something of the job may have started under an earlier
@@ -62,7 +64,11 @@
 		objective: now.Add(s.Job.Objective() - s.Waited),
 		deadline:  now.Add(s.Left),
 		again:     s.Again,
-		live:      true,
+		submitted: now,
+		record: Record{
+			Job: s.Job.ID, Host: s.Host, Call: s.Call, Waited: s.Waited, Objective: s.Job.Objective(),
+		},
+		live: true,
 	}
 	for i, st := range s.Job.Steps {
 		j.stepLeft = append(j.stepLeft, st.Count)
@@ -93,6 +99,7 @@
 	if j := m.jobs[s.Job.ID]; j != nil {
 		if j.host != s.Host || j.call != s.Call {
 			m.reply(now, j, Superseded, "the caller has sent the job again")
+			j.record.Host, j.record.Call = s.Host, s.Call
 		}
 		j.host, j.call, j.deadline = s.Host, s.Call, now.Add(s.Left)
 		return
@@ -142,7 +149,7 @@
 		}
 		delete(m.orphans, t.text)
 		r.sent = now
-		r.attach(t)
+		m.attach(now, r, t)
 		found = true
 	}
 	j.begun = found
@@ -198,7 +205,7 @@
 
 // finish answers a job and stops what still runs of it.
 func (m *Machine) finish(now time.Time, j *job, r Result, reason string) {
-	m.reply(now, j, r, reason)
+	m.end(now, j, r, reason)
 	m.outcomes[j.spec.ID] = ended{result: r, at: now}
 	m.drop(now, j)
 }
@@ -206,9 +213,9 @@
 // expire ends a job whose caller has given up.
 func (m *Machine) expire(now time.Time, j *job) {
 	if j.begun {
-		m.reply(now, j, Expired, "the deadline has passed")
+		m.end(now, j, Expired, "the deadline has passed")
 	} else {
-		m.reply(now, j, Refused, "the deadline has passed")
+		m.end(now, j, Refused, "the deadline has passed")
 	}
 	m.drop(now, j)
 }
@@ -224,11 +231,17 @@
 		case r.state == stopping:
 			m.linger(r)
 		default:
-			m.stop(now, r)
+			m.stop(now, r, "the job has ended")
 		}
 	}
 }
 
+// end answers a job and emits its record.
+func (m *Machine) end(now time.Time, j *job, r Result, reason string) {
+	m.close(now, j, r, reason)
+	m.reply(now, j, r, reason)
+}
+
 func (m *Machine) reply(now time.Time, j *job, r Result, reason string) {
 	m.actions.Replies = append(m.actions.Replies, Reply{
 		Host: j.host, Call: j.call, Job: j.spec.ID, Result: r, Reason: reason, Load: m.Load(now),
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -47,6 +47,8 @@
 	// checkAt is when the worker is asked next how far the run is, because it
 	// should have ended.
 	checkAt time.Time
+	// recorded is the place of the run in the record of its job, from 1, or zero.
+	recorded int
 }
 
 // node is a worker and what runs there.
@@ -269,21 +271,22 @@
 	t := m.find(k.task)
 	switch {
 	case t != nil && !t.done && t.run == nil:
-		r.attach(t)
+		m.attach(now, r, t)
 		t.job.waiting = slices.DeleteFunc(t.job.waiting, func(w *task) bool { return w == t })
 	case t == nil && m.orphans[k.task] == nil:
 		m.orphans[k.task] = r
 	default:
-		m.stop(now, r)
+		m.stop(now, r, "")
 	}
 }
 
 // attach gives a run that was found to its task.
-func (r *run) attach(t *task) {
+func (m *Machine) attach(now time.Time, r *run, t *task) {
 	r.task, r.size, r.orphanUntil = t, t.step().Size, time.Time{}
 	r.node.used = r.node.used.Plus(r.size)
 	t.run, t.number = r, max(t.number, r.key.run)
 	t.job.begun = true
+	t.job.note(now, r)
 }
 
 // foundDone takes in that a run which this ownership did not start has done its
@@ -299,7 +302,7 @@
 	}
 	if r := t.run; r != nil {
 		t.run = nil
-		m.stop(now, r)
+		m.stop(now, r, "an earlier run has done the task")
 	}
 	t.job.begun = true
 	t.job.waiting = slices.DeleteFunc(t.job.waiting, func(w *task) bool { return w == t })
@@ -322,7 +325,8 @@
 
 // stop ends a run. Its task may start elsewhere once the run is known to have
 // ended.
-func (m *Machine) stop(now time.Time, r *run) {
+func (m *Machine) stop(now time.Time, r *run, reason string) {
+	r.noteEnd(now, reason)
 	r.state, r.barred = stopping, time.Time{}
 	if m.orphans[r.key.task] == r {
 		delete(m.orphans, r.key.task)
@@ -348,6 +352,7 @@
 	if t == nil {
 		return
 	}
+	r.noteEnd(now, string(how))
 	if how == worker.Done {
 		n.pace.learn(now.Sub(r.sent), t.estimate())
 	}
@@ -422,9 +427,9 @@
 	for _, r := range n.sortedRuns() {
 		switch {
 		case r.state == stopping && r.barred.IsZero() && !now.Before(r.nextStop):
-			m.stop(now, r)
+			m.stop(now, r, "")
 		case r.task == nil && r.state != stopping && now.After(r.orphanUntil):
-			m.stop(now, r)
+			m.stop(now, r, "")
 		case r.state == atWork && r.task != nil && m.overdue(now, n, r):
 			r.checkAt = now.Add(checkPause)
 			check = true
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -246,6 +246,7 @@
 	n.used = n.used.Plus(r.size)
 	t.run = r
 	t.job.begun = true
+	t.job.note(now, r)
 	m.judge.Started(now, n.ID)
 	if m.cores == 0 {
 		m.cores = float64(r.size.Cores)
--- /dev/null
+++ b/dispatch/record.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/worker"
+)
+
+// maxRecordedRuns bounds the runs in the record of one job.
+const maxRecordedRuns = 64
+
+// Record tells how a submission went, for the log.
+type Record struct {
+	Job    work.ID
+	Host   ident.Host
+	Call   uint64
+	Result Result
+	Reason string
+	// Waited is the time from the caller's request to the submission, Took that
+	// from the submission to its end.
+	Waited, Took time.Duration
+	// Objective is when the caller expects the answer, after its request.
+	Objective time.Duration
+	// Waiting is the number of tasks that had not started at the end.
+	Waiting int
+	Runs    []RunRecord
+	// Omitted is the number of runs that are left out.
+	Omitted int
+}
+
+// RunRecord tells how one run went.
+type RunRecord struct {
+	Step, Index int
+	Run         work.Run
+	Worker      worker.ID
+	// Started and Ended are times after the submission. Ended is zero if the run
+	// had not ended when the job did.
+	Started, Ended time.Duration
+	How            string
+}
+
+// note adds a run to the record of its job.
+func (j *job) note(now time.Time, r *run) {
+	if len(j.record.Runs) == maxRecordedRuns {
+		j.record.Omitted++
+		return
+	}
+	r.recorded = len(j.record.Runs) + 1
+	j.record.Runs = append(j.record.Runs, RunRecord{
+		Step: r.task.name.Step, Index: r.task.name.Index, Run: r.key.run, Worker: r.node.ID, Started: now.Sub(j.submitted),
+	})
+}
+
+// noteEnd adds to the record how a run ended, or why it is being stopped.
+func (r *run) noteEnd(now time.Time, how string) {
+	if r.task == nil || r.recorded == 0 || !r.task.job.live {
+		return
+	}
+	x := &r.task.job.record.Runs[r.recorded-1]
+	if x.How == "" {
+		x.How = how
+	}
+	x.Ended = now.Sub(r.task.job.submitted)
+}
+
+// close emits the record of a submission that has ended.
+func (m *Machine) close(now time.Time, j *job, r Result, reason string) {
+	j.record.Result, j.record.Reason = r, reason
+	j.record.Took = now.Sub(j.submitted)
+	j.record.Waiting = len(j.waiting)
+	m.actions.Records = append(m.actions.Records, j.record)
+}
--- a/dispatch/straggler.go
+++ b/dispatch/straggler.go
@@ -55,7 +55,7 @@
 	if percent <= 0 {
 		if now.Add(restartTime + r.task.estimate()).Before(r.task.job.deadline) {
 			m.judge.Failed(now, n.ID)
-			m.stop(now, r)
+			m.stop(now, r, "it has not begun to work")
 		}
 		return
 	}
@@ -67,6 +67,6 @@
 	total := elapsed * 100 / time.Duration(percent)
 	if float64(total-elapsed) > restartGain*float64(again) && now.Add(again).Before(r.task.job.deadline) {
 		n.pace.learn(total, r.task.estimate())
-		m.stop(now, r)
+		m.stop(now, r, "another worker is faster")
 	}
 }
--- /dev/null
+++ b/fleet/linewriter.go
@@ -0,0 +1,89 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+// logOutput is where the log goes.
+type logOutput io.Writer
+
+const (
+	// lineBuffer is the number of log lines that wait for the output. Under a
+	// burst, a host writes some hundred a second.
+	lineBuffer = 2048
+	// omittedInterval is the time between two lines that count what was left
+	// out.
+	omittedInterval = time.Second
+	// flushTime bounds the time for the last lines at the end.
+	flushTime = 200 * time.Millisecond
+)
+
+// lineWriter passes lines on to an output that may block. Lines that do not fit
+// into its buffer are counted and left out.
+type lineWriter struct {
+	output  io.Writer
+	lines   chan []byte
+	omitted atomic.Int64
+}
+
+func newLineWriter(output io.Writer) *lineWriter {
+	return &lineWriter{output: output, lines: make(chan []byte, lineBuffer)}
+}
+
+// Write implements io.Writer. It never blocks.
+func (w *lineWriter) Write(p []byte) (int, error) {
+	select {
+	case w.lines <- bytes.Clone(p):
+	default:
+		w.omitted.Add(1)
+	}
+	return len(p), nil
+}
+
+// run writes the lines until ctx ends, and then those that are left.
+func (w *lineWriter) run(ctx context.Context) {
+	last := time.Now()
+	for {
+		select {
+		case line := <-w.lines:
+			w.emit(line)
+		case <-ctx.Done():
+			w.flush()
+			return
+		}
+		if now := time.Now(); now.Sub(last) >= omittedInterval {
+			last = now
+			w.report(now)
+		}
+	}
+}
+
+// flush writes what is left.
+func (w *lineWriter) flush() {
+	end := time.Now().Add(flushTime)
+	for time.Now().Before(end) {
+		select {
+		case line := <-w.lines:
+			w.emit(line)
+		default:
+			w.report(time.Now())
+			return
+		}
+	}
+}
+
+// report writes how many lines were left out.
+func (w *lineWriter) report(now time.Time) {
+	if n := w.omitted.Swap(0); n > 0 {
+		w.emit(fmt.Appendf(nil, "{\"fields\":{\"count\":%d},\"level\":\"warn\",\"timestamp\":%q,\"message\":\"log lines left out\"}\n",
+			n, now.UTC().Format(time.RFC3339Nano)))
+	}
+}
+
+// emit writes one line. An output that fails can not be told of in the log.
+func (w *lineWriter) emit(line []byte) { _, _ = w.output.Write(line) }
--- a/fleet/log.go
+++ b/fleet/log.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"expvar"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -19,13 +18,15 @@
 	"github.com/catkingap/catkingap/peer"
 )
 
-// newLogger returns a logger of JSON lines.
-func newLogger(w io.Writer, s Settings) (log.Interface, error) {
+// newLogger returns a logger of JSON lines that never waits for its output.
+func newLogger(life fx.Lifecycle, o logOutput, s Settings) (log.Interface, error) {
 	level, err := log.ParseLevel(s.LogLevel)
 	if err != nil {
 		return nil, err
 	}
-	logger := &log.Logger{Handler: json.New(w), Level: level}
+	lines := newLineWriter(o)
+	background(life, lines.run)
+	logger := &log.Logger{Handler: json.New(lines), Level: level}
 	return logger.WithField("host", string(s.Host)), nil
 }
 
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -113,6 +114,9 @@
 		w.reply(r)
 	}
 	w.mutex.Unlock()
+	for i := range actions.Records {
+		w.record(&actions.Records[i])
+	}
 	if w.ctx.Err() != nil {
 		return
 	}
@@ -127,6 +131,20 @@
 	}
 }
 
+// record logs how a submission went: each run with its task, worker and times.
+func (w *Owner) record(r *dispatch.Record) {
+	runs := make([]string, 0, len(r.Runs))
+	for _, x := range r.Runs {
+		runs = append(runs, fmt.Sprintf("%d.%d#%d %s %d+%d %s", x.Step, x.Index, x.Run, x.Worker,
+			x.Started.Milliseconds(), max(0, x.Ended-x.Started).Milliseconds(), x.How))
+	}
+	w.logger.WithFields(log.Fields{
+		"job": string(r.Job), "peer": string(r.Host), "call": r.Call, "result": string(r.Result), "reason": r.Reason,
+		"waitedMs": r.Waited.Milliseconds(), "tookMs": r.Took.Milliseconds(), "objectiveMs": r.Objective.Milliseconds(),
+		"waitingTasks": r.Waiting, "runs": runs, "omittedRuns": r.Omitted,
+	}).Info("job dispatched")
+}
+
 // reply hands a reply to its waiting submission. The caller holds the mutex.
 func (w *Owner) reply(r dispatch.Reply) {
 	k := caller{host: r.Host, call: r.Call}
