Judge stragglers against the other tasks of their job

What other tasks of the job took over their expected time now scales what a new run would take; without any, twice. The load of the fleet's tests has tasks of 2 s now; with the silence of hosts switched off, TestCalmLoad and two of TestFaults fail.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -27,7 +27,11 @@
 	// begun is true once a start was sent for any task.
 	begun     bool
 	submitted time.Time
-	record    Record
+	// ends counts the runs that were done, and ratios adds up how many times
+	// their expected time they took.
+	ends   int
+	ratios float64
+	record Record
 	// queued is true while the job is in the queue.
 	queued bool
 	// again is true if something of the job may have started under an earlier
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -354,6 +354,10 @@
 	}
 	r.noteEnd(now, string(how))
 	if how == worker.Done {
+		if expected := m.expected(n, t); expected > 0 {
+			t.job.ends++
+			t.job.ratios += float64(now.Sub(r.sent)) / float64(expected)
+		}
 		n.pace.learn(now.Sub(r.sent), t.estimate())
 	}
 	m.judgeEnd(now, n, t, how)
--- a/dispatch/straggler.go
+++ b/dispatch/straggler.go
@@ -19,6 +19,9 @@
 	checkPause = 100 * time.Millisecond
 	// restartTime is what it takes to stop a run and start it elsewhere.
 	restartTime = 40 * time.Millisecond
+	// doubt is how many times its estimate a task may take as long as no other
+	// task of its job has shown how far the estimate is off.
+	doubt = 2
 	// restartGain is how many times sooner than the run at work a new one must
 	// be done: what has been done of the work is lost.
 	restartGain = 1.5
@@ -41,6 +44,14 @@
 	return scaled(m.expected(n, r.task), overdueFactor) + overdueTime
 }
 
+// offBy returns how many times their expected time the tasks of a job take.
+func (j *job) offBy() float64 {
+	if j.ends == 0 {
+		return doubt
+	}
+	return max(1, j.ratios/float64(j.ends))
+}
+
 // scaled returns d times x.
 func scaled(d time.Duration, x float64) time.Duration { return time.Duration(x * float64(d)) }
 
@@ -63,7 +74,7 @@
 	if other == nil || len(m.queue) > 0 {
 		return
 	}
-	again := m.expected(other, r.task) + restartTime
+	again := scaled(m.expected(other, r.task), r.task.job.offBy()) + restartTime
 	total := elapsed * 100 / time.Duration(percent)
 	if float64(total-elapsed) > restartGain*float64(again) && now.Add(again).Before(r.task.job.deadline) {
 		n.pace.learn(total, r.task.estimate())
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -175,7 +175,11 @@
 	for n := 0; time.Now().Before(end); n++ {
 		time.Sleep(time.Duration(w.random.ExpFloat64() * float64(time.Second) / float64(perSecond)))
 		ms, tasks := 60, 1+w.random.IntN(8)
-		if n%4 != 0 {
+		switch {
+		case n%20 == 1:
+			// Longer than the time after which callers send a job again.
+			ms, tasks = 2000, 1+w.random.IntN(2)
+		case n%4 != 0:
 			ms, tasks = 200, 1+w.random.IntN(3)
 		}
 		j := work.Job{
@@ -183,7 +187,7 @@
 			Steps: []work.Step{{Count: tasks, Size: work.Size{Cores: coresOfTask, Memory: 64}, Estimate: time.Duration(ms) * time.Millisecond}},
 		}
 		m := w.living()
-		open.Go(func() { w.call(m, j, 2*time.Second) })
+		open.Go(func() { w.call(m, j, 2*time.Second+3*time.Duration(ms)*time.Millisecond) })
 	}
 	open.Wait()
 }
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -46,6 +46,8 @@
 	task  string
 	run   int
 	cores int
+	begun time.Time
+	took  time.Duration
 	timer *time.Timer
 }
 
@@ -185,7 +187,8 @@
 		w.refuse(rw, "room")
 		return
 	}
-	x := &workerRun{task: o.Task, run: o.Run, cores: cores}
+	took = time.Duration(float64(took) / w.config.Speed)
+	x := &workerRun{task: o.Task, run: o.Run, cores: cores, begun: time.Now(), took: took}
 	w.running[o.Task] = x
 	w.used += cores
 	w.config.Judge.start(o.Task)
@@ -193,7 +196,7 @@
 	if w.Faults.mode() == FailAll {
 		how = "failed"
 	}
-	x.timer = time.AfterFunc(time.Duration(float64(took)/w.config.Speed), func() {
+	x.timer = time.AfterFunc(took, func() {
 		w.mutex.Lock()
 		defer w.mutex.Unlock()
 		w.expire()
@@ -241,7 +244,8 @@
 	defer w.mutex.Unlock()
 	running, ended := [][]any{}, [][]any{}
 	for _, x := range w.running {
-		running = append(running, []any{x.task, x.run, "", 0, x.cores})
+		percent := int(100 * time.Since(x.begun) / x.took)
+		running = append(running, []any{x.task, x.run, "", percent, x.cores})
 	}
 	for _, e := range w.ended {
 		ended = append(ended, []any{e.number, e.task, e.run, e.how, ""})
