End a shutdown with the last open job, and take ownerships sooner after a start

A host now takes jobs that can end before it is killed and leaves with the last open one; a caller after that finds no listener. Jobs that are turned away are logged with the reason.

--- a/cmd/servecmd.go
+++ b/cmd/servecmd.go
@@ -27,6 +27,8 @@
 	// tableConnections bounds the idle connections to the platform's table: two
 	// feeds, the list of workers and a write.
 	tableConnections = 4
+	// lastAnswers bounds the time for the last answers to leave.
+	lastAnswers = 200 * time.Millisecond
 	// memoryShare is the share of the host's memory at which the collector of
 	// garbage works harder.
 	memoryShare = 0.6
@@ -77,7 +79,7 @@
 	}
 	ingress := platform.NewIngress(platform.IngressConfig{
 		Dispatcher: submitter, Queues: configuration.Table,
-		Ready: shutdown.Ready, Closing: shutdown.Closing, Refusing: shutdown.Refusing,
+		Ready: shutdown.Ready, Closing: shutdown.Closing, Refusing: shutdown.Refusing, Turned: submitter.Turned,
 	})
 	callers, err := c.serveHTTP(s.CallerAddress, ingress.Handler())
 	if err != nil {
@@ -89,8 +91,13 @@
 	}
 	<-signals
 	shutdown.Run(ctx)
+	// What is open is answered; connections without a request are closed.
+	last, cancel := context.WithTimeout(ctx, lastAnswers)
+	defer cancel()
+	if err := callers.Shutdown(last); err != nil {
+		_ = callers.Close()
+	}
 	_ = looks.Close()
-	_ = callers.Close()
 	return app.Stop(ctx)
 }
 
--- a/fleet/shutdown.go
+++ b/fleet/shutdown.go
@@ -18,17 +18,21 @@
 	logger        log.Interface
 	leaving       atomic.Bool
 	closing       atomic.Bool
-	refusing      atomic.Bool
+	// end is when the shutdown ends, in nanoseconds since 1970, or zero.
+	end atomic.Int64
 }
 
 const (
 	// unreadyTime is how long a host that leaves goes on taking connections: the
 	// balancer looks every second and needs two looks.
 	unreadyTime = 2500 * time.Millisecond
-	// refuseTime is how long before the end of a shutdown new jobs are refused.
-	refuseTime = 1200 * time.Millisecond
-	// lastAnswers is the time for the last answers to leave.
-	lastAnswers = 100 * time.Millisecond
+	// finishFactor and finishTime bound how much longer than estimated a job may
+	// take that is accepted while the host shuts down.
+	finishFactor = 1.5
+	finishTime   = 200 * time.Millisecond
+	// quietExit is the time without a job after which a host that shuts down
+	// ends. Callers that still come find no listener and go elsewhere.
+	quietExit = 10 * time.Millisecond
 )
 
 func newShutdown(s Settings, c *Contacts, o *Owners, submitter *Submitter, configuration *Configuration, l log.Interface) *Shutdown {
@@ -43,28 +47,28 @@
 // Closing returns true if connections should be closed after their answer.
 func (s *Shutdown) Closing() bool { return s.closing.Load() }
 
-// Refusing returns true if no more work may be taken.
-func (s *Shutdown) Refusing() bool { return s.refusing.Load() }
+// Refusing returns true if a job with an estimated run time can not be done
+// before the host has shut down.
+func (s *Shutdown) Refusing(now time.Time, estimate time.Duration) bool {
+	end := s.end.Load()
+	return end != 0 && now.Add(time.Duration(finishFactor*float64(estimate))+finishTime).After(time.Unix(0, end))
+}
 
 // Run leaves the fleet: other hosts take what this one owns, callers go to
 // other hosts, and what is open is answered.
 func (s *Shutdown) Run(ctx context.Context) {
-	begun := time.Now()
+	end := time.Now().Add(s.settings.ShutdownTimeout)
+	s.end.Store(end.UnixNano())
 	s.leaving.Store(true)
 	s.contacts.Leave()
 	s.logger.WithField("open", s.submitter.Open()).Info("shutdown begun")
 	pause(ctx, unreadyTime)
 	s.closing.Store(true)
-	end := begun.Add(s.settings.ShutdownTimeout)
-	for time.Now().Before(end) && ctx.Err() == nil {
-		if time.Until(end) < refuseTime {
-			s.refusing.Store(true)
-		}
-		if s.refusing.Load() && s.submitter.Open() == 0 && s.owners.idle() {
+	for now := time.Now(); now.Before(end) && ctx.Err() == nil; now = time.Now() {
+		if s.submitter.Quiet(now) >= quietExit && s.owners.idle() {
 			break
 		}
 		pause(ctx, retryPause)
 	}
 	s.logger.WithField("open", s.submitter.Open()).Info("shutdown ends")
-	pause(ctx, lastAnswers)
 }
--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -46,6 +46,8 @@
 	open      atomic.Int64
 	// owned is when an owner was last known, in nanoseconds since 1970.
 	owned atomic.Int64
+	// last is when the last job ended, in nanoseconds since 1970.
+	last atomic.Int64
 }
 
 func newSubmitter(self ownership.Host, l *peer.Links, d *Directory, c *Contacts, o *Owners, counters *Counters, logger log.Interface) *Submitter {
@@ -86,7 +88,10 @@
 // does, which means that the caller has left.
 func (s *Submitter) Submit(ctx context.Context, j work.Job, arrived, deadline time.Time) dispatch.Reply {
 	s.open.Add(1)
-	defer s.open.Add(-1)
+	defer func() {
+		s.last.Store(time.Now().UnixNano())
+		s.open.Add(-1)
+	}()
 	a := &attempt{job: j, call: s.calls.Add(1), arrived: arrived, deadline: deadline, tried: map[ident.DataCentre]bool{}}
 	r := s.run(ctx, a)
 	took := time.Since(arrived)
@@ -99,6 +104,20 @@
 	return r
 }
 
+// Turned logs a job that was turned away before it was handed in.
+func (s *Submitter) Turned(id work.ID, status int, reason string) {
+	s.counters.results.Add("turned", 1)
+	s.logger.WithFields(log.Fields{"job": string(id), "status": status, "reason": reason}).Info("job turned away")
+}
+
+// Quiet returns how long there has been no job.
+func (s *Submitter) Quiet(now time.Time) time.Duration {
+	if s.open.Load() > 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, s.last.Load()))
+}
+
 // Open returns the number of jobs that wait for their end.
 func (s *Submitter) Open() int { return int(s.open.Load()) }
 
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -137,10 +137,9 @@
 // vacantSince returns since when a data centre has no owner, and false if it has
 // one.
 func (v *View) vacantSince(now time.Time, d ident.DataCentre) (time.Time, bool) {
-	settled := v.Started.Add(settleTime)
 	o, ok := v.Owners[d]
 	if !ok {
-		return settled, true
+		return v.Started.Add(settleTime), true
 	}
 	if o.Host == v.Self.Name {
 		return v.Started, o.Boot != v.Self.Boot
@@ -155,11 +154,7 @@
 	case current && c.Leaving:
 		return c.Heard, true
 	}
-	lost := latest(c.Heard, learned).Add(Silence)
-	if !heard {
-		lost = latest(lost, settled.Add(Silence))
-	}
-	lost = latest(lost, settled)
+	lost := latest(v.Started, latest(c.Heard, learned)).Add(Silence)
 	return lost, !now.Before(lost)
 }
 
