Refuse at once what has waited until its answer is of no use

Jobs of which nothing has run are refused as soon as not even the fastest worker could give an answer of use, and started after those that can still be answered in time or a little late. The expected wait of a new job comes from the cores that come free within the mean run time.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -153,6 +153,8 @@
 	open time.Time
 	// lossyUntil is until when answers to orders are expected to get lost.
 	lossyUntil time.Time
+	// meanRun is the mean run time of recent tasks, weighted by their cores.
+	meanRun time.Duration
 	// cores is the mean of the cores of recent tasks.
 	cores float64
 	// stopped is true once the ownership has ended.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -224,6 +224,16 @@
 	m.drop(now, j)
 }
 
+// giveUp refuses a job that has waited too long.
+func (m *Machine) giveUp(now time.Time, j *job) {
+	wait, _ := m.expectedWait(now, j)
+	m.close(now, j, Refused, "it waited too long")
+	m.actions.Replies = append(m.actions.Replies, Reply{
+		Host: j.host, Call: j.call, Job: j.spec.ID, Result: Refused, Reason: "it waited too long", RetryAfter: wait, Load: m.Load(now),
+	})
+	m.drop(now, j)
+}
+
 // drop forgets a job and stops its runs.
 func (m *Machine) drop(now time.Time, j *job) {
 	j.live = false
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -359,6 +359,7 @@
 			t.job.ratios += float64(now.Sub(r.sent)) / float64(expected)
 		}
 		n.pace.learn(now.Sub(r.sent), t.estimate())
+		m.learnRun(now.Sub(r.sent), r.size.Cores)
 	}
 	m.judgeEnd(now, n, t, how)
 	if t.run == r {
@@ -367,6 +368,18 @@
 	}
 }
 
+// runWeight is the weight of a task of mean size in the mean run time.
+const runWeight = 0.02
+
+// learnRun takes a run time into the mean.
+func (m *Machine) learnRun(took time.Duration, cores int) {
+	if m.meanRun == 0 || m.cores == 0 {
+		m.meanRun = took
+		return
+	}
+	m.meanRun += time.Duration(min(1, runWeight*float64(cores)/m.cores) * float64(took-m.meanRun))
+}
+
 // judgeEnd records what an end says about the worker.
 func (m *Machine) judgeEnd(now time.Time, n *node, t *task, how worker.How) {
 	switch {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -116,15 +116,39 @@
 	}
 }
 
+// hope tells what starting a job now can still achieve.
+type hope int
+
+const (
+	// onTime means that the objective can be met.
+	onTime hope = iota
+	// late means that the answer can still be of use.
+	late
+	// useless means that the answer comes too late to be of use.
+	useless
+
+	hopes = 3
+)
+
 // startQueued starts tasks in the order of the queue: first those of jobs that
-// can still meet their objective, then the late ones.
+// can still meet their objective, then the late ones, and last the
+// rest of those whose answer comes too late to be of use. Load: bursts beyond the
+// room of all workers, which would otherwise make all jobs late.
 func (m *Machine) startQueued(now time.Time) {
 	fastest := m.fastest(now)
-	for _, late := range []bool{false, true} {
-		for _, j := range m.queue {
-			if j.late(now, fastest) == late {
-				m.startJob(now, j, late)
+	var byHope [hopes][]*job
+	for _, j := range m.queue {
+		h := j.hope(now, fastest)
+		byHope[h] = append(byHope[h], j)
+	}
+	for h, jobs := range byHope {
+		for _, j := range jobs {
+			if hope(h) == useless && !j.begun {
+				// Nothing has run: the caller is told at once to come back.
+				m.giveUp(now, j)
+				continue
 			}
+			m.startJob(now, j, hope(h) != onTime)
 		}
 	}
 	m.queue = slices.DeleteFunc(m.queue, func(j *job) bool {
@@ -145,18 +169,30 @@
 	return best
 }
 
-// late returns true if not even the fastest worker could meet the objective.
-func (j *job) late(now time.Time, fastest pace) bool {
-	return now.Add(fastest.scale(j.spec.Chain())).After(j.objective)
+// hope returns what the fastest worker could still achieve.
+func (j *job) hope(now time.Time, fastest pace) hope {
+	end := now.Add(fastest.scale(j.spec.Chain()))
+	switch {
+	case !end.After(j.objective):
+		return onTime
+	case !end.After(j.useless()):
+		return late
+	}
+	return useless
 }
 
-func (m *Machine) startJob(now time.Time, j *job, late bool) {
+// useless returns when the answer is of no more use to the caller.
+func (j *job) useless() time.Time {
+	return j.objective.Add((uselessFactor - 1) * j.spec.Objective())
+}
+
+func (m *Machine) startJob(now time.Time, j *job, anyWorker bool) {
 	if m.lingers(j.spec.ID) || !m.opened(now, j) {
 		return
 	}
 	kept := j.waiting[:0]
 	for _, t := range j.waiting {
-		n := m.choose(now, t, late)
+		n := m.choose(now, t, anyWorker)
 		if n == nil {
 			kept = append(kept, t)
 			continue
@@ -170,7 +206,7 @@
 // for a faster worker as long as that can still meet the objective. Of those
 // that meet it, the slowest with a margin is taken, so that fast ones are left
 // for long tasks; among equals the one with the least room left.
-func (m *Machine) choose(now time.Time, t *task, late bool) *node {
+func (m *Machine) choose(now time.Time, t *task, anyWorker bool) *node {
 	var best *node
 	var bestScore placeScore
 	size := t.step().Size
@@ -180,12 +216,12 @@
 			continue
 		}
 		expected := m.expected(n, t)
-		if !late && expected > left {
+		if !anyWorker && expected > left {
 			continue
 		}
 		score := placeScore{
 			failed:   slices.Contains(t.failed, n.ID),
-			spare:    !late && scaled(expected, paceMargin) <= left,
+			spare:    !anyWorker && scaled(expected, paceMargin) <= left,
 			expected: expected,
 			room:     n.Capacity.Cores - n.used.Cores - size.Cores,
 		}
@@ -308,50 +344,50 @@
 	if !final {
 		return "there is no room at once", wait
 	}
-	useless := j.objective.Add((uselessFactor - 1) * j.spec.Objective())
-	if j.deadline.Before(useless) {
-		useless = j.deadline
-	}
-	if now.Add(wait + j.spec.Chain()).After(useless) {
+	end := now.Add(wait + j.spec.Chain())
+	if end.After(j.useless()) || end.After(j.deadline) {
 		return "the work ahead takes too long", wait
 	}
 	return "", 0
 }
 
-// expectedWait returns how long the work ahead of a job takes, and true if
-// there is none and all tasks of the first steps have room.
+// expectedWait returns how long it takes until the first step of a job has
+// room, and true if it has room at once.
 func (m *Machine) expectedWait(now time.Time, j *job) (time.Duration, bool) {
-	var ahead, capacity float64
+	first := j.spec.Steps[0]
+	ahead := 0
 	for _, q := range m.queue {
 		if compareJobs(q, j) < 0 {
-			ahead += q.waitingWork()
+			ahead += q.waitingCores()
 		}
 	}
-	room := 0
+	room, free, used := 0, 0, 0
 	for _, n := range m.ordered {
 		if !n.listed || n.Pool != j.spec.Pool {
 			continue
 		}
-		capacity += float64(n.Capacity.Cores)
+		used += n.used.Cores
 		if m.usable(now, n) {
-			room += n.roomFor(j.spec.Steps[0].Size)
+			room += n.roomFor(first.Size)
+			free += n.Capacity.Cores - n.used.Cores
 		}
 	}
-	if ahead == 0 && room >= j.spec.Steps[0].Count && m.opened(now, j) {
+	if ahead == 0 && room >= first.Count && m.opened(now, j) {
 		return 0, true
 	}
-	if capacity == 0 {
+	// The cores at work come free within the mean run time.
+	needed := ahead + first.Count*first.Size.Cores - free
+	if used == 0 || needed <= 0 {
 		return 0, false
 	}
-	return time.Duration(ahead / capacity), false
+	return time.Duration(float64(needed) / float64(used) * float64(m.meanRun)), false
 }
 
-// waitingWork returns the work that waits, in thousandths of a core times
-// nanoseconds.
-func (j *job) waitingWork() float64 {
-	total := 0.0
+// waitingCores returns the cores of the tasks that wait.
+func (j *job) waitingCores() int {
+	total := 0
 	for _, t := range j.waiting {
-		total += float64(t.estimate()) * float64(t.step().Size.Cores)
+		total += t.step().Size.Cores
 	}
 	return total
 }
