Tell one job's story from the logs of several hosts

catkingap story JOB LOG... prints the lines of a job and its tasks over all logs in order of time, with what happened to hosts, ownerships and dependencies around it. settings check reads the platform's settings too.

--- a/cmd/config.go
+++ b/cmd/config.go
@@ -85,6 +85,7 @@
 		c.newServeCmd(),
 		c.newSettingsCmd(),
 		c.newStandinCmd(),
+		c.newStoryCmd(),
 		c.newSubmitCmd(),
 		c.newTimelineCmd(),
 		c.newVersionCmd(),
--- a/cmd/settingscmd.go
+++ b/cmd/settingscmd.go
@@ -2,13 +2,18 @@
 
 import (
 	"fmt"
+	"path/filepath"
 
 	"github.com/goccy/go-yaml"
 	"github.com/spf13/cobra"
 
+	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/settings"
 )
 
+// platformExtension is that of settings files which the users' platform writes.
+const platformExtension = ".toml"
+
 func (c *Config) newSettingsCmd() *cobra.Command {
 	command := &cobra.Command{
 		Use:   "settings",
@@ -40,7 +45,11 @@
 }
 
 func (c *Config) runSettingsCheckCmd(file string) error {
-	if _, err := settings.Load(file); err != nil {
+	load := func() error { _, err := settings.Load(file); return err }
+	if filepath.Ext(file) == platformExtension {
+		load = func() error { _, err := platform.LoadSettings(file); return err }
+	}
+	if err := load(); err != nil {
 		return &usageError{err}
 	}
 	_, err := fmt.Fprintf(c.stdout, "%s: ok\n", file)
--- /dev/null
+++ b/cmd/storycmd.go
@@ -0,0 +1,129 @@
+package cmd
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+)
+
+// storyMargin is how long before and after a job the lines about hosts,
+// ownerships and dependencies belong to its story.
+const storyMargin = 2 * time.Second
+
+// maxLogLine bounds the length of one log line in bytes.
+const maxLogLine = 1 << 20
+
+func (c *Config) newStoryCmd() *cobra.Command {
+	return &cobra.Command{
+		Use:   "story JOB LOG...",
+		Short: "Print what the logs of several hosts say about one job",
+		Long: "Print what the logs of several hosts say about one job, in order of time, " +
+			"and what they say about hosts, ownerships and dependencies around it. A line may have text before its JSON.",
+		Args: cobra.MinimumNArgs(2),
+		RunE: func(_ *cobra.Command, args []string) error { return c.runStoryCmd(args[0], args[1:]) },
+	}
+}
+
+// logLine is one line of a log.
+type logLine struct {
+	Time    time.Time      `json:"timestamp"`
+	Level   string         `json:"level"`
+	Message string         `json:"message"`
+	Fields  map[string]any `json:"fields"`
+}
+
+// of returns true if the line names a job or one of its tasks.
+func (l *logLine) of(job string) bool {
+	task, _ := l.Fields["task"].(string)
+	return l.Fields["job"] == job || (len(task) > len(job) && task[:len(job)+1] == job+".")
+}
+
+// general returns true if the line is about more than one job.
+func (l *logLine) general() bool {
+	return l.Fields["job"] == nil && l.Fields["task"] == nil && l.Fields["order"] == nil
+}
+
+func (c *Config) runStoryCmd(job string, files []string) error {
+	var lines []logLine
+	for _, f := range files {
+		read, err := readLog(f)
+		if err != nil {
+			return &usageError{err}
+		}
+		lines = append(lines, read...)
+	}
+	slices.SortStableFunc(lines, func(a, b logLine) int { return a.Time.Compare(b.Time) })
+	first := slices.IndexFunc(lines, func(l logLine) bool { return l.of(job) })
+	if first < 0 {
+		return errors.Newf("no line names the job %s", job)
+	}
+	last := first
+	for i := range lines {
+		if lines[i].of(job) {
+			last = i
+		}
+	}
+	from, to := lines[first].Time.Add(-storyMargin), lines[last].Time.Add(storyMargin)
+	for i := range lines {
+		l := &lines[i]
+		if l.of(job) || (l.general() && l.Time.After(from) && l.Time.Before(to)) {
+			if err := l.print(c.stdout); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// print writes the line as text, with its fields in order of their names.
+func (l *logLine) print(w io.Writer) error {
+	host, _ := l.Fields["host"].(string)
+	if _, err := fmt.Fprintf(w, "%s %-5s %s: %s", l.Time.Format("15:04:05.000"), l.Level, host, l.Message); err != nil {
+		return err
+	}
+	names := make([]string, 0, len(l.Fields))
+	for n := range l.Fields {
+		if n != "host" && n != "source" {
+			names = append(names, n)
+		}
+	}
+	slices.Sort(names)
+	for _, n := range names {
+		if _, err := fmt.Fprintf(w, " %s=%v", n, l.Fields[n]); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintln(w)
+	return err
+}
+
+// readLog reads the lines of a log. Lines that are not JSON are left out.
+func readLog(file string) ([]logLine, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	var lines []logLine
+	scanner := bufio.NewScanner(f)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		_, text, found := bytes.Cut(scanner.Bytes(), []byte("{"))
+		if !found {
+			continue
+		}
+		var l logLine
+		if json.Unmarshal(append([]byte("{"), text...), &l) == nil && !l.Time.IsZero() {
+			lines = append(lines, l)
+		}
+	}
+	return lines, errors.Wrap(scanner.Err(), file)
+}
