Put failures on failing workers down to the workers

Cause: with a third of the workers failing all that they start, tasks with two attempts used them up on two such workers before these were ejected. A worker on which the last two jobs failed is suspect: what fails there does not count against the job (at most twice a task), and a task that has failed goes to workers whose last run was done.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -299,3 +300,42 @@
 		})
 	}
 }
+
+// TestFailingWorkers has some workers fail all that they start: what fails on
+// them does not use up the attempts of jobs.
+func TestFailingWorkers(t *testing.T) {
+	is := is.New(t)
+	bad := map[worker.ID]bool{"w1": true, "w3": true, "w5": true}
+	m := openMachine("w1", "w2", "w3", "w4", "w5", "w6")
+	numbers := map[worker.ID]worker.EndNumber{}
+	results := map[dispatch.Result]int{}
+	for i := range 60 {
+		now := at(10 + 20*i)
+		m.Submit(now, submission(work.ID(fmt.Sprintf("j%d", i)), uint64(i), 6))
+		for step := 0; step < 10; step++ {
+			now = now.Add(time.Millisecond)
+			a := m.Take()
+			for _, r := range a.Replies {
+				results[r.Result]++
+			}
+			ends := map[worker.ID][]worker.Ended{}
+			for _, s := range a.Starts {
+				m.Started(now, s, worker.Answer{Verdict: worker.Accepted, Clock: worker.Clock(now.Sub(begin).Milliseconds())})
+				how := worker.Done
+				if bad[s.Worker] {
+					how = worker.Failed
+				}
+				numbers[s.Worker]++
+				ends[s.Worker] = append(ends[s.Worker], worker.Ended{Number: numbers[s.Worker], Task: s.Task.String(), Run: s.Run, How: how})
+			}
+			looks := append(a.Looks, m.Take().Looks...)
+			for _, l := range looks {
+				m.Looked(now, now, l, &worker.Report{Life: 1, Clock: worker.Clock(now.Sub(begin).Milliseconds()), Ended: ends[l.Worker]}, worker.Accepted)
+				delete(ends, l.Worker)
+			}
+			m.Tick(now)
+		}
+	}
+	is.True(results[dispatch.Completed] >= 57)
+	is.True(results[dispatch.Failed] <= 1)
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -49,8 +49,10 @@
 	// run is the run that counts, or nil.
 	run *run
 	// number is the number of the last run.
-	number   work.Run
-	failures int
+	number work.Run
+	// attempts counts the failed runs, failures those that count against the
+	// job.
+	attempts, failures int
 	// failed lists the workers on which the task did not get done.
 	failed []worker.ID
 	done   bool
@@ -182,7 +184,10 @@
 		m.taskDone(now, t)
 		return
 	case worker.Failed:
-		t.failures++
+		t.attempts++
+		if !n.suspect() || t.attempts >= j.spec.Attempts+excused {
+			t.failures++
+		}
 		if t.failures >= max(1, j.spec.Attempts) {
 			m.finish(now, j, Failed, "a task has failed "+string(n.ID))
 			return
@@ -207,6 +212,10 @@
 	}
 }
 
+// excused is how many failed runs of a task are at most put down to its
+// workers: a task that fails everywhere must not be tried for ever.
+const excused = 2
+
 // finish answers a job and stops what still runs of it.
 func (m *Machine) finish(now time.Time, j *job, r Result, reason string) {
 	m.end(now, j, r, reason)
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -80,6 +80,9 @@
 	runs      map[runKey]*run
 	used      work.Size
 	pace      pace
+	// failures counts the failed runs of different jobs in a row.
+	failures   int
+	lastFailed work.ID
 }
 
 // pace is what was learned of how long tasks take on a worker.
@@ -380,8 +383,19 @@
 	m.meanRun += time.Duration(min(1, runWeight*float64(cores)/m.cores) * float64(took-m.meanRun))
 }
 
+// suspect returns true if the last two runs of different jobs on a worker have
+// failed: the fault is then the worker's.
+func (n *node) suspect() bool { return n.failures > 1 }
+
 // judgeEnd records what an end says about the worker.
 func (m *Machine) judgeEnd(now time.Time, n *node, t *task, how worker.How) {
+	switch {
+	case how == worker.Done:
+		n.failures, n.lastFailed = 0, ""
+	case how == worker.Failed && n.lastFailed != t.job.spec.ID:
+		n.failures++
+		n.lastFailed = t.job.spec.ID
+	}
 	switch {
 	case how == worker.Done:
 		m.judge.Answered(n.ID)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -229,7 +229,7 @@
 			continue
 		}
 		score := placeScore{
-			failed:   slices.Contains(t.failed, n.ID),
+			failed:   slices.Contains(t.failed, n.ID) || (t.attempts > 0 && n.failures > 0),
 			spare:    !anyWorker && scaled(expected, paceMargin) <= left,
 			expected: expected,
 			room:     n.Capacity.Cores - n.used.Cores - size.Cores,
@@ -243,6 +243,8 @@
 
 // placeScore compares workers for a task.
 type placeScore struct {
+	// failed is true if the task, or the last one there, has failed on the
+	// worker.
 	failed   bool
 	spare    bool
 	expected time.Duration
