Remove the rows of hosts that are gone for good

Hosts that were replaced left their rows in the platform's table, and every other host went on asking them. The owner of their data centre removes the rows after 10 minutes of silence. TestGoneHost plays it.

--- a/fleet/contacts.go
+++ b/fleet/contacts.go
@@ -71,8 +71,10 @@
 	contacts map[ident.Host]ownership.Contact
 	// asked is when each host last asked this one.
 	asked map[ident.Host]time.Time
-	loops map[string]bool
-	loads map[ident.DataCentre]dispatch.Load
+	// missed is when a host that was never heard was missed first.
+	missed map[ident.Host]time.Time
+	loops  map[string]bool
+	loads  map[ident.DataCentre]dispatch.Load
 	// workers is what the owner of this data centre has said of its workers.
 	workers knownWorkers
 	// awake is since when this process runs without a pause.
@@ -95,6 +97,7 @@
 		self: self, settings: s, links: l, directory: d, configuration: c, logger: logger,
 		contacts: map[ident.Host]ownership.Contact{},
 		asked:    map[ident.Host]time.Time{},
+		missed:   map[ident.Host]time.Time{},
 		loops:    map[string]bool{},
 		loads:    map[ident.DataCentre]dispatch.Load{},
 		awake:    time.Now(),
@@ -164,6 +167,12 @@
 			wait = contactInterval
 		} else {
 			wait = min(2*wait, maxContactPause)
+			if !slices.Contains(c.targets(), address) {
+				c.mutex.Lock()
+				delete(c.loops, address)
+				c.mutex.Unlock()
+				return
+			}
 		}
 		if !pause(ctx, wait) {
 			return
@@ -265,6 +274,23 @@
 	return x, ok
 }
 
+// Known returns when a host was last heard, or first missed if it never was.
+func (c *Contacts) Known(h ident.Host, now time.Time) time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	known := c.contacts[h].Heard
+	if c.asked[h].After(known) {
+		known = c.asked[h]
+	}
+	if !known.IsZero() {
+		return known
+	}
+	if c.missed[h].IsZero() {
+		c.missed[h] = now
+	}
+	return c.missed[h]
+}
+
 // Asked returns when a host last asked this one.
 func (c *Contacts) Asked(h ident.Host) time.Time {
 	c.mutex.Lock()
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -45,9 +45,11 @@
 	view   *storage.View
 	logger log.Interface
 
-	mutex  sync.Mutex
-	hosts  map[ident.Host]ownership.Host
-	owners map[ident.DataCentre]ownership.Owner
+	mutex sync.Mutex
+	hosts map[ident.Host]ownership.Host
+	// revisions are those of the rows of hosts.
+	revisions map[ident.Host]ident.Revision
+	owners    map[ident.DataCentre]ownership.Owner
 	// learned is when each owner became known.
 	learned map[ident.DataCentre]time.Time
 	// stored is the owners' rows as the table has them.
@@ -58,10 +60,11 @@
 func newDirectory(self ownership.Host, t storage.Table, f storage.Feed, l log.Interface) *Directory {
 	return &Directory{
 		self: self, table: t, view: storage.NewView(t, f, hostsGroup), logger: l,
-		hosts:   map[ident.Host]ownership.Host{self.Name: self},
-		owners:  map[ident.DataCentre]ownership.Owner{},
-		learned: map[ident.DataCentre]time.Time{},
-		stored:  map[ident.DataCentre]storage.Row{},
+		hosts:     map[ident.Host]ownership.Host{self.Name: self},
+		revisions: map[ident.Host]ident.Revision{},
+		owners:    map[ident.DataCentre]ownership.Owner{},
+		learned:   map[ident.DataCentre]time.Time{},
+		stored:    map[ident.DataCentre]storage.Row{},
 	}
 }
 
@@ -131,6 +134,7 @@
 				d.logger.WithField("key", key).WithError(err).Error("host row can not be read")
 			} else if h.Name == ident.Host(name) && h.Name != d.self.Name {
 				d.hosts[h.Name] = h
+				d.revisions[h.Name] = r.Revision
 			}
 			continue
 		}
@@ -170,6 +174,23 @@
 	}
 }
 
+// Forget removes the row of a host that has been silent for long, so that those
+// of hosts that were replaced do not add up. A host that returns registers
+// again.
+func (d *Directory) Forget(ctx context.Context, h ownership.Host) error {
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	key := hostPrefix + string(h.Name)
+	d.mutex.Lock()
+	revision := d.revisions[h.Name]
+	delete(d.hosts, h.Name)
+	d.mutex.Unlock()
+	_, err := d.table.Commit(call, []storage.Write{{
+		Conditions: []storage.Condition{{Key: key, Revision: revision}}, Deletes: []string{key},
+	}})
+	return err
+}
+
 // Meet takes in a host, and what it claims to own.
 func (d *Directory) Meet(h ownership.Host, owned []ownership.Owner) {
 	changed := false
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -361,3 +361,22 @@
 	}
 	return s
 }
+
+// TestGoneHost has a host leave for good: its row is removed some time later.
+func TestGoneHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		gone := w.hosts[1]
+		w.kill(gone)
+		time.Sleep(11 * time.Minute)
+		var removed []string
+		for _, r := range w.store.History() {
+			if r.Removed {
+				removed = append(removed, r.Key)
+			}
+		}
+		is.Equal(removed, []string{"host." + gone.name})
+	})
+}
--- a/fleet/owners.go
+++ b/fleet/owners.go
@@ -127,6 +127,28 @@
 		for _, c := range view.Claims(now, centres) {
 			o.claim(ctx, c)
 		}
+		o.tidy(ctx, now, &view)
+	}
+}
+
+// goneTime is how long a host must be silent for its row to be removed. It is
+// far longer than cuts and restarts last.
+const goneTime = 10 * time.Minute
+
+// tidy removes the rows of hosts of this data centre that are gone for good.
+// Only the owner does so.
+func (o *Owners) tidy(ctx context.Context, now time.Time, v *ownership.View) {
+	if o.get(o.self.DataCentre) == nil || v.Isolated(now) {
+		return
+	}
+	for _, h := range v.Hosts {
+		if h.DataCentre != o.self.DataCentre || h.Name == o.self.Name || now.Sub(o.contacts.Known(h.Name, now)) < goneTime {
+			continue
+		}
+		o.logger.WithField("peer", string(h.Name)).Info("row of a host that is gone is removed")
+		if err := o.directory.Forget(ctx, h); err != nil {
+			o.logger.WithField("peer", string(h.Name)).WithError(err).Warn("row of a host not removed")
+		}
 	}
 }
 
