Send hosts only what is new to them in contacts

Each contact carried all owners and, within a data centre, all workers. A host now says which owners and which version of the list it has.

--- a/fleet/contacts.go
+++ b/fleet/contacts.go
@@ -39,6 +39,11 @@
 // contactRequest says who is there.
 type contactRequest struct {
 	Host ownership.Host `msgpack:"host"`
+	// Owners is the sum of the tokens of all owners that the host knows, and
+	// Workers the list of workers that it has of its data centre: what it knows
+	// already is not sent again.
+	Owners  worker.Token `msgpack:"owners"`
+	Workers listVersion  `msgpack:"workers"`
 	// Revision is that of the configuration in force.
 	Revision ident.Revision `msgpack:"revision"`
 	Leaving  bool           `msgpack:"leaving,omitempty"`
@@ -53,8 +58,15 @@
 	Loads    []dispatch.Load   `msgpack:"loads,omitempty"`
 	Others   []ownership.Owner `msgpack:"others,omitempty"`
 	// Workers holds the workers of the asking host's data centre, if the host
-	// that was asked owns them.
+	// that was asked owns them and the list is new to the asking host.
 	Workers []worker.Worker `msgpack:"workers,omitempty"`
+	Version listVersion     `msgpack:"version"`
+}
+
+// listVersion names a version of an owner's list of workers.
+type listVersion struct {
+	Token worker.Token `msgpack:"token"`
+	Count uint64       `msgpack:"count"`
 }
 
 // Contacts keeps in touch with the other hosts that matter to this one: those
@@ -82,12 +94,12 @@
 	leaving bool
 	owned   func() ([]ownership.Owner, []dispatch.Load)
 	// working returns the workers of a data centre that this host owns.
-	working func(ident.DataCentre) []worker.Worker
+	working func(ident.DataCentre) ([]worker.Worker, listVersion)
 }
 
 // knownWorkers are the workers of an owner.
 type knownWorkers struct {
-	token   worker.Token
+	version listVersion
 	workers []worker.Worker
 	heard   time.Time
 }
@@ -102,7 +114,7 @@
 		loads:    map[ident.DataCentre]dispatch.Load{},
 		awake:    time.Now(),
 		owned:    func() ([]ownership.Owner, []dispatch.Load) { return nil, nil },
-		working:  func(ident.DataCentre) []worker.Worker { return nil },
+		working:  func(ident.DataCentre) ([]worker.Worker, listVersion) { return nil, listVersion{} },
 	}
 	peer.Handle(l, kindContact, contacts.answer)
 	return contacts
@@ -186,27 +198,28 @@
 	call, cancel := context.WithTimeout(ctx, contactTimeout)
 	defer cancel()
 	c.mutex.Lock()
-	leaving := c.leaving
+	leaving, known := c.leaving, c.workers.version
 	c.mutex.Unlock()
 	a, err := peer.Call[contactRequest, contactAnswer](call, c.links, address, kindContact, contactRequest{
 		Host: c.self, Revision: c.configuration.Revision(), Leaving: leaving,
+		Owners: tokens(c.directory.Owners()), Workers: known,
 	})
 	if err != nil {
 		return false
 	}
 	c.mutex.Lock()
-	old, known := c.contacts[a.Host.Name]
+	old, met := c.contacts[a.Host.Name]
 	c.contacts[a.Host.Name] = ownership.Contact{Boot: a.Host.Boot, Heard: sent, Leaving: a.Leaving}
 	for i, o := range a.Owned {
 		if i < len(a.Loads) {
 			c.loads[o.DataCentre] = a.Loads[i]
 		}
-		if o.DataCentre == c.self.DataCentre && o.Token >= c.workers.token {
-			c.workers = knownWorkers{token: o.Token, workers: a.Workers, heard: sent}
+		if o.DataCentre == c.self.DataCentre && o.Token >= c.workers.version.Token {
+			c.workers.take(a, sent)
 		}
 	}
 	c.mutex.Unlock()
-	if !known || old.Boot != a.Host.Boot {
+	if !met || old.Boot != a.Host.Boot {
 		c.logger.WithFields(log.Fields{"peer": string(a.Host.Name), "boot": a.Host.Boot}).Info("host met")
 	}
 	c.directory.Meet(a.Host, append(a.Owned, a.Others...))
@@ -225,21 +238,45 @@
 	c.configuration.Heard(r.Host, r.Revision)
 	a := contactAnswer{Host: c.self, Revision: c.configuration.Revision(), Leaving: leaving}
 	a.Owned, a.Loads = c.owned()
-	if slices.ContainsFunc(a.Owned, func(o ownership.Owner) bool { return o.DataCentre == r.Host.DataCentre }) {
-		a.Workers = c.working(r.Host.DataCentre)
+	if workers, version := c.working(r.Host.DataCentre); version.Token != 0 {
+		a.Version = version
+		if version != r.Workers {
+			a.Workers = workers
+		}
 	}
-	for _, o := range c.directory.Owners() {
-		a.Others = append(a.Others, o)
+	if owners := c.directory.Owners(); tokens(owners) != r.Owners {
+		for _, o := range owners {
+			a.Others = append(a.Others, o)
+		}
 	}
 	return a, nil
 }
 
+// tokens returns the sum of the tokens of some owners. Tokens only grow, so
+// that two hosts with the same sum know the same owners, but for rare cases
+// which the next change ends.
+func tokens(owners map[ident.DataCentre]ownership.Owner) worker.Token {
+	var sum worker.Token
+	for _, o := range owners {
+		sum += o.Token
+	}
+	return sum
+}
+
+// take takes in what an owner says of its workers.
+func (k *knownWorkers) take(a contactAnswer, sent time.Time) {
+	if a.Version != k.version {
+		k.version, k.workers = a.Version, a.Workers
+	}
+	k.heard = sent
+}
+
 // Workers returns the workers that an owner had, as it said itself, and true if
 // it can not have got others since then.
 func (c *Contacts) Workers(now time.Time, d ident.DataCentre, before worker.Token) ([]worker.Worker, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if d != c.self.DataCentre || c.workers.token != before {
+	if d != c.self.DataCentre || c.workers.version.Token != before {
 		return nil, false
 	}
 	return c.workers.workers, now.Sub(c.workers.heard) < knownTime
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,6 +63,10 @@
 	machine *dispatch.Machine
 	waiting map[caller]chan dispatch.Reply
 	hosts   map[ident.Host]bool
+	// listed is the list of workers that other hosts are told, and changes
+	// counts its versions.
+	listed  []worker.Worker
+	changes uint64
 }
 
 func newOwner(ctx context.Context, o *Owners, x ownership.Owner, before worker.Token) *Owner {
@@ -211,10 +216,16 @@
 	return w.machine.Load(time.Now())
 }
 
-func (w *Owner) working() []worker.Worker {
+// working returns the workers that may be at work, and the version of the list.
+func (w *Owner) working() ([]worker.Worker, listVersion) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return w.machine.Workers()
+	workers := w.machine.Workers()
+	if w.changes == 0 || !slices.EqualFunc(workers, w.listed, sameWorker) {
+		w.changes++
+		w.listed = workers
+	}
+	return w.listed, listVersion{Token: w.owner.Token, Count: w.changes}
 }
 
 // close ends the ownership: no more orders are given, and the submissions are
--- a/fleet/owners.go
+++ b/fleet/owners.go
@@ -92,11 +92,11 @@
 	}
 	d.OnMove(o.reconcile)
 	c.owned = o.owns
-	c.working = func(d ident.DataCentre) []worker.Worker {
+	c.working = func(d ident.DataCentre) ([]worker.Worker, listVersion) {
 		if x := o.get(d); x != nil {
 			return x.working()
 		}
-		return nil
+		return nil, listVersion{}
 	}
 	peer.Handle(l, kindSubmit, func(ctx context.Context, r submitRequest) (dispatch.Reply, error) {
 		return o.Submit(ctx, r.DataCentre, r.Submission)
