Test draining, configuration and shutdown in virtual time; follow views in one place

No test of our own held these three rules of the platform. A worker that drains gets no start after two seconds, a version is in force on all hosts within two seconds also beside a store that is cut off or has lost its history, a shutdown moves the ownership once and cuts nothing. The loops that follow the table of hosts and the configuration were twins and are one.

--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -87,27 +87,7 @@
 
 // follow reads the configuration from the platform's table.
 func (c *Configuration) follow(ctx context.Context) {
-	lost := false
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, feedWait+storeTimeout)
-		changed, err := c.view.Next(call, feedWait)
-		cancel()
-		if err != nil {
-			if !lost && ctx.Err() == nil {
-				c.logger.WithError(err).Warn("lost the table of the configuration")
-			}
-			lost = true
-			pause(ctx, storePause)
-			continue
-		}
-		if lost {
-			lost = false
-			c.logger.WithField("revision", int64(c.view.Revision())).Info("regained the table of the configuration")
-		}
-		if changed {
-			c.offer()
-		}
-	}
+	followView(ctx, c.view, c.logger, "the table of the configuration", c.offer)
 }
 
 // offer takes in the row of the view.
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -101,14 +101,20 @@
 
 // follow keeps the copy of the rows.
 func (d *Directory) follow(ctx context.Context) {
+	followView(ctx, d.view, d.logger, "the table of hosts", d.take)
+}
+
+// followView keeps a view up to date until ctx ends. It calls changed after each
+// change, and logs when the view is lost and regained.
+func followView(ctx context.Context, v *storage.View, l log.Interface, name string, changed func()) {
 	lost := false
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, feedWait+storeTimeout)
-		changed, err := d.view.Next(call, feedWait)
+		isNew, err := v.Next(call, feedWait)
 		cancel()
 		if err != nil {
 			if !lost && ctx.Err() == nil {
-				d.logger.WithError(err).Warn("lost the table of hosts")
+				l.WithError(err).Warn("lost " + name)
 			}
 			lost = true
 			pause(ctx, storePause)
@@ -116,10 +122,10 @@
 		}
 		if lost {
 			lost = false
-			d.logger.WithField("revision", int64(d.view.Revision())).Info("regained the table of hosts")
+			l.WithField("revision", int64(v.Revision())).Info("regained " + name)
 		}
-		if changed {
-			d.take()
+		if isNew {
+			changed()
 		}
 	}
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -22,6 +22,7 @@
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/network"
 	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/queue"
 	"github.com/catkingap/catkingap/standin"
 	"github.com/catkingap/catkingap/work"
 )
@@ -54,11 +55,13 @@
 
 // member is one entry host.
 type member struct {
-	name, zone string
-	network    *network.Severable
-	app        *fx.App
-	submitter  *fleet.Submitter
-	dead       atomic.Bool
+	name, zone    string
+	network       *network.Severable
+	app           *fx.App
+	submitter     *fleet.Submitter
+	configuration *fleet.Configuration
+	shutdown      *fleet.Shutdown
+	dead          atomic.Bool
 }
 
 // zoneOf returns the data centre of a site, which is the first part of its name.
@@ -140,7 +143,7 @@
 			MaxLease: time.Second, FarFactor: 2, ShutdownTimeout: 5 * time.Second, LogLevel: "fatal",
 		},
 		Log: io.Discard, Network: m.network, Table: table, Feed: table, Decoder: platform.Decoder{}, Workers: platform.NewWorkers(m.network.DialContext),
-	}, fx.Populate(&m.submitter))
+	}, fx.Populate(&m.submitter, &m.configuration, &m.shutdown))
 	if err := m.app.Start(w.t.Context()); err != nil {
 		w.t.Fatal(err)
 	}
@@ -380,3 +383,77 @@
 		is.Equal(removed, []string{"host." + gone.name})
 	})
 }
+
+// TestDraining has a worker announce that it leaves: it gets no start later than
+// two seconds after, and what runs there ends.
+func TestDraining(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		const name = "coast-b.worker-2"
+		var left time.Time
+		time.AfterFunc(3*time.Second, func() {
+			left = time.Now()
+			w.store.Put("servers", name, w.workers[name].DrainingEntry("pool", name+":1", "coast-b"))
+		})
+		w.load(40, 9*time.Second)
+		is.True(!left.IsZero())
+		is.True(w.workers[name].LastStart().Before(left.Add(2 * time.Second)))
+		is.True(w.workers[name].LastStart().After(left.Add(-2 * time.Second)))
+		is.Equal(len(w.results), 1)
+	})
+}
+
+// TestConfigurationInForce changes the configuration while a host can not reach
+// the store, and after the store has lost its history: each version is in force
+// on all hosts within two seconds.
+func TestConfigurationInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		inForce := func(version queue.Version) {
+			time.Sleep(2 * time.Second)
+			for _, m := range w.hosts {
+				is.Equal(m.configuration.Table().Version, version)
+			}
+		}
+		inForce(1)
+		cut := w.hosts[3].name
+		w.network.Cut(func(from, to string) bool {
+			from, to = siteOf(from), siteOf(to)
+			return (from == cut && to == storeSite) || (to == cut && from == storeSite)
+		})
+		w.configure(5)
+		inForce(5)
+		w.configure(6)
+		inForce(6)
+		w.network.Cut(nil)
+		w.store.Forget()
+		w.configure(9)
+		inForce(9)
+	})
+}
+
+// TestShutdown ends an owner in order while a load runs: another host takes its
+// workers, no job is cut, and nothing runs twice.
+func TestShutdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		m := w.owner("coast-a")
+		time.AfterFunc(2*time.Second, func() {
+			m.shutdown.Run(t.Context())
+			m.dead.Store(true)
+			_ = m.app.Stop(t.Context())
+		})
+		w.load(40, 10*time.Second)
+		_, _, doubled := w.judge.Verdict()
+		is.Equal(doubled, nil)
+		is.Equal(len(w.moves()), 1)
+		is.True(w.results[dispatch.Completed] > 300)
+		is.Equal(len(w.results), 1)
+	})
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -33,6 +33,7 @@
 	mutex   sync.Mutex
 	token   int64
 	lease   time.Time
+	started time.Time
 	running map[string]*workerRun
 	used    int
 	// barred holds the highest run of each task that was stopped or ended.
@@ -69,8 +70,24 @@
 
 // Entry is what the worker writes about itself into the platform's store.
 func (w *Worker) Entry(service, address, zone string) any {
+	return w.entry(service, address, zone, "ready")
+}
+
+// DrainingEntry is what the worker writes once it leaves.
+func (w *Worker) DrainingEntry(service, address, zone string) any {
+	return w.entry(service, address, zone, "draining")
+}
+
+// LastStart returns when the worker began a run last.
+func (w *Worker) LastStart() time.Time {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.started
+}
+
+func (w *Worker) entry(service, address, zone, state string) any {
 	return map[string]any{
-		"Service": service, "Address": address, "Zone": zone, "State": "ready", "born": w.Born(),
+		"Service": service, "Address": address, "Zone": zone, "State": state, "born": w.Born(),
 		"Capacity": map[string]int{"Cpu": w.config.Cores, "MemMb": 1 << 20, "Gpu": 0}, "Labels": []string{"a"},
 	}
 }
@@ -190,6 +207,7 @@
 	took = time.Duration(float64(took) / w.config.Speed)
 	x := &workerRun{task: o.Task, run: o.Run, cores: cores, begun: time.Now(), took: took}
 	w.running[o.Task] = x
+	w.started = x.begun
 	w.used += cores
 	w.config.Judge.start(o.Task)
 	how := "done"
