--- a/queue/queue.go
+++ b/queue/queue.go
@@ -34,6 +34,8 @@
 // Limits bounds requests.
 type Limits struct {
 	BodyBytes int64 `msgpack:"bodyBytes"`
+	// HeaderBytes bounds the names and values of all header fields.
+	HeaderBytes int64 `msgpack:"headerBytes"`
 }
 
 // Configuration is one version of what the operator wants.
