--- a/fleet/log.go
+++ b/fleet/log.go
@@ -9,7 +9,6 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
-	"github.com/cockroachdb/errors"
 	"go.uber.org/fx"
 
 	"github.com/catkingap/catkingap/metrics"
@@ -61,10 +60,12 @@
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			var err error
+			logger.WithField("boot", self.Boot).Info("started")
 			if listener, err = n.Listen(s.MetricsAddress); err != nil {
-				return errors.Wrap(err, "metrics address")
+				// Callers are served without metrics too.
+				logger.WithField("address", s.MetricsAddress).WithError(err).Error("metrics are not served")
+				return nil
 			}
-			logger.WithField("boot", self.Boot).Info("started")
 			go func() { _ = server.Serve(listener) }()
 			return nil
 		},
