Ignore the runs of reports that were overtaken

Found in reading: the answer to an older look, arriving after a newer one that listed a run's end, brought the run back as one of an unknown job. Its worker got no work until the next look. Reports carry the worker's clock; runs of an older one are left out. TestOvertakenReport failed first. Runs are gone through in a fixed order.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -339,3 +339,24 @@
 	is.True(results[dispatch.Completed] >= 57)
 	is.True(results[dispatch.Failed] <= 1)
 }
+
+// TestOvertakenReport has the answers to two looks arrive in the wrong order:
+// the older one does not bring a run back that has ended.
+func TestOvertakenReport(t *testing.T) {
+	is := is.New(t)
+	m := openMachine("w1")
+	s := startOne(is, m, at(10))
+	m.Started(at(11), s, worker.Answer{Verdict: worker.Accepted, Clock: 1010})
+	watch := m.Take().Looks[0]
+	extra := watch
+	extra.Extra = true
+	done := worker.Report{Life: 1, Clock: 1070, Ended: []worker.Ended{{Number: 1, Task: "j.0.0.0", Run: 1, How: worker.Done}}}
+	m.Looked(at(71), at(12), watch, &done, worker.Accepted)
+	is.Equal(m.Take().Replies[0].Result, dispatch.Completed)
+	older := worker.Report{Life: 1, Clock: 1060, Running: []worker.Running{{Task: "j.0.0.0", Run: 1}}}
+	m.Looked(at(72), at(50), extra, &older, worker.Accepted)
+	a := m.Take()
+	is.Equal(len(a.Looks)+len(a.Stops), 0)
+	m.Submit(at(73), submission("k", 2, 2))
+	is.Equal(len(m.Take().Starts), 2)
+}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -61,6 +61,8 @@
 	// clock was the worker's clock at clockAt.
 	clock   worker.Clock
 	clockAt time.Time
+	// reported is the worker's clock in its newest report.
+	reported worker.Clock
 	// lapsed is when all that runs there must have ended if no further order
 	// arrives.
 	lapsed time.Time
@@ -213,7 +215,11 @@
 	m.hear(now, n, worker.Accepted, report.Clock)
 	n.noted = max(n.noted, min(l.Seen, n.seen))
 	m.takeEnds(now, n, report.Ended)
-	m.takeRunning(now, sent, n, report.Running)
+	if report.Clock >= n.reported {
+		// An older report that was overtaken tells of runs that have ended.
+		n.reported = report.Clock
+		m.takeRunning(now, sent, n, report.Running)
+	}
 	n.adopted = true
 	m.pump(now)
 }
@@ -254,8 +260,8 @@
 			m.judgeProgress(now, n, r, x.Percent)
 		}
 	}
-	for k, r := range n.runs {
-		if there[k] {
+	for _, r := range n.sortedRuns() {
+		if there[r.key] {
 			continue
 		}
 		known := r.state == atWork && r.confirmed.Before(sent)
@@ -427,7 +433,7 @@
 func (m *Machine) reborn(now time.Time, n *node) {
 	m.lose(now, n)
 	n.adopted, n.watching = false, false
-	n.seen, n.noted, n.clock = 0, 0, 0
+	n.seen, n.noted, n.clock, n.reported = 0, 0, 0, 0
 	n.lapsed, n.noteAt = time.Time{}, time.Time{}
 	n.pace = pace{}
 }
