Tell the processes of a host apart in its submissions

Found in reading. A host that is killed and back within 0.7 s numbers its calls from one again: the answer to a job of the process before went to the new process's call of the same number, and the jobs of the process before ran on while their callers sent them again to other data centres. A reply now names its job, and the jobs of a host's earlier process are stopped as soon as the new one is heard.

TestReplyOfAnEarlierProcess failed first. Callers in these tests now see their connection break when their host dies.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -64,6 +64,8 @@
 	// number for the try.
 	Host ident.Host `msgpack:"host"`
 	Call uint64     `msgpack:"call"`
+	// Boot is the process of the host, which is another one after a restart.
+	Boot string `msgpack:"boot"`
 	// Waited is the time since the caller's request arrived.
 	Waited time.Duration `msgpack:"waited"`
 	// Left is the time until the caller gives up.
--- a/fleet/contacts.go
+++ b/fleet/contacts.go
@@ -82,7 +82,7 @@
 	mutex    sync.Mutex
 	contacts map[ident.Host]ownership.Contact
 	// asked is when each host last asked this one.
-	asked map[ident.Host]time.Time
+	asked map[ident.Host]asked
 	// missed is when a host that was never heard was missed first.
 	missed map[ident.Host]time.Time
 	loops  map[string]bool
@@ -108,7 +108,7 @@
 	contacts := &Contacts{
 		self: self, settings: s, links: l, directory: d, configuration: c, logger: logger,
 		contacts: map[ident.Host]ownership.Contact{},
-		asked:    map[ident.Host]time.Time{},
+		asked:    map[ident.Host]asked{},
 		missed:   map[ident.Host]time.Time{},
 		loops:    map[string]bool{},
 		loads:    map[ident.DataCentre]dispatch.Load{},
@@ -231,7 +231,7 @@
 func (c *Contacts) answer(_ context.Context, r contactRequest) (contactAnswer, error) {
 	now := time.Now()
 	c.mutex.Lock()
-	c.asked[r.Host.Name] = now
+	c.asked[r.Host.Name] = asked{at: now, boot: r.Host.Boot}
 	leaving := c.leaving
 	c.mutex.Unlock()
 	c.directory.Meet(r.Host, nil)
@@ -316,8 +316,8 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	known := c.contacts[h].Heard
-	if c.asked[h].After(known) {
-		known = c.asked[h]
+	if at := c.asked[h].at; at.After(known) {
+		known = at
 	}
 	if !known.IsZero() {
 		return known
@@ -328,8 +328,14 @@
 	return c.missed[h]
 }
 
-// Asked returns when a host last asked this one.
-func (c *Contacts) Asked(h ident.Host) time.Time {
+// asked is when which process of a host asked this one.
+type asked struct {
+	at   time.Time
+	boot string
+}
+
+// lastAsked returns when a host last asked this one.
+func (c *Contacts) lastAsked(h ident.Host) asked {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.asked[h]
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -62,6 +63,9 @@
 	configuration *fleet.Configuration
 	shutdown      *fleet.Shutdown
 	dead          atomic.Bool
+	// life ends when the host is killed: its callers' connections break.
+	life context.Context
+	end  context.CancelFunc
 }
 
 // zoneOf returns the data centre of a site, which is the first part of its name.
@@ -136,6 +140,7 @@
 
 func (w *world) addHost(zone, name string) *member {
 	m := &member{name: name, zone: zone, network: network.NewSeverable(w.network.Site(name))}
+	m.life, m.end = context.WithCancel(w.t.Context())
 	table := platform.NewTable(&http.Client{Transport: &http.Transport{DialContext: m.network.DialContext}}, storeSite+":1")
 	m.app = fleet.New(fleet.Options{
 		Settings: fleet.Settings{
@@ -147,6 +152,8 @@
 	if err := m.app.Start(w.t.Context()); err != nil {
 		w.t.Fatal(err)
 	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	w.hosts = append(w.hosts, m)
 	return m
 }
@@ -155,6 +162,7 @@
 func (w *world) kill(m *member) {
 	m.dead.Store(true)
 	m.network.Sever()
+	m.end()
 	_ = m.app.Stop(context.Background())
 }
 
@@ -195,11 +203,20 @@
 	open.Wait()
 }
 
+// all returns all hosts that were ever started.
+func (w *world) all() []*member {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return slices.Clone(w.hosts)
+}
+
 // living returns a random living host.
 func (w *world) living() *member {
 	for {
-		if m := w.hosts[w.random.IntN(len(w.hosts))]; !m.dead.Load() {
-			return m
+		if hosts := w.all(); len(hosts) > 0 {
+			if m := hosts[w.random.IntN(len(hosts))]; !m.dead.Load() {
+				return m
+			}
 		}
 	}
 }
@@ -210,12 +227,12 @@
 	deadline := time.Now().Add(patience)
 	var r dispatch.Reply
 	for time.Now().Before(deadline) {
-		r = m.submitter.Submit(w.t.Context(), j, time.Now(), deadline)
+		r = m.submitter.Submit(m.life, j, time.Now(), deadline)
 		if r.Result != dispatch.Interrupted && !m.dead.Load() {
 			break
 		}
 		time.Sleep(resend)
-		for _, other := range w.hosts {
+		for _, other := range w.all() {
 			if !other.dead.Load() {
 				m = other
 			}
@@ -265,6 +282,15 @@
 	}{
 		"an owner dies":                 {fault: func(w *world) { w.kill(w.owner("coast-b")) }, served: 0.9},
 		"a host that owns nothing dies": {fault: func(w *world) { w.kill(w.hosts[1]) }, served: 0.9},
+		"a host starts again at once, several times": {fault: func(w *world) {
+			m := w.hosts[1]
+			for range 6 {
+				w.kill(m)
+				time.Sleep(100 * time.Millisecond)
+				m = w.addHost(m.zone, m.name)
+				time.Sleep(900 * time.Millisecond)
+			}
+		}, served: 0.9},
 		"an owner is cut off from all and returns": {fault: func(w *world) {
 			name := w.owner("coast-a").name
 			w.cut(3*time.Second, func(from, to string) bool { return from == name || to == name })
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -45,10 +45,12 @@
 // daemon stops.
 var errOwnerEnded = errors.New("submission ended without a reply")
 
-// caller names a submission that waits for its reply.
+// caller names a submission that waits for its reply. A host that has started
+// again numbers its calls as before, so that the job belongs to the name.
 type caller struct {
 	host ident.Host
 	call uint64
+	job  work.ID
 }
 
 // Owner drives the workers of one data centre under one token.
@@ -62,7 +64,8 @@
 	mutex   sync.Mutex
 	machine *dispatch.Machine
 	waiting map[caller]chan dispatch.Reply
-	hosts   map[ident.Host]bool
+	// hosts holds the process of each host that has handed jobs in.
+	hosts map[ident.Host]string
 	// listed is the list of workers that other hosts are told, and changes
 	// counts its versions.
 	listed  []worker.Worker
@@ -82,7 +85,7 @@
 			},
 		}),
 		waiting: map[caller]chan dispatch.Reply{},
-		hosts:   map[ident.Host]bool{},
+		hosts:   map[ident.Host]string{},
 	}
 	w.ctx, w.cancel = context.WithCancel(ctx)
 	go w.run()
@@ -95,11 +98,14 @@
 func (w *Owner) run() {
 	for pause(w.ctx, tickInterval) {
 		w.step(func(now time.Time, m *dispatch.Machine) {
-			for h := range w.hosts {
-				if h != w.owners.self.Name && now.Sub(w.owners.contacts.Asked(h)) > hostSilence {
-					delete(w.hosts, h)
-					w.logger.WithField("peer", string(h)).Warn("host is silent, its jobs are stopped")
-					m.HostLost(now, h)
+			for h, boot := range w.hosts {
+				asked := w.owners.contacts.lastAsked(h)
+				switch {
+				case h == w.owners.self.Name:
+				case now.Sub(asked.at) > hostSilence:
+					w.loseHost(now, m, h, "host is silent, its jobs are stopped")
+				case asked.boot != boot:
+					w.loseHost(now, m, h, "host has started again, its jobs are stopped")
 				}
 			}
 			m.Tick(now)
@@ -124,6 +130,14 @@
 // pulseLogs is the number of failed signs of life for each one that is logged.
 const pulseLogs = 5
 
+// loseHost stops the jobs of a host's process that is gone. The caller holds the
+// mutex.
+func (w *Owner) loseHost(now time.Time, m *dispatch.Machine, h ident.Host, message string) {
+	delete(w.hosts, h)
+	w.logger.WithField("peer", string(h)).Warn(message)
+	m.HostLost(now, h)
+}
+
 func (w *Owner) setWorkers(workers []worker.Worker) {
 	w.step(func(now time.Time, m *dispatch.Machine) { m.SetWorkers(now, workers) })
 }
@@ -170,7 +184,7 @@
 
 // reply hands a reply to its waiting submission. The caller holds the mutex.
 func (w *Owner) reply(r dispatch.Reply) {
-	k := caller{host: r.Host, call: r.Call}
+	k := caller{host: r.Host, call: r.Call, job: r.Job}
 	if c := w.waiting[k]; c != nil {
 		delete(w.waiting, k)
 		c <- r
@@ -181,10 +195,13 @@
 // on: its host submits it again or withdraws it.
 func (w *Owner) submit(ctx context.Context, s dispatch.Submission) (dispatch.Reply, error) {
 	c := make(chan dispatch.Reply, 1)
-	k := caller{host: s.Host, call: s.Call}
+	k := caller{host: s.Host, call: s.Call, job: s.Job.ID}
 	w.step(func(now time.Time, m *dispatch.Machine) {
 		w.waiting[k] = c
-		w.hosts[s.Host] = true
+		if boot, ok := w.hosts[s.Host]; ok && boot != s.Boot {
+			w.loseHost(now, m, s.Host, "host has started again, its jobs are stopped")
+		}
+		w.hosts[s.Host] = s.Boot
 		m.Submit(now, s)
 	})
 	select {
--- /dev/null
+++ b/fleet/owner_test.go
@@ -0,0 +1,84 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/metrics"
+	"github.com/catkingap/catkingap/network"
+	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/worker"
+)
+
+// deaf is workers that never answer.
+type deaf struct{}
+
+func (deaf) Start(ctx context.Context, _ worker.Start) worker.Answer {
+	<-ctx.Done()
+	return worker.Answer{Verdict: worker.Unanswered}
+}
+
+func (deaf) Stop(ctx context.Context, _ worker.Stop) worker.Answer {
+	<-ctx.Done()
+	return worker.Answer{Verdict: worker.Unanswered}
+}
+
+func (deaf) Look(ctx context.Context, _ worker.Look) (*worker.Report, worker.Verdict) {
+	<-ctx.Done()
+	return nil, worker.Unanswered
+}
+
+func (deaf) Reach(context.Context, worker.Worker) error { return nil }
+
+// TestReplyOfAnEarlierProcess has a host start again and number its calls as
+// before: its caller does not get the answer to another job.
+func TestReplyOfAnEarlierProcess(t *testing.T) {
+	synctest.Test(t, testReplyOfAnEarlierProcess)
+}
+
+func testReplyOfAnEarlierProcess(t *testing.T) {
+	is := is.New(t)
+	logger := &log.Logger{Handler: discard.New()}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	o := &Owner{
+		ctx: ctx, cancel: cancel, logger: logger,
+		owners:  &Owners{workers: deaf{}, counters: newCounters(metrics.NewSet(), newLinks(logger, network.Real{}))},
+		machine: dispatch.New(time.Now(), dispatch.Config{MaxLease: time.Second}),
+		waiting: map[caller]chan dispatch.Reply{},
+	}
+	o.hosts = map[ident.Host]string{}
+	submit := func(id work.ID, wait, left time.Duration) (dispatch.Reply, error) {
+		call, stop := context.WithTimeout(ctx, wait)
+		defer stop()
+		return o.submit(call, dispatch.Submission{
+			Host: "entry-1", Call: 1, Final: true, Left: left,
+			Job: work.Job{ID: id, Pool: "p", Stretch: 1, Target: time.Second, Steps: []work.Step{{Count: 1, Estimate: time.Millisecond}}},
+		})
+	}
+	if _, err := submit("old", 10*time.Millisecond, 300*time.Millisecond); err == nil {
+		t.Fatal("the first process has gone on to wait")
+	}
+	results := make(chan dispatch.Reply, 1)
+	go func() {
+		r, err := submit("new", 2*time.Second, 2*time.Second)
+		if err == nil {
+			results <- r
+		}
+	}()
+	time.Sleep(100 * time.Millisecond)
+	o.step(func(now time.Time, m *dispatch.Machine) { m.Tick(now.Add(250 * time.Millisecond)) })
+	select {
+	case r := <-results:
+		is.Equal(r.Job, work.ID("new"))
+	case <-time.After(time.Second):
+	}
+}
--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -150,7 +150,7 @@
 	a.tries++
 	now := time.Now()
 	sub := dispatch.Submission{
-		Job: a.job, Host: s.self.Name, Call: a.call, Waited: now.Sub(a.arrived), Left: a.deadline.Sub(now),
+		Job: a.job, Host: s.self.Name, Boot: s.self.Boot, Call: a.call, Waited: now.Sub(a.arrived), Left: a.deadline.Sub(now),
 		Final: final, Again: a.bound != "",
 	}
 	reply, err := s.call(ctx, o, sub)
