Tell a host that was silent that its jobs were stopped

Found in reading. An owner that stopped the jobs of a silent host said nothing, so that a host that had only been paused waited until its callers' deadlines: it hears of it now and hands the jobs in again. A host that gives a job up tells the owner that may still have it. A new owner that has not seen all workers yet does not fail a job for its size.

TestSilentHost and TestNoWorkerIsLargeEnough failed first. The new fault of an owner that is heard but can not answer passed before, too: its successor's token stops it.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -332,7 +332,7 @@
 func (m *Machine) HostLost(now time.Time, h ident.Host) {
 	for _, j := range m.sortedJobs() {
 		if j.host == h {
-			m.close(now, j, Interrupted, "the caller's host is silent")
+			m.end(now, j, Interrupted, "the caller's host was silent")
 			m.drop(now, j)
 		}
 	}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -360,3 +360,44 @@
 	m.Submit(at(73), submission("k", 2, 2))
 	is.Equal(len(m.Take().Starts), 2)
 }
+
+// TestSilentHost has a host fall silent for a while: its jobs are stopped, and
+// it is told so if it still listens.
+func TestSilentHost(t *testing.T) {
+	is := is.New(t)
+	m := openMachine("w1")
+	startOne(is, m, at(10))
+	m.HostLost(at(800), hostA)
+	a := m.Take()
+	is.Equal(len(a.Stops), 1)
+	is.Equal(len(a.Replies), 1)
+	is.Equal(a.Replies[0].Result, dispatch.Interrupted)
+}
+
+// TestNoWorkerIsLargeEnough refuses a job for good only when all workers have
+// had the time to show themselves.
+func TestNoWorkerIsLargeEnough(t *testing.T) {
+	tests := map[string]struct {
+		now    time.Time
+		result dispatch.Result
+	}{
+		"right after the takeover": {now: at(10)},
+		"later":                    {now: at(2000), result: dispatch.Failed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := openMachine("w1")
+			s := submission("j", 1, 1)
+			s.Job.Steps[0].Size.Cores = 100_000
+			m.Submit(test.now, s)
+			a := m.Take()
+			is.Equal(len(a.Starts), 0)
+			if test.result != "" {
+				is.Equal(a.Replies[0].Result, test.result)
+			} else {
+				is.Equal(len(a.Replies), 0)
+			}
+		})
+	}
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -121,7 +121,7 @@
 			m.refuse(now, s, result, reason, wait)
 			return
 		}
-		if !m.possible(j) {
+		if !now.Before(m.open) && !m.possible(j) {
 			m.refuse(now, s, Failed, "no worker is large enough for a task", 0)
 			return
 		}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -302,6 +302,10 @@
 		"an owner is cut off from the other hosts": {fault: func(w *world) {
 			w.cutHost(w.owner("coast-b").name, 4*time.Second)
 		}, served: 0.8},
+		"an owner is heard but can not answer": {fault: func(w *world) {
+			name := w.owner("coast-c").name
+			w.cut(5*time.Second, func(from, to string) bool { return from == name && strings.Contains(to, ".host-") })
+		}, served: 0.8},
 		"a data centre is cut off": {fault: func(w *world) {
 			w.cut(5*time.Second, func(from, to string) bool { return (zoneOf(from) == "coast-a") != (zoneOf(to) == "coast-a") })
 		}, served: 0.85},
--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -94,6 +94,9 @@
 	}()
 	a := &attempt{job: j, call: s.calls.Add(1), arrived: arrived, deadline: deadline, tried: map[ident.DataCentre]bool{}}
 	r := s.run(ctx, a)
+	if r.Result == dispatch.Interrupted {
+		s.abandon(a)
+	}
 	took := time.Since(arrived)
 	s.counters.results.Add(string(r.Result), 1)
 	s.counters.response.Record(took)
@@ -280,6 +283,14 @@
 	return peer.Call[submitRequest, dispatch.Reply](ctx, s.links, o.Address, kindSubmit, submitRequest{DataCentre: o.DataCentre, Submission: sub})
 }
 
+// abandon tells the owner that may have a job that its caller will send it
+// again. The owner may hear this host although it is not heard itself.
+func (s *Submitter) abandon(a *attempt) {
+	if o, ok := s.directory.Owners()[a.bound]; ok {
+		go s.withdraw(o, a)
+	}
+}
+
 // withdraw tells an owner that the caller of a job has left.
 func (s *Submitter) withdraw(o ownership.Owner, a *attempt) {
 	r := withdrawRequest{DataCentre: o.DataCentre, Host: s.self.Name, Call: a.call, Job: a.job.ID}
