Build replies in one place, and drop a twin and a setting that nobody reads

Three functions of dispatch put the same reply together; they share one now, which adds the load. compareText was cmp.Compare again. The time after which callers send a job again was read from the platform's settings and used by nothing. Behaviour stays as it is.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -415,16 +416,6 @@
 	for _, j := range m.jobs {
 		jobs = append(jobs, j)
 	}
-	slices.SortFunc(jobs, func(a, b *job) int { return compareText(a.spec.ID, b.spec.ID) })
+	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(a.spec.ID, b.spec.ID) })
 	return jobs
 }
-
-func compareText[T ~string](a, b T) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -235,11 +235,10 @@
 
 // giveUp refuses a job that has waited too long.
 func (m *Machine) giveUp(now time.Time, j *job) {
+	const reason = "it waited too long"
 	wait, _ := m.expectedWait(now, j)
-	m.close(now, j, Refused, "it waited too long")
-	m.actions.Replies = append(m.actions.Replies, Reply{
-		Host: j.host, Call: j.call, Job: j.spec.ID, Result: Refused, Reason: "it waited too long", RetryAfter: wait, Load: m.Load(now),
-	})
+	m.close(now, j, Refused, reason)
+	m.answer(now, Reply{Host: j.host, Call: j.call, Job: j.spec.ID, Result: Refused, Reason: reason, RetryAfter: wait})
 	m.drop(now, j)
 }
 
@@ -266,14 +265,16 @@
 }
 
 func (m *Machine) reply(now time.Time, j *job, r Result, reason string) {
-	m.actions.Replies = append(m.actions.Replies, Reply{
-		Host: j.host, Call: j.call, Job: j.spec.ID, Result: r, Reason: reason, Load: m.Load(now),
-	})
+	m.answer(now, Reply{Host: j.host, Call: j.call, Job: j.spec.ID, Result: r, Reason: reason})
 }
 
 // refuse answers a submission that was not taken.
 func (m *Machine) refuse(now time.Time, s Submission, r Result, reason string, wait time.Duration) {
-	m.actions.Replies = append(m.actions.Replies, Reply{
-		Host: s.Host, Call: s.Call, Job: s.Job.ID, Result: r, Reason: reason, RetryAfter: wait, Load: m.Load(now),
-	})
+	m.answer(now, Reply{Host: s.Host, Call: s.Call, Job: s.Job.ID, Result: r, Reason: reason, RetryAfter: wait})
+}
+
+// answer sends a reply, with the load at the time.
+func (m *Machine) answer(now time.Time, r Reply) {
+	r.Load = m.Load(now)
+	m.actions.Replies = append(m.actions.Replies, r)
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -97,7 +97,7 @@
 	if c := a.latest().Compare(b.latest()); c != 0 {
 		return c
 	}
-	return compareText(a.spec.ID, b.spec.ID)
+	return cmp.Compare(a.spec.ID, b.spec.ID)
 }
 
 // latest returns when the job must start to meet its objective.
@@ -337,7 +337,7 @@
 
 func sortRuns(runs []*run) {
 	slices.SortFunc(runs, func(a, b *run) int {
-		if c := compareText(a.key.task, b.key.task); c != 0 {
+		if c := cmp.Compare(a.key.task, b.key.task); c != 0 {
 			return c
 		}
 		return cmp.Compare(a.key.run, b.key.run)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -62,9 +62,6 @@
 	MaxLease time.Duration
 	// FarFactor is how many times as long a task takes away from its rack.
 	FarFactor float64
-	// ResendTime is how long callers wait before they send a job again whose
-	// connection broke.
-	ResendTime time.Duration
 	// ShutdownTimeout bounds a graceful shutdown.
 	ShutdownTimeout time.Duration
 	// MetricsAddress serves the metrics, or is empty.
