--- a/route/lending.go
+++ b/route/lending.go
@@ -43,6 +43,11 @@
 	// reserveShare is the share of a host's slots in use that it keeps free
 	// for itself when it lends.
 	reserveShare = 0.05
+	// farBeats is the number of heartbeats for each one that goes to a peer in
+	// another data centre, restBeats that for each one of a host at rest. Both
+	// together stay within the PeerTimeout of 5 s at a Heartbeat of 1 s.
+	farBeats  = 2
+	restBeats = 2
 	// idleDemand is the number of slots in demand below which a host counts as
 	// one without work.
 	idleDemand = 0.05
@@ -465,7 +470,7 @@
 }
 
 // beat sends a heartbeat to the peers of the data centre and those with loans,
-// and to all others each second time.
+// and to all others each second time; half as often from a host at rest.
 func (p *Pool[Item]) beat(now time.Time, out []Outgoing, waiting int) []Outgoing {
 	if now.Sub(p.beaten) < p.config.Heartbeat {
 		return out
@@ -477,8 +482,19 @@
 		s.withheld, s.fresh, s.excess = s.fresh, 0, 0
 		s.announced = max(s.announced-1, 0)
 	}
+	pause := 1
+	if p.running+p.Waiting() == 0 && p.demand < idleDemand {
+		pause = restBeats
+	}
 	for _, k := range p.peerOrder {
-		if p.near(k) == 0 && len(k.lent)+len(k.borrowed) == 0 && p.beats%2 == 0 {
+		every := pause
+		switch {
+		case len(k.lent)+len(k.borrowed) > 0:
+			every = 1
+		case p.near(k) == 0:
+			every *= farBeats
+		}
+		if p.beats%every != 1%every {
 			continue
 		}
 		o := p.message(now, k, nil, nil, waiting)
--- a/route/lending_test.go
+++ b/route/lending_test.go
@@ -353,3 +353,34 @@
 		})
 	}
 }
+
+// TestHostAtRestBeatsLess checks how often a host is heard: at rest half as
+// often as with work, far away half as often as near, and always within the
+// time after which it counts as silent.
+func TestHostAtRestBeatsLess(t *testing.T) {
+	const beats = 12
+	for name, test := range map[string]struct {
+		demand    float64
+		near, far int
+	}{
+		"at rest":   {near: beats / 2, far: beats / 4},
+		"with work": {demand: 5, near: beats, far: beats / 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPool(6)
+			p.config.Heartbeat, p.config.PeerTimeout = time.Second, time.Hour
+			p.SetPeers([]Peer{{Name: "near", DataCentre: "dc"}, {Name: "far", DataCentre: "away"}})
+			heard := map[ident.Host]int{}
+			for n := range beats {
+				p.demand = test.demand
+				for _, o := range p.Exchange(start.Add(time.Duration(n+1) * time.Second)) {
+					if o.Message.Heartbeat {
+						heard[o.To]++
+					}
+				}
+			}
+			is.Equal(heard, map[ident.Host]int{"near": test.near, "far": test.far})
+		})
+	}
+}
--- a/route/message.go
+++ b/route/message.go
@@ -26,12 +26,12 @@
 	// Seen is the last sequence that the sender got from the receiver.
 	Seen uint64 `msgpack:"seen"`
 	// Want is the number of slots that the sender could use at once.
-	Want int `msgpack:"want"`
+	Want int `msgpack:"want,omitempty"`
 	// Limit is the run time in seconds above which a server's slots are of no
 	// use to the sender. Zero means that all are of use.
 	Limit float64 `msgpack:"limit,omitempty"`
 	// Free is the number of slots that the sender could lend.
-	Free int `msgpack:"free"`
+	Free int `msgpack:"free,omitempty"`
 	// Lend is slots of the sender that the receiver may use from now on.
 	Lend []Slots `msgpack:"lend,omitempty"`
 	// Return is slots of the receiver that the sender uses no more.
@@ -44,7 +44,7 @@
 	// Weight is the sender's share of the slots.
 	Weight int `msgpack:"weight"`
 	// Demand is the number of slots that the sender's arrivals need.
-	Demand float64 `msgpack:"demand"`
+	Demand float64 `msgpack:"demand,omitempty"`
 }
 
 // Outgoing is a message that the caller must send.
--- a/timeline/ring.go
+++ b/timeline/ring.go
@@ -68,6 +68,9 @@
 
 // kept holds the newest events of one class.
 type kept struct {
+	// limit bounds the events. Their memory grows with them, so that a host
+	// without work holds little.
+	limit  int
 	events []Event
 	// oldest is the index of the oldest event once the class is full.
 	oldest int
@@ -75,7 +78,7 @@
 
 // add appends an event or replaces the oldest.
 func (k *kept) add(e *Event) {
-	if len(k.events) < cap(k.events) {
+	if len(k.events) < k.limit {
 		k.events = append(k.events, *e)
 		return
 	}
@@ -87,7 +90,7 @@
 func NewRing(host ident.Host, now time.Time, size int) *Ring {
 	r := &Ring{host: host, started: now, counts: map[Kind]uint64{}}
 	for c, share := range [classes]int{rare: rareShare, ofJob: jobShare, ofTask: taskShare} {
-		r.kept[c].events = make([]Event, 0, max(1, size*share/shares))
+		r.kept[c].limit = max(1, size*share/shares)
 	}
 	return r
 }
