Give lost loans back, so that they hide no slot of the new owner

Cause: since a borrowed slot whose lender lost it starts nothing, but it stayed with the borrower as long as work waited there, and counted against the slots of the server that the borrower may use. With two slots lost and the same two lent by their new owner, the borrower had four, was capped at the server's two, and subtracted the two lost ones: none was left, for ever.

Lost loans now go back at once, and the cap holds after they are subtracted.

--- a/route/lending.go
+++ b/route/lending.go
@@ -277,6 +277,7 @@
 			p.lose(k)
 		}
 		lend, back := p.give(now, k, waiting)
+		back = append(back, p.giveLost(k)...)
 		if len(lend)+len(back) > 0 {
 			out = append(out, p.message(now, k, lend, back, waiting))
 		}
@@ -414,6 +415,21 @@
 	return false
 }
 
+// giveLost returns the unused slots of a peer that it does not own any more.
+func (p *Pool[Item]) giveLost(k *peer) []Slots {
+	var given []Slots
+	for _, s := range p.order {
+		n := min(k.borrowed[s.Name]-k.shares[s.Name], s.unused())
+		if n <= 0 {
+			continue
+		}
+		s.borrowed -= n
+		move(k.borrowed, s.Name, -n)
+		given = append(given, Slots{s.Name, n})
+	}
+	return given
+}
+
 // returnIdle gives back borrowed slots out of the unused ones, but for the
 // reserve.
 func (p *Pool[Item]) returnIdle(now time.Time, out []Outgoing, unused int) []Outgoing {
--- a/route/lending_test.go
+++ b/route/lending_test.go
@@ -384,3 +384,28 @@
 		})
 	}
 }
+
+// TestLostLoanMakesRoom has a slot change its owner while it is lent: the
+// borrower gives the old loan back, and may use the new owner's at once.
+func TestLostLoanMakesRoom(t *testing.T) {
+	is := is.New(t)
+	p := poolWithIdleLoan(is)
+	now := start.Add(tick)
+	p.queue.Push(now, &admission.Entry[int]{Team: "a"})
+	p.Receive(now, "owner", Message{Boot: "1", Sequence: 2, Weight: 1})
+	third := p.peers["third"]
+	var loan []Slots
+	lost := 0
+	for _, s := range p.order {
+		if n := third.shares[s.Name]; n > 0 && s.borrowed > 0 {
+			loan = append(loan, Slots{s.Name, n})
+		}
+		lost += max(p.peers["owner"].borrowed[s.Name]-p.peers["owner"].shares[s.Name], 0)
+	}
+	is.True(len(loan) > 0) // Slots that the first owner lent belong to the third host now.
+	p.Receive(now, "third", Message{Boot: "1", Sequence: 1, Weight: initialWeight, Lend: loan})
+	for _, l := range loan {
+		is.Equal(p.servers[l.Server].free(), l.Count)
+	}
+	is.Equal(returned(p.Exchange(now), "owner"), lost)
+}
--- a/route/server.go
+++ b/route/server.go
@@ -78,7 +78,12 @@
 }
 
 // free returns how many more tasks this host may start on the server.
-func (s *server) free() int { return s.unused() - s.recalled }
+func (s *server) free() int {
+	if s.isLeaving() || !s.present {
+		return 0
+	}
+	return min(s.spareOwned()+s.borrowed-s.recalled, s.Slots) - s.running
+}
 
 // learn adds a run time to the learned mean.
 func (s *server) learn(took time.Duration) {
