Keep jobs whose callers don't wait: stored, run by any owner, asked for anywhere

Jobs that must last were refused with 503. Now accepted means stored: a row for the specification, one for the state, written by the owner of the workers under the condition of its own row (package ledger, pure; fleet.keeper drives it). Ends are stored before workers may forget them, a new owner reads the rows before it starts anything of them, and any host answers for states and cancels.

Cause, found by TestKeptJobs in virtual time (2 of its 9 cases and one more left a job open for ever): a new owner counted a task that was stored as done and still listed by its worker twice, so that jobs ended early or never. Ruled out: lost rows (all jobs were in the table).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -38,6 +38,10 @@
 	watchTime = 300 * time.Millisecond
 	// lookPause is the time between a look that failed and the next one.
 	lookPause = 50 * time.Millisecond
+	// repeatPause is the time between two looks at a worker that answers at once,
+	// because it lists ends that it may not forget yet. It is small against the
+	// 60 ms of the shortest tasks.
+	repeatPause = 20 * time.Millisecond
 	// maxLookPause bounds the pause between looks at a worker that stays
 	// silent.
 	maxLookPause = time.Second
@@ -97,10 +101,14 @@
 	// Expired means that the caller's deadline passed after something had
 	// started.
 	Expired Result = "expired"
+	// Kept means that a job that lasts is stored.
+	Kept Result = "kept"
 	// Moved means that the host that was asked does not own the workers.
 	Moved Result = "moved"
 	// Refused means that nothing was started and that nothing will be.
 	Refused Result = "refused"
+	// Cancelled means that the caller of a kept job has cancelled it.
+	Cancelled Result = "cancelled"
 	// Superseded means that the caller has sent the job again, to another host.
 	Superseded Result = "superseded"
 )
@@ -124,6 +132,8 @@
 	// Room is the number of tasks of mean size that can start at once. It is
 	// negative if more wait than can start.
 	Room int `msgpack:"room"`
+	// Pending is the number of kept jobs of each queue that have not begun.
+	Pending map[work.Queue]int `msgpack:"pending,omitempty"`
 }
 
 // Actions is what a caller of a Machine must carry out.
@@ -134,6 +144,10 @@
 	Replies []Reply
 	// Records tells how submissions that have ended went.
 	Records []Record
+	// Notes must be stored, and then told to Stored.
+	Notes []Note
+	// Finishes must be stored, after all notes before.
+	Finishes []Finish
 }
 
 // Machine is the state of the workers that one entry host owns.
@@ -160,6 +174,10 @@
 	meanRun time.Duration
 	// cores is the mean of the cores of recent tasks.
 	cores float64
+	// loaded is true once the kept jobs of the owner before are known. early
+	// holds the ends that workers have listed until then.
+	loaded bool
+	early  []early
 	// stopped is true once the ownership has ended.
 	stopped bool
 }
@@ -332,7 +350,7 @@
 // will send their jobs to other hosts.
 func (m *Machine) HostLost(now time.Time, h ident.Host) {
 	for _, j := range m.sortedJobs() {
-		if j.host == h {
+		if j.host == h && !j.kept {
 			m.end(now, j, Interrupted, "the caller's host was silent")
 			m.drop(now, j)
 		}
@@ -368,7 +386,7 @@
 		return
 	}
 	for _, j := range m.sortedJobs() {
-		if !now.Before(j.deadline) {
+		if !j.kept && !now.Before(j.deadline) {
 			m.expire(now, j)
 		}
 	}
@@ -396,7 +414,7 @@
 // Load returns what the workers can take.
 func (m *Machine) Load(now time.Time) Load {
 	if m.cores == 0 {
-		return Load{Room: len(m.ordered)}
+		return Load{Room: len(m.ordered), Pending: m.pending()}
 	}
 	room := 0
 	for _, n := range m.ordered {
@@ -407,7 +425,7 @@
 	for _, j := range m.queue {
 		room -= len(j.waiting)
 	}
-	return Load{Room: room}
+	return Load{Room: room, Pending: m.pending()}
 }
 
 // sortedJobs returns the jobs in a fixed order.
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -60,6 +60,7 @@
 // openMachine returns a machine whose workers have answered and run nothing.
 func openMachine(ids ...worker.ID) *dispatch.Machine {
 	m := newMachine()
+	m.Loaded(begin)
 	var workers []worker.Worker
 	for _, id := range ids {
 		workers = append(workers, aWorker(id))
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -39,6 +39,8 @@
 	again bool
 	// live is false once the job was answered or dropped.
 	live bool
+	// kept is true for a job that lasts, see Keep.
+	kept bool
 }
 
 // task is one task of a job.
@@ -53,6 +55,8 @@
 	// attempts counts the failed runs, failures those that count against the
 	// job.
 	attempts, failures int
+	// failedRuns holds the runs of a kept job's task that have failed.
+	failedRuns []work.Run
 	// failed lists the workers on which the task did not get done.
 	failed []worker.ID
 	done   bool
@@ -142,6 +146,9 @@
 	}
 	found := false
 	for _, t := range j.tasks {
+		if t.done {
+			continue
+		}
 		if _, ok := m.orphansDone[t.text]; ok {
 			t.done = true
 			j.left--
@@ -185,7 +192,11 @@
 		return
 	case worker.Failed:
 		t.attempts++
-		if !n.suspect() || t.attempts >= j.spec.Attempts+excused {
+		switch {
+		case j.kept:
+			// The failure was counted with its note: the number of runs of a kept
+			// job's task is bounded, whoever is at fault.
+		case !n.suspect() || t.attempts >= j.spec.Attempts+excused:
 			t.failures++
 		}
 		if t.failures >= max(1, j.spec.Attempts) {
@@ -218,6 +229,12 @@
 
 // finish answers a job and stops what still runs of it.
 func (m *Machine) finish(now time.Time, j *job, r Result, reason string) {
+	if j.kept {
+		m.close(now, j, r, reason)
+		m.actions.Finishes = append(m.actions.Finishes, Finish{Job: j.spec.ID, Result: r})
+		m.drop(now, j)
+		return
+	}
 	m.end(now, j, r, reason)
 	m.outcomes[j.spec.ID] = ended{result: r, at: now}
 	m.drop(now, j)
--- /dev/null
+++ b/dispatch/keep_test.go
@@ -0,0 +1,160 @@
+package dispatch_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/worker"
+)
+
+// keptMachine returns a machine with a kept job that runs on w1.
+func keptMachine(is *is.I, tasks int) (*dispatch.Machine, []worker.Start) {
+	m := openMachine("w1")
+	m.Keep(at(2), submission("j", 1, tasks).Job, work.Progress{}, false)
+	starts := m.Take().Starts
+	is.Equal(len(starts), tasks)
+	for _, s := range starts {
+		m.Started(at(3), s, worker.Answer{Verdict: worker.Accepted, Clock: 1003})
+	}
+	return m, starts
+}
+
+// seen returns the highest end that looks let the worker forget until then.
+func seen(m *dispatch.Machine, from, until int, r worker.Report) worker.EndNumber {
+	highest := worker.EndNumber(0)
+	for ms := from; ms < until; ms += 10 {
+		m.Tick(at(ms))
+		for _, l := range m.Take().Looks {
+			highest = max(highest, l.Seen)
+			report := r
+			m.Looked(at(ms), at(ms-1), l, &report, worker.Accepted)
+		}
+	}
+	return highest
+}
+
+// TestEndIsForgottenOnceStored checks that a worker may forget the end of a kept
+// job's run only after it was stored.
+func TestEndIsForgottenOnceStored(t *testing.T) {
+	is := is.New(t)
+	m, starts := keptMachine(is, 1)
+	done := worker.Report{Life: 1, Clock: 1100, Ended: []worker.Ended{{Number: 1, Task: "j.0.0.0", Run: starts[0].Run, How: worker.Done}}}
+	answerLooks(m, at(100), m.Take(), done)
+	a := m.Take()
+	is.Equal(a.Notes, []dispatch.Note{{Job: "j", Run: starts[0].Run, Done: true, Worker: "w1", Life: 1, Number: 1}})
+	is.Equal(a.Finishes, []dispatch.Finish{{Job: "j", Result: dispatch.Completed}})
+	answerLooks(m, at(101), a, done)
+	is.Equal(seen(m, 110, 2000, done), worker.EndNumber(0))
+	m.Stored(at(2000), "w1", 1, 1)
+	is.Equal(seen(m, 2000, 3000, done), worker.EndNumber(1))
+}
+
+// TestKeptJobHasNoCaller checks that neither a silent host nor the passing of
+// time ends a kept job.
+func TestKeptJobHasNoCaller(t *testing.T) {
+	is := is.New(t)
+	m, _ := keptMachine(is, 1)
+	m.HostLost(at(10), "")
+	m.HostLost(at(10), hostA)
+	running := worker.Report{Life: 1, Clock: 1100, Running: []worker.Running{{Task: "j.0.0.0", Run: 1}}}
+	for ms := 20; ms < 20_000; ms += 20 {
+		m.Tick(at(ms))
+		a := m.Take()
+		is.Equal(len(a.Stops), 0)
+		is.Equal(len(a.Finishes), 0)
+		report := running
+		report.Clock = worker.Clock(1000 + ms)
+		answerLooks(m, at(ms), a, report)
+	}
+}
+
+// TestFailedRunsAreCounted checks after how many failed runs a kept job fails,
+// with what an earlier owner has stored and what workers list again.
+func TestFailedRunsAreCounted(t *testing.T) {
+	listed := []worker.Ended{{Number: 4, Task: "j.0.0.0", Run: 2, How: worker.Failed}}
+	tests := map[string]struct {
+		progress work.Progress
+		ended    []worker.Ended
+		failed   bool
+	}{
+		"none":                       {},
+		"one stored":                 {progress: work.Progress{Failed: map[int][]work.Run{0: {1}}}},
+		"one listed":                 {ended: listed},
+		"one stored and another one": {progress: work.Progress{Failed: map[int][]work.Run{0: {1}}}, ended: listed, failed: true},
+		"one stored and listed":      {progress: work.Progress{Failed: map[int][]work.Run{0: {2}}}, ended: listed},
+		"two stored":                 {progress: work.Progress{Failed: map[int][]work.Run{0: {1, 2}}}, failed: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := newMachine()
+			m.SetWorkers(begin, []worker.Worker{aWorker("w1")})
+			answerLooks(m, at(1), m.Take(), worker.Report{Life: 1, Clock: 1000, Ended: test.ended})
+			m.Keep(at(2), submission("j", 1, 1).Job, test.progress, true)
+			m.Loaded(at(2))
+			for ms := 10; ms < 2000; ms += 10 {
+				m.Tick(at(ms))
+				a := m.Take()
+				if test.failed {
+					is.Equal(len(a.Starts), 0)
+				}
+				for _, s := range a.Starts {
+					is.True(s.Run > 2) // The run is higher than those of the earlier owner.
+				}
+				if len(a.Finishes) > 0 {
+					is.True(test.failed)
+					is.Equal(a.Finishes[0].Result, dispatch.Failed)
+					return
+				}
+			}
+			is.True(!test.failed)
+		})
+	}
+}
+
+// TestEndsBeforeTheJobsAreKnown has workers list ends to a new owner that has
+// not read the stored jobs yet: they are not forgotten, and a task that is done
+// does not start again.
+func TestEndsBeforeTheJobsAreKnown(t *testing.T) {
+	is := is.New(t)
+	m := newMachine()
+	m.SetWorkers(begin, []worker.Worker{aWorker("w1")})
+	done := worker.Report{Life: 1, Clock: 1000, Ended: []worker.Ended{{Number: 1, Task: "j.0.0.0", Run: 1, How: worker.Done}}}
+	answerLooks(m, at(1), m.Take(), done)
+	// Longer than the ends of unknown jobs are remembered otherwise.
+	is.Equal(seen(m, 10, 8000, done), worker.EndNumber(0))
+	m.Keep(at(8000), submission("j", 1, 2).Job, work.Progress{}, true)
+	m.Loaded(at(8000))
+	a := m.Take()
+	is.Equal(len(a.Notes), 1)
+	is.Equal(len(a.Starts), 1)
+	is.Equal(a.Starts[0].Task.Index, 1)
+	m.Stored(at(8001), "w1", 1, 1)
+	is.Equal(seen(m, 8010, 9000, done), worker.EndNumber(1))
+}
+
+// TestCancelStopsRuns cancels a kept job while it runs.
+func TestCancelStopsRuns(t *testing.T) {
+	is := is.New(t)
+	m, starts := keptMachine(is, 2)
+	m.Cancel(at(50), "j")
+	a := m.Take()
+	is.Equal(len(a.Stops), len(starts))
+	is.Equal(len(a.Finishes), 0)
+	is.Equal(m.Load(at(50)).Pending, nil)
+}
+
+// TestPending counts the kept jobs that have not begun.
+func TestPending(t *testing.T) {
+	is := is.New(t)
+	m, _ := keptMachine(is, 2)
+	for _, id := range []work.ID{"k", "l"} {
+		j := submission(id, 1, 1).Job
+		j.Queue = "q"
+		m.Keep(at(10), j, work.Progress{}, false)
+	}
+	is.Equal(m.Load(at(11)).Pending, map[work.Queue]int{"q": 2})
+}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -69,6 +69,9 @@
 	// seen is the highest end that was handled, noted the highest that the
 	// worker was told of.
 	seen, noted worker.EndNumber
+	// unstored holds the ends that must be stored before the worker may forget
+	// them.
+	unstored map[worker.EndNumber]struct{}
 	// watching is true while a look that waits is open.
 	watching bool
 	// silent is when the worker began to leave orders without an answer, or
@@ -164,7 +167,7 @@
 
 // lookFor completes and sends a look.
 func (m *Machine) lookFor(now time.Time, n *node, l worker.Look) {
-	l.Order, l.Seen = m.order(n), n.seen
+	l.Order, l.Seen = m.order(n), n.forgettable()
 	if len(n.runs) > 0 && n.silent.IsZero() {
 		// A worker whose answers get lost must not keep its runs for ever.
 		l.Until = n.until(now, m.config.MaxLease)
@@ -214,7 +217,11 @@
 	}
 	m.hear(now, n, worker.Accepted, report.Clock)
 	n.noted = max(n.noted, min(l.Seen, n.seen))
-	m.takeEnds(now, n, report.Ended)
+	if !m.takeEnds(now, n, report.Ended) && n.forgettable() < n.seen && !l.Extra {
+		// The worker lists ends that are not stored yet again, without a wait for
+		// a new one.
+		n.nextLook = now.Add(repeatPause)
+	}
 	if report.Clock >= n.reported {
 		// An older report that was overtaken tells of runs that have ended.
 		n.reported = report.Clock
@@ -224,11 +231,15 @@
 	m.pump(now)
 }
 
-func (m *Machine) takeEnds(now time.Time, n *node, ends []worker.Ended) {
+// takeEnds takes in the ends that a worker lists. It returns true if any is new.
+func (m *Machine) takeEnds(now time.Time, n *node, ends []worker.Ended) bool {
+	isNew := false
 	for _, e := range ends {
 		if e.Number <= n.seen {
 			continue
 		}
+		isNew = true
+		m.noteEnd(n, e)
 		n.seen = e.Number
 		if n.noteAt.IsZero() {
 			n.noteAt = now.Add(forgetPause)
@@ -240,7 +251,11 @@
 		if r != nil {
 			m.gone(now, n, r, e.How)
 		}
+		if t := m.find(e.Task); t != nil && t.job.kept {
+			m.settleKept(now, t.job)
+		}
 	}
+	return isNew
 }
 
 func (m *Machine) takeRunning(now, sent time.Time, n *node, running []worker.Running) {
@@ -434,7 +449,7 @@
 	m.lose(now, n)
 	n.adopted, n.watching = false, false
 	n.seen, n.noted, n.clock, n.reported = 0, 0, 0, 0
-	n.lapsed, n.noteAt = time.Time{}, time.Time{}
+	n.lapsed, n.noteAt, n.unstored = time.Time{}, time.Time{}, nil
 	n.pace = pace{}
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -71,6 +71,10 @@
 // again only when what an earlier owner started of it has ended, so that only
 // jobs which a host hands in again have to wait.
 func (m *Machine) opened(now time.Time, j *job) bool {
+	if j.kept && !m.loaded {
+		// What workers have listed of it is not taken in yet.
+		return false
+	}
 	if !j.again || !now.Before(m.open) {
 		return true
 	}
@@ -152,7 +156,7 @@
 	}
 	for h, jobs := range byHope {
 		for _, j := range jobs {
-			if hope(h) == useless && !j.begun {
+			if hope(h) == useless && !j.begun && !j.kept {
 				// Nothing has run: the caller is told at once to come back.
 				m.giveUp(now, j)
 				continue
@@ -318,7 +322,7 @@
 		}
 	case n.hasConfirmed():
 		l.Wait = watchTime
-	case n.noted >= n.seen || n.noteAt.IsZero() || now.Before(n.noteAt):
+	case n.noted >= n.forgettable() || n.noteAt.IsZero() || now.Before(n.noteAt):
 		return
 	}
 	n.watching = true
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -42,6 +42,7 @@
 type Directory struct {
 	self   ownership.Host
 	table  storage.Table
+	feed   storage.Feed
 	view   *storage.View
 	logger log.Interface
 
@@ -59,7 +60,7 @@
 
 func newDirectory(self ownership.Host, t storage.Table, f storage.Feed, l log.Interface) *Directory {
 	return &Directory{
-		self: self, table: t, view: storage.NewView(t, f, hostsGroup), logger: l,
+		self: self, table: t, feed: f, view: storage.NewView(t, f, hostsGroup), logger: l,
 		hosts:     map[ident.Host]ownership.Host{self.Name: self},
 		revisions: map[ident.Host]ident.Revision{},
 		owners:    map[ident.DataCentre]ownership.Owner{},
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -62,6 +62,9 @@
 	MaxLease time.Duration
 	// FarFactor is how many times as long a task takes away from its rack.
 	FarFactor float64
+	// Retention is how long the state of a job that lasts can be asked for after
+	// its end.
+	Retention time.Duration
 	// ShutdownTimeout bounds a graceful shutdown.
 	ShutdownTimeout time.Duration
 	// MetricsAddress serves the metrics, or is empty.
--- /dev/null
+++ b/fleet/keeper_test.go
@@ -0,0 +1,236 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/ledger"
+	"github.com/catkingap/catkingap/standin"
+	"github.com/catkingap/catkingap/work"
+)
+
+// keptJob returns a job of two steps, the second after the first.
+func keptJob(n, ms, tasks int) work.Job {
+	size := work.Size{Cores: coresOfTask, Memory: 64}
+	estimate := time.Duration(ms) * time.Millisecond
+	return work.Job{
+		ID: work.ID(fmt.Sprintf("%dms%d", ms, n)), Queue: queueName, Pool: "pool", Attempts: 3, Stretch: 1.6, Target: 60 * time.Millisecond,
+		Steps: []work.Step{{Count: tasks, Size: size, Estimate: estimate}, {Count: 1, Size: size, Estimate: estimate, After: []int{0}}},
+	}
+}
+
+// keep hands in a job that lasts until it is accepted or refused. It returns
+// true if it was accepted.
+func (w *world) keep(j work.Job, patience time.Duration) bool {
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		m := w.living()
+		now := time.Now()
+		r := m.submitter.Keep(m.life, j, now, now.Add(2*time.Second))
+		if r.Result == dispatch.Kept {
+			return true
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return false
+}
+
+// keepLoad hands in jobs that last at a rate for a time, and returns the
+// accepted ones.
+func (w *world) keepLoad(perSecond int, d time.Duration) []work.ID {
+	var mutex sync.Mutex
+	var open sync.WaitGroup
+	var accepted []work.ID
+	end := time.Now().Add(d)
+	for n := 0; time.Now().Before(end); n++ {
+		time.Sleep(time.Duration(w.random.ExpFloat64() * float64(time.Second) / float64(perSecond)))
+		ms := 200
+		if n%5 == 0 {
+			ms = 1500
+		}
+		j := keptJob(n, ms, 1+w.random.IntN(3))
+		open.Go(func() {
+			if w.keep(j, 20*time.Second) {
+				mutex.Lock()
+				defer mutex.Unlock()
+				accepted = append(accepted, j.ID)
+			}
+		})
+	}
+	open.Wait()
+	return accepted
+}
+
+// state returns the state of a job as a living host tells it, or nothing.
+func (w *world) state(id work.ID) ledger.State {
+	m := w.living()
+	ctx, cancel := context.WithTimeout(m.life, 2*time.Second)
+	defer cancel()
+	e, err := m.submitter.State(ctx, id)
+	if err != nil || e == nil {
+		return ""
+	}
+	return e.State
+}
+
+// killAll kills all hosts at once, and starts them again after d.
+func (w *world) killAll(d time.Duration) {
+	hosts := slices.DeleteFunc(w.all(), func(m *member) bool { return m.dead.Load() })
+	for _, m := range hosts {
+		w.kill(m)
+	}
+	time.Sleep(d)
+	for _, m := range hosts {
+		w.addHost(m.zone, m.name)
+	}
+}
+
+// TestKeptJobs hands in jobs that last while something fails: each accepted one
+// is completed, no task runs twice at a time or again after its end was noted.
+func TestKeptJobs(t *testing.T) {
+	tests := map[string]func(w *world){
+		"calm":                 func(*world) {},
+		"an owner dies":        func(w *world) { w.kill(w.owner("coast-b")) },
+		"all hosts are killed": func(w *world) { w.killAll(500 * time.Millisecond) },
+		"killed twice in a row": func(w *world) {
+			w.killAll(300 * time.Millisecond)
+			time.Sleep(700 * time.Millisecond)
+			w.killAll(2 * time.Second)
+		},
+		"the table is away": func(w *world) {
+			w.cut(4*time.Second, func(from, to string) bool { return from == storeSite || to == storeSite })
+		},
+		"the table is away and an owner dies": func(w *world) {
+			go func() {
+				time.Sleep(time.Second)
+				w.kill(w.owner("coast-a"))
+			}()
+			w.cut(4*time.Second, func(from, to string) bool { return from == storeSite || to == storeSite })
+		},
+		"answers of the table are lost": func(w *world) {
+			w.cut(3*time.Second, func(from, _ string) bool { return from == storeSite })
+		},
+		"an owner is cut off and returns": func(w *world) {
+			name := w.owner("coast-a").name
+			w.cut(3*time.Second, func(from, to string) bool { return from == name || to == name })
+		},
+		"an owner is cut off from the table": func(w *world) {
+			name := w.owner("coast-a").name
+			w.cut(3*time.Second, func(from, to string) bool { return from == name && to == storeSite || from == storeSite && to == name })
+		},
+	}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t)
+				time.Sleep(startTime)
+				go func() {
+					time.Sleep(3 * time.Second)
+					fault(w)
+				}()
+				accepted := w.keepLoad(10, 8*time.Second)
+				time.Sleep(15 * time.Second)
+				is.True(len(accepted) > 50)
+				for _, id := range accepted {
+					if s := w.state(id); s != ledger.Completed {
+						e, _ := w.living().submitter.State(context.Background(), id)
+						t.Errorf("job %s is %q %+v", id, s, e)
+					}
+				}
+				_, _, doubled := w.judge.Verdict()
+				is.Equal(doubled, nil)
+				is.Equal(w.judge.Again(), nil)
+			})
+		})
+	}
+}
+
+// TestKeptJobsThatFail has all workers fail for a while: a task runs at most as
+// often as its queue allows, also when owners change meanwhile.
+func TestKeptJobsThatFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		for _, x := range w.workers {
+			x.Faults.Set(standin.Faults{Mode: standin.FailAll})
+		}
+		go func() {
+			for range 4 {
+				time.Sleep(time.Second)
+				w.killAll(200 * time.Millisecond)
+			}
+		}()
+		accepted := w.keepLoad(5, 5*time.Second)
+		time.Sleep(15 * time.Second)
+		is.True(len(accepted) > 10)
+		for _, id := range accepted {
+			if s := w.state(id); s != ledger.Failed {
+				t.Errorf("job %s is %q", id, s)
+			}
+		}
+		is.Equal(w.judge.Failures(), 3)
+	})
+}
+
+// TestCancelKeptJob cancels jobs at any host: nothing of them runs soon after,
+// and their state stays.
+func TestCancelKeptJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		var ids []work.ID
+		for n := range 20 {
+			j := keptJob(n, 5000, 2)
+			is.True(w.keep(j, time.Second))
+			ids = append(ids, j.ID)
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, id := range ids {
+			m := w.living()
+			known, err := m.submitter.Cancel(m.life, id)
+			is.NoErr(err)
+			is.True(known)
+		}
+		time.Sleep(300 * time.Millisecond)
+		is.Equal(w.judge.Running(), 0)
+		w.killAll(500 * time.Millisecond)
+		time.Sleep(3 * time.Second)
+		is.Equal(w.judge.Running(), 0)
+		for _, id := range ids {
+			is.Equal(w.state(id), ledger.Cancelled)
+		}
+		m := w.living()
+		known, err := m.submitter.Cancel(m.life, "5000ms99")
+		is.NoErr(err)
+		is.True(!known)
+	})
+}
+
+// TestPendingJobs counts the jobs that wait, as any host tells it.
+func TestPendingJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		const jobs = 60
+		for n := range jobs {
+			is.True(w.keep(keptJob(n, 4000, 3), time.Second))
+		}
+		time.Sleep(time.Second)
+		running := w.judge.Running()
+		for _, m := range w.all() {
+			pending := m.submitter.Pending(queueName)
+			is.True(pending >= jobs-running && pending < jobs)
+		}
+	})
+}
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -61,6 +61,9 @@
 	cancel context.CancelFunc
 	logger log.Interface
 
+	// keeper stores the jobs that last.
+	keeper *keeper
+
 	mutex   sync.Mutex
 	machine *dispatch.Machine
 	waiting map[caller]chan dispatch.Reply
@@ -88,7 +91,9 @@
 		hosts:   map[ident.Host]string{},
 	}
 	w.ctx, w.cancel = context.WithCancel(ctx)
+	w.keeper = newKeeper(w, o.directory.table, o.directory.feed, x, o.settings.Retention)
 	go w.run()
+	go w.keeper.run(w.ctx)
 	go w.pulse()
 	go o.roster.follow(w.ctx, x.DataCentre, w.setWorkers)
 	return w
@@ -145,8 +150,12 @@
 // step lets the machine decide, and carries its actions out.
 func (w *Owner) step(decide func(now time.Time, m *dispatch.Machine)) {
 	w.mutex.Lock()
-	decide(time.Now(), w.machine)
+	now := time.Now()
+	decide(now, w.machine)
 	actions := w.machine.Take()
+	for _, x := range w.keeper.take(now, actions.Notes, actions.Finishes) {
+		w.machine.Stored(now, x.Worker, x.Life, x.Number)
+	}
 	for _, r := range actions.Replies {
 		w.reply(r)
 	}
--- a/fleet/owners.go
+++ b/fleet/owners.go
@@ -101,6 +101,9 @@
 	peer.Handle(l, kindSubmit, func(ctx context.Context, r submitRequest) (dispatch.Reply, error) {
 		return o.Submit(ctx, r.DataCentre, r.Submission)
 	})
+	peer.Handle(l, kindKeep, func(ctx context.Context, r keepRequest) (dispatch.Reply, error) {
+		return o.Keep(ctx, r), nil
+	})
 	peer.Handle(l, kindWithdraw, func(_ context.Context, r withdrawRequest) (struct{}, error) {
 		o.Withdraw(r.DataCentre, r.Host, r.Call, r.Job)
 		return struct{}{}, nil
--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,107 @@
+// Package ledger decides what is stored of the jobs that last, so that any
+// later owner of their workers can go on with them. It is pure: the caller
+// passes the present time and writes what it is told to.
+//
+// A job has two rows in the platform's table: one with its specification,
+// written once, and one with its state, written when runs have ended. Each write
+// holds under the condition that the owner's row is unchanged, which fences an
+// owner that was replaced, and that the state rows are as they were last seen.
+package ledger
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/storage"
+	"github.com/catkingap/catkingap/work"
+)
+
+// The groups of rows. Each key is a group, a slash and the id of a job.
+const (
+	// JobGroup holds the specifications, StateGroup the states.
+	JobGroup   = "catkingapJob"
+	StateGroup = "catkingapJobState"
+	// CancelGroup tells owners which jobs were cancelled.
+	CancelGroup = "catkingapCancel"
+)
+
+// JobKey returns the key of a job's specification.
+func JobKey(id work.ID) string { return JobGroup + "/" + string(id) }
+
+// StateKey returns the key of a job's state.
+func StateKey(id work.ID) string { return StateGroup + "/" + string(id) }
+
+// CancelKey returns the key of the row that tells that a job is cancelled.
+func CancelKey(id work.ID) string { return CancelGroup + "/" + string(id) }
+
+// ID returns the job that a key of any group belongs to.
+func ID(key string) work.ID {
+	_, id, _ := strings.Cut(key, "/")
+	return work.ID(id)
+}
+
+// State is how far a job is.
+type State string
+
+// The states of jobs.
+const (
+	Accepted  State = "accepted"
+	Completed State = "completed"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Entry is the row with the state of a job.
+type Entry struct {
+	// DataCentre is the one whose owner runs the job.
+	DataCentre ident.DataCentre `msgpack:"dataCentre"`
+	State      State            `msgpack:"state"`
+	Progress   work.Progress    `msgpack:"progress"`
+	// Ended is when the job ended, in milliseconds since 1970, or zero.
+	Ended int64 `msgpack:"ended,omitempty"`
+}
+
+// Over returns true if the job has ended.
+func (e *Entry) Over() bool { return e.State != Accepted }
+
+// End sets the state of a job that has ended.
+func (e *Entry) End(now time.Time, s State) { e.State, e.Ended = s, now.UnixMilli() }
+
+// Encode returns the value of the row.
+func (e *Entry) Encode() ([]byte, error) { return msgpack.Marshal(e) }
+
+// ReadEntry returns the entry in a row.
+func ReadEntry(r storage.Row) (Entry, error) {
+	var e Entry
+	err := msgpack.Unmarshal(r.Value, &e)
+	return e, errors.Wrapf(err, "row %s", r.Key)
+}
+
+// ReadJob returns the specification in a row.
+func ReadJob(r storage.Row) (work.Job, error) {
+	var j work.Job
+	err := msgpack.Unmarshal(r.Value, &j)
+	return j, errors.Wrapf(err, "row %s", r.Key)
+}
+
+// Cancel returns the write by which any host cancels a job, given its state row.
+// It returns false if the job has ended.
+func Cancel(now time.Time, id work.ID, r storage.Row) (storage.Write, bool, error) {
+	e, err := ReadEntry(r)
+	if err != nil || e.Over() {
+		return storage.Write{}, false, err
+	}
+	e.End(now, Cancelled)
+	value, err := e.Encode()
+	if err != nil {
+		return storage.Write{}, false, err
+	}
+	return storage.Write{
+		Conditions: []storage.Condition{{Key: r.Key, Revision: r.Revision}},
+		Puts:       []storage.Put{{Key: r.Key, Value: value}, {Key: CancelKey(id), Value: []byte{}}},
+	}, true, nil
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -52,6 +52,12 @@
 	timer *time.Timer
 }
 
+// The ways in which a run ends by itself.
+const (
+	endDone   = "done"
+	endFailed = "failed"
+)
+
 type workerEnd struct {
 	number int64
 	task   string
@@ -210,9 +216,9 @@
 	w.started = x.begun
 	w.used += cores
 	w.config.Judge.start(o.Task)
-	how := "done"
+	how := endDone
 	if w.Faults.mode() == FailAll {
-		how = "failed"
+		how = endFailed
 	}
 	x.timer = time.AfterFunc(took, func() {
 		w.mutex.Lock()
@@ -246,6 +252,8 @@
 	for _, e := range w.ended {
 		if e.number > o.LastSeen {
 			kept = append(kept, e)
+		} else {
+			w.config.Judge.note(e.task, e.how)
 		}
 	}
 	w.ended = kept
@@ -278,10 +286,17 @@
 	starts  int
 	done    int
 	doubled []string
+	// noted holds the tasks of which a done run was taken note of, failures
+	// the number of failed runs of each task.
+	noted    map[string]bool
+	failures map[string]int
+	again    []string
 }
 
 // NewJudge returns a judge that has seen nothing.
-func NewJudge() *Judge { return &Judge{running: map[string]int{}} }
+func NewJudge() *Judge {
+	return &Judge{running: map[string]int{}, noted: map[string]bool{}, failures: map[string]int{}}
+}
 
 func (j *Judge) start(task string) {
 	j.mutex.Lock()
@@ -291,17 +306,50 @@
 	if j.running[task] > 1 {
 		j.doubled = append(j.doubled, task)
 	}
+	if j.noted[task] {
+		j.again = append(j.again, task)
+	}
 }
 
 func (j *Judge) end(task, how string) {
 	j.mutex.Lock()
 	defer j.mutex.Unlock()
 	j.running[task]--
-	if how == "done" {
+	switch how {
+	case endDone:
 		j.done++
+	case endFailed:
+		j.failures[task]++
+	}
+}
+
+// note tells that a worker was told that the end of a run was seen.
+func (j *Judge) note(task, how string) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	if how == endDone {
+		j.noted[task] = true
 	}
 }
 
+// Again returns the tasks that started after it was noted that they are done.
+func (j *Judge) Again() []string {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	return j.again
+}
+
+// Failures returns the highest number of failed runs of any task.
+func (j *Judge) Failures() int {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	highest := 0
+	for _, n := range j.failures {
+		highest = max(highest, n)
+	}
+	return highest
+}
+
 // Verdict returns the number of starts and of runs that were done, and the
 // tasks that ran twice at the same time.
 func (j *Judge) Verdict() (starts, done int, doubled []string) {
@@ -309,3 +357,14 @@
 	defer j.mutex.Unlock()
 	return j.starts, j.done, j.doubled
 }
+
+// Running returns the number of runs that are at work.
+func (j *Judge) Running() int {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	n := 0
+	for _, runs := range j.running {
+		n += runs
+	}
+	return n
+}
