Cancel kept jobs on the users' platform, count waiting ones after a takeover, and wait for them at a shutdown

- The platform's table refused the row that tells of a cancelled job, since its value was empty; the stand-in took it.
The stand-in now refuses such rows, too: TestCancelKeptJob failed, and passes with the state in the row.
- MIXED: hosts told how many jobs wait by adding up what owners say, also for owners that were gone or had not read their jobs, and a host that had just started said none.
The table is asked then (TestPendingJobs failed for each of the two).
- LOST: a host that shut down did not wait for callers whose job was being stored (TestOpenCalls failed).

Beside: an owner that is replaced sends callers to the next one, and specifications of ended jobs are not held in memory.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -134,6 +134,8 @@
 	Room int `msgpack:"room"`
 	// Pending is the number of kept jobs of each queue that have not begun.
 	Pending map[work.Queue]int `msgpack:"pending,omitempty"`
+	// Loaded is true if the owner knows the kept jobs of the one before.
+	Loaded bool `msgpack:"loaded,omitempty"`
 }
 
 // Actions is what a caller of a Machine must carry out.
@@ -414,7 +416,7 @@
 // Load returns what the workers can take.
 func (m *Machine) Load(now time.Time) Load {
 	if m.cores == 0 {
-		return Load{Room: len(m.ordered), Pending: m.pending()}
+		return Load{Room: len(m.ordered), Pending: m.pending(), Loaded: m.loaded}
 	}
 	room := 0
 	for _, n := range m.ordered {
@@ -425,7 +427,7 @@
 	for _, j := range m.queue {
 		room -= len(j.waiting)
 	}
-	return Load{Room: room, Pending: m.pending()}
+	return Load{Room: room, Pending: m.pending(), Loaded: m.loaded}
 }
 
 // sortedJobs returns the jobs in a fixed order.
--- a/fleet/keeper.go
+++ b/fleet/keeper.go
@@ -285,6 +285,9 @@
 	}
 	if len(k.waiting[j.ID]) == 1 && k.book.Abandon(j.ID) {
 		delete(k.waiting, j.ID)
+		if k.owner.ctx.Err() != nil {
+			return dispatch.Reply{Job: j.ID, Result: dispatch.Moved, Reason: "the owner was replaced"}
+		}
 		return dispatch.Reply{Job: j.ID, Result: dispatch.Refused, Reason: "the job could not be stored", RetryAfter: refusedRetry}
 	}
 	return dispatch.Reply{Job: j.ID, Result: dispatch.Expired, Reason: "the job may be stored"}
--- a/fleet/kept.go
+++ b/fleet/kept.go
@@ -42,6 +42,7 @@
 // Keep hands a job that lasts to an owner, and waits until it is stored. The
 // result is Kept, Refused if it will never run, or Expired if that is not known.
 func (s *Submitter) Keep(ctx context.Context, j work.Job, arrived, deadline time.Time) dispatch.Reply {
+	defer s.enter()()
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	r := s.keep(ctx, &attempt{job: j, arrived: arrived, deadline: deadline, tried: map[ident.DataCentre]bool{}})
@@ -103,6 +104,7 @@
 // State returns the state of a job that lasts, or nil if there is none. An
 // error is an *UnavailableError.
 func (s *Submitter) State(ctx context.Context, id work.ID) (*ledger.Entry, error) {
+	defer s.enter()()
 	row, err := s.stateRow(ctx, id)
 	if err != nil || row == nil {
 		return nil, err
@@ -124,6 +126,7 @@
 // Cancel ends a job that lasts. It returns false if there is no such job, and
 // an *UnavailableError if the cancelling may not be stored.
 func (s *Submitter) Cancel(ctx context.Context, id work.ID) (bool, error) {
+	defer s.enter()()
 	for {
 		row, err := s.stateRow(ctx, id)
 		if err == nil {
@@ -162,14 +165,46 @@
 }
 
 // Pending returns the number of jobs of a queue that last and have not begun.
-func (s *Submitter) Pending(q work.Queue) int {
-	total := 0
-	for c, o := range s.directory.Owners() {
-		load, _ := s.contacts.Load(c)
-		if x := s.owners.get(c); x != nil && o.Host == s.self.Name {
-			load = x.load()
+// The owners tell it. Where one of them is not heard, or does not know its jobs
+// yet, the table does; jobs that run count as waiting then until a run has ended.
+func (s *Submitter) Pending(ctx context.Context, q work.Queue) (int, error) {
+	now, total := time.Now(), 0
+	owners := s.directory.Owners()
+	if len(owners) == 0 {
+		// This host has just started.
+		return s.storedPending(ctx, q)
+	}
+	for c, o := range owners {
+		load, known := s.contacts.Load(c)
+		if x := s.owners.get(c); x != nil {
+			load, known = x.load(), true
+		} else if !s.heard(now, o) {
+			known = false
+		}
+		if !known || !load.Loaded {
+			return s.storedPending(ctx, q)
 		}
 		total += load.Pending[q]
 	}
-	return total
+	return total, nil
+}
+
+func (s *Submitter) storedPending(ctx context.Context, q work.Queue) (int, error) {
+	call, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	rows, _, err := s.directory.table.List(call, ledger.StateGroup+"/", "", 0)
+	if err != nil {
+		return 0, &UnavailableError{Cause: err}
+	}
+	total := 0
+	for _, r := range rows {
+		e, err := ledger.ReadEntry(r)
+		if err != nil {
+			return 0, &UnavailableError{Cause: err}
+		}
+		if e.Queue == q && !e.Over() && !e.Progress.Begun() {
+			total++
+		}
+	}
+	return total, nil
 }
--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -87,11 +87,7 @@
 // Submit hands a job to an owner and waits for its end. It ends early if ctx
 // does, which means that the caller has left.
 func (s *Submitter) Submit(ctx context.Context, j work.Job, arrived, deadline time.Time) dispatch.Reply {
-	s.open.Add(1)
-	defer func() {
-		s.last.Store(time.Now().UnixNano())
-		s.open.Add(-1)
-	}()
+	defer s.enter()()
 	a := &attempt{job: j, call: s.calls.Add(1), arrived: arrived, deadline: deadline, tried: map[ident.DataCentre]bool{}}
 	r := s.run(ctx, a)
 	if r.Result == dispatch.Interrupted {
@@ -107,6 +103,15 @@
 	return r
 }
 
+// enter counts a call of a caller as open until the returned function is called.
+func (s *Submitter) enter() func() {
+	s.open.Add(1)
+	return func() {
+		s.last.Store(time.Now().UnixNano())
+		s.open.Add(-1)
+	}
+}
+
 // Turned logs a job that was turned away before it was handed in.
 func (s *Submitter) Turned(id work.ID, status int, reason string) {
 	s.counters.results.Add("turned", 1)
@@ -121,7 +126,7 @@
 	return now.Sub(time.Unix(0, s.last.Load()))
 }
 
-// Open returns the number of jobs that wait for their end.
+// Open returns the number of calls of callers that are not answered.
 func (s *Submitter) Open() int { return int(s.open.Load()) }
 
 func (s *Submitter) run(ctx context.Context, a *attempt) dispatch.Reply {
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -108,7 +108,7 @@
 	if e := b.entries[job.ID]; e != nil {
 		return e.revision != 0
 	}
-	e := &entry{id: job.ID, job: job, row: Entry{DataCentre: b.config.DataCentre, State: Accepted}}
+	e := &entry{id: job.ID, job: job, row: Entry{DataCentre: b.config.DataCentre, Queue: job.Queue, State: Accepted}}
 	b.entries[job.ID] = e
 	b.touch(e)
 	return false
@@ -284,6 +284,10 @@
 	}
 	o.Stored = append(o.Stored, e.flying...)
 	e.revision, e.sent, e.flying = r, nil, nil
+	if e.row.Over() {
+		// Only the state of an ended job is asked for.
+		e.job = work.Job{}
+	}
 }
 
 // conflict takes in that a condition of the write does not hold.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -59,6 +59,7 @@
 type Entry struct {
 	// DataCentre is the one whose owner runs the job.
 	DataCentre ident.DataCentre `msgpack:"dataCentre"`
+	Queue      work.Queue       `msgpack:"queue"`
 	State      State            `msgpack:"state"`
 	Progress   work.Progress    `msgpack:"progress"`
 	// Ended is when the job ended, in milliseconds since 1970, or zero.
@@ -102,6 +103,6 @@
 	}
 	return storage.Write{
 		Conditions: []storage.Condition{{Key: r.Key, Revision: r.Revision}},
-		Puts:       []storage.Put{{Key: r.Key, Value: value}, {Key: CancelKey(id), Value: []byte{}}},
+		Puts:       []storage.Put{{Key: r.Key, Value: value}, {Key: CancelKey(id), Value: value}},
 	}, true, nil
 }
--- a/standin/rowstore.go
+++ b/standin/rowstore.go
@@ -115,6 +115,12 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	for _, p := range x.Writes {
+		if p.Table == "" || p.Key == "" || len(p.Value) == 0 {
+			http.Error(w, "a table, key or value is missing", http.StatusBadRequest)
+			return
+		}
+	}
 	time.Sleep(s.config.WriteTime)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
