Load stored jobs past a state without a specification

Found in the reading of the diff: a host that cancels a job removes its specification, and an owner that loads between reading the states and the specifications handed an empty job to its machine. The process ended with an index out of range (TestStateWithoutJob, and TestProgressOfAnotherJob for the machine). Such a state is passed over now, with a line in the log.

Beside: a cancelled job's runs on a silent worker end with its lease; cancels and stored ends of other jobs don't look through the queue.

--- a/dispatch/keep.go
+++ b/dispatch/keep.go
@@ -49,12 +49,18 @@
 	k := newJob(now, Submission{Job: j, Again: again})
 	k.kept = true
 	for _, number := range p.Done {
+		if number < 0 || number >= len(k.tasks) {
+			continue
+		}
 		t := k.tasks[number]
 		t.done = true
 		k.left--
 		k.stepLeft[t.name.Step]--
 	}
 	for number, runs := range p.Failed {
+		if number < 0 || number >= len(k.tasks) {
+			continue
+		}
 		t := k.tasks[number]
 		t.failedRuns = slices.Clone(runs)
 		t.failures, t.attempts = len(runs), len(runs)
@@ -127,7 +133,6 @@
 	}
 	delete(n.unstored, number)
 	n.acknowledge(now)
-	m.pump(now)
 }
 
 // Cancel ends a kept job at once.
@@ -135,8 +140,8 @@
 	if j := m.jobs[id]; j != nil && j.kept {
 		m.close(now, j, Cancelled, "the job was cancelled")
 		m.drop(now, j)
+		m.pump(now)
 	}
-	m.pump(now)
 }
 
 // pending returns the number of kept jobs of each queue that have not begun.
--- a/dispatch/keep_test.go
+++ b/dispatch/keep_test.go
@@ -236,3 +236,12 @@
 	is.Equal(len(a.Notes), 1)
 	is.Equal(len(a.Starts), 0)
 }
+
+// TestProgressOfAnotherJob hands in a job with progress of tasks that it does not
+// have: they are passed over.
+func TestProgressOfAnotherJob(t *testing.T) {
+	is := is.New(t)
+	m := openMachine("w1")
+	m.Keep(at(2), submission("j", 1, 1).Job, work.Progress{Done: []int{7, -1}, Failed: map[int][]work.Run{9: {1}}}, true)
+	is.Equal(len(m.Take().Finishes), 0)
+}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -465,7 +465,7 @@
 // word is waited for.
 func (m *Machine) loseLapsed(now time.Time, n *node) {
 	for _, r := range n.sortedRuns() {
-		if r.task == nil || !r.task.job.kept || !n.listed {
+		if r.task == nil || !r.task.job.kept || !r.task.job.live || !n.listed {
 			m.gone(now, n, r, worker.Lost)
 		} else if r.state == ordered {
 			r.state, r.confirmed = atWork, r.sent
--- a/fleet/keeper.go
+++ b/fleet/keeper.go
@@ -14,21 +14,18 @@
 	"github.com/catkingap/catkingap/work"
 )
 
-const (
-	// keepInterval is the time between two looks at what has to be written or
-	// removed, beside those that an event brings.
-	keepInterval = 250 * time.Millisecond
-)
+// keepInterval is the time between two looks at what has to be written or
+// removed, beside those that an event brings.
+const keepInterval = 250 * time.Millisecond
 
 // keeper stores the jobs that last for one owner, and hands those that an
 // earlier owner has stored to the owner's machine.
 type keeper struct {
-	owner     *Owner
-	table     storage.Table
-	feed      storage.Feed
-	retention time.Duration
-	logger    log.Interface
-	wake      chan struct{}
+	owner  *Owner
+	table  storage.Table
+	feed   storage.Feed
+	logger log.Interface
+	wake   chan struct{}
 
 	mutex sync.Mutex
 	book  *ledger.Book
@@ -40,7 +37,7 @@
 
 func newKeeper(w *Owner, t storage.Table, f storage.Feed, x ownership.Owner, retention time.Duration) *keeper {
 	return &keeper{
-		owner: w, table: t, feed: f, retention: retention, logger: w.logger, wake: make(chan struct{}, 1),
+		owner: w, table: t, feed: f, logger: w.logger, wake: make(chan struct{}, 1),
 		book: ledger.NewBook(ledger.Config{
 			DataCentre: x.DataCentre, OwnerKey: ownerPrefix + string(x.DataCentre), Token: x.Token, Retention: retention,
 		}),
@@ -107,6 +104,13 @@
 		if jobs, err = k.jobs(ctx, entries); err != nil {
 			return err
 		}
+		for id, e := range entries {
+			if _, ok := jobs[id]; !ok && !e.Over() {
+				// It was cancelled between the two reads. Its state is right.
+				k.logger.WithField("job", string(id)).Warn("open job without a specification is passed over")
+				delete(entries, id)
+			}
+		}
 	}
 	k.mutex.Lock()
 	for id, e := range entries {
--- a/fleet/keeper_test.go
+++ b/fleet/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -13,7 +14,9 @@
 
 	"github.com/catkingap/catkingap/dispatch"
 	"github.com/catkingap/catkingap/ledger"
+	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/standin"
+	"github.com/catkingap/catkingap/storage"
 	"github.com/catkingap/catkingap/work"
 )
 
@@ -246,6 +249,34 @@
 	})
 }
 
+// TestStateWithoutJob has a state whose job is missing, as a cancelling between
+// two reads leaves it: the other jobs of the data centre go on under a new owner.
+func TestStateWithoutJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		entry := ledger.Entry{DataCentre: "coast-b", Queue: queueName, State: ledger.Accepted, Progress: work.Progress{Done: []int{0, 1}}}
+		value, err := entry.Encode()
+		is.NoErr(err)
+		client := &http.Client{Transport: &http.Transport{DialContext: w.network.Site("coast-b.test").DialContext}}
+		defer client.CloseIdleConnections()
+		table := platform.NewTable(client, storeSite+":1")
+		_, err = table.Commit(t.Context(), []storage.Write{{Puts: []storage.Put{{Key: ledger.StateKey("0123456789abcdef"), Value: value}}}})
+		is.NoErr(err)
+		w.kill(w.owner("coast-b"))
+		time.Sleep(3 * time.Second)
+		for n := range 30 {
+			j := keptJob(n, 200, 2)
+			is.True(w.keep(j, time.Second))
+		}
+		time.Sleep(10 * time.Second)
+		for n := range 30 {
+			is.Equal(w.state(keptJob(n, 200, 2).ID), ledger.Completed)
+		}
+	})
+}
+
 // TestOpenCalls checks that a host which shuts down knows of the callers that
 // wait for a job to be stored.
 func TestOpenCalls(t *testing.T) {
