--- /dev/null
+++ b/settings/sample_test.go
@@ -0,0 +1,17 @@
+package settings_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/settings"
+)
+
+// TestSample reads the settings that the README starts a host with.
+func TestSample(t *testing.T) {
+	is := is.New(t)
+	s, err := settings.Load("../samples/entry.yaml")
+	is.NoErr(err)
+	is.Equal(string(s.Host), "entry-1")
+}
