--- /dev/null
+++ b/ledger/property_test.go
@@ -0,0 +1,194 @@
+package ledger_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/catkingap/catkingap/ledger"
+	"github.com/catkingap/catkingap/storage"
+	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/worker"
+)
+
+// done names a task that was done.
+type done struct {
+	job  work.ID
+	task int
+}
+
+// history is what the outside has been told of the jobs.
+type history struct {
+	is    *is.I
+	table *table
+	book  *ledger.Book
+	// late holds writes without an answer, which may take effect at any time.
+	late []storage.Write
+	// accepted, abandoned and cancelled hold what callers were told, forgotten
+	// the ends that workers may have forgotten.
+	accepted, abandoned, cancelled map[work.ID]bool
+	forgotten                      map[done]bool
+	marks                          map[ledger.Mark]done
+	number                         worker.EndNumber
+}
+
+// newIs returns checks that end one run of the property test.
+func newIs(r *rapid.T) *is.I { return is.New(r) }
+
+// step lets one thing happen.
+func (h *history) step(t *rapid.T) {
+	id := work.ID(fmt.Sprint("j", rapid.IntRange(0, 4).Draw(t, "job")))
+	switch rapid.IntRange(0, 9).Draw(t, "event") {
+	case 0:
+		if !h.abandoned[id] && h.book.Accept(aJob(id)) {
+			h.accepted[id] = true
+		}
+	case 1:
+		if h.book.Abandon(id) && !h.accepted[id] {
+			h.abandoned[id] = true
+		}
+	case 2, 3:
+		if !h.accepted[id] {
+			return
+		}
+		h.number++
+		task := rapid.IntRange(0, 1).Draw(t, "task")
+		m := ledger.Mark{Worker: "w1", Life: 1, Number: h.number}
+		h.marks[m] = done{id, task}
+		if !h.book.Note(id, task, 1, true, m) {
+			h.forget(m)
+		}
+	case 4:
+		if h.accepted[id] && h.forgotten[done{id, 0}] && h.forgotten[done{id, 1}] {
+			h.book.End(begin, id, ledger.Completed)
+		}
+	case 5:
+		h.cancel(id)
+	case 6:
+		// Another owner takes over, and reads what is stored.
+		h.book = h.table.claim()
+		h.table.load(h.is, h.book)
+	case 7:
+		if n := len(h.late); n > 0 {
+			i := rapid.IntRange(0, n-1).Draw(t, "late")
+			h.table.commit(h.late[i])
+		}
+	default:
+		h.write(rapid.IntRange(0, 4).Draw(t, "answer"))
+	}
+}
+
+// write sends the next write, whose answer may be lost.
+func (h *history) write(answer int) {
+	w, ok, err := h.book.Next()
+	h.is.NoErr(err)
+	if !ok {
+		return
+	}
+	var o ledger.Outcome
+	switch answer {
+	case 0:
+		h.late = append(h.late, w)
+		o = h.book.Written(storage.Result{}, errLost)
+	case 1:
+		h.table.commit(w)
+		h.late = append(h.late, w)
+		o = h.book.Written(storage.Result{}, errLost)
+	case 2:
+		o = h.book.Written(storage.Result{}, refused)
+	default:
+		o = h.book.Written(h.table.commit(w), nil)
+	}
+	for _, j := range o.Accepted {
+		h.accepted[j.ID] = true
+	}
+	for _, id := range o.Known {
+		h.accepted[id] = true
+	}
+	for _, m := range o.Stored {
+		h.forget(m)
+	}
+}
+
+// forget notes that a worker may have forgotten an end.
+func (h *history) forget(m ledger.Mark) { h.forgotten[h.marks[m]] = true }
+
+// cancel cancels a job as another host does.
+func (h *history) cancel(id work.ID) {
+	r, ok := h.table.rows[ledger.StateKey(id)]
+	if !ok {
+		return
+	}
+	w, open, err := ledger.Cancel(begin, id, r)
+	h.is.NoErr(err)
+	if open && h.table.commit(w).Applied {
+		h.cancelled[id] = true
+	}
+}
+
+// check compares what the outside was told with what is stored.
+func (h *history) check() {
+	for id := range h.accepted {
+		h.is.True(h.table.state(h.is, id) != nil) // An accepted job is stored.
+	}
+	for id := range h.abandoned {
+		h.is.True(h.table.state(h.is, id) == nil) // A job that was said not to run is not.
+	}
+	for id := range h.cancelled {
+		h.is.Equal(h.table.state(h.is, id).State, ledger.Cancelled)
+	}
+	for d := range h.forgotten {
+		e := h.table.state(h.is, d.job)
+		over := e.State != ledger.Accepted
+		stored := false
+		for _, task := range e.Progress.Done {
+			stored = stored || task == d.task
+		}
+		h.is.True(over || stored) // An end that a worker may forget is stored.
+	}
+}
+
+// TestLedgerProperties lets acceptances, ends, cancellings, changes of owners and
+// writes without answers follow each other in any order, and writes take effect
+// late.
+func TestLedgerProperties(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(flag.Set("rapid.nofailfile", "true"))
+	if !isSet("rapid.seed") {
+		is.NoErr(flag.Set("rapid.seed", propertySeed))
+	}
+	if !isSet("rapid.checks") {
+		is.NoErr(flag.Set("rapid.checks", propertyChecks))
+	}
+	events := 0
+	rapid.Check(t, func(r *rapid.T) {
+		table := newTable()
+		h := &history{
+			is: newIs(r), table: table, book: table.claim(),
+			accepted: map[work.ID]bool{}, abandoned: map[work.ID]bool{}, cancelled: map[work.ID]bool{},
+			forgotten: map[done]bool{}, marks: map[ledger.Mark]done{},
+		}
+		for range rapid.IntRange(1, 60).Draw(r, "events") {
+			h.step(r)
+			h.check()
+			events++
+		}
+	})
+	t.Logf("%d events", events)
+}
+
+// The checks of the property test in CI: half a million events in all.
+const (
+	propertySeed   = "20261204"
+	propertyChecks = "25000"
+)
+
+// isSet returns true if the command line sets a flag.
+func isSet(name string) bool {
+	found := false
+	flag.Visit(func(f *flag.Flag) { found = found || f.Name == name })
+	return found
+}
