--- a/fleet/keeper_test.go
+++ b/fleet/keeper_test.go
@@ -249,6 +249,24 @@
 	})
 }
 
+// TestPendingWithoutTable asks a host that has just started while the table is
+// silent: it says soon that it does not know.
+func TestPendingWithoutTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		go w.cut(8*time.Second, func(from, to string) bool { return from == storeSite || to == storeSite })
+		time.Sleep(10 * time.Millisecond)
+		w.killAll(10 * time.Millisecond)
+		before := time.Now()
+		_, err := w.living().submitter.Pending(t.Context(), queueName)
+		is.True(err != nil)
+		is.True(time.Since(before) <= time.Second)
+		time.Sleep(8 * time.Second) // The cut ends.
+	})
+}
+
 // TestStateWithoutJob has a state whose job is missing, as a cancelling between
 // two reads leaves it: the other jobs of the data centre go on under a new owner.
 func TestStateWithoutJob(t *testing.T) {
--- a/fleet/kept.go
+++ b/fleet/kept.go
@@ -190,7 +190,7 @@
 }
 
 func (s *Submitter) storedPending(ctx context.Context, q work.Queue) (int, error) {
-	call, cancel := context.WithTimeout(ctx, listTimeout)
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	rows, _, err := s.directory.table.List(call, ledger.StateGroup+"/", "", 0)
 	if err != nil {
