Have one network in memory for all tests

entry/fabric_test.go had a network in memory of its own, with listeners, delays and cuts; network.Memory, which came later, does the same.

One of them showed that Memory left the goroutines of a connection behind when its dial gave up.

--- a/entry/fabric_test.go
+++ b/entry/fabric_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"net/http/httputil"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -22,6 +23,7 @@
 	"github.com/matryer/is"
 
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/network"
 	"github.com/catkingap/catkingap/peer"
 	"github.com/catkingap/catkingap/probe"
 	"github.com/catkingap/catkingap/resource"
@@ -40,158 +42,21 @@
 	warmUp       = 20 * time.Second
 )
 
-// fabric is a network in memory whose messages take linkDelay.
-type fabric struct {
-	mutex     sync.Mutex
-	listeners map[string]*fabricListener
-	// apart names the hosts that are cut off from the others.
-	apart atomic.Pointer[map[string]bool]
-}
-
-// lost returns true if messages between two hosts are lost.
-func (f *fabric) lost(a, b string) bool {
-	apart := f.apart.Load()
-	return apart != nil && (*apart)[a] != (*apart)[b]
-}
-
-// site is the network as one host sees it.
-type site struct {
-	*fabric
-	name string
-}
-
-// DialContext implements network.Network.
-func (s *site) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	if s.lost(s.name, address) {
-		<-ctx.Done()
-		return nil, ctx.Err()
-	}
-	c, err := s.fabric.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	near := c.(*delayedConn)
-	lost := func() bool { return s.lost(s.name, address) }
-	near.lost.Store(&lost)
-	near.peer.lost.Store(&lost)
-	return near, nil
-}
-
-type fabricListener struct {
-	fabric  *fabric
-	address fabricAddress
-	pending chan net.Conn
-	done    chan struct{}
-}
-
-type fabricAddress string
-
-func (a fabricAddress) Network() string { return "fabric" }
-func (a fabricAddress) String() string  { return string(a) }
-
-// Listen implements network.Network.
-func (f *fabric) Listen(address string) (net.Listener, error) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	l := &fabricListener{fabric: f, address: fabricAddress(address), pending: make(chan net.Conn), done: make(chan struct{})}
-	f.listeners[address] = l
-	return l, nil
-}
-
-// DialContext implements network.Network.
-func (f *fabric) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
-	f.mutex.Lock()
-	l := f.listeners[address]
-	f.mutex.Unlock()
-	near, far := newConnPair()
-	select {
-	case l.pending <- far:
-		return near, nil
-	case <-l.done:
-		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
+// linkTimeout bounds the time to open a connection.
+const linkTimeout = 5 * time.Second
 
-func (l *fabricListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.pending:
-		return c, nil
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *fabricListener) Addr() net.Addr { return l.address }
-
-func (l *fabricListener) Close() error {
-	close(l.done)
-	return nil
-}
-
-// chunk is written data and the time at which it arrives.
-type chunk struct {
-	data []byte
-	due  time.Time
-}
-
-// delayedConn is one end of a connection. Only the reader waits for the delay,
-// since virtual time stands still while a goroutine waits for a mutex.
-type delayedConn struct {
-	net.Conn
-	in, out chan chunk
-	rest    []byte
-	done    chan struct{}
-	close   func()
-	peer    *delayedConn
-	lost    atomic.Pointer[func() bool]
+// newNetwork returns a network in memory whose messages take linkDelay.
+func newNetwork() *network.Memory {
+	delay := func(string, string) time.Duration { return linkDelay }
+	return network.NewMemory(network.MemoryConfig{Delay: delay, DialTimeout: linkTimeout})
 }
 
-func newConnPair() (near, far *delayedConn) {
-	a, b, done := make(chan chunk, 1024), make(chan chunk, 1024), make(chan struct{})
-	once := sync.OnceFunc(func() { close(done) })
-	near = &delayedConn{in: a, out: b, done: done, close: once}
-	far = &delayedConn{in: b, out: a, done: done, close: once, peer: near}
-	near.peer = far
-	return near, far
+// site returns the part of an address that names a host in the network.
+func site(address string) string {
+	name, _, _ := strings.Cut(address, ":")
+	return name
 }
 
-func (c *delayedConn) Read(p []byte) (int, error) {
-	if len(c.rest) == 0 {
-		select {
-		case next := <-c.in:
-			time.Sleep(time.Until(next.due))
-			c.rest = next.data
-		case <-c.done:
-			return 0, net.ErrClosed
-		}
-	}
-	n := copy(p, c.rest)
-	c.rest = c.rest[n:]
-	return n, nil
-}
-
-func (c *delayedConn) Write(p []byte) (int, error) {
-	if lost := c.lost.Load(); lost != nil && (*lost)() {
-		return len(p), nil
-	}
-	select {
-	case c.out <- chunk{data: slices.Clone(p), due: time.Now().Add(linkDelay)}:
-		return len(p), nil
-	case <-c.done:
-		return 0, net.ErrClosed
-	}
-}
-
-func (c *delayedConn) Close() error {
-	c.close()
-	return nil
-}
-
-func (c *delayedConn) RemoteAddr() net.Addr             { return fabricAddress("fabric") }
-func (c *delayedConn) SetWriteDeadline(time.Time) error { return nil }
-
 // tableLink is one host's way to the table. A cut link refuses.
 type tableLink struct {
 	handler http.Handler
@@ -237,7 +102,7 @@
 type fleet struct {
 	t       *testing.T
 	ctx     context.Context
-	fabric  *fabric
+	network *network.Memory
 	table   http.Handler
 	members []storage.Member
 }
@@ -249,7 +114,7 @@
 		time.Sleep(2 * fetchTimeout)
 	})
 	p := standin.NewPlatform(standin.PlatformConfig{})
-	return &fleet{t: t, ctx: ctx, fabric: &fabric{listeners: map[string]*fabricListener{}}, table: p.Handler()}
+	return &fleet{t: t, ctx: ctx, network: newNetwork(), table: p.Handler()}
 }
 
 // add starts count hosts that know each other.
@@ -274,12 +139,13 @@
 func (f *fleet) newNode(i int) *node {
 	s := settings.Default()
 	s.Host, s.DataCentre = ident.Host(fmt.Sprintf("entry-%02d:8081", i)), "coast-a"
-	listener, _ := f.fabric.Listen(string(s.Host))
+	own := f.network.Site(site(string(s.Host)))
+	listener, _ := own.Listen(string(s.Host))
 	n := &node{table: &tableLink{handler: f.table}}
 	logger := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
 	ring := timeline.NewRing(s.Host, time.Now(), 100)
 	n.store = resource.NewStore(storage.NewRemoteTable(&http.Client{Transport: n.table}, "http://table"))
-	n.links = newLinks(logger, &site{fabric: f.fabric, name: string(s.Host)})
+	n.links = newLinks(logger, own)
 	d := newDispatcher(s, testIdentity(), &fakeSender{}, ring, newMetrics())
 	n.prober = newProber(s, Listeners{API: listener, Peer: listener}, n.store, d, n.links, ring)
 	self := probe.Peer{Host: s.Host, Address: string(s.Host), API: string(s.Host), DataCentre: s.DataCentre}
@@ -460,9 +326,9 @@
 		near, far := nodes[:6], nodes[6:]
 		apart := map[string]bool{}
 		for _, m := range f.members[6:] {
-			apart[m.ID] = true
+			apart[site(m.ID)] = true
 		}
-		f.fabric.apart.Store(&apart)
+		f.network.Cut(func(from, to string) bool { return apart[from] != apart[to] })
 		cutAll(far, true)
 		newest := nodes[0].write(t, 2)
 		is.True(inForce(near, newest)[len(near)-1] < inForceBound)
@@ -472,7 +338,7 @@
 		for _, n := range far {
 			is.Equal(n.store.Snapshot().Revision, old)
 		}
-		f.fabric.apart.Store(nil)
+		f.network.Cut(nil)
 		is.True(inForce(far, newest)[len(far)-1] < inForceBound)
 		time.Sleep(warmUp)
 		is.Equal(countStates(far[0]), map[probe.State]int{probe.Alive: 8})
--- a/network/memory.go
+++ b/network/memory.go
@@ -86,14 +86,17 @@
 		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
 	}
 	near, far := m.pair(s.name, to)
+	err = net.ErrClosed
 	select {
 	case l.pending <- far:
 		return near, nil
 	case <-l.done:
-		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
 	case <-ctx.Done():
-		return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
+		err = ctx.Err()
 	}
+	near.Close()
+	far.Close()
+	return nil, &net.OpError{Op: "dial", Err: err}
 }
 
 type memoryAddress string
--- a/network/network_test.go
+++ b/network/network_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -36,3 +37,26 @@
 		}
 	}
 }
+
+// TestDialWithoutAccept opens connections that nobody accepts: when the dial has
+// given up, or the listener was closed, nothing of them is left running.
+func TestDialWithoutAccept(t *testing.T) {
+	for name, end := range map[string]func(l net.Listener){
+		"the dial gives up":      func(net.Listener) {},
+		"the listener is closed": func(l net.Listener) { l.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				m := NewMemory(MemoryConfig{
+					Delay: func(string, string) time.Duration { return 0 }, DialTimeout: time.Second,
+				})
+				l, err := m.Site("b").Listen("b:1")
+				is.NoErr(err)
+				time.AfterFunc(100*time.Millisecond, func() { end(l) })
+				_, err = m.Site("a").DialContext(t.Context(), "tcp", "b:1")
+				is.True(err != nil)
+			})
+		})
+	}
+}
