Follow all views by one piece

The loop that keeps a view of the table up to date, and logs when it is lost and regained, stood three times: for hosts and configuration, for the list of workers, and for cancelled jobs, where the line for regained was missing. All use a follower now.

--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -87,7 +87,7 @@
 
 // follow reads the configuration from the platform's table.
 func (c *Configuration) follow(ctx context.Context) {
-	followView(ctx, c.view, c.logger, "the table of the configuration", c.offer)
+	(&follower{view: c.view, logger: c.logger, name: "the table of the configuration"}).run(ctx, c.offer)
 }
 
 // offer takes in the row of the view.
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -102,33 +102,7 @@
 
 // follow keeps the copy of the rows.
 func (d *Directory) follow(ctx context.Context) {
-	followView(ctx, d.view, d.logger, "the table of hosts", d.take)
-}
-
-// followView keeps a view up to date until ctx ends. It calls changed after each
-// change, and logs when the view is lost and regained.
-func followView(ctx context.Context, v *storage.View, l log.Interface, name string, changed func()) {
-	lost := false
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, feedWait+storeTimeout)
-		isNew, err := v.Next(call, feedWait)
-		cancel()
-		if err != nil {
-			if !lost && ctx.Err() == nil {
-				l.WithError(err).Warn("lost " + name)
-			}
-			lost = true
-			pause(ctx, storePause)
-			continue
-		}
-		if lost {
-			lost = false
-			l.WithField("revision", int64(v.Revision())).Info("regained " + name)
-		}
-		if isNew {
-			changed()
-		}
-	}
+	(&follower{view: d.view, logger: d.logger, name: "the table of hosts"}).run(ctx, d.take)
 }
 
 // take reads the rows of the view.
--- a/fleet/keeper.go
+++ b/fleet/keeper.go
@@ -300,8 +300,7 @@
 // followCancels learns which jobs other hosts have cancelled. Without open jobs
 // it asks for nothing.
 func (k *keeper) followCancels(ctx context.Context) {
-	view := storage.NewView(k.table, k.feed, ledger.CancelGroup)
-	lost := false
+	f := &follower{view: storage.NewView(k.table, k.feed, ledger.CancelGroup), logger: k.logger, name: "the table of cancelled jobs"}
 	for ctx.Err() == nil {
 		k.mutex.Lock()
 		open := k.book.Open()
@@ -310,21 +309,7 @@
 			pause(ctx, keepInterval)
 			continue
 		}
-		call, cancel := context.WithTimeout(ctx, feedWait+storeTimeout)
-		changed, err := view.Next(call, feedWait)
-		cancel()
-		if err != nil {
-			if !lost && ctx.Err() == nil {
-				k.logger.WithError(err).Warn("lost the table of cancelled jobs")
-			}
-			lost = true
-			pause(ctx, storePause)
-			continue
-		}
-		lost = false
-		if changed {
-			k.cancel(view.Rows())
-		}
+		f.step(ctx, func() { k.cancel(f.view.Rows()) })
 	}
 }
 
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -40,22 +40,12 @@
 // follow passes on the workers of a data centre whenever the list changes.
 func (r *Roster) follow(ctx context.Context, centre ident.DataCentre, set func([]worker.Worker)) {
 	group, _, _ := r.decoder.Groups()
-	view := storage.NewView(r.table, r.feed, group)
+	f := &follower{view: storage.NewView(r.table, r.feed, group), logger: r.logger, name: "the list of workers"}
 	list := newRosterList(r.decoder, r.logger, centre)
-	lost := false
 	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, storeTimeout)
-		_, err := view.Next(call, 0)
-		cancel()
-		switch {
-		case err != nil && !lost && ctx.Err() == nil:
-			r.logger.WithError(err).Warn("lost the list of workers")
-			lost = true
-		case err == nil && lost:
-			r.logger.Info("regained the list of workers")
-			lost = false
-		}
-		if err == nil && list.update(time.Now(), view.Rows()) {
+		// Workers count as gone by the time, also without a change.
+		f.next(ctx, 0)
+		if !f.lost && list.update(time.Now(), f.view.Rows()) {
 			set(list.workers())
 		}
 		pause(ctx, rosterInterval)
