Name an end of a run by one type

dispatch.Note, ledger.Mark and the arguments of Machine.Stored each held worker, life and number of an end, and the keeper copied one into the other. worker.EndID holds them now. No change of behaviour.

--- a/dispatch/keep.go
+++ b/dispatch/keep.go
@@ -17,12 +17,10 @@
 type Note struct {
 	Job work.ID
 	// Task is the number of the task over all steps of the job.
-	Task   int
-	Run    work.Run
-	Done   bool
-	Worker worker.ID
-	Life   worker.Life
-	Number worker.EndNumber
+	Task int
+	Run  work.Run
+	Done bool
+	End  worker.EndID
 }
 
 // Finish is the end of a kept job.
@@ -126,12 +124,12 @@
 }
 
 // Stored tells that an end was stored, so that its worker may forget it.
-func (m *Machine) Stored(now time.Time, id worker.ID, life worker.Life, number worker.EndNumber) {
-	n := m.nodes[id]
-	if n == nil || n.Life != life || m.stopped {
+func (m *Machine) Stored(now time.Time, e worker.EndID) {
+	n := m.nodes[e.Worker]
+	if n == nil || n.Life != e.Life || m.stopped {
 		return
 	}
-	delete(n.unstored, number)
+	delete(n.unstored, e.Number)
 	n.acknowledge(now)
 }
 
@@ -180,7 +178,7 @@
 	}
 	m.actions.Notes = append(m.actions.Notes, Note{
 		Job: t.job.spec.ID, Task: slices.Index(t.job.tasks, t), Run: e.Run, Done: e.How == worker.Done,
-		Worker: n.ID, Life: n.Life, Number: e.Number,
+		End: worker.EndID{Worker: n.ID, Life: n.Life, Number: e.Number},
 	})
 }
 
--- a/dispatch/keep_test.go
+++ b/dispatch/keep_test.go
@@ -10,6 +10,9 @@
 	"github.com/catkingap/catkingap/worker"
 )
 
+// firstEnd is the first end of the worker w1.
+var firstEnd = worker.EndID{Worker: "w1", Life: 1, Number: 1}
+
 // keptMachine returns a machine with a kept job that runs on w1.
 func keptMachine(is *is.I, tasks int) (*dispatch.Machine, []worker.Start) {
 	m := openMachine("w1")
@@ -44,11 +47,11 @@
 	done := worker.Report{Life: 1, Clock: 1100, Ended: []worker.Ended{{Number: 1, Task: "j.0.0.0", Run: starts[0].Run, How: worker.Done}}}
 	answerLooks(m, at(100), m.Take(), done)
 	a := m.Take()
-	is.Equal(a.Notes, []dispatch.Note{{Job: "j", Run: starts[0].Run, Done: true, Worker: "w1", Life: 1, Number: 1}})
+	is.Equal(a.Notes, []dispatch.Note{{Job: "j", Run: starts[0].Run, Done: true, End: firstEnd}})
 	is.Equal(a.Finishes, []dispatch.Finish{{Job: "j", Result: dispatch.Completed}})
 	answerLooks(m, at(101), a, done)
 	is.Equal(seen(m, 110, 2000, done), worker.EndNumber(0))
-	m.Stored(at(2000), "w1", 1, 1)
+	m.Stored(at(2000), firstEnd)
 	is.Equal(seen(m, 2000, 3000, done), worker.EndNumber(1))
 }
 
@@ -132,7 +135,7 @@
 	is.Equal(len(a.Notes), 1)
 	is.Equal(len(a.Starts), 1)
 	is.Equal(a.Starts[0].Task.Index, 1)
-	m.Stored(at(8001), "w1", 1, 1)
+	m.Stored(at(8001), firstEnd)
 	is.Equal(seen(m, 8010, 9000, done), worker.EndNumber(1))
 }
 
--- a/fleet/keeper.go
+++ b/fleet/keeper.go
@@ -12,6 +12,7 @@
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/storage"
 	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/worker"
 )
 
 // keepInterval is the time between two looks at what has to be written or
@@ -205,8 +206,8 @@
 		for _, j := range o.Accepted {
 			m.Keep(now, j, work.Progress{}, false)
 		}
-		for _, s := range o.Stored {
-			m.Stored(now, s.Worker, s.Life, s.Number)
+		for _, e := range o.Stored {
+			m.Stored(now, e)
 		}
 		for _, id := range o.Cancelled {
 			m.Cancel(now, id)
@@ -226,18 +227,18 @@
 	delete(k.waiting, id)
 }
 
-// take stores what the machine has found. It is called in the order of events.
-func (k *keeper) take(now time.Time, notes []dispatch.Note, finishes []dispatch.Finish) []ledger.Mark {
+// take stores what the machine has found, and returns the ends that need no
+// storing. It is called in the order of events.
+func (k *keeper) take(now time.Time, notes []dispatch.Note, finishes []dispatch.Finish) []worker.EndID {
 	if len(notes)+len(finishes) == 0 {
 		return nil
 	}
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	var idle []ledger.Mark
+	var idle []worker.EndID
 	for _, n := range notes {
-		m := ledger.Mark{Worker: n.Worker, Life: n.Life, Number: n.Number}
-		if !k.book.Note(n.Job, n.Task, n.Run, n.Done, m) {
-			idle = append(idle, m)
+		if !k.book.Note(n.Job, n.Task, n.Run, n.Done, n.End) {
+			idle = append(idle, n.End)
 		}
 	}
 	for _, f := range finishes {
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -153,8 +153,8 @@
 	now := time.Now()
 	decide(now, w.machine)
 	actions := w.machine.Take()
-	for _, x := range w.keeper.take(now, actions.Notes, actions.Finishes) {
-		w.machine.Stored(now, x.Worker, x.Life, x.Number)
+	for _, e := range w.keeper.take(now, actions.Notes, actions.Finishes) {
+		w.machine.Stored(now, e)
 	}
 	for _, r := range actions.Replies {
 		w.reply(r)
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -37,13 +37,6 @@
 	Retention time.Duration
 }
 
-// Mark names an end that a worker may forget once it is stored.
-type Mark struct {
-	Worker worker.ID
-	Life   worker.Life
-	Number worker.EndNumber
-}
-
 // Outcome is what a write has brought about.
 type Outcome struct {
 	// Accepted holds the jobs that are stored now and may start.
@@ -52,7 +45,7 @@
 	// owner.
 	Known []work.ID
 	// Stored holds the ends that workers may forget.
-	Stored []Mark
+	Stored []worker.EndID
 	// Cancelled holds the jobs that another host has cancelled.
 	Cancelled []work.ID
 	// Deposed is true if another host owns the workers.
@@ -82,10 +75,11 @@
 	// sent holds the values that were sent without a clear answer: each may be
 	// the row's by now.
 	sent [][]byte
-	// value is the one that is under way, and marks the ends that it stores.
+	// value is the one that is under way, flying the ends that it stores, and
+	// ends those that come with the next one.
 	value  []byte
-	marks  []Mark
-	flying []Mark
+	flying []worker.EndID
+	ends   []worker.EndID
 	// queued is true while the entry is in dirty.
 	queued bool
 	// removing is true once the rows are to be deleted.
@@ -129,7 +123,7 @@
 }
 
 // Note takes in that a run has ended. It returns false if that needs no storing.
-func (b *Book) Note(id work.ID, task int, r work.Run, done bool, m Mark) bool {
+func (b *Book) Note(id work.ID, task int, r work.Run, done bool, end worker.EndID) bool {
 	e := b.entries[id]
 	if e == nil || e.row.Over() {
 		return false
@@ -137,7 +131,7 @@
 	if !e.row.Progress.Note(task, r, done) && !e.queued && !slices.Contains(b.batch, e) {
 		return false
 	}
-	e.marks = append(e.marks, m)
+	e.ends = append(e.ends, end)
 	b.touch(e)
 	return true
 }
@@ -208,7 +202,7 @@
 		if err := e.add(&w); err != nil {
 			return storage.Write{}, false, err
 		}
-		e.flying, e.marks = append(e.flying, e.marks...), nil
+		e.flying, e.ends = append(e.flying, e.ends...), nil
 		b.batch = append(b.batch, e)
 		items = len(w.Conditions) + len(w.Puts) + len(w.Deletes)
 		size += len(e.value) + len(e.job.Payload)
@@ -273,7 +267,7 @@
 
 // again plans the same write once more.
 func (b *Book) again(e *entry) {
-	e.marks, e.flying = append(e.flying, e.marks...), nil
+	e.ends, e.flying = append(e.flying, e.ends...), nil
 	b.touch(e)
 }
 
@@ -342,8 +336,8 @@
 		o.Known = append(o.Known, e.id)
 	case err == nil && row.State == Cancelled:
 		o.Cancelled = append(o.Cancelled, e.id)
-		o.Stored = append(o.Stored, append(e.flying, e.marks...)...)
-		e.row, e.revision, e.sent, e.flying, e.marks, e.told = row, r.Revision, nil, nil, nil, true
+		o.Stored = append(o.Stored, append(e.flying, e.ends...)...)
+		e.row, e.revision, e.sent, e.flying, e.ends, e.told = row, r.Revision, nil, nil, nil, true
 		if e.removing {
 			b.touch(e)
 		}
--- a/ledger/book_test.go
+++ b/ledger/book_test.go
@@ -127,7 +127,7 @@
 	}
 }
 
-var mark = ledger.Mark{Worker: "w1", Life: 1, Number: 7}
+var mark = worker.EndID{Worker: "w1", Life: 1, Number: 7}
 
 // TestAcceptance stores a job while the table fails in different ways.
 func TestAcceptance(t *testing.T) {
@@ -229,13 +229,13 @@
 	is.True(b.Note("j0", 0, 1, true, mark))
 	w := next(is, b)
 	for i := range 10 {
-		is.True(b.Note(work.ID(fmt.Sprint("j", i)), 1, 1, true, ledger.Mark{Worker: "w1", Life: 1, Number: worker.EndNumber(i)}))
+		is.True(b.Note(work.ID(fmt.Sprint("j", i)), 1, 1, true, worker.EndID{Worker: "w1", Life: 1, Number: worker.EndNumber(i)}))
 	}
 	b.End(begin, "j0", ledger.Completed)
 	_, ok, err := b.Next()
 	is.NoErr(err)
 	is.True(!ok) // One write at a time.
-	is.Equal(b.Written(table.commit(w), nil).Stored, []ledger.Mark{mark})
+	is.Equal(b.Written(table.commit(w), nil).Stored, []worker.EndID{mark})
 	before := table.revision
 	is.Equal(len(writeAll(is, table, b).Stored), 10)
 	is.Equal(table.revision, before+1)
--- a/ledger/property_test.go
+++ b/ledger/property_test.go
@@ -31,7 +31,7 @@
 	// the ends that workers may have forgotten.
 	accepted, abandoned, cancelled map[work.ID]bool
 	forgotten                      map[done]bool
-	marks                          map[ledger.Mark]done
+	marks                          map[worker.EndID]done
 	number                         worker.EndNumber
 }
 
@@ -56,7 +56,7 @@
 		}
 		h.number++
 		task := rapid.IntRange(0, 1).Draw(t, "task")
-		m := ledger.Mark{Worker: "w1", Life: 1, Number: h.number}
+		m := worker.EndID{Worker: "w1", Life: 1, Number: h.number}
 		h.marks[m] = done{id, task}
 		if !h.book.Note(id, task, 1, true, m) {
 			h.forget(m)
@@ -114,7 +114,7 @@
 }
 
 // forget notes that a worker may have forgotten an end.
-func (h *history) forget(m ledger.Mark) { h.forgotten[h.marks[m]] = true }
+func (h *history) forget(m worker.EndID) { h.forgotten[h.marks[m]] = true }
 
 // cancel cancels a job as another host does.
 func (h *history) cancel(id work.ID) {
@@ -169,7 +169,7 @@
 		h := &history{
 			is: newIs(r), table: table, book: table.claim(),
 			accepted: map[work.ID]bool{}, abandoned: map[work.ID]bool{}, cancelled: map[work.ID]bool{},
-			forgotten: map[done]bool{}, marks: map[ledger.Mark]done{},
+			forgotten: map[done]bool{}, marks: map[worker.EndID]done{},
 		}
 		for range rapid.IntRange(1, 60).Draw(r, "events") {
 			h.step(r)
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -71,6 +71,13 @@
 	Reason string
 }
 
+// EndID names an end that a worker lists.
+type EndID struct {
+	Worker ID
+	Life   Life
+	Number EndNumber
+}
+
 // Report is the answer of a worker to a look at it.
 type Report struct {
 	Life    Life
