Share the pieces of lending that stood twice, and sort peers only when one asks

giveBack and giveLost each took slots out of a loan, recall and giveLost each worked out what a lender had lost, and give repeated the test of wants. Exchange sorted and copied the peers at each call, also while none asked for slots.

--- a/route/lending.go
+++ b/route/lending.go
@@ -158,17 +158,21 @@
 			left = k.want
 		}
 		for _, s := range p.order {
-			lost := max(k.borrowed[s.Name]-k.shares[s.Name], 0)
-			n := max(min(k.borrowed[s.Name], left), lost)
+			n := max(min(k.borrowed[s.Name], left), k.lostLoan(s.Name))
 			s.recalled += n
 			left = max(left-n, 0)
 		}
 	}
 }
 
-// wants returns true if the peer has asked for slots lately.
+// asks returns true if the peer has asked for slots lately.
+func (k *peer) asks(now time.Time, holds time.Duration) bool {
+	return k.want > 0 && now.Sub(k.wanted) <= holds
+}
+
+// wants returns true if the peer has asked lately for slots of any server.
 func (k *peer) wants(now time.Time, holds time.Duration) bool {
-	return k.want > 0 && k.limit == 0 && now.Sub(k.wanted) <= holds
+	return k.limit == 0 && k.asks(now, holds)
 }
 
 // reconcile replaces what this host believes to have lent to a peer by what
@@ -272,7 +276,7 @@
 	}
 	free := p.freeSlots(now)
 	p.low = min(p.low, free)
-	for _, k := range p.byWant() {
+	for _, k := range p.byWant(now) {
 		if !k.heard.IsZero() && now.Sub(k.heard) > p.config.PeerTimeout {
 			p.lose(k)
 		}
@@ -335,7 +339,7 @@
 // give returns the slots that pass to a peer that wants some: its own first,
 // even if work waits here, and this host's spare ones.
 func (p *Pool[Item]) give(now time.Time, k *peer, waiting int) (lend, back []Slots) {
-	if k.want <= 0 || now.Sub(k.wanted) > p.config.WantTime {
+	if !k.asks(now, p.config.WantTime) {
 		return nil, nil
 	}
 	back = p.giveBack(k, k.want)
@@ -387,16 +391,18 @@
 		if s != nil {
 			s.borrowed -= n
 		}
-		move(k.borrowed, name, -n)
-		given = append(given, Slots{name, n})
+		given = append(given, k.release(name, n))
 		limit -= n
 	}
 	return given
 }
 
 // byWant returns the peers, those with the most waiting work for what they own
-// and borrow first.
-func (p *Pool[Item]) byWant() []*peer {
+// and borrow first. The order matters only while any of them asks for slots.
+func (p *Pool[Item]) byWant(now time.Time) []*peer {
+	if !slices.ContainsFunc(p.peerOrder, func(k *peer) bool { return k.asks(now, p.config.WantTime) }) {
+		return p.peerOrder
+	}
 	sorted := slices.Clone(p.peerOrder)
 	slices.SortStableFunc(sorted, func(a, b *peer) int {
 		return -cmp.Compare(a.want*(b.owned+total(b.lent)+1), b.want*(a.owned+total(a.lent)+1))
@@ -419,17 +425,26 @@
 func (p *Pool[Item]) giveLost(k *peer) []Slots {
 	var given []Slots
 	for _, s := range p.order {
-		n := min(k.borrowed[s.Name]-k.shares[s.Name], s.unused())
-		if n <= 0 {
-			continue
+		if n := min(k.lostLoan(s.Name), s.unused()); n > 0 {
+			s.borrowed -= n
+			given = append(given, k.release(s.Name, n))
 		}
-		s.borrowed -= n
-		move(k.borrowed, s.Name, -n)
-		given = append(given, Slots{s.Name, n})
 	}
 	return given
 }
 
+// lostLoan returns how many slots of a server this host has borrowed from the
+// peer that the peer does not own any more.
+func (k *peer) lostLoan(name ident.Server) int {
+	return max(k.borrowed[name]-k.shares[name], 0)
+}
+
+// release takes slots out of those that are borrowed from the peer.
+func (k *peer) release(name ident.Server, n int) Slots {
+	move(k.borrowed, name, -n)
+	return Slots{name, n}
+}
+
 // returnIdle gives back borrowed slots out of the unused ones, but for the
 // reserve.
 func (p *Pool[Item]) returnIdle(now time.Time, out []Outgoing, unused int) []Outgoing {
