--- a/client/client.go
+++ b/client/client.go
@@ -6,17 +6,15 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/catkingap/catkingap/entry"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/job"
+	"github.com/catkingap/catkingap/network"
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/timeline"
 )
@@ -138,8 +136,7 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		var operation *net.OpError
-		if errors.As(err, &operation) && operation.Op == "dial" {
+		if network.IsDial(err) {
 			return outcome.New(outcome.NotRun, outcome.Unreachable, "%v", err).After(time.Second)
 		}
 		return outcome.New(outcome.Unknown, outcome.LinkLost, "%v", err).After(time.Second)
--- a/network/network.go
+++ b/network/network.go
@@ -175,3 +175,10 @@
 	c.recording.Sent.Add(int64(n))
 	return n, err
 }
+
+// IsDial returns true if an error says that a connection could not be opened, so
+// that nothing was sent.
+func IsDial(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
--- a/storage/http.go
+++ b/storage/http.go
@@ -5,13 +5,13 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/network"
 )
 
 // maxAnswerBytes bounds an answer of the platform.
@@ -36,8 +36,7 @@
 func exchange(client *http.Client, request *http.Request) (*http.Response, []byte, error) {
 	response, err := client.Do(request)
 	if err != nil {
-		var operation *net.OpError
-		if errors.As(err, &operation) && operation.Op == "dial" {
+		if network.IsDial(err) {
 			return nil, nil, &NotSentError{Cause: err}
 		}
 		return nil, nil, errors.Wrap(err, request.Method)
