Log where a job was handed in, lost withdrawals and pauses of owners

A host logged only its last word on a job, not the owners it had asked; a withdrawal of a job that the owner did not have left no trace; a pause of the process was logged by another loop, at some later time.

Now "job answered" has each try with owner, token, start, length and end, and the data centre whose owner may still have the job (H1); owners log and count withdrawals of unknown jobs, and hosts those that they could not deliver (H2); an owner logs the first event that it handles after a pause, before what it then starts (H3). Who has found and extended runs of an earlier owner (H4) can be told from the runs of "job dispatched" and the tokens.

One line for each job as before; a withdrawal that misses has one more. No decision was changed.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -360,13 +360,17 @@
 	m.pump(now)
 }
 
-// Withdraw ends a submission whose caller has left.
-func (m *Machine) Withdraw(now time.Time, h ident.Host, call uint64, id work.ID) {
-	if j := m.jobs[id]; j != nil && j.host == h && j.call == call {
+// Withdraw ends a submission whose caller has left. It returns false if there is
+// none.
+func (m *Machine) Withdraw(now time.Time, h ident.Host, call uint64, id work.ID) bool {
+	j := m.jobs[id]
+	known := j != nil && j.host == h && j.call == call
+	if known {
 		m.close(now, j, Expired, "the caller has left")
 		m.drop(now, j)
 	}
 	m.pump(now)
+	return known
 }
 
 // Depose ends the ownership: all submissions are interrupted, and no more
--- a/fleet/log.go
+++ b/fleet/log.go
@@ -33,18 +33,33 @@
 type Counters struct {
 	// orders counts the orders to workers by kind and verdict.
 	orders *expvar.Map
+	// pauses counts the times at which an ownership of this host decided nothing
+	// for longer than pausedTime.
+	pauses *expvar.Int
 	// results counts the jobs of this host's callers by result.
 	results *expvar.Map
 	// response is the time from a caller's request to its answer.
 	response *metrics.Histogram
+	// withdrawals counts what became of the withdrawals of jobs whose callers
+	// have left.
+	withdrawals *expvar.Map
 }
 
+// The labels of the withdrawals: those that an owner of this host has taken, by
+// whether it had the job, and those that this host could not deliver.
+const (
+	withdrawalKnown   = "known"
+	withdrawalLost    = "lost"
+	withdrawalUnknown = "unknown"
+)
+
 func newCounters(s *metrics.Set, l *peer.Links) *Counters {
 	s.Func("peerSentBytes", func() any { return l.Statistics.SentBytes.Load() })
 	s.Func("peerReceivedBytes", func() any { return l.Statistics.ReceivedBytes.Load() })
 	s.Func("peerSilentLinks", func() any { return l.Statistics.Silent.Load() })
 	return &Counters{
-		orders: s.Counters("orders"), results: s.Counters("results"), response: s.Histogram("response"),
+		orders: s.Counters("orders"), pauses: s.Counter("pauses"), results: s.Counters("results"),
+		response: s.Histogram("response"), withdrawals: s.Counters("withdrawals"),
 	}
 }
 
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -73,6 +73,8 @@
 	// counts its versions.
 	listed  []worker.Worker
 	changes uint64
+	// turn is when an event was last handled.
+	turn time.Time
 }
 
 func newOwner(ctx context.Context, o *Owners, x ownership.Owner, before worker.Token) *Owner {
@@ -151,6 +153,11 @@
 func (w *Owner) step(decide func(now time.Time, m *dispatch.Machine)) {
 	w.mutex.Lock()
 	now := time.Now()
+	if paused := now.Sub(w.turn); !w.turn.IsZero() && paused > pausedTime {
+		w.owners.counters.pauses.Add(1)
+		w.logger.WithField("pauseMs", paused.Milliseconds()).Warn("first event after a pause")
+	}
+	w.turn = now
 	decide(now, w.machine)
 	actions := w.machine.Take()
 	for _, e := range w.keeper.take(now, actions.Notes, actions.Finishes) {
@@ -233,7 +240,14 @@
 }
 
 func (w *Owner) withdraw(h ident.Host, call uint64, id work.ID) {
-	w.step(func(now time.Time, m *dispatch.Machine) { m.Withdraw(now, h, call, id) })
+	known := false
+	w.step(func(now time.Time, m *dispatch.Machine) { known = m.Withdraw(now, h, call, id) })
+	if known {
+		w.owners.counters.withdrawals.Add(withdrawalKnown, 1)
+		return
+	}
+	w.owners.counters.withdrawals.Add(withdrawalUnknown, 1)
+	w.logger.WithFields(log.Fields{"job": string(id), "peer": string(h), "call": call}).Info("withdrawal of a job that is not here")
 }
 
 func (w *Owner) load() dispatch.Load {
--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -82,6 +83,20 @@
 	// tried holds the data centres without room.
 	tried map[ident.DataCentre]bool
 	tries int
+	// trail tells the tries for the log: the owner and its token, how the try
+	// ended, when it began after the caller's request and how long it took.
+	trail []string
+}
+
+// maxTrail bounds the tries of one job that are logged.
+const maxTrail = 8
+
+// note adds a try to the trail.
+func (a *attempt) note(began, now time.Time, o ownership.Owner, how string) {
+	if len(a.trail) < maxTrail {
+		a.trail = append(a.trail, fmt.Sprintf("%s#%d %d+%d %s", o.Host, o.Token,
+			began.Sub(a.arrived).Milliseconds(), now.Sub(began).Milliseconds(), how))
+	}
 }
 
 // Submit hands a job to an owner and waits for its end. It ends early if ctx
@@ -99,6 +114,7 @@
 	s.logger.WithFields(log.Fields{
 		"job": string(j.ID), "queue": string(j.Queue), "result": string(r.Result), "reason": r.Reason,
 		"tookMs": took.Milliseconds(), "tries": a.tries, "tasks": j.Tasks(), "retryAfterMs": r.RetryAfter.Milliseconds(),
+		"call": a.call, "owners": a.trail, "mayBeAt": string(a.bound),
 	}).Info("job answered")
 	return r
 }
@@ -163,6 +179,7 @@
 	}
 	reply, err := s.call(ctx, o, sub)
 	if err != nil {
+		a.note(now, time.Now(), o, err.Error())
 		if ctx.Err() != nil {
 			s.withdraw(o, a)
 			return dispatch.Reply{Result: dispatch.Expired, Reason: "the caller has left"}, true
@@ -176,6 +193,7 @@
 		pause(ctx, retryPause)
 		return reply, false
 	}
+	a.note(now, time.Now(), o, string(reply.Result))
 	if reply.Result != dispatch.Moved {
 		s.contacts.SetLoad(o.DataCentre, reply.Load)
 	}
@@ -312,4 +330,5 @@
 		}
 		s.logger.WithFields(log.Fields{"job": string(a.job.ID), "owner": string(o.Host)}).WithError(err).Warn("job not withdrawn")
 	}
+	s.counters.withdrawals.Add(withdrawalLost, 1)
 }
