--- a/network/memory.go
+++ b/network/memory.go
@@ -13,7 +13,11 @@
 	config    MemoryConfig
 	mutex     sync.Mutex
 	listeners map[string]*memoryListener
+	open      map[*memoryConn]struct{}
 	lost      func(from, to string) bool
+	dropped   func(from, to string, data []byte) bool
+	refused   func(from, to string) bool
+	slow      func(from, to string) time.Duration
 }
 
 // MemoryConfig builds a Memory.
@@ -26,7 +30,7 @@
 
 // NewMemory returns a network without listeners.
 func NewMemory(c MemoryConfig) *Memory {
-	return &Memory{config: c, listeners: map[string]*memoryListener{}}
+	return &Memory{config: c, listeners: map[string]*memoryListener{}, open: map[*memoryConn]struct{}{}}
 }
 
 // Cut has all data lost for which lost is true, without a word to either side.
@@ -43,6 +47,67 @@
 	return m.lost != nil && m.lost(from, to)
 }
 
+// Drop has each write lost for which dropped is true, as it arrives. Nil ends it.
+func (m *Memory) Drop(dropped func(from, to string, data []byte) bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.dropped = dropped
+}
+
+// Refuse has all dials fail at once for which refused is true. Nil ends it.
+func (m *Memory) Refuse(refused func(from, to string) bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.refused = refused
+}
+
+// Slow has all data that is written from now on take longer. What is written
+// later to the same connection waits behind it. Nil ends it.
+func (m *Memory) Slow(extra func(from, to string) time.Duration) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.slow = extra
+}
+
+// Reset breaks all connections between two sites for which broken is true, in
+// either order. What is on its way is lost.
+func (m *Memory) Reset(broken func(from, to string) bool) {
+	m.mutex.Lock()
+	var found []*memoryConn
+	for c := range m.open {
+		if broken(c.from, c.to) || broken(c.to, c.from) {
+			found = append(found, c)
+		}
+	}
+	m.mutex.Unlock()
+	for _, c := range found {
+		c.Close()
+	}
+}
+
+func (m *Memory) isDropped(from, to string, data []byte) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.lost != nil && m.lost(from, to) || m.dropped != nil && m.dropped(from, to, data)
+}
+
+func (m *Memory) isRefused(from, to string) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.refused != nil && m.refused(from, to)
+}
+
+// delay returns how long data takes that is written now.
+func (m *Memory) delay(from, to string) time.Duration {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	d := m.config.Delay(from, to)
+	if m.slow != nil {
+		d += m.slow(from, to)
+	}
+	return d
+}
+
 // Site returns the network as the named site sees it. Addresses are the names
 // of sites, with a port.
 func (m *Memory) Site(name string) Network { return &memorySite{memory: m, name: name} }
@@ -75,6 +140,9 @@
 	if err != nil {
 		return nil, &net.OpError{Op: "dial", Err: err}
 	}
+	if m.isRefused(s.name, to) {
+		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
+	}
 	if m.isLost(s.name, to) || m.isLost(to, s.name) {
 		<-ctx.Done()
 		return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
@@ -164,6 +232,9 @@
 	farRead, nearWrite := net.Pipe()
 	near = &memoryConn{Conn: nearRead, memory: m, from: from, to: to, out: make(chan memoryChunk, memoryWindow), closed: make(chan struct{}), write: nearWrite}
 	far = &memoryConn{Conn: farRead, memory: m, from: to, to: from, out: make(chan memoryChunk, memoryWindow), closed: make(chan struct{}), write: farWrite}
+	m.mutex.Lock()
+	m.open[near], m.open[far] = struct{}{}, struct{}{}
+	m.mutex.Unlock()
 	go near.carry()
 	go far.carry()
 	return near, far
@@ -176,7 +247,7 @@
 		select {
 		case k := <-c.out:
 			time.Sleep(time.Until(k.due))
-			if c.memory.isLost(c.from, c.to) {
+			if c.memory.isDropped(c.from, c.to, k.data) {
 				continue
 			}
 			if _, err := c.write.Write(k.data); err != nil {
@@ -217,7 +288,7 @@
 	default:
 	}
 	select {
-	case c.out <- memoryChunk{data: data, due: time.Now().Add(c.memory.config.Delay(c.from, c.to))}:
+	case c.out <- memoryChunk{data: data, due: time.Now().Add(c.memory.delay(c.from, c.to))}:
 		return len(p), nil
 	case <-c.closed:
 		return 0, net.ErrClosed
@@ -226,7 +297,12 @@
 
 // Close implements net.Conn.
 func (c *memoryConn) Close() error {
-	c.once.Do(func() { close(c.closed) })
+	c.once.Do(func() {
+		c.memory.mutex.Lock()
+		delete(c.memory.open, c)
+		c.memory.mutex.Unlock()
+		close(c.closed)
+	})
 	return c.Conn.Close()
 }
 
--- a/network/network_test.go
+++ b/network/network_test.go
@@ -60,3 +60,71 @@
 		})
 	}
 }
+
+// TestMemoryFaults has a message of one byte meet each fault of the network in
+// memory on its way.
+func TestMemoryFaults(t *testing.T) {
+	const delay = time.Millisecond
+	all := func(string, string) bool { return true }
+	tests := map[string]struct {
+		// before and after are called before and after the byte is written.
+		before, after func(m *Memory)
+		arrives       time.Duration
+		lost, refused bool
+	}{
+		"none": {arrives: delay},
+		"slow": {
+			before:  func(m *Memory) { m.Slow(func(string, string) time.Duration { return time.Second }) },
+			after:   func(m *Memory) { m.Slow(nil) },
+			arrives: delay + time.Second,
+		},
+		"dropped": {
+			before: func(m *Memory) { m.Drop(func(_, _ string, data []byte) bool { return data[0] == 1 }) },
+			lost:   true,
+		},
+		"reset on its way": {after: func(m *Memory) { m.Reset(all) }, lost: true},
+		"dials refused":    {before: func(m *Memory) { m.Refuse(all) }, arrives: delay, refused: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				m := NewMemory(MemoryConfig{Delay: func(string, string) time.Duration { return delay }, DialTimeout: time.Second})
+				l, err := m.Site("b").Listen("b:1")
+				is.NoErr(err)
+				accepted := make(chan net.Conn, 1)
+				go func() {
+					if c, err := l.Accept(); err == nil {
+						accepted <- c
+					}
+				}()
+				near, err := m.Site("a").DialContext(t.Context(), "tcp", "b:1")
+				is.NoErr(err)
+				far := <-accepted
+				is.NoErr(far.SetReadDeadline(time.Now().Add(time.Minute)))
+				if tt.before != nil {
+					tt.before(m)
+				}
+				begun := time.Now()
+				_, err = near.Write([]byte{1})
+				is.NoErr(err)
+				if tt.after != nil {
+					tt.after(m)
+				}
+				_, err = far.Read(make([]byte, 1))
+				is.Equal(err != nil, tt.lost)
+				if !tt.lost {
+					is.Equal(time.Since(begun), tt.arrives)
+				}
+				// Nobody accepts a second one.
+				begun = time.Now()
+				_, err = m.Site("a").DialContext(t.Context(), "tcp", "b:1")
+				is.True(err != nil)
+				is.Equal(time.Since(begun) == 0, tt.refused)
+				near.Close()
+				far.Close()
+				time.Sleep(2 * delay)
+			})
+		})
+	}
+}
