Test: a caller leaves while its host waits for the next try

The owner is in the host's own data centre or in another one. The host withdraws nothing, and the job runs twice once the caller sends it again through a third data centre.

--- /dev/null
+++ b/fleet/twice_test.go
@@ -0,0 +1,128 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/work"
+)
+
+const (
+	// resendTime is when a caller sends a job again after its connection broke.
+	resendTime = 1300 * time.Millisecond
+	// longRun is the run time of tasks that outlive that.
+	longRun = 4 * time.Second
+	// settledTime is how long a load takes to be known to all hosts.
+	settledTime = 500 * time.Millisecond
+)
+
+func jobOf(id string, tasks int, runs time.Duration) work.Job {
+	return work.Job{
+		ID: work.ID(fmt.Sprintf("%dms%s", runs.Milliseconds(), id)), Queue: queueName, Pool: "pool", Attempts: 3, Stretch: 4, Target: time.Second,
+		Steps: []work.Step{{Count: tasks, Size: work.Size{Cores: coresOfTask, Memory: 64}, Estimate: runs}},
+	}
+}
+
+// host returns a host by its name.
+func (w *world) host(name string) *member {
+	for _, m := range w.all() {
+		if m.name == name {
+			return m
+		}
+	}
+	w.t.Fatalf("no host %s", name)
+	return nil
+}
+
+// fill keeps some tasks at work in a data centre.
+func (w *world) fill(zone string, tasks int) {
+	m := w.owner(zone)
+	go m.submitter.Submit(m.life, jobOf("fill"+zone, tasks, 8*time.Second), time.Now(), time.Now().Add(time.Minute))
+}
+
+// spill has jobs of coast-a go to coast-b, whose owner counts a place for each
+// worker as long as it knows no job, and those of coast-c stay there.
+func (w *world) spill() {
+	const places = 2 * workersEach
+	w.fill("coast-a", places)
+	w.fill("coast-c", places-workersEach/2)
+	time.Sleep(settledTime)
+}
+
+// caller is one that leaves and sends its job again.
+type caller struct {
+	leave  context.CancelFunc
+	answer chan dispatch.Reply
+}
+
+// calls hands in a job whose caller sends it again through another host after
+// it has left or its host has died.
+func (w *world) calls(first, second *member, j work.Job) *caller {
+	ctx, cancel := context.WithCancel(first.life)
+	c := &caller{leave: cancel, answer: make(chan dispatch.Reply, 1)}
+	deadline := time.Now().Add(time.Minute)
+	go first.submitter.Submit(ctx, j, time.Now(), deadline)
+	go func() {
+		<-ctx.Done()
+		time.Sleep(resendTime)
+		c.answer <- second.submitter.Submit(second.life, j, time.Now(), deadline)
+	}()
+	return c
+}
+
+// once checks that the job was completed and that nothing ran twice at once.
+func (w *world) once(c *caller) {
+	is := is.New(w.t)
+	is.Equal((<-c.answer).Result, dispatch.Completed)
+	_, _, doubled := w.judge.Verdict()
+	is.Equal(doubled, nil)
+}
+
+// isHost returns true for the site of an entry host.
+func isHost(site string) bool { return strings.Contains(site, ".host-") }
+
+// between returns a function that is true for the data from one site to another.
+func between(a, b string) func(from, to string) bool {
+	return func(from, to string) bool { return siteOf(from) == a && siteOf(to) == b }
+}
+
+// TestCallerLeavesBetweenTwoTries resets the links of a host, and its callers
+// leave while it waits to try again.
+func TestCallerLeavesBetweenTwoTries(t *testing.T) {
+	places := map[string]struct {
+		spill  bool
+		second string
+	}{
+		"own data centre":     {second: "coast-b.host-1"},
+		"another data centre": {spill: true, second: "coast-c.host-1"},
+	}
+	gaps := []time.Duration{1, 5, 10, 15, 19}
+	for name, test := range places {
+		for _, gap := range gaps {
+			gap *= time.Millisecond
+			t.Run(fmt.Sprintf("%s, %s", name, gap), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(t)
+					time.Sleep(startTime)
+					if test.spill {
+						w.spill()
+					}
+					first := w.host("coast-a.host-1")
+					c := w.calls(first, w.host(test.second), jobOf("x", 2, longRun))
+					time.Sleep(settledTime)
+					w.network.Reset(func(from, to string) bool { return siteOf(from) == first.name && isHost(siteOf(to)) })
+					time.Sleep(gap)
+					c.leave()
+					w.once(c)
+				})
+			})
+		}
+	}
+}
