Let data that has waited on a connection in memory arrive together

So does a stream: what arrives while its reader waits is read at once. Two messages that were written a moment apart can then be handled in any order.

--- a/network/memory.go
+++ b/network/memory.go
@@ -246,11 +246,7 @@
 	for {
 		select {
 		case k := <-c.out:
-			time.Sleep(time.Until(k.due))
-			if c.memory.isDropped(c.from, c.to, k.data) {
-				continue
-			}
-			if _, err := c.write.Write(k.data); err != nil {
+			if !c.pass(k) {
 				return
 			}
 		case <-c.closed:
@@ -260,6 +256,35 @@
 	}
 }
 
+// pass passes on a chunk once it is due, together with what has waited behind
+// it. It returns false if the other end reads no more.
+func (c *memoryConn) pass(k memoryChunk) bool {
+	time.Sleep(time.Until(k.due))
+	var data []byte
+	for more := true; more; {
+		if !c.memory.isDropped(c.from, c.to, k.data) {
+			data = append(data, k.data...)
+		}
+		select {
+		case k = <-c.out:
+			if time.Until(k.due) > 0 {
+				return c.put(data) && c.pass(k)
+			}
+		default:
+			more = false
+		}
+	}
+	return c.put(data)
+}
+
+func (c *memoryConn) put(data []byte) bool {
+	if len(data) == 0 {
+		return true
+	}
+	_, err := c.write.Write(data)
+	return err == nil
+}
+
 // flush passes on what was written before the connection was closed, and its
 // end.
 func (c *memoryConn) flush() {
