--- a/fleet/twice_test.go
+++ b/fleet/twice_test.go
@@ -93,6 +93,17 @@
 	return func(from, to string) bool { return siteOf(from) == a && siteOf(to) == b }
 }
 
+// late has what one host writes to another arrive later.
+func (w *world) late(from, to string, extra time.Duration) {
+	match := between(from, to)
+	w.network.Slow(func(from, to string) time.Duration {
+		if match(from, to) {
+			return extra
+		}
+		return 0
+	})
+}
+
 // TestCallerLeavesBetweenTwoTries resets the links of a host, and its callers
 // leave while it waits to try again.
 func TestCallerLeavesBetweenTwoTries(t *testing.T) {
@@ -126,3 +137,30 @@
 		}
 	}
 }
+
+// TestCallerLeavesAsItsJobArrives has callers leave while their jobs are on
+// their way, so that the owner reads both at once.
+func TestCallerLeavesAsItsJobArrives(t *testing.T) {
+	const (
+		callers = 12
+		late    = 50 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		first, second := w.host("coast-a.host-1"), w.host("coast-b.host-1")
+		for n := range callers {
+			w.late(first.name, w.owner("coast-a").name, late)
+			c := w.calls(first, second, jobOf(fmt.Sprint("x", n), 1, longRun))
+			time.Sleep(time.Millisecond)
+			w.network.Slow(nil)
+			c.leave()
+			time.Sleep(2 * late)
+		}
+		time.Sleep(longRun)
+		starts, _, doubled := w.judge.Verdict()
+		is.Equal(doubled, nil)
+		is.True(starts >= callers)
+	})
+}
