--- a/fleet/twice_test.go
+++ b/fleet/twice_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"strings"
@@ -164,3 +165,68 @@
 		is.True(starts >= callers)
 	})
 }
+
+// TestWithdrawalsGetLost has the owner miss the withdrawals of a host that it
+// goes on hearing.
+func TestWithdrawalsGetLost(t *testing.T) {
+	const (
+		// triesTime is how long a host tries to tell an owner that a caller has left.
+		triesTime = 1250 * time.Millisecond
+		// onWay is when a message to another host has not arrived yet.
+		onWay = 50 * time.Microsecond
+	)
+	refuse := func(d time.Duration) func(w *world, host, owner string) {
+		return func(w *world, host, owner string) {
+			time.Sleep(onWay)
+			w.network.Refuse(between(host, owner))
+			w.network.Reset(between(host, owner))
+			time.Sleep(d)
+			w.network.Refuse(nil)
+		}
+	}
+	tests := map[string]func(w *world, host, owner string){
+		"all but contacts is lost": func(w *world, host, owner string) {
+			match := between(host, owner)
+			w.network.Drop(func(from, to string, data []byte) bool {
+				return match(from, to) && !bytes.Contains(data, []byte("contact"))
+			})
+			time.Sleep(triesTime)
+			w.network.Drop(nil)
+		},
+		"answers are lost": func(w *world, host, owner string) {
+			match := between(owner, host)
+			w.network.Drop(func(from, to string, data []byte) bool {
+				return match(from, to) && !bytes.Contains(data, []byte("contact"))
+			})
+			time.Sleep(triesTime)
+			w.network.Drop(nil)
+		},
+		"links are refused for 10ms":  refuse(10 * time.Millisecond),
+		"links are refused for 100ms": refuse(100 * time.Millisecond),
+		"links are refused for 300ms": refuse(300 * time.Millisecond),
+		"links are refused for 500ms": refuse(500 * time.Millisecond),
+		"the host is cut off for 300ms": func(w *world, host, _ string) {
+			time.Sleep(onWay)
+			w.cutHost(host, 300*time.Millisecond)
+		},
+		"the host is cut off for 1250ms": func(w *world, host, _ string) {
+			time.Sleep(onWay)
+			w.cutHost(host, triesTime)
+		},
+	}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				time.Sleep(startTime)
+				w.spill()
+				first := w.host("coast-a.host-1")
+				c := w.calls(first, w.host("coast-c.host-1"), jobOf("x", 2, longRun))
+				time.Sleep(settledTime)
+				c.leave()
+				fault(w, first.name, w.owner("coast-b").name)
+				w.once(c)
+			})
+		})
+	}
+}
