Test: submissions and contacts arrive late at an owner

Their callers have left and sent the jobs again through another data centre meanwhile. The owner takes what it reads as new: it starts the tasks, and knows nothing of the withdrawals that came by another link.

--- a/fleet/twice_test.go
+++ b/fleet/twice_test.go
@@ -22,6 +22,8 @@
 	longRun = 4 * time.Second
 	// settledTime is how long a load takes to be known to all hosts.
 	settledTime = 500 * time.Millisecond
+	// contactTime is how long it takes at most until a host contacts another one.
+	contactTime = 200 * time.Millisecond
 )
 
 func jobOf(id string, tasks int, runs time.Duration) work.Job {
@@ -230,3 +232,93 @@
 		})
 	}
 }
+
+// TestSubmissionIsReadLate has submissions arrive late at an owner, on a link
+// that their host has given up or that ended with it.
+func TestSubmissionIsReadLate(t *testing.T) {
+	const callers = 3
+	leave := func(d time.Duration) func(*world, *member, []*caller) {
+		return func(_ *world, _ *member, callers []*caller) {
+			time.Sleep(d)
+			for _, c := range callers {
+				c.leave()
+			}
+		}
+	}
+	tests := map[string]func(w *world, first *member, callers []*caller){
+		"callers leave before the link is given up": leave(100 * time.Millisecond),
+		"callers leave as the link is given up":     leave(700 * time.Millisecond),
+		"callers leave after the next submission":   leave(1100 * time.Millisecond),
+		"the host dies":                             func(w *world, first *member, _ []*caller) { w.kill(first) },
+		"the host dies after a contact": func(w *world, first *member, _ []*caller) {
+			time.Sleep(contactTime)
+			w.kill(first)
+		},
+		"the host starts again": func(w *world, first *member, _ []*caller) {
+			w.kill(first)
+			time.Sleep(100 * time.Millisecond)
+			w.addHost(first.zone, first.name)
+		},
+	}
+	for name, fault := range tests {
+		for _, late := range []time.Duration{1600 * time.Millisecond, 2500 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s, %s late", name, late), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(t)
+					time.Sleep(startTime)
+					w.spill()
+					first, second := w.host("coast-a.host-1"), w.host("coast-c.host-1")
+					w.late(first.name, w.owner("coast-b").name, late)
+					var open []*caller
+					for n := range callers {
+						open = append(open, w.calls(first, second, jobOf(fmt.Sprint("x", n), 1, longRun)))
+					}
+					time.AfterFunc(contactTime, func() { w.network.Slow(nil) })
+					time.Sleep(time.Millisecond)
+					fault(w, first, open)
+					for _, c := range open {
+						w.once(c)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestContactIsReadLate has the last contacts of a host that dies arrive late at
+// the owner of its jobs.
+func TestContactIsReadLate(t *testing.T) {
+	const late = 545 * time.Millisecond
+	tests := map[string][]time.Duration{
+		"one contact":  {late},
+		"two contacts": {late, late},
+	}
+	for name, delays := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				time.Sleep(startTime)
+				w.spill()
+				first := w.host("coast-a.host-1")
+				c := w.calls(first, w.host("coast-c.host-1"), jobOf("x", 2, longRun))
+				time.Sleep(settledTime)
+				sent := make(chan struct{}, len(delays))
+				left, match := delays, between(first.name, w.owner("coast-b").name)
+				w.network.Slow(func(from, to string) time.Duration {
+					if !match(from, to) || len(left) == 0 {
+						return 0
+					}
+					extra := left[0]
+					left = left[1:]
+					sent <- struct{}{}
+					return extra
+				})
+				for range delays {
+					<-sent
+				}
+				w.kill(first)
+				w.once(c)
+			})
+		})
+	}
+}
