Test: an owner dies with its own callers, or soon after their host

Their callers send the jobs again through another data centre 1.3 s after the first death.

On the present code 9 of 11 rows fail, the same in each of 3 runs: owners that die 100 to 600 ms after the host, and an owner's own callers where the table is slow by 50, 100 or 150 ms. Both die at once, or the table is fast: 2 rows pass.

--- a/fleet/twice_test.go
+++ b/fleet/twice_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/standin"
 	"github.com/catkingap/catkingap/work"
 )
 
@@ -249,7 +250,7 @@
 		"callers leave before the link is given up": leave(100 * time.Millisecond),
 		"callers leave as the link is given up":     leave(700 * time.Millisecond),
 		"callers leave after the next submission":   leave(1100 * time.Millisecond),
-		"the host dies":                             func(w *world, first *member, _ []*caller) { w.kill(first) },
+		"the host dies": func(w *world, first *member, _ []*caller) { w.kill(first) },
 		"the host dies after a contact": func(w *world, first *member, _ []*caller) {
 			time.Sleep(contactTime)
 			w.kill(first)
@@ -322,3 +323,48 @@
 		})
 	}
 }
+
+// TestOwnerDiesWithItsOwnCallers kills an owner that has callers of its own, and
+// an owner soon after the host of its jobs.
+func TestOwnerDiesWithItsOwnCallers(t *testing.T) {
+	type row struct {
+		first, owner, second string
+		spill                bool
+		// gap is the time between the two deaths, slow the delay of the table.
+		gap, slow time.Duration
+	}
+	tests := map[string]row{}
+	for _, ms := range []time.Duration{0, 50, 100, 150} {
+		slow := ms * time.Millisecond
+		tests[fmt.Sprintf("own callers, table slow by %s", slow)] = row{
+			first: "coast-a.host-0", owner: "coast-a.host-0", second: "coast-b.host-1", slow: slow,
+		}
+	}
+	for _, ms := range []time.Duration{0, 100, 200, 300, 400, 500, 600} {
+		gap := ms * time.Millisecond
+		tests[fmt.Sprintf("%s after the host", gap)] = row{
+			first: "coast-a.host-1", owner: "coast-b.host-0", second: "coast-c.host-1", spill: true, gap: gap,
+		}
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				time.Sleep(startTime)
+				if tt.spill {
+					w.spill()
+				}
+				first, owner := w.host(tt.first), w.host(tt.owner)
+				c := w.calls(first, w.host(tt.second), jobOf("x", 2, longRun))
+				w.store.Faults.Set(standin.Faults{Delay: tt.slow})
+				time.Sleep(settledTime)
+				w.kill(first)
+				time.Sleep(tt.gap)
+				if owner != first {
+					w.kill(owner)
+				}
+				w.once(c)
+			})
+		})
+	}
+}
