--- a/fleet/twice_test.go
+++ b/fleet/twice_test.go
@@ -368,3 +368,29 @@
 		})
 	}
 }
+
+// TestCallerLeavesWhileLinksAreRefused has a host find no way to the owner of a
+// job for a moment, and its caller leave in one of the pauses between its tries.
+func TestCallerLeavesWhileLinksAreRefused(t *testing.T) {
+	const refused = 300 * time.Millisecond
+	for _, ms := range []time.Duration{30, 110, 190, 290} {
+		gap := ms * time.Millisecond
+		t.Run(fmt.Sprint(gap), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				time.Sleep(startTime)
+				w.spill()
+				first := w.host("coast-a.host-1")
+				match := between(first.name, w.owner("coast-b").name)
+				c := w.calls(first, w.host("coast-c.host-1"), jobOf("x", 2, longRun))
+				time.Sleep(settledTime)
+				w.network.Refuse(match)
+				w.network.Reset(match)
+				time.AfterFunc(refused, func() { w.network.Refuse(nil) })
+				time.Sleep(gap)
+				c.leave()
+				w.once(c)
+			})
+		})
+	}
+}
