Test: a caller leaves as the owner of its job dies

The withdrawal goes to the owner that dies or is cut off, and nobody tells the next one, which keeps the run that it finds for 0.6 s. The platform's table is slow by 300 ms, so that the next owner comes late.

--- a/fleet/twice_test.go
+++ b/fleet/twice_test.go
@@ -394,3 +394,41 @@
 		})
 	}
 }
+
+// TestCallerLeavesAsOwnerDies has a caller leave around the time at which the
+// owner of its job dies or is cut off, and the next owner come late.
+func TestCallerLeavesAsOwnerDies(t *testing.T) {
+	// slow is the delay of the platform's table, which holds up the next owner.
+	const slow = 300 * time.Millisecond
+	tests := map[string]func(w *world, owner *member){
+		"dies": (*world).kill,
+		"is cut off": func(w *world, owner *member) {
+			w.network.Cut(func(from, to string) bool { return siteOf(from) == owner.name || siteOf(to) == owner.name })
+		},
+		"is cut off from hosts": func(w *world, owner *member) {
+			w.network.Cut(func(from, to string) bool {
+				from, to = siteOf(from), siteOf(to)
+				return isHost(from) && isHost(to) && (from == owner.name || to == owner.name)
+			})
+		},
+	}
+	for name, fault := range tests {
+		for _, ms := range []time.Duration{-1, 1, 50, 100} {
+			gap := ms * time.Millisecond
+			t.Run(fmt.Sprintf("%s, caller leaves after %s", name, gap), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(t)
+					time.Sleep(startTime)
+					w.spill()
+					c := w.calls(w.host("coast-a.host-1"), w.host("coast-c.host-1"), jobOf("x", 2, longRun))
+					time.Sleep(settledTime)
+					w.store.Faults.Set(standin.Faults{Delay: slow})
+					time.AfterFunc(settledTime+gap, c.leave)
+					time.Sleep(settledTime)
+					fault(w, w.owner("coast-b"))
+					w.once(c)
+				})
+			})
+		}
+	}
+}
