Test: the next owner dies too

It has found the runs of the dead owner's own callers and extended their lease to a second. When it dies, nobody stops them before their callers send the jobs again.

--- a/fleet/twice_test.go
+++ b/fleet/twice_test.go
@@ -432,3 +432,24 @@
 		}
 	}
 }
+
+// TestNextOwnerDiesToo kills an owner with callers of its own, and the next one
+// after it has found their runs and extended their lease.
+func TestNextOwnerDiesToo(t *testing.T) {
+	for _, ms := range []time.Duration{600, 700, 800, 1000, 1200} {
+		gap := ms * time.Millisecond
+		t.Run(fmt.Sprint(gap), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				time.Sleep(startTime)
+				owner := w.host("coast-a.host-0")
+				c := w.calls(owner, w.host("coast-b.host-1"), jobOf("x", 2, longRun))
+				time.Sleep(settledTime)
+				w.kill(owner)
+				time.Sleep(gap)
+				w.kill(w.host("coast-a.host-1"))
+				w.once(c)
+			})
+		})
+	}
+}
