Test: workers fall silent after the host of their jobs has died

The owner waits 0.7 s for the host and extends the lease meanwhile. If stops then get no answer, the runs go on until the lease lapses, up to 1.7 s after the host was heard last, while callers send the jobs again after 1.3 s.

The lease is one for all runs of a worker; here it holds none of other hosts.

--- a/fleet/twice_test.go
+++ b/fleet/twice_test.go
@@ -453,3 +453,34 @@
 		})
 	}
 }
+
+// TestWorkersFallSilentAfterTheHost has the workers of an owner fall silent after
+// the host of its jobs has died, before the owner has stopped them.
+func TestWorkersFallSilentAfterTheHost(t *testing.T) {
+	const silent = 2 * time.Second
+	for _, ms := range []time.Duration{0, 200, 400, 500, 600, 700} {
+		gap := ms * time.Millisecond
+		t.Run(fmt.Sprint(gap), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				time.Sleep(startTime)
+				w.spill()
+				first := w.host("coast-a.host-1")
+				c := w.calls(first, w.host("coast-c.host-1"), jobOf("x", 2, longRun))
+				time.Sleep(settledTime)
+				w.kill(first)
+				time.Sleep(gap)
+				for name, x := range w.workers {
+					if zoneOf(name) == "coast-b" {
+						x.Faults.Set(standin.Faults{Mode: standin.Silent})
+					}
+				}
+				time.Sleep(silent)
+				for _, x := range w.workers {
+					x.Faults.Set(standin.Faults{})
+				}
+				w.once(c)
+			})
+		})
+	}
+}
