Test: a late submission takes the job away from the caller's next try

The caller has sent its job again to the data centre at which the first submission has not arrived yet. When it does, the owner gives the job to the host of the first try, which has forgotten it, and tells the second host that the job was sent again. That one answers 502, the caller sends the job to a third data centre, and the job runs twice.

--- a/fleet/twice_test.go
+++ b/fleet/twice_test.go
@@ -484,3 +484,35 @@
 		})
 	}
 }
+
+// TestLateSubmissionTakesTheJobAway has a caller send its job again to the data
+// centre at which its first submission has not arrived yet.
+func TestLateSubmissionTakesTheJobAway(t *testing.T) {
+	for _, ms := range []time.Duration{2100, 3000} {
+		late := ms * time.Millisecond
+		t.Run(fmt.Sprint(late), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t)
+				time.Sleep(startTime)
+				w.spill()
+				first, third := w.host("coast-a.host-1"), w.host("coast-c.host-1")
+				j := jobOf("x", 2, longRun)
+				w.late(first.name, w.owner("coast-b").name, late)
+				c := w.calls(first, w.host("coast-b.host-1"), j)
+				time.Sleep(contactTime)
+				w.network.Slow(nil)
+				time.Sleep(settledTime)
+				c.leave()
+				r := <-c.answer
+				if r.Result != dispatch.Completed {
+					time.Sleep(resendTime)
+					third.submitter.Submit(third.life, j, time.Now(), time.Now().Add(time.Minute))
+				}
+				_, _, doubled := w.judge.Verdict()
+				is.Equal(doubled, nil)
+				is.Equal(r.Result, dispatch.Completed)
+			})
+		})
+	}
+}
