--- /dev/null
+++ b/fleet/twice_test.go
@@ -0,0 +1,518 @@
+package fleet_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/standin"
+	"github.com/catkingap/catkingap/work"
+)
+
+const (
+	// resendTime is when a caller sends a job again after its connection broke.
+	resendTime = 1300 * time.Millisecond
+	// longRun is the run time of tasks that outlive that.
+	longRun = 4 * time.Second
+	// settledTime is how long a load takes to be known to all hosts.
+	settledTime = 500 * time.Millisecond
+	// contactTime is how long it takes at most until a host contacts another one.
+	contactTime = 200 * time.Millisecond
+)
+
+func jobOf(id string, tasks int, runs time.Duration) work.Job {
+	return work.Job{
+		ID: work.ID(fmt.Sprintf("%dms%s", runs.Milliseconds(), id)), Queue: queueName, Pool: "pool", Attempts: 3, Stretch: 4, Target: time.Second,
+		Steps: []work.Step{{Count: tasks, Size: work.Size{Cores: coresOfTask, Memory: 64}, Estimate: runs}},
+	}
+}
+
+// host returns a host by its name.
+func (w *world) host(name string) *member {
+	for _, m := range w.all() {
+		if m.name == name {
+			return m
+		}
+	}
+	w.t.Fatalf("no host %s", name)
+	return nil
+}
+
+// fill keeps some tasks at work in a data centre.
+func (w *world) fill(zone string, tasks int) {
+	m := w.owner(zone)
+	go m.submitter.Submit(m.life, jobOf("fill"+zone, tasks, 8*time.Second), time.Now(), time.Now().Add(time.Minute))
+}
+
+// spill has jobs of coast-a go to coast-b, whose owner counts a place for each
+// worker as long as it knows no job, and those of coast-c stay there.
+func (w *world) spill() {
+	const places = 2 * workersEach
+	w.fill("coast-a", places)
+	w.fill("coast-c", places-workersEach/2)
+	time.Sleep(settledTime)
+}
+
+// caller is one that leaves and sends its job again.
+type caller struct {
+	leave  context.CancelFunc
+	answer chan dispatch.Reply
+}
+
+// calls hands in a job whose caller sends it again through another host after
+// it has left or its host has died.
+func (w *world) calls(first, second *member, j work.Job) *caller {
+	ctx, cancel := context.WithCancel(first.life)
+	c := &caller{leave: cancel, answer: make(chan dispatch.Reply, 1)}
+	deadline := time.Now().Add(time.Minute)
+	go first.submitter.Submit(ctx, j, time.Now(), deadline)
+	go func() {
+		<-ctx.Done()
+		time.Sleep(resendTime)
+		c.answer <- second.submitter.Submit(second.life, j, time.Now(), deadline)
+	}()
+	return c
+}
+
+// once checks that the job was completed and that nothing ran twice at once.
+func (w *world) once(c *caller) {
+	is := is.New(w.t)
+	is.Equal((<-c.answer).Result, dispatch.Completed)
+	_, _, doubled := w.judge.Verdict()
+	is.Equal(doubled, nil)
+}
+
+// isHost returns true for the site of an entry host.
+func isHost(site string) bool { return strings.Contains(site, ".host-") }
+
+// between returns a function that is true for the data from one site to another.
+func between(a, b string) func(from, to string) bool {
+	return func(from, to string) bool { return siteOf(from) == a && siteOf(to) == b }
+}
+
+// late has what one host writes to another arrive later.
+func (w *world) late(from, to string, extra time.Duration) {
+	match := between(from, to)
+	w.network.Slow(func(from, to string) time.Duration {
+		if match(from, to) {
+			return extra
+		}
+		return 0
+	})
+}
+
+// TestCallerLeavesBetweenTwoTries resets the links of a host, and its callers
+// leave while it waits to try again.
+func TestCallerLeavesBetweenTwoTries(t *testing.T) {
+	places := map[string]struct {
+		spill  bool
+		second string
+	}{
+		"own data centre":     {second: "coast-b.host-1"},
+		"another data centre": {spill: true, second: "coast-c.host-1"},
+	}
+	gaps := []time.Duration{1, 5, 10, 15, 19}
+	for name, test := range places {
+		for _, gap := range gaps {
+			gap *= time.Millisecond
+			t.Run(fmt.Sprintf("%s, %s", name, gap), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(t)
+					time.Sleep(startTime)
+					if test.spill {
+						w.spill()
+					}
+					first := w.host("coast-a.host-1")
+					c := w.calls(first, w.host(test.second), jobOf("x", 2, longRun))
+					time.Sleep(settledTime)
+					w.network.Reset(func(from, to string) bool { return siteOf(from) == first.name && isHost(siteOf(to)) })
+					time.Sleep(gap)
+					c.leave()
+					w.once(c)
+				})
+			})
+		}
+	}
+}
+
+// TestCallerLeavesAsItsJobArrives has callers leave while their jobs are on
+// their way, so that the owner reads both at once.
+func TestCallerLeavesAsItsJobArrives(t *testing.T) {
+	const (
+		callers = 12
+		late    = 50 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		first, second := w.host("coast-a.host-1"), w.host("coast-b.host-1")
+		for n := range callers {
+			w.late(first.name, w.owner("coast-a").name, late)
+			c := w.calls(first, second, jobOf(fmt.Sprint("x", n), 1, longRun))
+			time.Sleep(time.Millisecond)
+			w.network.Slow(nil)
+			c.leave()
+			time.Sleep(2 * late)
+		}
+		time.Sleep(longRun)
+		starts, _, doubled := w.judge.Verdict()
+		is.Equal(doubled, nil)
+		is.True(starts >= callers)
+	})
+}
+
+// TestWithdrawalsGetLost has the owner miss the withdrawals of a host that it
+// goes on hearing.
+func TestWithdrawalsGetLost(t *testing.T) {
+	const (
+		// triesTime is how long a host tries to tell an owner that a caller has left.
+		triesTime = 1250 * time.Millisecond
+		// onWay is when a message to another host has not arrived yet.
+		onWay = 50 * time.Microsecond
+	)
+	refuse := func(d time.Duration) func(w *world, host, owner string) {
+		return func(w *world, host, owner string) {
+			time.Sleep(onWay)
+			w.network.Refuse(between(host, owner))
+			w.network.Reset(between(host, owner))
+			time.Sleep(d)
+			w.network.Refuse(nil)
+		}
+	}
+	tests := map[string]func(w *world, host, owner string){
+		"all but contacts is lost": func(w *world, host, owner string) {
+			match := between(host, owner)
+			w.network.Drop(func(from, to string, data []byte) bool {
+				return match(from, to) && !bytes.Contains(data, []byte("contact"))
+			})
+			time.Sleep(triesTime)
+			w.network.Drop(nil)
+		},
+		"answers are lost": func(w *world, host, owner string) {
+			match := between(owner, host)
+			w.network.Drop(func(from, to string, data []byte) bool {
+				return match(from, to) && !bytes.Contains(data, []byte("contact"))
+			})
+			time.Sleep(triesTime)
+			w.network.Drop(nil)
+		},
+		"links are refused for 10ms":  refuse(10 * time.Millisecond),
+		"links are refused for 100ms": refuse(100 * time.Millisecond),
+		"links are refused for 300ms": refuse(300 * time.Millisecond),
+		"links are refused for 500ms": refuse(500 * time.Millisecond),
+		"the host is cut off for 300ms": func(w *world, host, _ string) {
+			time.Sleep(onWay)
+			w.cutHost(host, 300*time.Millisecond)
+		},
+		"the host is cut off for 1250ms": func(w *world, host, _ string) {
+			time.Sleep(onWay)
+			w.cutHost(host, triesTime)
+		},
+	}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				time.Sleep(startTime)
+				w.spill()
+				first := w.host("coast-a.host-1")
+				c := w.calls(first, w.host("coast-c.host-1"), jobOf("x", 2, longRun))
+				time.Sleep(settledTime)
+				c.leave()
+				fault(w, first.name, w.owner("coast-b").name)
+				w.once(c)
+			})
+		})
+	}
+}
+
+// TestSubmissionIsReadLate has submissions arrive late at an owner, on a link
+// that their host has given up or that ended with it.
+func TestSubmissionIsReadLate(t *testing.T) {
+	const callers = 3
+	leave := func(d time.Duration) func(*world, *member, []*caller) {
+		return func(_ *world, _ *member, callers []*caller) {
+			time.Sleep(d)
+			for _, c := range callers {
+				c.leave()
+			}
+		}
+	}
+	tests := map[string]func(w *world, first *member, callers []*caller){
+		"callers leave before the link is given up": leave(100 * time.Millisecond),
+		"callers leave as the link is given up":     leave(700 * time.Millisecond),
+		"callers leave after the next submission":   leave(1100 * time.Millisecond),
+		"the host dies": func(w *world, first *member, _ []*caller) { w.kill(first) },
+		"the host dies after a contact": func(w *world, first *member, _ []*caller) {
+			time.Sleep(contactTime)
+			w.kill(first)
+		},
+		"the host starts again": func(w *world, first *member, _ []*caller) {
+			w.kill(first)
+			time.Sleep(100 * time.Millisecond)
+			w.addHost(first.zone, first.name)
+		},
+	}
+	for name, fault := range tests {
+		for _, late := range []time.Duration{1600 * time.Millisecond, 2500 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s, %s late", name, late), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(t)
+					time.Sleep(startTime)
+					w.spill()
+					first, second := w.host("coast-a.host-1"), w.host("coast-c.host-1")
+					w.late(first.name, w.owner("coast-b").name, late)
+					var open []*caller
+					for n := range callers {
+						open = append(open, w.calls(first, second, jobOf(fmt.Sprint("x", n), 1, longRun)))
+					}
+					time.AfterFunc(contactTime, func() { w.network.Slow(nil) })
+					time.Sleep(time.Millisecond)
+					fault(w, first, open)
+					for _, c := range open {
+						w.once(c)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestContactIsReadLate has the last contacts of a host that dies arrive late at
+// the owner of its jobs.
+func TestContactIsReadLate(t *testing.T) {
+	const late = 545 * time.Millisecond
+	tests := map[string][]time.Duration{
+		"one contact":  {late},
+		"two contacts": {late, late},
+	}
+	for name, delays := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				time.Sleep(startTime)
+				w.spill()
+				first := w.host("coast-a.host-1")
+				c := w.calls(first, w.host("coast-c.host-1"), jobOf("x", 2, longRun))
+				time.Sleep(settledTime)
+				sent := make(chan struct{}, len(delays))
+				left, match := delays, between(first.name, w.owner("coast-b").name)
+				w.network.Slow(func(from, to string) time.Duration {
+					if !match(from, to) || len(left) == 0 {
+						return 0
+					}
+					extra := left[0]
+					left = left[1:]
+					sent <- struct{}{}
+					return extra
+				})
+				for range delays {
+					<-sent
+				}
+				w.kill(first)
+				w.once(c)
+			})
+		})
+	}
+}
+
+// TestOwnerDiesWithItsOwnCallers kills an owner that has callers of its own, and
+// an owner soon after the host of its jobs.
+func TestOwnerDiesWithItsOwnCallers(t *testing.T) {
+	type row struct {
+		first, owner, second string
+		spill                bool
+		// gap is the time between the two deaths, slow the delay of the table.
+		gap, slow time.Duration
+	}
+	tests := map[string]row{}
+	for _, ms := range []time.Duration{0, 50, 100, 150} {
+		slow := ms * time.Millisecond
+		tests[fmt.Sprintf("own callers, table slow by %s", slow)] = row{
+			first: "coast-a.host-0", owner: "coast-a.host-0", second: "coast-b.host-1", slow: slow,
+		}
+	}
+	for _, ms := range []time.Duration{0, 100, 200, 300, 400, 500, 600} {
+		gap := ms * time.Millisecond
+		tests[fmt.Sprintf("%s after the host", gap)] = row{
+			first: "coast-a.host-1", owner: "coast-b.host-0", second: "coast-c.host-1", spill: true, gap: gap,
+		}
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				time.Sleep(startTime)
+				if tt.spill {
+					w.spill()
+				}
+				first, owner := w.host(tt.first), w.host(tt.owner)
+				c := w.calls(first, w.host(tt.second), jobOf("x", 2, longRun))
+				w.store.Faults.Set(standin.Faults{Delay: tt.slow})
+				time.Sleep(settledTime)
+				w.kill(first)
+				time.Sleep(tt.gap)
+				if owner != first {
+					w.kill(owner)
+				}
+				w.once(c)
+			})
+		})
+	}
+}
+
+// TestCallerLeavesWhileLinksAreRefused has a host find no way to the owner of a
+// job for a moment, and its caller leave in one of the pauses between its tries.
+func TestCallerLeavesWhileLinksAreRefused(t *testing.T) {
+	const refused = 300 * time.Millisecond
+	for _, ms := range []time.Duration{30, 110, 190, 290} {
+		gap := ms * time.Millisecond
+		t.Run(fmt.Sprint(gap), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				time.Sleep(startTime)
+				w.spill()
+				first := w.host("coast-a.host-1")
+				match := between(first.name, w.owner("coast-b").name)
+				c := w.calls(first, w.host("coast-c.host-1"), jobOf("x", 2, longRun))
+				time.Sleep(settledTime)
+				w.network.Refuse(match)
+				w.network.Reset(match)
+				time.AfterFunc(refused, func() { w.network.Refuse(nil) })
+				time.Sleep(gap)
+				c.leave()
+				w.once(c)
+			})
+		})
+	}
+}
+
+// TestCallerLeavesAsOwnerDies has a caller leave around the time at which the
+// owner of its job dies or is cut off, and the next owner come late.
+func TestCallerLeavesAsOwnerDies(t *testing.T) {
+	// slow is the delay of the platform's table, which holds up the next owner.
+	const slow = 300 * time.Millisecond
+	tests := map[string]func(w *world, owner *member){
+		"dies": (*world).kill,
+		"is cut off": func(w *world, owner *member) {
+			w.network.Cut(func(from, to string) bool { return siteOf(from) == owner.name || siteOf(to) == owner.name })
+		},
+		"is cut off from hosts": func(w *world, owner *member) {
+			w.network.Cut(func(from, to string) bool {
+				from, to = siteOf(from), siteOf(to)
+				return isHost(from) && isHost(to) && (from == owner.name || to == owner.name)
+			})
+		},
+	}
+	for name, fault := range tests {
+		for _, ms := range []time.Duration{-1, 1, 50, 100} {
+			gap := ms * time.Millisecond
+			t.Run(fmt.Sprintf("%s, caller leaves after %s", name, gap), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(t)
+					time.Sleep(startTime)
+					w.spill()
+					c := w.calls(w.host("coast-a.host-1"), w.host("coast-c.host-1"), jobOf("x", 2, longRun))
+					time.Sleep(settledTime)
+					w.store.Faults.Set(standin.Faults{Delay: slow})
+					time.AfterFunc(settledTime+gap, c.leave)
+					time.Sleep(settledTime)
+					fault(w, w.owner("coast-b"))
+					w.once(c)
+				})
+			})
+		}
+	}
+}
+
+// TestNextOwnerDiesToo kills an owner with callers of its own, and the next one
+// after it has found their runs and extended their lease.
+func TestNextOwnerDiesToo(t *testing.T) {
+	for _, ms := range []time.Duration{600, 700, 800, 1000, 1200} {
+		gap := ms * time.Millisecond
+		t.Run(fmt.Sprint(gap), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				time.Sleep(startTime)
+				owner := w.host("coast-a.host-0")
+				c := w.calls(owner, w.host("coast-b.host-1"), jobOf("x", 2, longRun))
+				time.Sleep(settledTime)
+				w.kill(owner)
+				time.Sleep(gap)
+				w.kill(w.host("coast-a.host-1"))
+				w.once(c)
+			})
+		})
+	}
+}
+
+// TestWorkersFallSilentAfterTheHost has the workers of an owner fall silent after
+// the host of its jobs has died, before the owner has stopped them.
+func TestWorkersFallSilentAfterTheHost(t *testing.T) {
+	const silent = 2 * time.Second
+	for _, ms := range []time.Duration{0, 200, 400, 500, 600, 700} {
+		gap := ms * time.Millisecond
+		t.Run(fmt.Sprint(gap), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				time.Sleep(startTime)
+				w.spill()
+				first := w.host("coast-a.host-1")
+				c := w.calls(first, w.host("coast-c.host-1"), jobOf("x", 2, longRun))
+				time.Sleep(settledTime)
+				w.kill(first)
+				time.Sleep(gap)
+				for name, x := range w.workers {
+					if zoneOf(name) == "coast-b" {
+						x.Faults.Set(standin.Faults{Mode: standin.Silent})
+					}
+				}
+				time.Sleep(silent)
+				for _, x := range w.workers {
+					x.Faults.Set(standin.Faults{})
+				}
+				w.once(c)
+			})
+		})
+	}
+}
+
+// TestLateSubmissionTakesTheJobAway has a caller send its job again to the data
+// centre at which its first submission has not arrived yet.
+func TestLateSubmissionTakesTheJobAway(t *testing.T) {
+	for _, ms := range []time.Duration{2100, 3000} {
+		late := ms * time.Millisecond
+		t.Run(fmt.Sprint(late), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t)
+				time.Sleep(startTime)
+				w.spill()
+				first, third := w.host("coast-a.host-1"), w.host("coast-c.host-1")
+				j := jobOf("x", 2, longRun)
+				w.late(first.name, w.owner("coast-b").name, late)
+				c := w.calls(first, w.host("coast-b.host-1"), j)
+				time.Sleep(contactTime)
+				w.network.Slow(nil)
+				time.Sleep(settledTime)
+				c.leave()
+				r := <-c.answer
+				if r.Result != dispatch.Completed {
+					time.Sleep(resendTime)
+					third.submitter.Submit(third.life, j, time.Now(), time.Now().Add(time.Minute))
+				}
+				_, _, doubled := w.judge.Verdict()
+				is.Equal(doubled, nil)
+				is.Equal(r.Result, dispatch.Completed)
+			})
+		})
+	}
+}
