Rig of real processes with faults from outside and a judge of overlaps

The tests of fleet run in virtual time and know no paused process, no reset connection and no proxy between hosts.

The stand-in's judge keeps each run with worker, token and times, and tells overlaps by when a run was over, not by when a late timer said so; what it told before is unchanged. TestSoak runs six processes in three data centres, 15 workers, callers that send again, and faults drawn by a seed.

--- a/cmd/servecmd.go
+++ b/cmd/servecmd.go
@@ -35,23 +35,25 @@
 )
 
 func (c *Config) newServeCmd() *cobra.Command {
-	var file string
+	var file, advertised string
 	command := &cobra.Command{
 		Use:   "serve",
 		Short: "Run the daemon of an entry host on the users' platform",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			return c.runServeCmd(command.Context(), file)
+			return c.runServeCmd(command.Context(), file, advertised)
 		},
 	}
 	command.Flags().StringVar(&file, "settings", os.Getenv(platform.SettingsVariable),
 		"settings file of the platform, by default the one that "+platform.SettingsVariable+" names")
+	command.Flags().StringVar(&advertised, "advertise", "",
+		"address at which other hosts reach this one, by default the one that the settings name")
 	return command
 }
 
 // runServeCmd runs the daemon until SIGTERM or SIGINT, and then shuts it down
 // gracefully.
-func (c *Config) runServeCmd(ctx context.Context, file string) error {
+func (c *Config) runServeCmd(ctx context.Context, file, advertised string) error {
 	if file == "" {
 		return errors.Newf("no settings: name a file by --settings or by %s", platform.SettingsVariable)
 	}
@@ -59,6 +61,7 @@
 	if err != nil {
 		return err
 	}
+	s.Fleet.AdvertisedAddress = advertised
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -5,6 +5,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -52,8 +53,11 @@
 	DataCentre ident.DataCentre
 	// DataCentres are all known ones.
 	DataCentres []ident.DataCentre
-	// PeerAddress is where other hosts reach this one.
+	// PeerAddress is where this host listens for other hosts.
 	PeerAddress string
+	// AdvertisedAddress is where other hosts reach this one, or empty if that is
+	// PeerAddress.
+	AdvertisedAddress string
 	// Seeds are addresses of other hosts that may be stale.
 	Seeds []string
 	// Cores is the processor of the host, in cores.
@@ -125,7 +129,8 @@
 // newSelf returns who this process is.
 func newSelf(s Settings) ownership.Host {
 	return ownership.Host{
-		Name: s.Host, Boot: ident.NewToken(), Address: s.PeerAddress, DataCentre: s.DataCentre, Cores: s.Cores,
+		Name: s.Host, Boot: ident.NewToken(), Address: cmp.Or(s.AdvertisedAddress, s.PeerAddress),
+		DataCentre: s.DataCentre, Cores: s.Cores,
 	}
 }
 
--- /dev/null
+++ b/integration/soak_test.go
@@ -0,0 +1,147 @@
+package integration
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/catkingap/catkingap/standin"
+)
+
+// The flags of the soak by hand:
+//
+//	go test ./integration -run TestSoak -timeout 2h -args -soak.seeds 50 -soak.first 100
+var (
+	soakSeeds = flag.Int("soak.seeds", 3, "number of seeds of the soak")
+	soakFirst = flag.Uint64("soak.first", 1, "first seed of the soak")
+	soakTime  = flag.Duration("soak.time", 12*time.Second, "time of faults and load of one seed")
+	soakRate  = flag.Float64("soak.rate", 40, "jobs a second")
+	soakOnly  = flag.String("soak.only", "", "kinds of faults, divided by commas, or all")
+	soakKeep  = flag.Bool("soak.keep", false, "keep the folders of runs that passed")
+)
+
+const (
+	// soakCalm is the time of load without faults before and after them.
+	soakCalm = time.Second
+	// goneSlack is how long before and after a fault a host is excused for
+	// callers that get no answer.
+	goneSlack = time.Second
+)
+
+// TestSoak runs real processes under a load through series of faults. No task
+// may run twice at the same time, none of a job that was refused may start, and
+// each host that is left alone answers its callers.
+func TestSoak(t *testing.T) {
+	for i := range *soakSeeds {
+		seed := *soakFirst + uint64(i)
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { soak(t, seed) })
+	}
+}
+
+func soak(t *testing.T, seed uint64) {
+	r := newRig(t)
+	r.balance(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		time.Sleep(soakCalm)
+		r.disturb(rand.New(rand.NewPCG(seed, 1)), *soakTime)
+	}()
+	r.load(rand.New(rand.NewPCG(seed, 2)), *soakRate, *soakTime+2*soakCalm)
+	<-done
+	r.write()
+	r.report(seed)
+}
+
+// report tells what went wrong.
+func (r *rig) report(seed uint64) {
+	starts, ended, _ := r.judge.Verdict()
+	results := map[int]int{}
+	for _, x := range r.tries {
+		results[x.Status]++
+	}
+	r.t.Logf("seed %d: %d tries by status %v, %d starts, %d done, %d faults", seed, len(r.tries), results, starts, ended, len(r.faults))
+	overlaps := r.judge.Overlaps(time.Now())
+	for _, o := range overlaps {
+		r.t.Errorf("ran twice at once: %s%s", o.Text(r.began), r.sends(o.First.Task))
+	}
+	for _, text := range append(r.refused(r.judge.Runs()), r.unanswered()...) {
+		r.t.Error(text)
+	}
+	if !r.t.Failed() {
+		return
+	}
+	for _, f := range r.faults {
+		r.t.Logf("fault %.3f to %.3f: %s", f.From.Seconds(), f.Until.Seconds(), f.Text)
+	}
+	r.t.Logf("seed %d; logs are in %s", seed, r.folder)
+}
+
+// sends tells how the job of a task was sent.
+func (r *rig) sends(task string) string {
+	id, _, _ := strings.Cut(task, ".")
+	var text strings.Builder
+	for _, x := range r.tries {
+		if x.Job == id {
+			fmt.Fprintf(&text, "\n\tsent to %s from %.3f to %.3f: %d %s", x.Host, x.From, x.Until, x.Status, x.Error)
+		}
+	}
+	return text.String()
+}
+
+// refused returns the jobs of which a task started though all tries were
+// rejected.
+func (r *rig) refused(runs map[string][]standin.Run) []string {
+	rejected := map[string]bool{}
+	for _, x := range r.tries {
+		no := x.Status == http.StatusServiceUnavailable || x.Status == http.StatusTooManyRequests || x.Status == http.StatusNotFound
+		if all, ok := rejected[x.Job]; !ok || all {
+			rejected[x.Job] = no
+		}
+	}
+	var texts []string
+	for task, all := range runs {
+		if id, _, _ := strings.Cut(task, "."); rejected[id] {
+			texts = append(texts, fmt.Sprintf("a job that was refused ran: %+v%s", all, r.sends(task)))
+		}
+	}
+	return texts
+}
+
+// unanswered returns the tries without an answer at hosts that were left alone.
+func (r *rig) unanswered() []string {
+	var texts []string
+	for _, x := range r.tries {
+		left := x.Host == "" || (x.Status == 0 && !x.Patient && strings.Contains(x.Error, "deadline exceeded"))
+		if x.Status != 0 || left || slices.ContainsFunc(r.faults, func(f faultNote) bool { return f.excuses(x) }) {
+			continue
+		}
+		texts = append(texts, fmt.Sprintf("no answer: %+v", x))
+	}
+	return texts
+}
+
+// excuses returns true if a fault touched the host of a try meanwhile.
+func (f faultNote) excuses(x try) bool {
+	touched := slices.ContainsFunc(f.Hosts, func(h *rigHost) bool { return h.name == x.Host })
+	return touched && f.From-goneSlack < seconds(x.Until) && f.Until+goneSlack > seconds(x.From)
+}
+
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+
+// write keeps what callers and workers saw beside the processes' logs.
+func (r *rig) write() {
+	for name, value := range map[string]any{"tries.json": r.tries, "runs.json": r.judge.Runs()} {
+		data, err := json.MarshalIndent(value, "", " ")
+		r.is.NoErr(err)
+		r.is.NoErr(os.WriteFile(filepath.Join(r.folder, name), data, 0o600))
+	}
+}
--- /dev/null
+++ b/integration/soak_wire_test.go
@@ -0,0 +1,194 @@
+package integration
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// way is a direction of a wire.
+type way int
+
+const (
+	// forth is towards the server.
+	forth way = iota
+	back
+	ways
+)
+
+// wire forwards connections to one address. It can hold back what goes either
+// way, mute the connections that are open, and cut them.
+type wire struct {
+	listener net.Listener
+	upstream string
+
+	mutex sync.Mutex
+	// held counts the faults that hold a way back. freed is closed and made
+	// anew when one of them ends.
+	held  [ways]int
+	freed chan struct{}
+	delay time.Duration
+	links map[*wireLink]bool
+}
+
+// wireLink is one connection through a wire.
+type wireLink struct {
+	ends [2]net.Conn
+	gone chan struct{}
+	once sync.Once
+	// muted is true once nothing more passes. The wire's mutex guards it.
+	muted bool
+}
+
+// newWire starts a wire on a loopback address.
+func newWire(t testing.TB, ip, upstream string) *wire {
+	t.Helper()
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &wire{listener: l, upstream: upstream, freed: make(chan struct{}), links: map[*wireLink]bool{}}
+	go w.accept()
+	t.Cleanup(func() {
+		l.Close()
+		w.cut()
+	})
+	return w
+}
+
+func (w *wire) address() string { return w.listener.Addr().String() }
+
+func (w *wire) accept() {
+	for {
+		c, err := w.listener.Accept()
+		if err != nil {
+			return
+		}
+		go w.connect(c)
+	}
+}
+
+func (w *wire) connect(c net.Conn) {
+	s, err := net.Dial("tcp", w.upstream)
+	if err != nil {
+		closeConnection(c, true)
+		return
+	}
+	k := &wireLink{ends: [2]net.Conn{s, c}, gone: make(chan struct{})}
+	w.mutex.Lock()
+	w.links[k] = true
+	w.mutex.Unlock()
+	var open sync.WaitGroup
+	open.Go(func() { w.pump(k, forth) })
+	open.Go(func() { w.pump(k, back) })
+	open.Wait()
+	k.close(false)
+	w.mutex.Lock()
+	delete(w.links, k)
+	w.mutex.Unlock()
+}
+
+// wireBuffer is how much is read at once.
+const wireBuffer = 16 << 10
+
+// pump forwards one way of a link until its end, which it passes on.
+func (w *wire) pump(k *wireLink, y way) {
+	to, from := k.ends[y], k.ends[1-y]
+	buffer := make([]byte, wireBuffer)
+	for {
+		n, err := from.Read(buffer)
+		w.pass(k, y)
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				k.close(true)
+				return
+			}
+		}
+		if err != nil {
+			if c, ok := to.(*net.TCPConn); ok {
+				_ = c.CloseWrite()
+			}
+			return
+		}
+	}
+}
+
+// pass waits until a way is free, or the link is gone.
+func (w *wire) pass(k *wireLink, y way) {
+	w.mutex.Lock()
+	delay := w.delay
+	for w.held[y] > 0 || k.muted {
+		freed := w.freed
+		w.mutex.Unlock()
+		select {
+		case <-freed:
+		case <-k.gone:
+			return
+		}
+		w.mutex.Lock()
+	}
+	w.mutex.Unlock()
+	time.Sleep(delay)
+}
+
+// hold holds ways back until the returned function is called: what was sent
+// meanwhile arrives then, as after a cut of the network.
+func (w *wire) hold(held ...way) func() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, y := range held {
+		w.held[y]++
+	}
+	return func() {
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		for _, y := range held {
+			w.held[y]--
+		}
+		close(w.freed)
+		w.freed = make(chan struct{})
+	}
+}
+
+// mute lets the open connections stand, but nothing passes on them any more.
+func (w *wire) mute() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for k := range w.links {
+		k.muted = true
+	}
+}
+
+// cut resets all connections.
+func (w *wire) cut() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for k := range w.links {
+		k.close(true)
+	}
+}
+
+func (w *wire) slow(d time.Duration) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.delay = d
+}
+
+// close closes both ends, with a reset or in order.
+func (k *wireLink) close(abrupt bool) {
+	k.once.Do(func() {
+		close(k.gone)
+		for _, c := range k.ends {
+			closeConnection(c, abrupt)
+		}
+	})
+}
+
+// closeConnection closes a connection, with a reset or in order.
+func closeConnection(c net.Conn, abrupt bool) {
+	if t, ok := c.(*net.TCPConn); ok && abrupt {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -44,12 +44,13 @@
 }
 
 type workerRun struct {
-	task  string
-	run   int
-	cores int
-	begun time.Time
-	took  time.Duration
-	timer *time.Timer
+	task   string
+	run    int
+	cores  int
+	begun  time.Time
+	took   time.Duration
+	timer  *time.Timer
+	judged *Run
 }
 
 // The ways in which a run ends by itself.
@@ -167,12 +168,13 @@
 		return
 	}
 	for _, x := range w.running {
-		w.end(x, "lapsed")
+		w.end(x, "lapsed", w.lease)
 	}
 }
 
-// end ends a run. The caller holds the mutex.
-func (w *Worker) end(x *workerRun, how string) {
+// end ends a run, which was over at a time that a late timer does not change. The
+// caller holds the mutex.
+func (w *Worker) end(x *workerRun, how string, at time.Time) {
 	if w.running[x.task] != x {
 		return
 	}
@@ -182,7 +184,7 @@
 	w.number++
 	w.barred[x.task] = max(w.barred[x.task], x.run)
 	w.ended = append(w.ended, workerEnd{number: w.number, task: x.task, run: x.run, how: how})
-	w.config.Judge.end(x.task, how)
+	w.config.Judge.end(x.judged, how, at)
 	close(w.change)
 	w.change = make(chan struct{})
 }
@@ -215,7 +217,7 @@
 	w.running[o.Task] = x
 	w.started = x.begun
 	w.used += cores
-	w.config.Judge.start(o.Task)
+	x.judged = w.config.Judge.start(Run{Task: o.Task, Worker: w.config.ID, Number: o.Run, Token: o.FencingToken, Began: x.begun})
 	how := endDone
 	if w.Faults.mode() == FailAll {
 		how = endFailed
@@ -224,7 +226,7 @@
 		w.mutex.Lock()
 		defer w.mutex.Unlock()
 		w.expire()
-		w.end(x, how)
+		w.end(x, how, x.begun.Add(x.took))
 	})
 	writeJSON(rw, map[string]any{"ClockMs": w.clock()})
 }
@@ -237,7 +239,7 @@
 	defer w.mutex.Unlock()
 	w.barred[o.Task] = max(w.barred[o.Task], o.Run)
 	if x := w.running[o.Task]; x != nil && x.run <= o.Run {
-		w.end(x, "stopped")
+		w.end(x, "stopped", time.Now())
 	}
 	writeJSON(rw, map[string]any{"ClockMs": w.clock()})
 }
@@ -278,93 +280,3 @@
 	}
 	writeJSON(rw, map[string]any{"ClockMs": w.clock(), "born": w.Born(), "Running": running, "Ended": ended})
 }
-
-// Judge records what all workers run, and counts what must not happen.
-type Judge struct {
-	mutex   sync.Mutex
-	running map[string]int
-	starts  int
-	done    int
-	doubled []string
-	// noted holds the tasks of which a done run was taken note of, failures
-	// the number of failed runs of each task.
-	noted    map[string]bool
-	failures map[string]int
-	again    []string
-}
-
-// NewJudge returns a judge that has seen nothing.
-func NewJudge() *Judge {
-	return &Judge{running: map[string]int{}, noted: map[string]bool{}, failures: map[string]int{}}
-}
-
-func (j *Judge) start(task string) {
-	j.mutex.Lock()
-	defer j.mutex.Unlock()
-	j.starts++
-	j.running[task]++
-	if j.running[task] > 1 {
-		j.doubled = append(j.doubled, task)
-	}
-	if j.noted[task] {
-		j.again = append(j.again, task)
-	}
-}
-
-func (j *Judge) end(task, how string) {
-	j.mutex.Lock()
-	defer j.mutex.Unlock()
-	j.running[task]--
-	switch how {
-	case endDone:
-		j.done++
-	case endFailed:
-		j.failures[task]++
-	}
-}
-
-// note tells that a worker was told that the end of a run was seen.
-func (j *Judge) note(task, how string) {
-	j.mutex.Lock()
-	defer j.mutex.Unlock()
-	if how == endDone {
-		j.noted[task] = true
-	}
-}
-
-// Again returns the tasks that started after it was noted that they are done.
-func (j *Judge) Again() []string {
-	j.mutex.Lock()
-	defer j.mutex.Unlock()
-	return j.again
-}
-
-// Failures returns the highest number of failed runs of any task.
-func (j *Judge) Failures() int {
-	j.mutex.Lock()
-	defer j.mutex.Unlock()
-	highest := 0
-	for _, n := range j.failures {
-		highest = max(highest, n)
-	}
-	return highest
-}
-
-// Verdict returns the number of starts and of runs that were done, and the
-// tasks that ran twice at the same time.
-func (j *Judge) Verdict() (starts, done int, doubled []string) {
-	j.mutex.Lock()
-	defer j.mutex.Unlock()
-	return j.starts, j.done, j.doubled
-}
-
-// Running returns the number of runs that are at work.
-func (j *Judge) Running() int {
-	j.mutex.Lock()
-	defer j.mutex.Unlock()
-	n := 0
-	for _, runs := range j.running {
-		n += runs
-	}
-	return n
-}
