Faults between pairs of hosts and of whole data centres in the rig

A wire knows which process opened a connection, by the number of the socket, so that the links of one host or of one data centre can be held back, reset or left silent. Run times vary by 40 % around their estimate, and all hosts of a data centre can be paused together.

--- a/integration/soak_callers_test.go
+++ b/integration/soak_callers_test.go
@@ -158,11 +158,12 @@
 		time.Sleep(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second)))
 		share := random.IntN(100)
 		k := taskKinds[slices.IndexFunc(taskShares, func(s int) bool { return share < s })]
+		estimate := float64(k.took.Milliseconds())
+		k.took = time.Duration(float64(k.took) * (0.6 + 0.8*random.Float64()))
 		k.cores = 14_000 + random.IntN(13_000)
 		k.deadline = 3*k.took + time.Duration(1000+random.IntN(2000))*time.Millisecond
 		id := fmt.Sprintf("%016x", random.Uint64())
 		r.kinds.Store(id, k)
-		estimate := float64(k.took.Milliseconds()) * (0.6 + 0.8*random.Float64())
 		body, err := json.Marshal(map[string]any{"Spec": "s", "BestEffort": true, "Steps": []any{map[string]any{
 			"Count": k.count, "Cpu": k.cores, "MemMb": 64, "EstimatedMs": estimate,
 		}}})
--- a/integration/soak_faults_test.go
+++ b/integration/soak_faults_test.go
@@ -29,12 +29,13 @@
 }
 
 var rigFaults = map[string]rigFault{
-	"pause":   {weight: 6, run: (*rig).pauseHost},
+	"pause":   {weight: 6, run: (*rig).pauseHosts},
 	"kill":    {weight: 2, run: (*rig).killHost},
 	"term":    {weight: 1, run: (*rig).endHost},
 	"links":   {weight: 6, run: (*rig).cutLinks},
 	"silence": {weight: 3, run: (*rig).silenceHost},
 	"mute":    {weight: 2, run: (*rig).muteHost},
+	"centre":  {weight: 1, run: (*rig).silenceCentre},
 	"table":   {weight: 2, run: (*rig).silenceTable},
 	"store":   {weight: 1, run: (*rig).slowStore},
 	"workers": {weight: 2, run: (*rig).loseWorkers},
@@ -110,33 +111,68 @@
 	return []*rigHost{r.victim(x)}
 }
 
-// pauseHost stops a process for a time. The connections of its callers may break
-// right before or meanwhile, so that it wakes with their old requests.
-func (r *rig) pauseHost(x *rand.Rand) {
-	h, took, abrupt := r.victim(x), between(x, 200, 4000), x.IntN(2) == 0
+// others returns all origins, or one, or those of one data centre.
+func (r *rig) others(x *rand.Rand) (string, func(origin string) bool) {
+	one, zone := r.hosts[x.IntN(len(r.hosts))].name, centres[x.IntN(len(centres))]
+	switch x.IntN(3) {
+	case 0:
+		return "all", anybody
+	case 1:
+		return one, func(origin string) bool { return origin == one }
+	}
+	return zone, func(origin string) bool { return strings.HasPrefix(origin, zone) }
+}
+
+// cutLinks resets the links of a host in both directions.
+func (h *rigHost) cutLinks() {
+	h.peer.cut(anybody)
+	for _, o := range h.rig.hosts {
+		o.peer.cut(func(origin string) bool { return origin == h.name })
+	}
+}
+
+// pauseHosts stops a process, or those of a data centre, for a time. The
+// connections of callers may break right before or meanwhile, so that a process
+// wakes with their old requests.
+func (r *rig) pauseHosts(x *rand.Rand) {
+	hosts, took, abrupt := []*rigHost{r.victim(x)}, between(x, 200, 4000), x.IntN(2) == 0
 	early, breaks, after := between(x, 0, 30), x.IntN(3), between(x, 0, int(took.Milliseconds())+1)
-	if !h.busy.TryLock() {
-		return
+	if x.IntN(3) == 0 {
+		zone := hosts[0].zone
+		hosts = slices.DeleteFunc(slices.Clone(r.hosts), func(h *rigHost) bool { return h.zone != zone })
+	}
+	hosts = slices.DeleteFunc(hosts, func(h *rigHost) bool { return !h.busy.TryLock() })
+	for _, h := range hosts {
+		defer h.busy.Unlock()
 	}
-	defer h.busy.Unlock()
 	if breaks == 1 {
-		r.fault([]*rigHost{h}, "callers break %s before a pause of", early)()
-		h.cutCallers(abrupt)
+		r.breakCallers(hosts, abrupt, fmt.Sprintf("%s before a pause", early))
 		time.Sleep(early)
 	}
-	end := r.fault([]*rigHost{h}, "pause of")
-	h.signal(syscall.SIGSTOP)
+	end := r.fault(hosts, "pause of")
+	for _, h := range hosts {
+		h.signal(syscall.SIGSTOP)
+	}
 	if breaks == 2 {
 		time.Sleep(after)
-		r.fault([]*rigHost{h}, "callers break in the pause of")()
-		h.cutCallers(abrupt)
+		r.breakCallers(hosts, abrupt, "in a pause")
 		took -= after
 	}
 	time.Sleep(took)
-	h.signal(syscall.SIGCONT)
+	for _, h := range hosts {
+		h.signal(syscall.SIGCONT)
+	}
 	end()
 }
 
+// breakCallers breaks the connections of hosts' callers.
+func (r *rig) breakCallers(hosts []*rigHost, abrupt bool, when string) {
+	defer r.fault(hosts, "callers break %s, at", when)()
+	for _, h := range hosts {
+		h.cutCallers(abrupt)
+	}
+}
+
 func (r *rig) killHost(x *rand.Rand) {
 	h, gone := r.victim(x), between(x, 100, 2000)
 	if !h.busy.TryLock() {
@@ -166,30 +202,24 @@
 	h.start()
 }
 
-// cutLinks resets the links to hosts, once or a few times, and then the
+// cutLinks resets the links of hosts, once or a few times, and then the
 // connections of callers, as when a middlebox drops all that it forwards.
 func (r *rig) cutLinks(x *rand.Rand) {
 	linked, called := r.some(x), r.some(x)
-	most := 30
-	if x.IntN(2) == 0 {
-		most = 100
-	}
+	most := []int{30, 100}[x.IntN(2)]
 	gap, times, abrupt := between(x, 0, most), 1+x.IntN(3), x.IntN(2) == 0
-	end := r.fault(linked, "links reset, %d times, to", times)
+	end := r.fault(linked, "links reset, %d times, of", times)
 	for i := range times {
 		if i > 0 {
 			time.Sleep(between(x, 5, 40))
 		}
 		for _, h := range linked {
-			h.peer.cut()
+			h.cutLinks()
 		}
 	}
 	end()
 	time.Sleep(gap)
-	defer r.fault(called, "callers break %s after the links, at", gap)()
-	for _, h := range called {
-		h.cutCallers(abrupt)
-	}
+	r.breakCallers(called, abrupt, fmt.Sprintf("%s after the links", gap))
 }
 
 // someWays returns one way or both.
@@ -201,16 +231,14 @@
 // connections of its callers may break meanwhile.
 func (r *rig) silenceHost(x *rand.Rand) {
 	h, held, took := r.victim(x), someWays(x), between(x, 500, 4000)
-	defer r.fault([]*rigHost{h}, "silence of ways %v of the links to", held)()
-	defer h.peer.hold(held...)()
+	name, from := r.others(x)
+	defer r.fault([]*rigHost{h}, "silence of ways %v of the links from %s to", held, name)()
+	defer h.peer.hold(from, held...)()
 	if x.IntN(2) == 0 {
 		after := between(x, 0, int(took.Milliseconds()))
 		called := r.some(x)
 		time.Sleep(after)
-		r.fault(called, "callers break in the silence, at")()
-		for _, c := range called {
-			c.cutCallers(true)
-		}
+		r.breakCallers(called, true, "in the silence")
 		took -= after
 	}
 	time.Sleep(took)
@@ -219,21 +247,30 @@
 // muteHost lets the open links to hosts go silent for good, and callers leave.
 func (r *rig) muteHost(x *rand.Rand) {
 	linked, called, gap := r.some(x), r.some(x), between(x, 0, 700)
-	defer r.fault(linked, "open links go silent, to")()
+	name, from := r.others(x)
+	defer r.fault(linked, "open links go silent, from %s to", name)()
 	for _, h := range linked {
-		h.peer.mute()
+		h.peer.mute(from)
 	}
 	time.Sleep(gap)
-	defer r.fault(called, "callers break %s after, at", gap)()
-	for _, h := range called {
-		h.cutCallers(true)
+	r.breakCallers(called, true, fmt.Sprintf("%s after", gap))
+}
+
+// silenceCentre holds all links between a data centre and the others back.
+func (r *rig) silenceCentre(x *rand.Rand) {
+	zone := centres[x.IntN(len(centres))]
+	end := r.fault(nil, "silence of the links between others and %s", zone)
+	for _, h := range r.hosts {
+		defer h.peer.hold(func(origin string) bool { return strings.HasPrefix(origin, zone) != (h.zone == zone) }, forth, back)()
 	}
+	time.Sleep(between(x, 500, 4000))
+	end()
 }
 
 func (r *rig) silenceTable(x *rand.Rand) {
 	h, held := r.victim(x), someWays(x)
 	defer r.fault([]*rigHost{h}, "silence of ways %v of the table for", held)()
-	defer h.table.hold(held...)()
+	defer h.table.hold(anybody, held...)()
 	time.Sleep(between(x, 500, 4000))
 }
 
--- a/integration/soak_rig_test.go
+++ b/integration/soak_rig_test.go
@@ -108,8 +108,8 @@
 	for i := range len(centres) * rigHostsEach {
 		h := &rigHost{rig: r, zone: centres[i%len(centres)], ip: fmt.Sprintf("%s.%d", r.net, 10+i), callers: map[*callerLink]bool{}}
 		h.name = fmt.Sprintf("%s-host-%d", h.zone, i/len(centres))
-		h.peer = newWire(t, r.net+".1", fmt.Sprintf("%s:%d", h.ip, peerPort))
-		h.table = newWire(t, r.net+".1", table)
+		h.peer = newWire(t, r.net+".1", fmt.Sprintf("%s:%d", h.ip, peerPort), r.origin)
+		h.table = newWire(t, r.net+".1", table, func(net.Conn) string { return h.name })
 		r.hosts = append(r.hosts, h)
 	}
 	for _, h := range r.hosts {
@@ -151,6 +151,35 @@
 	return l.Addr().String()
 }
 
+// origin returns the name of the host whose process opened a connection, or
+// nothing.
+func (r *rig) origin(c net.Conn) string {
+	address := c.RemoteAddr().(*net.TCPAddr)
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return ""
+	}
+	// The second field of a row is the local address, of which the bytes are in
+	// reverse order. The tenth is the number of the socket.
+	ip := address.IP.To4()
+	local, socket := fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], address.Port), ""
+	for line := range strings.Lines(string(table)) {
+		if fields := strings.Fields(line); len(fields) > 9 && fields[1] == local {
+			socket = "socket:[" + fields[9] + "]"
+		}
+	}
+	for _, h := range r.hosts {
+		folder := fmt.Sprintf("/proc/%d/fd", h.id())
+		files, _ := os.ReadDir(folder)
+		for _, f := range files {
+			if target, _ := os.Readlink(filepath.Join(folder, f.Name())); target == socket {
+				return h.name
+			}
+		}
+	}
+	return ""
+}
+
 // addWorker adds a worker. One of four is slow.
 func (r *rig) addWorker(zone, name string) {
 	speed := 1.2
@@ -220,6 +249,8 @@
 	}
 	c := exec.Command(binary, "serve", "--settings", h.settings, "--advertise", h.peer.address())
 	c.Stdout, c.Stderr = file, file
+	// A test that is interrupted leaves no processes.
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
 		h.rig.t.Error(err)
 		return
@@ -233,6 +264,16 @@
 	}()
 }
 
+// id returns the id of the process, or 0.
+func (h *rigHost) id() int {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.process == nil {
+		return 0
+	}
+	return h.process.Pid
+}
+
 // signal sends a signal to the process.
 func (h *rigHost) signal(s syscall.Signal) {
 	h.mutex.Lock()
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -69,10 +69,16 @@
 		results[x.Status]++
 	}
 	r.t.Logf("seed %d: %d tries by status %v, %d starts, %d done, %d faults", seed, len(r.tries), results, starts, ended, len(r.faults))
-	overlaps := r.judge.Overlaps(time.Now())
-	for _, o := range overlaps {
-		r.t.Errorf("ran twice at once: %s%s", o.Text(r.began), r.sends(o.First.Task))
+	told := map[string]bool{}
+	for _, o := range r.judge.Overlaps(time.Now()) {
+		id, _, _ := strings.Cut(o.First.Task, ".")
+		r.t.Errorf("ran twice at once: %s", o.Text(r.began))
+		if !told[id] {
+			r.t.Log("its job:" + r.sends(id))
+		}
+		told[id] = true
 	}
+	r.t.Logf("seed %d: %d jobs with tasks that ran twice at once", seed, len(told))
 	for _, text := range append(r.refused(r.judge.Runs()), r.unanswered()...) {
 		r.t.Error(text)
 	}
@@ -85,9 +91,8 @@
 	r.t.Logf("seed %d; logs are in %s", seed, r.folder)
 }
 
-// sends tells how the job of a task was sent.
-func (r *rig) sends(task string) string {
-	id, _, _ := strings.Cut(task, ".")
+// sends tells how a job was sent.
+func (r *rig) sends(id string) string {
 	var text strings.Builder
 	for _, x := range r.tries {
 		if x.Job == id {
@@ -110,7 +115,7 @@
 	var texts []string
 	for task, all := range runs {
 		if id, _, _ := strings.Cut(task, "."); rejected[id] {
-			texts = append(texts, fmt.Sprintf("a job that was refused ran: %+v%s", all, r.sends(task)))
+			texts = append(texts, fmt.Sprintf("a job that was refused ran: %+v%s", all, r.sends(id)))
 		}
 	}
 	return texts
--- a/integration/soak_wire_test.go
+++ b/integration/soak_wire_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"testing"
-	"time"
 )
 
 // way is a direction of a wire.
@@ -14,7 +14,6 @@
 	// forth is towards the server.
 	forth way = iota
 	back
-	ways
 )
 
 // wire forwards connections to one address. It can hold back what goes either
@@ -22,37 +21,47 @@
 type wire struct {
 	listener net.Listener
 	upstream string
+	// origin returns who opened a connection.
+	origin func(net.Conn) string
 
 	mutex sync.Mutex
-	// held counts the faults that hold a way back. freed is closed and made
-	// anew when one of them ends.
-	held  [ways]int
+	holds map[*wireHold]bool
+	// freed is closed and made anew when a hold ends.
 	freed chan struct{}
-	delay time.Duration
 	links map[*wireLink]bool
 }
 
+// wireHold holds back what goes some ways on links from some origins.
+type wireHold struct {
+	from func(origin string) bool
+	ways []way
+}
+
+// anybody is all origins.
+func anybody(string) bool { return true }
+
 // wireLink is one connection through a wire.
 type wireLink struct {
-	ends [2]net.Conn
-	gone chan struct{}
-	once sync.Once
+	ends   [2]net.Conn
+	origin string
+	gone   chan struct{}
+	once   sync.Once
 	// muted is true once nothing more passes. The wire's mutex guards it.
 	muted bool
 }
 
 // newWire starts a wire on a loopback address.
-func newWire(t testing.TB, ip, upstream string) *wire {
+func newWire(t testing.TB, ip, upstream string, origin func(net.Conn) string) *wire {
 	t.Helper()
 	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &wire{listener: l, upstream: upstream, freed: make(chan struct{}), links: map[*wireLink]bool{}}
+	w := &wire{listener: l, upstream: upstream, origin: origin, holds: map[*wireHold]bool{}, freed: make(chan struct{}), links: map[*wireLink]bool{}}
 	go w.accept()
 	t.Cleanup(func() {
 		l.Close()
-		w.cut()
+		w.cut(anybody)
 	})
 	return w
 }
@@ -75,7 +84,7 @@
 		closeConnection(c, true)
 		return
 	}
-	k := &wireLink{ends: [2]net.Conn{s, c}, gone: make(chan struct{})}
+	k := &wireLink{ends: [2]net.Conn{s, c}, origin: w.origin(c), gone: make(chan struct{})}
 	w.mutex.Lock()
 	w.links[k] = true
 	w.mutex.Unlock()
@@ -117,64 +126,69 @@
 // pass waits until a way is free, or the link is gone.
 func (w *wire) pass(k *wireLink, y way) {
 	w.mutex.Lock()
-	delay := w.delay
-	for w.held[y] > 0 || k.muted {
+	defer w.mutex.Unlock()
+	for k.muted || w.held(k, y) {
 		freed := w.freed
 		w.mutex.Unlock()
 		select {
 		case <-freed:
 		case <-k.gone:
-			return
 		}
 		w.mutex.Lock()
+		select {
+		case <-k.gone:
+			return
+		default:
+		}
 	}
-	w.mutex.Unlock()
-	time.Sleep(delay)
+}
+
+// held returns true if a way of a link is held back. The caller holds the mutex.
+func (w *wire) held(k *wireLink, y way) bool {
+	for h := range w.holds {
+		if slices.Contains(h.ways, y) && h.from(k.origin) {
+			return true
+		}
+	}
+	return false
 }
 
 // hold holds ways back until the returned function is called: what was sent
 // meanwhile arrives then, as after a cut of the network.
-func (w *wire) hold(held ...way) func() {
+func (w *wire) hold(from func(origin string) bool, held ...way) func() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	for _, y := range held {
-		w.held[y]++
-	}
+	h := &wireHold{from: from, ways: held}
+	w.holds[h] = true
 	return func() {
 		w.mutex.Lock()
 		defer w.mutex.Unlock()
-		for _, y := range held {
-			w.held[y]--
-		}
+		delete(w.holds, h)
 		close(w.freed)
 		w.freed = make(chan struct{})
 	}
 }
 
 // mute lets the open connections stand, but nothing passes on them any more.
-func (w *wire) mute() {
+func (w *wire) mute(from func(origin string) bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	for k := range w.links {
-		k.muted = true
+		k.muted = k.muted || from(k.origin)
 	}
 }
 
-// cut resets all connections.
-func (w *wire) cut() {
+// cut resets the open connections.
+func (w *wire) cut(from func(origin string) bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	for k := range w.links {
-		k.close(true)
+		if from(k.origin) {
+			k.close(true)
+		}
 	}
 }
 
-func (w *wire) slow(d time.Duration) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.delay = d
-}
-
 // close closes both ends, with a reset or in order.
 func (k *wireLink) close(abrupt bool) {
 	k.once.Do(func() {
