Have hosts sign which jobs their callers still wait for

A host's links were reset, and its caller left while the host waited 20 ms for the next try: it returned without a withdrawal, the owner that may have had the job went on, and the caller sent the job again 1.3 s later through another data centre. The same when a withdrawal was handled before the submission that it withdraws, or when all five withdrawals of a job got lost.

Cause: an owner kept a job until it was told otherwise. As long as the host was heard at all, a word that was never sent, lost or overtaken left the job there for ever.

Now each contact of a host with an owner, every 150 ms, carries a sign: the calls that it still waits for there. Signs and submissions are numbered by one counter, so that a sign withdraws what was submitted before it and says nothing of what comes after, and a submission that a sign has overtaken is refused. Both carry the time at which they were sent, on the clock of the owner's process as the host knows it from the owner's answers, so that an old message does not count as new; deadlines count from that time, too. A job that nobody has signed for 0.7 s is stopped. A host signs its own jobs the same way. Withdrawals are sent once: they only make it faster.

In dispatch each part was switched off: signs that withdraw nothing or older signs that count fail TestJobThatItsHostDoesNotSign, submissions that are never overtaken TestSubmissionAfterItsWithdrawal, deadlines from the arrival TestDeadlineOfSubmissionReadLate.

Ruled out: more tries of the withdrawal, or a memory of withdrawals at the owner, mend single orders of events and leave the class.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -29,6 +29,9 @@
 	Known []worker.Worker
 	// Sure is true if the owner before had no others.
 	Sure bool
+	// Resend is how long after the end of its connection a caller sends a job
+	// again. Zero means that callers never do.
+	Resend time.Duration
 }
 
 const (
@@ -55,7 +58,8 @@
 	// the time that a worker takes to end its runs.
 	lapseMargin = 60 * time.Millisecond
 	// orphanTime is how long a run of an unknown job is kept for its host to
-	// submit the job again, after the workers were taken over.
+	// submit the job again, after the workers were taken over. Hosts do so within
+	// two contacts.
 	orphanTime = 600 * time.Millisecond
 	// outcomeTime is how long the outcome of a job is kept for callers that
 	// send it again, which they do some seconds later at most.
@@ -71,6 +75,12 @@
 	Call uint64     `msgpack:"call"`
 	// Boot is the process of the host, which is another one after a restart.
 	Boot string `msgpack:"boot"`
+	// Try orders the submission among the signs of its host.
+	Try Try `msgpack:"try"`
+	// Sent is when it was sent, on the clock of the owner's process.
+	Sent time.Duration `msgpack:"sent"`
+	// Wanted is the same time as the Machine counts it. Zero means now.
+	Wanted time.Time `msgpack:"-"`
 	// Waited is the time since the caller's request arrived.
 	Waited time.Duration `msgpack:"waited"`
 	// Left is the time until the caller gives up.
@@ -166,7 +176,9 @@
 	orphans     map[string]*run
 	orphansDone map[string]time.Time
 	// past holds what earlier submissions of jobs left running.
-	past  map[work.ID]*past
+	past map[work.ID]*past
+	// signs holds the newest sign of each host.
+	signs map[ident.Host]Sign
 	judge *ejection.Judge[worker.ID]
 	// open is when nothing that an earlier owner has started can run unseen.
 	open time.Time
@@ -200,6 +212,7 @@
 		orphans:     map[string]*run{},
 		orphansDone: map[string]time.Time{},
 		past:        map[work.ID]*past{},
+		signs:       map[ident.Host]Sign{},
 		judge:       ejection.NewJudge[worker.ID](c.Ejection),
 		open:        now.Add(lapse(c.MaxLease)),
 	}
@@ -366,8 +379,7 @@
 	j := m.jobs[id]
 	known := j != nil && j.host == h && j.call == call
 	if known {
-		m.close(now, j, Expired, "the caller has left")
-		m.drop(now, j)
+		m.withdraw(now, j)
 	}
 	m.pump(now)
 	return known
@@ -392,13 +404,23 @@
 		return
 	}
 	for _, j := range m.sortedJobs() {
-		if !j.kept && !now.Before(j.deadline) {
+		switch {
+		case j.kept:
+		case !now.Before(j.deadline):
 			m.expire(now, j)
+		case m.silent(now, j):
+			m.end(now, j, Interrupted, "the caller's host was silent")
+			m.drop(now, j)
 		}
 	}
 	for _, n := range m.ordered {
 		m.tickNode(now, n)
 	}
+	for h, s := range m.signs {
+		if now.Sub(s.At) > signTime {
+			delete(m.signs, h)
+		}
+	}
 	for id, o := range m.outcomes {
 		if now.Sub(o.at) > outcomeTime {
 			delete(m.outcomes, id)
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -14,6 +14,9 @@
 	spec work.Job
 	host ident.Host
 	call uint64
+	try  Try
+	// wanted is when the caller was last known to wait.
+	wanted time.Time
 	// objective is when the caller expects the answer, deadline when the
 	// caller gives up.
 	objective, deadline time.Time
@@ -67,12 +70,15 @@
 func (t *task) estimate() time.Duration { return t.step().Estimate }
 
 func newJob(now time.Time, s Submission) *job {
+	sent := s.sent(now)
 	j := &job{
 		spec:      s.Job,
 		host:      s.Host,
 		call:      s.Call,
-		objective: now.Add(s.Job.Objective() - s.Waited),
-		deadline:  now.Add(s.Left),
+		try:       s.Try,
+		wanted:    sent,
+		objective: sent.Add(s.Job.Objective() - s.Waited),
+		deadline:  sent.Add(s.Left),
 		again:     s.Again,
 		submitted: now,
 		record: Record{
@@ -106,12 +112,12 @@
 		m.refuse(now, s, old.result, "", 0)
 		return
 	}
+	if m.overtaken(s) {
+		m.refuse(now, s, Interrupted, "it was withdrawn before it came", 0)
+		return
+	}
 	if j := m.jobs[s.Job.ID]; j != nil {
-		if j.host != s.Host || j.call != s.Call {
-			m.reply(now, j, Superseded, "the caller has sent the job again")
-			j.record.Host, j.record.Call = s.Host, s.Call
-		}
-		j.host, j.call, j.deadline = s.Host, s.Call, now.Add(s.Left)
+		m.submitAgain(now, j, s)
 		return
 	}
 	j := newJob(now, s)
@@ -138,6 +144,21 @@
 	m.pump(now)
 }
 
+// submitAgain takes a submission of a job that is known.
+func (m *Machine) submitAgain(now time.Time, j *job, s Submission) {
+	if j.host != s.Host || j.call != s.Call {
+		if s.sent(now).Before(j.wanted) {
+			m.refuse(now, s, Superseded, "the caller has sent the job again", 0)
+			return
+		}
+		m.reply(now, j, Superseded, "the caller has sent the job again")
+		j.record.Host, j.record.Call = s.Host, s.Call
+	}
+	j.host, j.call, j.try, j.wanted = s.Host, s.Call, s.Try, s.sent(now)
+	j.deadline = j.wanted.Add(s.Left)
+	m.pump(now)
+}
+
 // reclaim attaches the runs and ends that an earlier owner left of a job. It
 // returns true if there are any.
 func (m *Machine) reclaim(now time.Time, j *job) bool {
--- /dev/null
+++ b/dispatch/wanted_test.go
@@ -0,0 +1,100 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/ejection"
+	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/worker"
+)
+
+// resend is how long after the end of its connection a caller sends a job again.
+const resend = 1300 * time.Millisecond
+
+// resendMachine returns a machine whose callers send jobs again, and whose
+// workers have answered and run nothing.
+func resendMachine(ids ...worker.ID) *dispatch.Machine {
+	m := dispatch.New(begin, dispatch.Config{
+		Token: 7, MaxLease: time.Second, FarFactor: 2, Resend: resend,
+		Ejection: ejection.Config{MaxShare: 0.5, Failures: 3, MinProbe: 500 * time.Millisecond, MaxProbe: 5 * time.Second},
+	})
+	m.Loaded(begin)
+	var workers []worker.Worker
+	for _, id := range ids {
+		workers = append(workers, aWorker(id))
+	}
+	m.SetWorkers(begin, workers)
+	answerLooks(m, at(1), m.Take(), worker.Report{Life: 1, Clock: 1000})
+	m.Take()
+	return m
+}
+
+// long returns a job of one task that takes all of a worker for two seconds.
+func long(id work.ID, call uint64, try dispatch.Try) dispatch.Submission {
+	s := submission(id, call, 1)
+	s.Try, s.Left = try, 20*time.Second
+	s.Job.Steps[0].Size.Cores, s.Job.Steps[0].Estimate = 64_000, 2*time.Second
+	return s
+}
+
+func aSign(ms int, try dispatch.Try, calls ...uint64) dispatch.Sign {
+	return dispatch.Sign{Host: hostA, Boot: "boot", At: at(ms), Try: try, Calls: calls}
+}
+
+// started hands a job in, and has its task accepted.
+func started(is *is.I, m *dispatch.Machine, ms int, s dispatch.Submission) worker.Start {
+	s.Boot, s.Wanted = "boot", at(ms)
+	m.Submit(at(ms), s)
+	a := m.Take()
+	is.Equal(len(a.Starts), 1)
+	m.Started(at(ms), a.Starts[0], worker.Answer{Verdict: worker.Accepted, Clock: worker.Clock(1000 + ms)})
+	return a.Starts[0]
+}
+
+// TestJobThatItsHostDoesNotSign has a host stop caring for a running job without
+// a withdrawal that arrives.
+func TestJobThatItsHostDoesNotSign(t *testing.T) {
+	is := is.New(t)
+	m := resendMachine("w1", "w2")
+	started(is, m, 10, long("gone", 1, 2))
+	started(is, m, 10, long("kept", 3, 4))
+	m.Signed(at(100), aSign(100, 5, 3))
+	a := m.Take()
+	is.Equal(len(a.Stops), 1)
+	is.Equal(a.Stops[0].Task, "gone.0.0.0")
+	m.Signed(at(200), aSign(200, 4))
+	is.Equal(len(m.Take().Stops), 0) // an older sign says nothing
+}
+
+// TestSubmissionAfterItsWithdrawal has a host's sign arrive before the submission
+// of a job whose caller has left meanwhile.
+func TestSubmissionAfterItsWithdrawal(t *testing.T) {
+	is := is.New(t)
+	m := resendMachine("w1")
+	m.Signed(at(20), aSign(20, 3))
+	s := long("j", 1, 2)
+	s.Boot, s.Wanted = "boot", at(10)
+	m.Submit(at(21), s)
+	a := m.Take()
+	is.Equal(len(a.Starts), 0)
+	is.Equal(a.Replies[0].Result, dispatch.Interrupted)
+	s.Try = 4
+	m.Submit(at(22), s)
+	is.Equal(len(m.Take().Starts), 1) // a later one counts
+}
+
+// TestDeadlineOfSubmissionReadLate has the caller's time pass on the way.
+func TestDeadlineOfSubmissionReadLate(t *testing.T) {
+	is := is.New(t)
+	m := resendMachine("w1")
+	s := long("j", 1, 2)
+	s.Boot, s.Wanted, s.Left = "boot", at(10), 300*time.Millisecond
+	m.Submit(at(309), s)
+	m.Tick(at(311))
+	is.Equal(m.Take().Replies[0].Result, dispatch.Expired)
+}
+
--- a/fleet/contacts.go
+++ b/fleet/contacts.go
@@ -47,11 +47,27 @@
 	// Revision is that of the configuration in force.
 	Revision ident.Revision `msgpack:"revision"`
 	Leaving  bool           `msgpack:"leaving,omitempty"`
+	// Signs tell which calls the host still waits for at the owners that the
+	// asked host is, and Sent is when it was so, on the clock of that host's
+	// process.
+	Signs []sign        `msgpack:"signs,omitempty"`
+	Sent  time.Duration `msgpack:"sent,omitempty"`
+}
+
+// sign tells which calls a host still waits for at one owner.
+type sign struct {
+	DataCentre ident.DataCentre `msgpack:"dataCentre"`
+	Token      worker.Token     `msgpack:"token"`
+	Try        dispatch.Try     `msgpack:"try"`
+	// Calls is in ascending order.
+	Calls []uint64 `msgpack:"calls,omitempty"`
 }
 
 // contactAnswer says what the host that was asked owns.
 type contactAnswer struct {
-	Host     ownership.Host    `msgpack:"host"`
+	Host ownership.Host `msgpack:"host"`
+	// Clock is how long the process runs.
+	Clock    time.Duration     `msgpack:"clock"`
 	Revision ident.Revision    `msgpack:"revision"`
 	Leaving  bool              `msgpack:"leaving,omitempty"`
 	Owned    []ownership.Owner `msgpack:"owned,omitempty"`
@@ -77,10 +93,15 @@
 	links         *peer.Links
 	directory     *Directory
 	configuration *Configuration
+	clock         Clock
 	logger        log.Interface
+	// begun is when the clock of this process was zero.
+	begun time.Time
 
 	mutex    sync.Mutex
 	contacts map[ident.Host]ownership.Contact
+	// clocks holds the clocks of the processes that have answered.
+	clocks map[ident.Host]hostClock
 	// asked is when each host last asked this one.
 	asked map[ident.Host]asked
 	// missed is when a host that was never heard was missed first.
@@ -95,6 +116,35 @@
 	owned   func() ([]ownership.Owner, []dispatch.Load)
 	// working returns the workers of a data centre that this host owns.
 	working func(ident.DataCentre) ([]worker.Worker, listVersion)
+	// wanted returns which calls of this host may be at the owner of a data
+	// centre, with the number of the list, and false if that is not known.
+	wanted func(ident.DataCentre) ([]uint64, dispatch.Try, bool)
+	// signed takes in what another host has signed.
+	signed func(h ownership.Host, at time.Time, signs []sign)
+}
+
+// hostClock is the clock of another host's process: it was at least clock at a
+// time.
+type hostClock struct {
+	boot  string
+	clock time.Duration
+	at    time.Time
+}
+
+// clockTime is how long the best reading of a host's clock is kept: clocks drift
+// by less than a millisecond meanwhile.
+const clockTime = 10 * time.Second
+
+// now returns the least that the clock can be.
+func (c hostClock) now(now time.Time) time.Duration { return c.clock + now.Sub(c.at) }
+
+// heard returns the better one of two readings: an answer that took long says
+// less.
+func (c hostClock) heard(x hostClock) hostClock {
+	if c.boot == x.boot && x.at.Sub(c.at) < clockTime && c.now(x.at) > x.clock {
+		return c
+	}
+	return x
 }
 
 // knownWorkers are the workers of an owner.
@@ -104,10 +154,12 @@
 	heard   time.Time
 }
 
-func newContacts(self ownership.Host, s Settings, l *peer.Links, d *Directory, c *Configuration, logger log.Interface) *Contacts {
+func newContacts(self ownership.Host, s Settings, l *peer.Links, d *Directory, c *Configuration, clock Clock, logger log.Interface) *Contacts {
 	contacts := &Contacts{
-		self: self, settings: s, links: l, directory: d, configuration: c, logger: logger,
+		self: self, settings: s, links: l, directory: d, configuration: c, clock: clock, logger: logger,
+		begun:    clock(),
 		contacts: map[ident.Host]ownership.Contact{},
+		clocks:   map[ident.Host]hostClock{},
 		asked:    map[ident.Host]asked{},
 		missed:   map[ident.Host]time.Time{},
 		loops:    map[string]bool{},
@@ -115,6 +167,8 @@
 		awake:    time.Now(),
 		owned:    func() ([]ownership.Owner, []dispatch.Load) { return nil, nil },
 		working:  func(ident.DataCentre) ([]worker.Worker, listVersion) { return nil, listVersion{} },
+		wanted:   func(ident.DataCentre) ([]uint64, dispatch.Try, bool) { return nil, 0, false },
+		signed:   func(ownership.Host, time.Time, []sign) {},
 	}
 	peer.Handle(l, kindContact, contacts.answer)
 	return contacts
@@ -133,7 +187,6 @@
 			c.mutex.Lock()
 			c.awake = now
 			c.mutex.Unlock()
-			c.logger.WithField("pauseMs", now.Sub(last).Milliseconds()).Warn("process was paused")
 		}
 		last = now
 		for _, a := range c.targets() {
@@ -200,14 +253,17 @@
 	c.mutex.Lock()
 	leaving, known := c.leaving, c.workers.version
 	c.mutex.Unlock()
+	owners := c.directory.Owners()
+	signs, clock := c.signs(c.clock(), address, owners)
 	a, err := peer.Call[contactRequest, contactAnswer](call, c.links, address, kindContact, contactRequest{
 		Host: c.self, Revision: c.configuration.Revision(), Leaving: leaving,
-		Owners: tokens(c.directory.Owners()), Workers: known,
+		Owners: tokens(owners), Workers: known, Signs: signs, Sent: clock,
 	})
 	if err != nil {
 		return false
 	}
 	c.mutex.Lock()
+	c.clocks[a.Host.Name] = c.clocks[a.Host.Name].heard(hostClock{boot: a.Host.Boot, clock: a.Clock, at: c.clock()})
 	old, met := c.contacts[a.Host.Name]
 	c.contacts[a.Host.Name] = ownership.Contact{Boot: a.Host.Boot, Heard: sent, Leaving: a.Leaving}
 	for i, o := range a.Owned {
@@ -227,6 +283,35 @@
 	return true
 }
 
+// signs returns what to tell the host at an address, and its clock now.
+func (c *Contacts) signs(now time.Time, address string, owners map[ident.DataCentre]ownership.Owner) ([]sign, time.Duration) {
+	var signs []sign
+	var clock time.Duration
+	for d, o := range owners {
+		if o.Address != address {
+			continue
+		}
+		x, known := c.ClockOf(now, o)
+		calls, try, sure := c.wanted(d)
+		if known && sure {
+			signs, clock = append(signs, sign{DataCentre: d, Token: o.Token, Try: try, Calls: calls}), x
+		}
+	}
+	return signs, clock
+}
+
+// ClockOf returns the least that the clock of an owner's process can be now, and
+// false if that process has not answered yet.
+func (c *Contacts) ClockOf(now time.Time, o ownership.Owner) (time.Duration, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	x, ok := c.clocks[o.Host]
+	return x.now(now), ok && x.boot == o.Boot
+}
+
+// At returns the time at which the clock of this process was clock.
+func (c *Contacts) At(clock time.Duration) time.Time { return c.begun.Add(clock) }
+
 // answer answers another host.
 func (c *Contacts) answer(_ context.Context, r contactRequest) (contactAnswer, error) {
 	now := time.Now()
@@ -236,7 +321,8 @@
 	c.mutex.Unlock()
 	c.directory.Meet(r.Host, nil)
 	c.configuration.Heard(r.Host, r.Revision)
-	a := contactAnswer{Host: c.self, Revision: c.configuration.Revision(), Leaving: leaving}
+	c.signed(r.Host, c.At(r.Sent), r.Signs)
+	a := contactAnswer{Host: c.self, Clock: c.clock().Sub(c.begun), Revision: c.configuration.Revision(), Leaving: leaving}
 	a.Owned, a.Loads = c.owned()
 	if workers, version := c.working(r.Host.DataCentre); version.Token != 0 {
 		a.Version = version
@@ -334,11 +420,12 @@
 	boot string
 }
 
-// lastAsked returns when a host last asked this one.
-func (c *Contacts) lastAsked(h ident.Host) asked {
+// bootOf returns the process of a host that last asked this one.
+func (c *Contacts) bootOf(h ident.Host) (string, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.asked[h]
+	a, ok := c.asked[h]
+	return a.boot, ok
 }
 
 // Load returns the last known load of the owner of a data centre.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -66,6 +66,9 @@
 	MaxLease time.Duration
 	// FarFactor is how many times as long a task takes away from its rack.
 	FarFactor float64
+	// Resend is how long after the end of its connection a caller sends its job
+	// again.
+	Resend time.Duration
 	// Retention is how long the state of a job that lasts can be asked for after
 	// its end.
 	Retention time.Duration
@@ -85,8 +88,14 @@
 	Feed     storage.Feed
 	Decoder  Decoder
 	Workers  Workers
+	// Clock is that of the machine. Nil stands for time.Now.
+	Clock Clock
 }
 
+// Clock returns the present time. It also counts the time in which the machine
+// was suspended, which time.Now does not between two of its readings.
+type Clock func() time.Time
+
 const (
 	peerWriteTimeout = time.Second
 	// peerSilence is the time without a byte after which a link with open calls
@@ -97,6 +106,9 @@
 
 // New returns the fx application of one entry host, with more options added.
 func New(o Options, more ...fx.Option) *fx.App {
+	if o.Clock == nil {
+		o.Clock = time.Now
+	}
 	return fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(o.Settings),
@@ -106,6 +118,7 @@
 			func() storage.Feed { return o.Feed },
 			func() Decoder { return o.Decoder },
 			func() Workers { return o.Workers },
+			func() Clock { return o.Clock },
 			func() logOutput { return o.Log },
 			newLogger,
 			metrics.NewSet,
@@ -140,7 +153,7 @@
 
 // runLinks serves the links to other hosts. The handlers are registered by the
 // parts before.
-func runLinks(life fx.Lifecycle, s Settings, n network.Network, links *peer.Links, _ *Contacts, _ *Owners, _ *Configuration) {
+func runLinks(life fx.Lifecycle, s Settings, n network.Network, links *peer.Links, _ *Contacts, _ *Owners, _ *Configuration, _ *Submitter) {
 	var listener net.Listener
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -21,10 +21,6 @@
 const (
 	// tickInterval is the time between two ticks of an ownership.
 	tickInterval = 25 * time.Millisecond
-	// hostSilence is how long an entry host may be silent before the jobs of its
-	// callers are stopped. Callers send them again 1.3 s after their connection
-	// broke, and nothing of the first try may run then.
-	hostSilence = 700 * time.Millisecond
 	// orderTimeout bounds a start or a stop: a worker answers within
 	// milliseconds, and a task of the shortest kind has 150 ms in all.
 	orderTimeout = 60 * time.Millisecond
@@ -82,9 +78,9 @@
 	w := &Owner{
 		owners: o, owner: x,
 		logger: o.logger.WithFields(log.Fields{"dataCentre": string(x.DataCentre), "token": int64(x.Token)}),
-		machine: dispatch.New(time.Now(), dispatch.Config{
+		machine: dispatch.New(o.contacts.clock(), dispatch.Config{
 			Known: known, Sure: sure,
-			Token: x.Token, MaxLease: o.settings.MaxLease, FarFactor: o.settings.FarFactor,
+			Token: x.Token, MaxLease: o.settings.MaxLease, FarFactor: o.settings.FarFactor, Resend: o.settings.Resend,
 			Ejection: ejection.Config{
 				MaxShare: maxEjectedShare, Failures: ejectionFailures, MinProbe: minProbePause, MaxProbe: maxProbePause,
 			},
@@ -106,15 +102,13 @@
 	for pause(w.ctx, tickInterval) {
 		w.step(func(now time.Time, m *dispatch.Machine) {
 			for h, boot := range w.hosts {
-				asked := w.owners.contacts.lastAsked(h)
-				switch {
-				case h == w.owners.self.Name:
-				case now.Sub(asked.at) > hostSilence:
-					w.loseHost(now, m, h, "host is silent, its jobs are stopped")
-				case asked.boot != boot:
-					w.loseHost(now, m, h, "host has started again, its jobs are stopped")
+				if b, ok := w.owners.contacts.bootOf(h); ok && h != w.owners.self.Name && b != boot {
+					w.loseHost(now, m, h)
 				}
 			}
+			if calls, try, ok := w.owners.contacts.wanted(w.owner.DataCentre); ok {
+				m.Signed(now, dispatch.Sign{Host: w.owners.self.Name, Boot: w.owners.self.Boot, At: now, Try: try, Calls: calls})
+			}
 			m.Tick(now)
 		})
 	}
@@ -139,12 +133,17 @@
 
 // loseHost stops the jobs of a host's process that is gone. The caller holds the
 // mutex.
-func (w *Owner) loseHost(now time.Time, m *dispatch.Machine, h ident.Host, message string) {
+func (w *Owner) loseHost(now time.Time, m *dispatch.Machine, h ident.Host) {
 	delete(w.hosts, h)
-	w.logger.WithField("peer", string(h)).Warn(message)
+	w.logger.WithField("peer", string(h)).Warn("host has started again, its jobs are stopped")
 	m.HostLost(now, h)
 }
 
+// sign takes in which calls a host still waits for.
+func (w *Owner) sign(s dispatch.Sign) {
+	w.step(func(now time.Time, m *dispatch.Machine) { m.Signed(now, s) })
+}
+
 func (w *Owner) setWorkers(workers []worker.Worker) {
 	w.step(func(now time.Time, m *dispatch.Machine) { m.SetWorkers(now, workers) })
 }
@@ -152,7 +151,7 @@
 // step lets the machine decide, and carries its actions out.
 func (w *Owner) step(decide func(now time.Time, m *dispatch.Machine)) {
 	w.mutex.Lock()
-	now := time.Now()
+	now := w.owners.contacts.clock()
 	if paused := now.Sub(w.turn); !w.turn.IsZero() && paused > pausedTime {
 		w.owners.counters.pauses.Add(1)
 		w.logger.WithField("pauseMs", paused.Milliseconds()).Warn("first event after a pause")
@@ -215,7 +214,7 @@
 	w.step(func(now time.Time, m *dispatch.Machine) {
 		w.waiting[k] = c
 		if boot, ok := w.hosts[s.Host]; ok && boot != s.Boot {
-			w.loseHost(now, m, s.Host, "host has started again, its jobs are stopped")
+			w.loseHost(now, m, s.Host)
 		}
 		w.hosts[s.Host] = s.Boot
 		m.Submit(now, s)
@@ -253,7 +252,7 @@
 func (w *Owner) load() dispatch.Load {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return w.machine.Load(time.Now())
+	return w.machine.Load(w.owners.contacts.clock())
 }
 
 // working returns the workers that may be at work, and the version of the list.
@@ -294,7 +293,7 @@
 func (w *Owner) look(l worker.Look) {
 	ctx, cancel := context.WithTimeout(w.ctx, l.Wait+lookTimeout)
 	defer cancel()
-	sent := time.Now()
+	sent := w.owners.contacts.clock()
 	report, v := w.owners.workers.Look(ctx, l)
 	if v != worker.Accepted {
 		w.note("look", v, l.Order, "", 0)
--- a/fleet/owner_test.go
+++ b/fleet/owner_test.go
@@ -51,7 +51,7 @@
 	defer cancel()
 	o := &Owner{
 		ctx: ctx, cancel: cancel, logger: logger,
-		owners:  &Owners{workers: deaf{}, counters: newCounters(metrics.NewSet(), newLinks(logger, network.Real{}))},
+		owners:  &Owners{workers: deaf{}, counters: newCounters(metrics.NewSet(), newLinks(logger, network.Real{})), contacts: &Contacts{clock: time.Now}},
 		machine: dispatch.New(time.Now(), dispatch.Config{MaxLease: time.Second}),
 		waiting: map[caller]chan dispatch.Reply{},
 	}
--- a/fleet/owners.go
+++ b/fleet/owners.go
@@ -39,7 +39,10 @@
 
 // submitRequest hands a job to the owner of a data centre's workers.
 type submitRequest struct {
-	DataCentre ident.DataCentre    `msgpack:"dataCentre"`
+	DataCentre ident.DataCentre `msgpack:"dataCentre"`
+	// Token is that of the ownership, whose process has the clock of the
+	// submission.
+	Token      worker.Token        `msgpack:"token"`
 	Submission dispatch.Submission `msgpack:"submission"`
 }
 
@@ -98,7 +101,12 @@
 		}
 		return nil, listVersion{}
 	}
+	c.signed = o.signed
 	peer.Handle(l, kindSubmit, func(ctx context.Context, r submitRequest) (dispatch.Reply, error) {
+		if x := o.get(r.DataCentre); x != nil && x.owner.Token != r.Token {
+			return dispatch.Reply{Host: r.Submission.Host, Call: r.Submission.Call, Job: r.Submission.Job.ID, Result: dispatch.Moved}, nil
+		}
+		r.Submission.Wanted = c.At(r.Submission.Sent)
 		return o.Submit(ctx, r.DataCentre, r.Submission)
 	})
 	peer.Handle(l, kindKeep, func(ctx context.Context, r keepRequest) (dispatch.Reply, error) {
@@ -363,6 +371,15 @@
 	return x.submit(ctx, s)
 }
 
+// signed takes in which calls a host still waits for.
+func (o *Owners) signed(h ownership.Host, at time.Time, signs []sign) {
+	for _, s := range signs {
+		if x := o.get(s.DataCentre); x != nil && x.owner.Token == s.Token {
+			x.sign(dispatch.Sign{Host: h.Name, Boot: h.Boot, At: at, Try: s.Try, Calls: s.Calls})
+		}
+	}
+}
+
 // Withdraw ends a submission.
 func (o *Owners) Withdraw(c ident.DataCentre, h ident.Host, call uint64, id work.ID) {
 	if x := o.get(c); x != nil {
--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -23,9 +23,8 @@
 	// job that has begun waits for the next owner. An owner that was lost is
 	// replaced within about a second.
 	noOwnerTime = 1200 * time.Millisecond
-	// withdrawTries bounds the tries to tell an owner that a caller has left.
-	withdrawTries = 5
-	// withdrawTimeout bounds one of them.
+	// withdrawTimeout bounds the message to an owner that a caller has left. What
+	// it misses, the next sign tells.
 	withdrawTimeout = 250 * time.Millisecond
 	// ownerSilence is how long an owner may be silent before jobs are handed to
 	// another one that is heard.
@@ -43,7 +42,7 @@
 	owners    *Owners
 	counters  *Counters
 	logger    log.Interface
-	calls     atomic.Uint64
+	wants     *wants
 	open      atomic.Int64
 	// owned is when an owner was last known, in nanoseconds since 1970.
 	owned atomic.Int64
@@ -52,11 +51,20 @@
 }
 
 func newSubmitter(self ownership.Host, l *peer.Links, d *Directory, c *Contacts, o *Owners, counters *Counters, logger log.Interface) *Submitter {
-	s := &Submitter{self: self, links: l, directory: d, contacts: c, owners: o, counters: counters, logger: logger}
+	s := &Submitter{
+		self: self, links: l, directory: d, contacts: c, owners: o, counters: counters, logger: logger, wants: newWants(),
+	}
 	s.owned.Store(time.Now().UnixNano())
+	c.wanted = s.wanted
 	return s
 }
 
+// wanted returns which calls may be at the owner of a data centre.
+func (s *Submitter) wanted(c ident.DataCentre) ([]uint64, dispatch.Try, bool) {
+	calls, try := s.wants.list(c)
+	return calls, try, true
+}
+
 // Owned returns true if an owner of workers is known, or was so lately that
 // another one may take its place.
 func (s *Submitter) Owned(now time.Time) bool {
@@ -103,11 +111,9 @@
 // does, which means that the caller has left.
 func (s *Submitter) Submit(ctx context.Context, j work.Job, arrived, deadline time.Time) dispatch.Reply {
 	defer s.enter()()
-	a := &attempt{job: j, call: s.calls.Add(1), arrived: arrived, deadline: deadline, tried: map[ident.DataCentre]bool{}}
+	a := &attempt{job: j, call: s.wants.number(), arrived: arrived, deadline: deadline, tried: map[ident.DataCentre]bool{}}
 	r := s.run(ctx, a)
-	if r.Result == dispatch.Interrupted {
-		s.abandon(a)
-	}
+	s.abandon(a)
 	took := time.Since(arrived)
 	s.counters.results.Add(string(r.Result), 1)
 	s.counters.response.Record(took)
@@ -174,19 +180,20 @@
 	a.tries++
 	now := time.Now()
 	sub := dispatch.Submission{
-		Job: a.job, Host: s.self.Name, Boot: s.self.Boot, Call: a.call, Waited: now.Sub(a.arrived), Left: a.deadline.Sub(now),
-		Final: final, Again: a.bound != "",
+		Job: a.job, Host: s.self.Name, Boot: s.self.Boot, Call: a.call, Try: s.wants.add(o.DataCentre, a.call),
+		Waited: now.Sub(a.arrived), Left: a.deadline.Sub(now), Final: final, Again: a.bound != "",
 	}
-	reply, err := s.call(ctx, o, sub)
+	reply, err := s.call(ctx, s.contacts.clock(), o, sub)
 	if err != nil {
 		a.note(now, time.Now(), o, err.Error())
+		if !errors.As(err, new(*peer.UnreachableError)) {
+			a.bind(now, o)
+		} else if a.bound == "" {
+			s.wants.remove(o.DataCentre, a.call)
+		}
 		if ctx.Err() != nil {
-			s.withdraw(o, a)
 			return dispatch.Reply{Result: dispatch.Expired, Reason: "the caller has left"}, true
 		}
-		if !errors.As(err, new(*peer.UnreachableError)) {
-			a.bind(now, o.DataCentre)
-		}
 		s.logger.WithFields(log.Fields{
 			"job": string(a.job.ID), "owner": string(o.Host), "token": int64(o.Token),
 		}).WithError(err).Warn("owner did not answer")
@@ -199,26 +206,38 @@
 	}
 	switch reply.Result {
 	case dispatch.Busy:
+		s.release(a, o.DataCentre)
 		a.tried[o.DataCentre] = true
 		return reply, false
 	case dispatch.Moved:
+		s.release(a, o.DataCentre)
 		pause(ctx, retryPause)
 		return reply, false
 	case dispatch.Interrupted:
-		a.bind(now, o.DataCentre)
+		a.bind(now, o)
 		return reply, false
 	case dispatch.Refused:
 		if a.bound != "" {
 			return a.giveUp(reply.Reason), true
 		}
 	}
+	a.bound = ""
+	s.release(a, o.DataCentre)
 	return reply, true
 }
 
-// bind notes that something of the job may have started in a data centre: only
-// the owner of its workers can tell, or go on.
-func (a *attempt) bind(now time.Time, c ident.DataCentre) {
-	a.bound, a.boundAt = c, now
+// release notes that the owner of a data centre does not have a job, unless an
+// earlier try may still be there.
+func (s *Submitter) release(a *attempt, c ident.DataCentre) {
+	if a.bound == "" {
+		s.wants.remove(c, a.call)
+	}
+}
+
+// bind notes that an owner may have started something of the job: only the owner
+// of the same workers can tell, or go on.
+func (a *attempt) bind(now time.Time, o ownership.Owner) {
+	a.bound, a.boundAt = o.DataCentre, now
 }
 
 // giveUp returns the reply to a job that ends without an owner's word.
@@ -299,16 +318,28 @@
 	return ok && c.Boot == o.Boot && now.Sub(c.Heard) < ownerSilence
 }
 
-func (s *Submitter) call(ctx context.Context, o ownership.Owner, sub dispatch.Submission) (dispatch.Reply, error) {
+func (s *Submitter) call(ctx context.Context, now time.Time, o ownership.Owner, sub dispatch.Submission) (dispatch.Reply, error) {
 	if o.Host == s.self.Name {
+		sub.Wanted = now
 		return s.owners.Submit(ctx, o.DataCentre, sub)
 	}
-	return peer.Call[submitRequest, dispatch.Reply](ctx, s.links, o.Address, kindSubmit, submitRequest{DataCentre: o.DataCentre, Submission: sub})
+	sent, ok := s.contacts.ClockOf(now, o)
+	if !ok {
+		return dispatch.Reply{Result: dispatch.Moved}, nil
+	}
+	sub.Sent = sent
+	return peer.Call[submitRequest, dispatch.Reply](ctx, s.links, o.Address, kindSubmit, submitRequest{
+		DataCentre: o.DataCentre, Token: o.Token, Submission: sub,
+	})
 }
 
-// abandon tells the owner that may have a job that its caller will send it
-// again. The owner may hear this host although it is not heard itself.
+// abandon tells the owner that may have a job that nobody waits for it any more.
+// The owner may hear this host although it is not heard itself.
 func (s *Submitter) abandon(a *attempt) {
+	if a.bound == "" {
+		return
+	}
+	s.wants.remove(a.bound, a.call)
 	if o, ok := s.directory.Owners()[a.bound]; ok {
 		go s.withdraw(o, a)
 	}
@@ -321,14 +352,10 @@
 		s.owners.Withdraw(r.DataCentre, r.Host, r.Call, r.Job)
 		return
 	}
-	for range withdrawTries {
-		ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
-		_, err := peer.Call[withdrawRequest, struct{}](ctx, s.links, o.Address, kindWithdraw, r)
-		cancel()
-		if err == nil {
-			return
-		}
+	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
+	defer cancel()
+	if _, err := peer.Call[withdrawRequest, struct{}](ctx, s.links, o.Address, kindWithdraw, r); err != nil {
+		s.counters.withdrawals.Add(withdrawalLost, 1)
 		s.logger.WithFields(log.Fields{"job": string(a.job.ID), "owner": string(o.Host)}).WithError(err).Warn("job not withdrawn")
 	}
-	s.counters.withdrawals.Add(withdrawalLost, 1)
 }
