End the lease of a run before its caller sends the job again

An owner that woke started a queued job of a caller that had long left; a submission that had waited in a socket for seconds started; a new owner extended the leases of all runs that it found by 0.6 s and more, also of those whose host had died with the owner before; an owner that died soon after a host left leases of a second on the runs of that host.

Cause: leases said that the owner lives, not that somebody wants the run. Each hop trusted the one before for as long as it liked, and the sum was more than the 1.3 s after which callers send a job again.

Now the lease that an order grants ends at the latest 1.2 s after the last word that the caller waits (0.1 s before it sends the job again, a worker's clock that is 2 % slow included), for all that runs on the worker, since a worker has one lease. A task that could have less than 0.3 s does not start. Found runs get no extension until their host has claimed them, which it does within two contacts; after 0.3 s the others are stopped. A job that an earlier ownership may have begun waits 1.2 s if a worker has not answered yet; it is told apart from one that the same owner knows by the owner's token.

In dispatch, leases without the bound fail TestLeaseOfUnclaimedRuns, TestLeaseOutlivesNoCaller, TestQueuedTaskAfterPause and TestSubmissionReadLate; an extension for unclaimed runs, or no look after a claim, TestLeaseOfUnclaimedRuns.

Ruled out: an age of 0.5 s beyond which nothing starts, beside the lease: with it switched off all tests passed, as the lease is short enough by itself.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -59,8 +59,8 @@
 	lapseMargin = 60 * time.Millisecond
 	// orphanTime is how long a run of an unknown job is kept for its host to
 	// submit the job again, after the workers were taken over. Hosts do so within
-	// two contacts.
-	orphanTime = 600 * time.Millisecond
+	// two contacts; until then no lease on its worker is extended.
+	orphanTime = 300 * time.Millisecond
 	// outcomeTime is how long the outcome of a job is kept for callers that
 	// send it again, which they do some seconds later at most.
 	outcomeTime = 5 * time.Second
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -184,6 +184,10 @@
 		delete(m.orphans, t.text)
 		r.sent = now
 		m.attach(now, r, t)
+		if !r.node.hasOrphans() {
+			// Its lease can be extended from now on.
+			m.look(now, r.node)
+		}
 		found = true
 	}
 	j.begun = found
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -169,7 +169,9 @@
 	l.Order, l.Seen = m.order(n), n.forgettable()
 	if len(n.runs) > 0 && n.silent.IsZero() {
 		// A worker whose answers get lost must not keep its runs for ever.
-		l.Until = n.until(now, m.config.MaxLease)
+		if lease := m.leash(now, n, nil); lease > 0 {
+			l.Until = n.until(now, lease)
+		}
 	}
 	n.noteAt = time.Time{}
 	m.actions.Looks = append(m.actions.Looks, l)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -75,7 +75,11 @@
 		// What workers have listed of it is not taken in yet.
 		return false
 	}
-	if !j.again || !now.Before(m.open) {
+	open := m.open
+	if !j.kept {
+		open = latest(open, j.submitted.Add(m.wantedLease()))
+	}
+	if !j.again || !now.Before(open) {
 		return true
 	}
 	return m.config.Sure && !slices.ContainsFunc(m.ordered, func(n *node) bool { return !n.adopted })
@@ -253,6 +257,9 @@
 		if !anyWorker && expected > left {
 			continue
 		}
+		if m.leash(now, n, t.job) < minLease {
+			continue
+		}
 		score := placeScore{
 			failed:   slices.Contains(t.failed, n.ID) || (t.attempts > 0 && n.failures > 0),
 			spare:    !anyWorker && scaled(expected, paceMargin) <= left,
@@ -312,6 +319,7 @@
 
 // start orders a run of a task on a worker.
 func (m *Machine) start(now time.Time, t *task, n *node) {
+	lease := m.leash(now, n, t.job)
 	t.number = max(t.number, m.highest(t)) + 1
 	r := &run{key: runKey{task: t.text, run: t.number}, node: n, task: t, size: t.step().Size, state: ordered, sent: now}
 	n.runs[r.key] = r
@@ -325,7 +333,7 @@
 	}
 	m.cores += coresWeight * (float64(r.size.Cores) - m.cores)
 	m.actions.Starts = append(m.actions.Starts, worker.Start{
-		Order: m.order(n), Task: t.name, Run: t.number, Payload: t.job.spec.Payload, Until: n.until(now, m.config.MaxLease),
+		Order: m.order(n), Task: t.name, Run: t.number, Payload: t.job.spec.Payload, Until: n.until(now, lease),
 	})
 }
 
--- a/dispatch/wanted.go
+++ b/dispatch/wanted.go
@@ -37,6 +37,9 @@
 	// silentTime is the age of the last word that a caller waits at which its job is
 	// stopped, well before the caller sends it again. Hosts send four in that time.
 	silentTime = 700 * time.Millisecond
+	// minLease is the shortest lease for a start: a look and its repetition fit
+	// into it.
+	minLease = 300 * time.Millisecond
 	// signTime is how long a sign is kept for submissions that it has overtaken,
 	// which links that went silent may deliver some seconds later.
 	signTime = 30 * time.Second
@@ -98,6 +101,34 @@
 // run, however far what happens on the way is out of order.
 func (m *Machine) wantedLease() time.Duration { return max(0, m.config.Resend-resendMargin) }
 
+// leash returns how far the lease of a worker may be extended for what runs there
+// and for a job that is to start, or nil. It never outlives the time at which one
+// of the callers sends its job again. A run of an unknown job allows nothing.
+func (m *Machine) leash(now time.Time, n *node, start *job) time.Duration {
+	lease := m.config.MaxLease
+	if m.config.Resend == 0 {
+		return lease
+	}
+	bound := func(j *job) {
+		if j != nil && !j.kept {
+			left := j.wanted.Add(m.wantedLease() - lapseMargin).Sub(now)
+			lease = min(lease, scaled(left, 1-clockDrift))
+		}
+	}
+	bound(start)
+	for _, r := range n.runs {
+		switch {
+		case r.state == stopping && !r.barred.IsZero():
+			// The worker has accepted the stop.
+		case r.task == nil:
+			return 0
+		default:
+			bound(r.task.job)
+		}
+	}
+	return max(0, lease)
+}
+
 func latest(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/dispatch/wanted_test.go
+++ b/dispatch/wanted_test.go
@@ -55,6 +55,14 @@
 	return a.Starts[0]
 }
 
+// ended reports that a worker has done what ran there.
+func ended(m *dispatch.Machine, ms int, s worker.Start) {
+	l := worker.Look{Order: s.Order}
+	m.Looked(at(ms), at(ms-1), l, &worker.Report{
+		Life: 1, Clock: worker.Clock(1000 + ms), Ended: []worker.Ended{{Number: 1, Task: s.Task.String(), Run: s.Run, How: worker.Done}},
+	}, worker.Accepted)
+}
+
 // TestJobThatItsHostDoesNotSign has a host stop caring for a running job without
 // a withdrawal that arrives.
 func TestJobThatItsHostDoesNotSign(t *testing.T) {
@@ -87,6 +95,38 @@
 	is.Equal(len(m.Take().Starts), 1) // a later one counts
 }
 
+// TestQueuedTaskAfterPause has an owner wake after a pause and learn first that a
+// worker has room again.
+func TestQueuedTaskAfterPause(t *testing.T) {
+	is := is.New(t)
+	m := resendMachine("w1")
+	first := started(is, m, 10, long("first", 1, 2))
+	s := long("queued", 3, 4)
+	s.Boot, s.Wanted, s.Job.Stretch = "boot", at(11), 10
+	m.Submit(at(11), s)
+	m.Signed(at(150), aSign(150, 5, 1, 3))
+	m.Take()
+	ended(m, 2150, first)
+	is.Equal(len(m.Take().Starts), 0)
+	m.Signed(at(2200), aSign(2199, 6, 3))
+	is.Equal(len(m.Take().Starts), 1) // its caller still waits
+}
+
+// TestSubmissionReadLate has an owner read a submission seconds after it was
+// sent.
+func TestSubmissionReadLate(t *testing.T) {
+	is := is.New(t)
+	m := resendMachine("w1")
+	s := long("j", 1, 2)
+	s.Boot, s.Wanted = "boot", at(10)
+	m.Submit(at(2000), s)
+	is.Equal(len(m.Take().Starts), 0)
+	m.Tick(at(2025))
+	a := m.Take()
+	is.Equal(len(a.Replies), 1)
+	is.Equal(a.Replies[0].Result, dispatch.Interrupted)
+}
+
 // TestDeadlineOfSubmissionReadLate has the caller's time pass on the way.
 func TestDeadlineOfSubmissionReadLate(t *testing.T) {
 	is := is.New(t)
@@ -98,3 +138,70 @@
 	is.Equal(m.Take().Replies[0].Result, dispatch.Expired)
 }
 
+// TestLeaseOutlivesNoCaller has the host of one job fall silent: no lease on its
+// worker reaches the time at which the caller sends the job again.
+func TestLeaseOutlivesNoCaller(t *testing.T) {
+	is := is.New(t)
+	m := resendMachine("w1")
+	s := submission("silent", 1, 1)
+	s.Try = 2
+	s.Job.Steps[0].Estimate = 2 * time.Second
+	started(is, m, 10, s)
+	m.Signed(at(100), aSign(100, 3, 1))
+	extended := 0
+	end := func(ms int, until worker.Clock) {
+		if until == 0 {
+			return
+		}
+		extended++
+		lasts := float64(until-worker.Clock(1000+ms)) / 0.98 // on the slowest clock
+		is.True(float64(ms)+lasts <= 100+1250)
+	}
+	for ms := 101; ms < 1300; ms += 25 {
+		other := submission(work.ID("other"), uint64(ms), 1)
+		other.Host, other.Wanted = hostB, at(ms)
+		m.Submit(at(ms), other)
+		m.Tick(at(ms))
+		a := m.Take()
+		for _, x := range a.Starts {
+			end(ms, x.Until)
+			m.Started(at(ms), x, worker.Answer{Verdict: worker.Accepted, Clock: worker.Clock(1000 + ms)})
+		}
+		for _, l := range a.Looks {
+			end(ms, l.Until)
+			m.Looked(at(ms), at(ms), l, nil, worker.Unhealthy)
+		}
+		m.Take()
+	}
+	is.True(extended > 0)
+}
+
+// TestLeaseOfUnclaimedRuns has a new owner find runs of the one before: it extends
+// no lease until the host of each has claimed it.
+func TestLeaseOfUnclaimedRuns(t *testing.T) {
+	is := is.New(t)
+	m := resendMachine()
+	m.SetWorkers(begin, []worker.Worker{aWorker("w1")})
+	running := worker.Report{Life: 1, Clock: 1000, Running: []worker.Running{{Task: "a.0.0.0", Run: 1}, {Task: "b.0.0.0", Run: 1}}}
+	answerLooks(m, at(1), m.Take(), running)
+	granted := func(ms int) bool {
+		m.Tick(at(ms))
+		a := m.Take()
+		for _, l := range a.Looks {
+			if l.Until > 0 {
+				return true
+			}
+			running.Clock = worker.Clock(1000 + ms)
+			m.Looked(at(ms), at(ms-1), l, &running, worker.Accepted)
+		}
+		return false
+	}
+	is.True(!granted(25))
+	s := submission("a", 1, 1)
+	s.Wanted, s.Again = at(30), true
+	m.Submit(at(30), s)
+	is.True(!granted(50)) // nobody has claimed b
+	s.Job.ID, s.Call = "b", 2
+	m.Submit(at(60), s)
+	is.True(granted(75))
+}
--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -14,6 +14,7 @@
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/peer"
 	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/worker"
 )
 
 const (
@@ -88,6 +89,10 @@
 	bound ident.DataCentre
 	// boundAt is since when no owner is known to have the job.
 	boundAt time.Time
+	// token is that of the ownership to which the job was handed last, and moved
+	// is true if another one may have started something of it before.
+	token worker.Token
+	moved bool
 	// tried holds the data centres without room.
 	tried map[ident.DataCentre]bool
 	tries int
@@ -181,7 +186,7 @@
 	now := time.Now()
 	sub := dispatch.Submission{
 		Job: a.job, Host: s.self.Name, Boot: s.self.Boot, Call: a.call, Try: s.wants.add(o.DataCentre, a.call),
-		Waited: now.Sub(a.arrived), Left: a.deadline.Sub(now), Final: final, Again: a.bound != "",
+		Waited: now.Sub(a.arrived), Left: a.deadline.Sub(now), Final: final, Again: a.startedBefore(o),
 	}
 	reply, err := s.call(ctx, s.contacts.clock(), o, sub)
 	if err != nil {
@@ -237,7 +242,14 @@
 // bind notes that an owner may have started something of the job: only the owner
 // of the same workers can tell, or go on.
 func (a *attempt) bind(now time.Time, o ownership.Owner) {
-	a.bound, a.boundAt = o.DataCentre, now
+	a.moved = a.startedBefore(o)
+	a.bound, a.boundAt, a.token = o.DataCentre, now, o.Token
+}
+
+// startedBefore returns true if something of the job may have started under an
+// ownership before o.
+func (a *attempt) startedBefore(o ownership.Owner) bool {
+	return a.moved || (a.bound != "" && a.token != o.Token)
 }
 
 // giveUp returns the reply to a job that ends without an owner's word.
