Count the lease of runs that a new owner finds

A new owner finds a run, its host claims it, and the worker falls silent before the next look: the owner had granted no lease itself, took the run to have lapsed at once and started the task elsewhere, while the lease of the owner before went on for up to a second. The owner before may extend it until the first look of the new one has raised the worker's token, so that it counts from there.

TestSilentWorkerWithFoundRuns fails without this: the task starts again on another worker after 10 ms. Found by reading, not seen in a run.

--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -10,6 +10,8 @@
 func (m *Machine) adopt(now time.Time, n *node, k runKey) {
 	r := &run{key: k, node: n, state: atWork, sent: now, confirmed: now, orphanUntil: now.Add(orphanTime)}
 	n.runs[k] = r
+	// The owner before may have extended the lease until this look.
+	n.lapsed = latest(n.lapsed, now.Add(lapse(m.config.MaxLease)))
 	t := m.find(k.task)
 	switch {
 	case t != nil && !t.done && t.run == nil:
--- a/dispatch/wanted_test.go
+++ b/dispatch/wanted_test.go
@@ -205,3 +205,33 @@
 	m.Submit(at(60), s)
 	is.True(granted(75))
 }
+
+// TestSilentWorkerWithFoundRuns has a worker fall silent right after a new owner
+// has found runs there: they are at work until the lease of the owner before has
+// lapsed.
+func TestSilentWorkerWithFoundRuns(t *testing.T) {
+	m := resendMachine()
+	m.SetWorkers(begin, []worker.Worker{aWorker("w1"), aWorker("w2")})
+	for _, l := range m.Take().Looks {
+		r := worker.Report{Life: 1, Clock: 1000}
+		if l.Worker == "w1" {
+			r.Running = []worker.Running{{Task: "a.0.0.0", Run: 1}}
+		}
+		m.Looked(at(1), begin, l, &r, worker.Accepted)
+	}
+	for _, l := range m.Take().Looks {
+		if l.Worker == "w1" {
+			m.Looked(at(2), at(1), l, nil, worker.Unanswered)
+		}
+	}
+	for ms := 10; ms < 1050; ms += 10 {
+		s := submission("a", 1, 1)
+		s.Wanted = at(ms)
+		s.Left, s.Job.Steps[0].Estimate = 20*time.Second, 2*time.Second
+		m.Submit(at(ms), s)
+		m.Tick(at(ms))
+		for _, x := range m.Take().Starts {
+			t.Fatalf("a started again on %s after %d ms", x.Worker, ms)
+		}
+	}
+}
