Hand nothing in after a pause until callers that left are known

A process that was paused, or had no processor, wakes with requests in its sockets whose callers have left, and with tries of its own to repeat. It read a request, handed the job in, and noticed a moment later that the connection was closed: a task began under one owner and was stopped a millisecond later, while the caller's second try ran elsewhere.

A watch takes a turn every 25 ms. If its last turn is over 0.25 s old, or the last such gap ended under 0.1 s ago, the host hands in no job and signs none: time for the connections that were closed meanwhile to be noticed. It does not depend on whether the watch or the request gets its turn first after the pause. Without signs its owners stop what is not signed for, as if it were silent.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -123,6 +123,7 @@
 			newLogger,
 			metrics.NewSet,
 			newCounters,
+			newWatch,
 			newSelf,
 			newLinks,
 			newConfiguration,
@@ -133,7 +134,7 @@
 			newSubmitter,
 			newShutdown,
 		),
-		fx.Invoke(runConfiguration, runDirectory, runContacts, runOwners, runLinks, runMetrics),
+		fx.Invoke(runConfiguration, runDirectory, runContacts, runOwners, runLinks, runMetrics, runWatch),
 		fx.StopTimeout(o.Settings.ShutdownTimeout),
 		fx.Options(more...),
 	)
--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -41,6 +41,7 @@
 	directory *Directory
 	contacts  *Contacts
 	owners    *Owners
+	watch     *Watch
 	counters  *Counters
 	logger    log.Interface
 	wants     *wants
@@ -51,17 +52,21 @@
 	last atomic.Int64
 }
 
-func newSubmitter(self ownership.Host, l *peer.Links, d *Directory, c *Contacts, o *Owners, counters *Counters, logger log.Interface) *Submitter {
+func newSubmitter(self ownership.Host, l *peer.Links, d *Directory, c *Contacts, o *Owners, w *Watch, counters *Counters, logger log.Interface) *Submitter {
 	s := &Submitter{
-		self: self, links: l, directory: d, contacts: c, owners: o, counters: counters, logger: logger, wants: newWants(),
+		self: self, links: l, directory: d, contacts: c, owners: o, watch: w, counters: counters, logger: logger, wants: newWants(),
 	}
 	s.owned.Store(time.Now().UnixNano())
 	c.wanted = s.wanted
 	return s
 }
 
-// wanted returns which calls may be at the owner of a data centre.
+// wanted returns which calls may be at the owner of a data centre, and false if
+// this process can not tell because it was paused.
 func (s *Submitter) wanted(c ident.DataCentre) ([]uint64, dispatch.Try, bool) {
+	if !s.watch.Awake(s.contacts.clock()) {
+		return nil, 0, false
+	}
 	calls, try := s.wants.list(c)
 	return calls, try, true
 }
@@ -165,6 +170,11 @@
 		if !now.Before(a.deadline) {
 			return a.giveUp("the deadline has passed")
 		}
+		if !s.watch.Awake(s.contacts.clock()) {
+			// The caller may have left while this process was paused.
+			pause(ctx, retryPause)
+			continue
+		}
 		o, final, ok := s.pick(now, a)
 		if !ok {
 			if !s.Owned(now) || a.lost(now) {
