Count the time in which a machine was suspended

A machine may be suspended for seconds. Go's clock does not count that time, so that an owner which wakes takes a two seconds old sign for a fresh one, and stamps of its clock run ahead of what it counts.

The daemon now takes the times of its decisions on workers, of signs and of the watch from CLOCK_BOOTTIME (package steady); on systems without it suspensions are not counted. Tests give the daemon a clock.

TestOwnerCountsSuspensions fails with time.Now in its place: the job of a host that was last heard before the suspension stays.

--- a/cmd/servecmd.go
+++ b/cmd/servecmd.go
@@ -15,6 +15,7 @@
 
 	"github.com/catkingap/catkingap/fleet"
 	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/steady"
 )
 
 const (
@@ -112,6 +113,7 @@
 	return fleet.Options{
 		Settings: s.Fleet, Log: c.stdout, Network: c.network, Table: table, Feed: table,
 		Decoder: platform.Decoder{}, Workers: platform.NewWorkers(c.network.DialContext),
+		Clock: steady.Now,
 	}
 }
 
--- a/fleet/owner_test.go
+++ b/fleet/owner_test.go
@@ -82,3 +82,33 @@
 	case <-time.After(time.Second):
 	}
 }
+
+// TestOwnerCountsSuspensions has a machine be suspended, which the clock of the
+// processor does not count: the owner takes what it knew to be old.
+func TestOwnerCountsSuspensions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		logger := &log.Logger{Handler: discard.New()}
+		var suspended time.Duration
+		clock := func() time.Time { return time.Now().Add(suspended) }
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		o := &Owner{
+			ctx: ctx, cancel: cancel, logger: logger, hosts: map[ident.Host]string{}, waiting: map[caller]chan dispatch.Reply{},
+			owners: &Owners{
+				workers: deaf{}, counters: newCounters(metrics.NewSet(), newLinks(logger, network.Real{})), contacts: &Contacts{clock: clock},
+			},
+			machine: dispatch.New(clock(), dispatch.Config{MaxLease: time.Second, Resend: 1300 * time.Millisecond}),
+		}
+		time.AfterFunc(100*time.Millisecond, func() {
+			suspended = 2 * time.Second
+			o.step(func(now time.Time, m *dispatch.Machine) { m.Tick(now) })
+		})
+		r, err := o.submit(ctx, dispatch.Submission{
+			Host: "entry-1", Call: 1, Final: true, Left: time.Minute,
+			Job: work.Job{ID: "j", Pool: "p", Stretch: 1, Target: time.Minute, Steps: []work.Step{{Count: 1, Estimate: time.Millisecond}}},
+		})
+		is.NoErr(err)
+		is.Equal(r.Result, dispatch.Interrupted)
+	})
+}
--- /dev/null
+++ b/steady/steady_other.go
@@ -0,0 +1,9 @@
+//go:build !linux
+
+package steady
+
+import "time"
+
+// sinceBoot returns the time since the process started: on these systems
+// suspensions are not counted.
+func sinceBoot() time.Duration { return time.Since(begun) }
