Faults of the rig that provoke the incident at once

leave resets all links and has callers leave 2 to 20 ms later, while hosts wait for their next try. wake stops a host, breaks its callers' connections meanwhile, and lets it wake with their requests after they have sent their jobs again. Both are drawn with the others, and alone by -soak.only.

--- a/integration/soak_faults_test.go
+++ b/integration/soak_faults_test.go
@@ -29,18 +29,23 @@
 }
 
 var rigFaults = map[string]rigFault{
-	"pause":   {weight: 6, run: (*rig).pauseHosts},
-	"kill":    {weight: 2, run: (*rig).killHost},
-	"term":    {weight: 1, run: (*rig).endHost},
-	"links":   {weight: 6, run: (*rig).cutLinks},
+	"pause":   {weight: 5, run: (*rig).pauseHosts},
+	"wake":    {weight: 2, run: (*rig).wakeLate},
+	"kill":    {weight: 2, run: func(r *rig, x *rand.Rand) { r.restartHost(x, syscall.SIGKILL) }},
+	"term":    {weight: 1, run: func(r *rig, x *rand.Rand) { r.restartHost(x, syscall.SIGTERM) }},
+	"links":   {weight: 4, run: (*rig).cutLinks},
+	"leave":   {weight: 2, run: (*rig).leaveBetween},
 	"silence": {weight: 3, run: (*rig).silenceHost},
-	"mute":    {weight: 2, run: (*rig).muteHost},
+	"mute":    {weight: 2, run: (*rig).muteHosts},
 	"centre":  {weight: 1, run: (*rig).silenceCentre},
 	"table":   {weight: 2, run: (*rig).silenceTable},
 	"store":   {weight: 1, run: (*rig).slowStore},
 	"workers": {weight: 2, run: (*rig).loseWorkers},
 }
 
+// someWays holds one way and both.
+var someWays = [][]way{{forth}, {back}, {forth, back}}
+
 // drawn returns the names of the kinds that may be drawn, each as often as its
 // weight says.
 func drawn(only string) []string {
@@ -132,69 +137,67 @@
 }
 
 // pauseHosts stops a process, or those of a data centre, for a time. The
-// connections of callers may break right before or meanwhile, so that a process
-// wakes with their old requests.
+// connections of callers may break right before or meanwhile.
 func (r *rig) pauseHosts(x *rand.Rand) {
-	hosts, took, abrupt := []*rigHost{r.victim(x)}, between(x, 200, 4000), x.IntN(2) == 0
-	early, breaks, after := between(x, 0, 30), x.IntN(3), between(x, 0, int(took.Milliseconds())+1)
+	hosts, took, early, abrupt := []*rigHost{r.victim(x)}, between(x, 200, 4000), between(x, 0, 30), x.IntN(2) == 0
+	after := between(x, 0, int(took.Milliseconds())+1)
 	if x.IntN(3) == 0 {
 		zone := hosts[0].zone
 		hosts = slices.DeleteFunc(slices.Clone(r.hosts), func(h *rigHost) bool { return h.zone != zone })
 	}
-	hosts = slices.DeleteFunc(hosts, func(h *rigHost) bool { return !h.busy.TryLock() })
-	for _, h := range hosts {
-		defer h.busy.Unlock()
-	}
-	if breaks == 1 {
+	switch x.IntN(3) {
+	case 0:
+		r.pause(hosts, took, nil)
+	case 1:
 		r.breakCallers(hosts, abrupt, fmt.Sprintf("%s before a pause", early))
 		time.Sleep(early)
+		r.pause(hosts, took, nil)
+	case 2:
+		r.pause(hosts, after, func() {
+			r.breakCallers(hosts, abrupt, "in a pause")
+			time.Sleep(took - after)
+		})
 	}
-	end := r.fault(hosts, "pause of")
-	for _, h := range hosts {
-		h.signal(syscall.SIGSTOP)
-	}
-	if breaks == 2 {
-		time.Sleep(after)
-		r.breakCallers(hosts, abrupt, "in a pause")
-		took -= after
-	}
-	time.Sleep(took)
-	for _, h := range hosts {
-		h.signal(syscall.SIGCONT)
-	}
-	end()
 }
 
-// breakCallers breaks the connections of hosts' callers.
-func (r *rig) breakCallers(hosts []*rigHost, abrupt bool, when string) {
-	defer r.fault(hosts, "callers break %s, at", when)()
-	for _, h := range hosts {
-		h.cutCallers(abrupt)
-	}
+// wakeLate stops a process, breaks the connections of its callers meanwhile, and
+// lets it wake with their requests in its sockets after they have sent their
+// jobs again.
+func (r *rig) wakeLate(x *rand.Rand) {
+	hosts, abrupt, before, after := []*rigHost{r.victim(x)}, x.IntN(2) == 0, between(x, 200, 900), between(x, 100, 900)
+	r.pause(hosts, before, func() {
+		r.breakCallers(hosts, abrupt, "in a pause")
+		time.Sleep(resendTime + after)
+	})
 }
 
-func (r *rig) killHost(x *rand.Rand) {
-	h, gone := r.victim(x), between(x, 100, 2000)
-	if !h.busy.TryLock() {
+// pause stops processes for a time, and for as long as more takes.
+func (r *rig) pause(hosts []*rigHost, took time.Duration, more func()) {
+	if hosts = slices.DeleteFunc(slices.Clone(hosts), func(h *rigHost) bool { return !h.busy.TryLock() }); len(hosts) == 0 {
 		return
 	}
-	defer h.busy.Unlock()
-	defer r.fault([]*rigHost{h}, "kill of")()
-	h.kill()
-	time.Sleep(gone)
-	h.start()
+	defer r.fault(hosts, "pause of")()
+	for _, h := range hosts {
+		defer h.busy.Unlock()
+		h.signal(syscall.SIGSTOP)
+		defer h.signal(syscall.SIGCONT)
+	}
+	time.Sleep(took)
+	if more != nil {
+		more()
+	}
 }
 
-// endHost shuts a process down in order. The platform kills one that takes too
-// long.
-func (r *rig) endHost(x *rand.Rand) {
+// restartHost ends a process and starts it again. The platform kills one that
+// takes too long.
+func (r *rig) restartHost(x *rand.Rand, s syscall.Signal) {
 	h, gone := r.victim(x), between(x, 100, 2000)
 	if !h.busy.TryLock() {
 		return
 	}
 	defer h.busy.Unlock()
-	defer r.fault([]*rigHost{h}, "shutdown of")()
-	h.signal(syscall.SIGTERM)
+	defer r.fault([]*rigHost{h}, "%s of", s)()
+	h.signal(s)
 	if !h.wait(rigGrace) {
 		h.kill()
 	}
@@ -202,12 +205,32 @@
 	h.start()
 }
 
+// breakCallers breaks the connections of hosts' callers.
+func (r *rig) breakCallers(hosts []*rigHost, abrupt bool, when string) {
+	defer r.fault(hosts, "callers break %s, at", when)()
+	for _, h := range hosts {
+		h.cutCallers(abrupt)
+	}
+}
+
+// leaveBetween resets all links, and has the callers leave while the hosts wait
+// for their next try.
+func (r *rig) leaveBetween(x *rand.Rand) {
+	gap := between(x, 2, 20)
+	end := r.fault(r.hosts, "links reset of")
+	for _, h := range r.hosts {
+		h.cutLinks()
+	}
+	end()
+	time.Sleep(gap)
+	r.breakCallers(r.hosts, true, fmt.Sprintf("%s after the links", gap))
+}
+
 // cutLinks resets the links of hosts, once or a few times, and then the
 // connections of callers, as when a middlebox drops all that it forwards.
 func (r *rig) cutLinks(x *rand.Rand) {
 	linked, called := r.some(x), r.some(x)
-	most := []int{30, 100}[x.IntN(2)]
-	gap, times, abrupt := between(x, 0, most), 1+x.IntN(3), x.IntN(2) == 0
+	gap, times, abrupt := between(x, 0, []int{30, 100}[x.IntN(2)]), 1+x.IntN(3), x.IntN(2) == 0
 	end := r.fault(linked, "links reset, %d times, of", times)
 	for i := range times {
 		if i > 0 {
@@ -222,21 +245,15 @@
 	r.breakCallers(called, abrupt, fmt.Sprintf("%s after the links", gap))
 }
 
-// someWays returns one way or both.
-func someWays(x *rand.Rand) []way {
-	return [][]way{{forth}, {back}, {forth, back}}[x.IntN(3)]
-}
-
 // silenceHost holds back what other hosts say to one, or what it answers. The
-// connections of its callers may break meanwhile.
+// connections of callers may break meanwhile.
 func (r *rig) silenceHost(x *rand.Rand) {
-	h, held, took := r.victim(x), someWays(x), between(x, 500, 4000)
+	h, held, took, called := r.victim(x), someWays[x.IntN(len(someWays))], between(x, 500, 4000), r.some(x)
+	after := between(x, 0, int(took.Milliseconds()))
 	name, from := r.others(x)
 	defer r.fault([]*rigHost{h}, "silence of ways %v of the links from %s to", held, name)()
 	defer h.peer.hold(from, held...)()
 	if x.IntN(2) == 0 {
-		after := between(x, 0, int(took.Milliseconds()))
-		called := r.some(x)
 		time.Sleep(after)
 		r.breakCallers(called, true, "in the silence")
 		took -= after
@@ -244,8 +261,8 @@
 	time.Sleep(took)
 }
 
-// muteHost lets the open links to hosts go silent for good, and callers leave.
-func (r *rig) muteHost(x *rand.Rand) {
+// muteHosts lets the open links to hosts go silent for good, and callers leave.
+func (r *rig) muteHosts(x *rand.Rand) {
 	linked, called, gap := r.some(x), r.some(x), between(x, 0, 700)
 	name, from := r.others(x)
 	defer r.fault(linked, "open links go silent, from %s to", name)()
@@ -259,27 +276,24 @@
 // silenceCentre holds all links between a data centre and the others back.
 func (r *rig) silenceCentre(x *rand.Rand) {
 	zone := centres[x.IntN(len(centres))]
-	end := r.fault(nil, "silence of the links between others and %s", zone)
+	defer r.fault(nil, "silence of the links between others and %s", zone)()
 	for _, h := range r.hosts {
 		defer h.peer.hold(func(origin string) bool { return strings.HasPrefix(origin, zone) != (h.zone == zone) }, forth, back)()
 	}
 	time.Sleep(between(x, 500, 4000))
-	end()
 }
 
 func (r *rig) silenceTable(x *rand.Rand) {
-	h, held := r.victim(x), someWays(x)
+	h, held := r.victim(x), someWays[x.IntN(len(someWays))]
 	defer r.fault([]*rigHost{h}, "silence of ways %v of the table for", held)()
 	defer h.table.hold(anybody, held...)()
 	time.Sleep(between(x, 500, 4000))
 }
 
+// slowStore has the store go silent or slow for all.
 func (r *rig) slowStore(x *rand.Rand) {
-	f := standin.Faults{Mode: standin.Silent}
-	if x.IntN(2) == 0 {
-		f = standin.Faults{Delay: between(x, 50, 600)}
-	}
-	defer r.fault(nil, "store for all %s, delay %s", f.Mode, f.Delay)()
+	f := []standin.Faults{{Mode: standin.Silent}, {Delay: between(x, 50, 600)}}[x.IntN(2)]
+	defer r.fault(nil, "store for all: %+v", f)()
 	r.store.Faults.Set(f)
 	time.Sleep(between(x, 500, 4000))
 	r.store.Faults.Set(standin.Faults{})
@@ -287,17 +301,13 @@
 
 // loseWorkers has some workers lose answers or go silent.
 func (r *rig) loseWorkers(x *rand.Rand) {
-	f := standin.Faults{Mode: standin.LoseAnswer, Count: 1 + x.IntN(8)}
-	if x.IntN(2) == 0 {
-		f = standin.Faults{Mode: standin.Silent}
-	}
+	f := []standin.Faults{{Mode: standin.Silent}, {Mode: standin.LoseAnswer, Count: 1 + x.IntN(8)}}[x.IntN(2)]
 	first, count := x.IntN(len(r.workers)), 1+x.IntN(rigWorkersEach)
-	defer r.fault(nil, "%d workers from %d: %s, count %d", count, first, f.Mode, f.Count)()
+	defer r.fault(nil, "%d workers from %d: %+v", count, first, f)()
 	for i := range count {
-		r.workers[(first+i)%len(r.workers)].Faults.Set(f)
+		w := r.workers[(first+i)%len(r.workers)]
+		w.Faults.Set(f)
+		defer w.Faults.Set(standin.Faults{})
 	}
 	time.Sleep(between(x, 300, 2000))
-	for i := range count {
-		r.workers[(first+i)%len(r.workers)].Faults.Set(standin.Faults{})
-	}
 }
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -1,13 +1,10 @@
 package integration
 
 import (
-	"encoding/json"
 	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
@@ -57,7 +54,6 @@
 	}()
 	r.load(rand.New(rand.NewPCG(seed, 2)), *soakRate, *soakTime+2*soakCalm)
 	<-done
-	r.write()
 	r.report(seed)
 }
 
@@ -141,12 +137,3 @@
 }
 
 func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
-
-// write keeps what callers and workers saw beside the processes' logs.
-func (r *rig) write() {
-	for name, value := range map[string]any{"tries.json": r.tries, "runs.json": r.judge.Runs()} {
-		data, err := json.MarshalIndent(value, "", " ")
-		r.is.NoErr(err)
-		r.is.NoErr(os.WriteFile(filepath.Join(r.folder, name), data, 0o600))
-	}
-}
