Count how long the state of an ended job is kept on a steady clock

Cause: the row holds the wall clock of the host that ended or cancelled the job, and the owner compared it with its own wall clock. A step of either clock by more than the retention removed the state at once.

Now the time counts from when the present owner learned of the end, by its steady clock; nothing is decided by the time in the row. A new owner counts anew, so that states stay for one more retention after a takeover at most.

--- a/ledger/book.go
+++ b/ledger/book.go
@@ -82,6 +82,8 @@
 	ends   []worker.EndID
 	// queued is true while the entry is in dirty.
 	queued bool
+	// over is when this owner learned that the job has ended, or zero.
+	over time.Time
 	// removing is true once the rows are to be deleted.
 	removing bool
 	// told is true if the table has a row that tells of the cancelling.
@@ -142,6 +144,7 @@
 	if e == nil || e.row.Over() {
 		return
 	}
+	e.over = now
 	e.row.End(now, s)
 	b.touch(e)
 }
@@ -150,16 +153,25 @@
 func (b *Book) Cancel(now time.Time, id work.ID) {
 	if e := b.entries[id]; e != nil {
 		e.told = true
+		if e.over.IsZero() {
+			e.over = now
+		}
 		if !e.row.Over() {
 			e.row.End(now, Cancelled)
 		}
 	}
 }
 
-// Expire plans the removal of jobs that ended long ago.
+// Expire plans the removal of jobs that ended long ago. The time counts from when
+// this owner learned of the end, on its own steady clock: the wall clocks of hosts
+// jump, and a state that goes too early lets a late request run the job again.
 func (b *Book) Expire(now time.Time) {
 	for _, e := range b.entries {
-		if e.row.Over() && !e.removing && now.Sub(time.UnixMilli(e.row.Ended)) > b.config.Retention {
+		switch {
+		case !e.row.Over() || e.removing:
+		case e.over.IsZero():
+			e.over = now
+		case now.Sub(e.over) > b.config.Retention:
 			e.removing = true
 			b.touch(e)
 		}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -62,7 +62,8 @@
 	Queue      work.Queue       `msgpack:"queue"`
 	State      State            `msgpack:"state"`
 	Progress   work.Progress    `msgpack:"progress"`
-	// Ended is when the job ended, in milliseconds since 1970, or zero.
+	// Ended is when the job ended, in milliseconds since 1970, or zero. It is for
+	// people who read the table: nothing is decided by it, since clocks jump.
 	Ended int64 `msgpack:"ended,omitempty"`
 }
 
