Hold the ends of a failed job's tasks until the failure is stored

Callers saw: a task that had been done and whose end had been taken note of could run again, if the owner died between the failure of the job and the write that stores it. While the table is away that is as long as the outage.

Cause: once a task has failed for good, the job is over in the memory of its owner. Ends of its other tasks that came after that were told to the worker as seen at once: the machine did not find their job any more, and the ledger took no notes of a job that was over, stored or not. A later owner reads the job as open and finds the end neither stored nor listed.

Now an end of a run whose kept job has just ended is noted as before, and waits for the write that is due or under way. If the rows go meanwhile, it is let go too.

--- a/dispatch/keep.go
+++ b/dispatch/keep.go
@@ -169,6 +169,10 @@
 		return
 	}
 	t := m.find(e.Task)
+	if r := n.runs[runKey{task: e.Task, run: e.Run}]; t == nil && r != nil {
+		// Its job has just ended, and what it ended as may not be stored.
+		t = r.task
+	}
 	if t == nil || !t.job.kept {
 		return
 	}
--- a/dispatch/keep_test.go
+++ b/dispatch/keep_test.go
@@ -248,3 +248,30 @@
 	m.Keep(at(2), submission("j", 1, 1).Job, work.Progress{Done: []int{7, -1}, Failed: map[int][]work.Run{9: {1}}}, true)
 	is.Equal(len(m.Take().Finishes), 0)
 }
+
+// TestEndAfterTheJobFailed has a task be done just after another one has failed
+// for good: the worker may not forget that before the failure is stored.
+func TestEndAfterTheJobFailed(t *testing.T) {
+	is := is.New(t)
+	m, starts := keptMachine(is, 2)
+	looks := m.Take()
+	ends := []worker.Ended{{Number: 1, Task: "j.0.0.0", Run: starts[0].Run, How: worker.Failed}}
+	answerLooks(m, at(10), looks, worker.Report{Life: 1, Clock: 1010, Ended: ends, Running: []worker.Running{{Task: "j.0.0.1", Run: 1}}})
+	looks = m.Take()
+	is.Equal(len(looks.Starts), 1) // The second attempt.
+	m.Started(at(11), looks.Starts[0], worker.Answer{Verdict: worker.Accepted, Clock: 1011})
+	ends = append(ends, worker.Ended{Number: 2, Task: "j.0.0.0", Run: 2, How: worker.Failed})
+	answerLooks(m, at(40), looks, worker.Report{Life: 1, Clock: 1040, Ended: ends, Running: []worker.Running{{Task: "j.0.0.1", Run: 1}}})
+	looks = m.Take()
+	is.Equal(looks.Finishes, []dispatch.Finish{{Job: "j", Result: dispatch.Failed}})
+	m.Stored(at(41), firstEnd)
+	m.Stored(at(41), worker.EndID{Worker: "w1", Life: 1, Number: 2})
+	ends = append(ends, worker.Ended{Number: 3, Task: "j.0.0.1", Run: 1, How: worker.Done})
+	third := worker.EndID{Worker: "w1", Life: 1, Number: 3}
+	report := worker.Report{Life: 1, Clock: 1050, Ended: ends}
+	answerLooks(m, at(50), looks, report)
+	is.Equal(m.Take().Notes, []dispatch.Note{{Job: "j", Task: 1, Run: 1, Done: true, End: third}})
+	is.Equal(seen(m, 60, 2000, report), worker.EndNumber(2))
+	m.Stored(at(2000), third)
+	is.Equal(seen(m, 2000, 3000, report), worker.EndNumber(3))
+}
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -125,12 +125,14 @@
 }
 
 // Note takes in that a run has ended. It returns false if that needs no storing.
+// An end that changes nothing has to wait for a state that is not stored yet.
 func (b *Book) Note(id work.ID, task int, r work.Run, done bool, end worker.EndID) bool {
 	e := b.entries[id]
-	if e == nil || e.row.Over() {
+	if e == nil {
 		return false
 	}
-	if !e.row.Progress.Note(task, r, done) && !e.queued && !slices.Contains(b.batch, e) {
+	isNew := !e.row.Over() && e.row.Progress.Note(task, r, done)
+	if !isNew && !e.queued && !slices.Contains(b.batch, e) {
 		return false
 	}
 	e.ends = append(e.ends, end)
@@ -286,7 +288,7 @@
 // applied takes in that the newest value of an entry is stored.
 func (b *Book) applied(e *entry, r ident.Revision, o *Outcome) {
 	if e.removing && e.value == nil {
-		delete(b.entries, e.id)
+		b.removed(e, o)
 		return
 	}
 	if e.revision == 0 && !e.row.Over() {
@@ -300,6 +302,12 @@
 	}
 }
 
+// removed takes in that the rows of an entry are gone.
+func (b *Book) removed(e *entry, o *Outcome) {
+	delete(b.entries, e.id)
+	o.Stored = append(o.Stored, append(e.flying, e.ends...)...)
+}
+
 // conflict takes in that a condition of the write does not hold.
 func (b *Book) conflict(batch []*entry, current []storage.Row, o *Outcome) {
 	rows := make(map[string]storage.Row, len(current))
@@ -318,7 +326,7 @@
 			b.again(e)
 		case !ok:
 			// A removal without an answer has taken effect.
-			delete(b.entries, e.id)
+			b.removed(e, o)
 		default:
 			b.overtaken(e, r, o)
 		}
--- a/ledger/book_test.go
+++ b/ledger/book_test.go
@@ -387,3 +387,23 @@
 		})
 	}
 }
+
+// TestEndAfterTheJobFailed has a task be done just after its job has failed: the
+// worker may forget that only once the failure is stored, or a later owner runs
+// the task again.
+func TestEndAfterTheJobFailed(t *testing.T) {
+	is := is.New(t)
+	table := newTable()
+	b := table.claim()
+	b.Accept(aJob("j"))
+	writeAll(is, table, b)
+	b.End(begin, "j", ledger.Failed)
+	is.True(b.Note("j", 0, 1, true, mark))
+	w := next(is, b)
+	other := worker.EndID{Worker: "w1", Life: 1, Number: 8}
+	is.True(b.Note("j", 1, 1, true, other)) // The write is under way.
+	is.Equal(b.Written(storage.Result{}, errLost).Stored, nil)
+	is.True(!table.commit(w).Applied || table.state(is, "j").State == ledger.Failed)
+	is.Equal(writeAll(is, table, b).Stored, []worker.EndID{mark, other})
+	is.True(!b.Note("j", 1, 2, true, other)) // The failure is stored.
+}
--- a/ledger/property_test.go
+++ b/ledger/property_test.go
@@ -41,7 +41,7 @@
 // step lets one thing happen.
 func (h *history) step(t *rapid.T) {
 	id := work.ID(fmt.Sprint("j", rapid.IntRange(0, 4).Draw(t, "job")))
-	switch rapid.IntRange(0, 9).Draw(t, "event") {
+	switch rapid.IntRange(0, 10).Draw(t, "event") {
 	case 0:
 		if !h.abandoned[id] && h.book.Accept(aJob(id)) {
 			h.accepted[id] = true
@@ -76,6 +76,10 @@
 			i := rapid.IntRange(0, n-1).Draw(t, "late")
 			h.table.commit(h.late[i])
 		}
+	case 8:
+		if h.accepted[id] {
+			h.book.End(begin, id, ledger.Failed)
+		}
 	default:
 		h.write(rapid.IntRange(0, 4).Draw(t, "answer"))
 	}
