Start no kept job whose cancelling came before the machine took it

Callers saw: a job that had been cancelled, with an answer that said so, could run to its end.

Cause: an owner that learns that a job is stored tells its machine in a second step. A cancelling of another host that arrives between the two marks the job as over in the ledger and does not find it in the machine, which takes it afterwards. Nothing stops it then unless another job is cancelled. The callers are told before the second step, and a busy or paused process may take long to get there.

Evidence: TestCancelOvertakesAcceptance failed before (on the decision taken out into a function of its own, otherwise unchanged): the job was waiting for a worker.

Now the ledger is asked again under the owner's mutex, which the cancelling takes too, so that one of the two always sees the other.

--- a/fleet/keeper.go
+++ b/fleet/keeper.go
@@ -202,23 +202,32 @@
 		k.owner.owners.fenced(k.owner.owner)
 		return false
 	}
-	k.owner.step(func(now time.Time, m *dispatch.Machine) {
-		for _, j := range o.Accepted {
-			m.Keep(now, j, work.Progress{}, false)
-		}
-		for _, e := range o.Stored {
-			m.Stored(now, e)
-		}
-		for _, id := range o.Cancelled {
-			m.Cancel(now, id)
-		}
-	})
+	k.owner.step(func(now time.Time, m *dispatch.Machine) { k.apply(now, m, o) })
 	if o.Pause > 0 {
 		pause(ctx, o.Pause)
 	}
 	return ctx.Err() == nil
 }
 
+// apply tells the machine what a write has brought about. The caller holds the
+// owner's mutex.
+func (k *keeper) apply(now time.Time, m *dispatch.Machine, o ledger.Outcome) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	for _, j := range o.Accepted {
+		// Its cancelling may have come since.
+		if !k.book.Over(j.ID) {
+			m.Keep(now, j, work.Progress{}, false)
+		}
+	}
+	for _, e := range o.Stored {
+		m.Stored(now, e)
+	}
+	for _, id := range o.Cancelled {
+		m.Cancel(now, id)
+	}
+}
+
 // told ends the wait of the callers of a job. The caller holds the mutex.
 func (k *keeper) told(id work.ID) {
 	for _, c := range k.waiting[id] {
--- a/fleet/owner_test.go
+++ b/fleet/owner_test.go
@@ -12,8 +12,10 @@
 
 	"github.com/catkingap/catkingap/dispatch"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/ledger"
 	"github.com/catkingap/catkingap/metrics"
 	"github.com/catkingap/catkingap/network"
+	"github.com/catkingap/catkingap/storage"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -82,3 +84,23 @@
 	case <-time.After(time.Second):
 	}
 }
+
+// TestCancelOvertakesAcceptance has a job cancelled after the answer to the write
+// that stored it, and before the machine takes it: nothing of it starts.
+func TestCancelOvertakesAcceptance(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	job := work.Job{ID: "j", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Estimate: time.Millisecond}}}
+	k := &keeper{book: ledger.NewBook(ledger.Config{DataCentre: "coast-a"})}
+	m := dispatch.New(now, dispatch.Config{MaxLease: time.Second})
+	m.Loaded(now)
+	k.book.Accept(job)
+	_, _, err := k.book.Next()
+	is.NoErr(err)
+	o := k.book.Written(storage.Result{Applied: true, Revision: 5}, nil)
+	is.Equal(o.Accepted, []work.Job{job})
+	k.book.Cancel(now, job.ID)
+	m.Cancel(now, job.ID)
+	k.apply(now, m, o)
+	is.Equal(m.Load(now).Pending, nil)
+}
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -180,6 +180,12 @@
 	}
 }
 
+// Over returns true if a job has ended.
+func (b *Book) Over(id work.ID) bool {
+	e := b.entries[id]
+	return e == nil || e.row.Over()
+}
+
 // Open returns the number of jobs that have not ended.
 func (b *Book) Open() int {
 	n := 0
