Call a request unknown that another host may have run after a hand-over

Callers saw: while a host shut down, a request marked idempotent could be answered with notRun although another host had it and may have run it, or ran it later.

Cause: the link to the host that took the request was lost after the request went out. An idempotent request then goes on to the next host or runs here; when that ended without a try, its notRun was passed on as if it spoke of all tries.

Evidence: TestLostHandoverIsNotNotRun failed before with notRun.

Now the hand-over remembers that a host may have run the request, and a later notRun becomes unknown, as it does for tries of this host. Requests that are not idempotent were never sent on after a lost link.

--- a/entry/handover.go
+++ b/entry/handover.go
@@ -79,8 +79,9 @@
 	})
 }
 
-// pass hands a request over. It returns false if it provably ran nowhere.
-func (h *Handover) pass(ctx context.Context, c Call) (result, bool) {
+// pass hands a request over. It returns false if it is to run here. Tries
+// learns whether a host may have run it.
+func (h *Handover) pass(ctx context.Context, c Call, tries *claim) (result, bool) {
 	for _, m := range h.hosts() {
 		deadline, _ := ctx.Deadline()
 		c.Timeout = time.Until(deadline) - handoverMargin
@@ -93,6 +94,9 @@
 			h.count.Add(1)
 			return r, true
 		}
+		if err != nil && !isUnreachable(err) {
+			tries.markRan()
+		}
 	}
 	return result{}, false
 }
--- a/entry/services.go
+++ b/entry/services.go
@@ -71,10 +71,12 @@
 // handOver gives a request that was not sent to another entry host. If none
 // takes it, it runs here.
 func (s *Services) handOver(ctx context.Context, c Call, spec resource.ServiceSpec) ([]byte, *outcome.Error) {
-	if r, taken := s.handover.pass(ctx, c); taken {
-		return r.answer, r.failure
+	var tries claim
+	r, taken := s.handover.pass(ctx, c, &tries)
+	if !taken {
+		r.answer, r.failure = s.wait(ctx, s.submit(ctx, c, spec, true))
 	}
-	return s.wait(ctx, s.submit(ctx, c, spec, true))
+	return r.answer, tries.truth(r.failure)
 }
 
 // timeoutOf returns the time that a request has.
--- a/entry/shutdown_test.go
+++ b/entry/shutdown_test.go
@@ -6,6 +6,8 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
@@ -15,6 +17,7 @@
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/peer"
 	"github.com/catkingap/catkingap/settings"
+	"github.com/catkingap/catkingap/storage"
 )
 
 // TestAnswersAskToClose checks that each answer of a host that shuts down asks
@@ -85,3 +88,35 @@
 		})
 	}
 }
+
+// TestLostHandoverIsNotNotRun has the link break after another host took an
+// idempotent request, and no other way to run it: it may have run.
+func TestLostHandoverIsNotNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		memory, logger := newNetwork(), &log.Logger{Handler: discard.New()}
+		taker := newLinks(logger, memory.Site("entry-2"))
+		peer.Handle(taker, kindHandover, func(context.Context, Call) (HandedOver, error) {
+			taker.Close()
+			return HandedOver{}, nil
+		})
+		listener, err := memory.Site("entry-2").Listen("entry-2:1")
+		is.NoErr(err)
+		defer listener.Close()
+		go func() { _ = taker.Serve(listener) }()
+		sender := &fakeSender{}
+		services := testServices(t, sender)
+		services.handover = newHandover(testIdentity(), newDirectory(), newLinks(logger, memory.Site("entry-1")))
+		defer services.handover.links.Close()
+		services.handover.takers = []storage.Member{{ID: "entry-2", Address: "entry-2:1"}}
+		services.handover.asked.Do(func() {})
+		go func() { _, _ = services.Do(t.Context(), Call{Service: "logs", Body: []byte("2s")}) }()
+		synctest.Wait() // The only slot is taken.
+		services.handover.begin()
+		_, failure := services.Do(t.Context(), Call{Service: "logs", Idempotent: true, Timeout: time.Second, Body: []byte("1ms")})
+		is.Equal(failure.Kind, outcome.Unknown)
+		is.Equal(failure.Code, outcome.DeadlinePassed)
+		time.Sleep(2 * time.Second)
+		is.Equal(sender.sent.Load(), int32(1))
+	})
+}
