Do not call a resubmission notRun because the host shuts down

Callers saw: a client that sent a job again, and said so, was told notRun by a host that was shutting down, although its first try may have been running elsewhere. It may then give the work to somebody else.

Cause: submissions were refused before their body was read, so that nothing was known of earlier tries.

Evidence: TestResubmissionAtShutdown failed before for the resubmission.

Now the body is read first, and a resubmission is answered as unknown. What is no job at all is refused as before.

--- a/entry/apijobs.go
+++ b/entry/apijobs.go
@@ -35,7 +35,12 @@
 		return
 	}
 	var s job.Submission
-	if err := json.Unmarshal(data, &s); err != nil {
+	err := json.Unmarshal(data, &s)
+	if refusal := a.shutdown.refusal(); refusal != nil {
+		refuse(c, s.Refuse(refusal))
+		return
+	}
+	if err != nil {
 		refuse(c, outcome.New(outcome.NotRun, outcome.Invalid, "the body is not a job: %v", err))
 		return
 	}
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -140,8 +140,7 @@
 // host that shuts down to open new connections.
 func (s *Shutdown) stage(c *gin.Context) {
 	c.Writer = &closingWriter{ResponseWriter: c.Writer, unready: &s.unready}
-	submission := c.FullPath() == pathJobs
-	if !submission && c.FullPath() != pathCall {
+	if c.FullPath() != pathJobs && c.FullPath() != pathCall {
 		ctx, cancel := context.WithCancel(c.Request.Context())
 		defer cancel()
 		// Watches end when the host stops accepting.
@@ -152,14 +151,17 @@
 	}
 	s.open.Add(1)
 	defer s.open.Add(-1)
-	if submission && s.handover.begun.Err() != nil {
-		refuse(c, outcome.New(outcome.NotRun, outcome.Shutdown, "the entry host shuts down").After(shutdownRetry))
-		c.Abort()
-		return
-	}
 	c.Next()
 }
 
+// refusal returns why no submission is taken any more, or nil.
+func (s *Shutdown) refusal() *outcome.Error {
+	if s.handover.begun.Err() == nil {
+		return nil
+	}
+	return outcome.New(outcome.NotRun, outcome.Shutdown, "the entry host shuts down").After(shutdownRetry)
+}
+
 // closingWriter writes answers with "Connection: close" while the host shuts
 // down. A server that closed idle connections instead would cut requests that
 // are on their way.
--- a/entry/shutdown_test.go
+++ b/entry/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -120,3 +121,32 @@
 		is.Equal(sender.sent.Load(), int32(1))
 	})
 }
+
+// TestResubmissionAtShutdown refuses submissions while the host shuts down: of one
+// that was sent before it must not say that it did not run.
+func TestResubmissionAtShutdown(t *testing.T) {
+	tests := map[string]struct {
+		body string
+		kind outcome.Kind
+	}{
+		"first":        {body: `{"team":"kusweg","key":"j","pool":"logs","tasks":[{"index":0}]}`, kind: outcome.NotRun},
+		"resubmission": {body: `{"team":"kusweg","key":"j","pool":"logs","tasks":[{"index":0}],"resubmission":true}`, kind: outcome.Unknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			services := testServices(t, &fakeSender{})
+			s := settings.Default()
+			shutdown := newShutdown(s, nil, nil, services.handover)
+			handler := newAPI(s, services.store, nil, services, nil, newMetrics(), newRequestLog(&log.Logger{Handler: discard.Default}), nil, shutdown).Handler()
+			services.handover.begin()
+			recorder := httptest.NewRecorder()
+			handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, pathJobs, strings.NewReader(tt.body)))
+			var answer ErrorAnswer
+			is.NoErr(json.Unmarshal(recorder.Body.Bytes(), &answer))
+			is.Equal(answer.Error.Kind, tt.kind)
+			is.Equal(answer.Error.Code, outcome.Shutdown)
+			is.Equal(recorder.Header().Get("Retry-After"), "1")
+		})
+	}
+}
