Count how long a state is kept from when it is stored

Callers saw: after an outage of the table a job that was shown as completed was answered with 410 earlier than promised, by as long as the outage.

Cause: the time counted from when the owner decided the end. Callers see the end only once it is stored, which the outage delays.

Evidence: TestStateStoredLate failed before: the state was gone 28 s early after an outage of 30 s.

Now the time counts anew as long as the newest state waits to be stored.

--- a/ledger/book.go
+++ b/ledger/book.go
@@ -82,7 +82,8 @@
 	ends   []worker.EndID
 	// queued is true while the entry is in dirty.
 	queued bool
-	// over is when this owner learned that the job has ended, or zero.
+	// over is when this owner learned that the job has ended, or last saw that the
+	// end was not stored; or zero.
 	over time.Time
 	// removing is true once the rows are to be deleted.
 	removing bool
@@ -132,7 +133,7 @@
 		return false
 	}
 	isNew := !e.row.Over() && e.row.Progress.Note(task, r, done)
-	if !isNew && !e.queued && !slices.Contains(b.batch, e) {
+	if !isNew && !b.unstored(e) {
 		return false
 	}
 	e.ends = append(e.ends, end)
@@ -165,13 +166,14 @@
 }
 
 // Expire plans the removal of jobs that ended long ago. The time counts from when
-// this owner learned of the end, on its own steady clock: the wall clocks of hosts
-// jump, and a state that goes too early lets a late request run the job again.
+// this owner learned of the end or has stored it, on its own steady clock: the wall
+// clocks of hosts jump, callers see only what is stored, and a state that goes too
+// early lets a late request run the job again.
 func (b *Book) Expire(now time.Time) {
 	for _, e := range b.entries {
 		switch {
 		case !e.row.Over() || e.removing:
-		case e.over.IsZero():
+		case e.over.IsZero(), b.unstored(e):
 			e.over = now
 		case now.Sub(e.over) > b.config.Retention:
 			e.removing = true
@@ -180,6 +182,9 @@
 	}
 }
 
+// unstored returns true if the newest state of an entry may not be stored yet.
+func (b *Book) unstored(e *entry) bool { return e.queued || slices.Contains(b.batch, e) }
+
 // Over returns true if a job has ended.
 func (b *Book) Over(id work.ID) bool {
 	e := b.entries[id]
--- a/ledger/book_test.go
+++ b/ledger/book_test.go
@@ -407,3 +407,29 @@
 	is.Equal(writeAll(is, table, b).Stored, []worker.EndID{mark, other})
 	is.True(!b.Note("j", 1, 2, true, other)) // The failure is stored.
 }
+
+// TestStateStoredLate has the table away when a job ends: callers see the end only
+// once it is stored, and can ask for it as long as promised from then on.
+func TestStateStoredLate(t *testing.T) {
+	const away = 30 * time.Second
+	is := is.New(t)
+	table := newTable()
+	b := table.claim()
+	b.Accept(aJob("j"))
+	writeAll(is, table, b)
+	b.End(begin, "j", ledger.Completed)
+	for after := time.Duration(0); after < away; after += time.Second {
+		next(is, b)
+		b.Written(storage.Result{}, refused)
+		b.Expire(begin.Add(after))
+	}
+	writeAll(is, table, b)
+	b.Expire(begin.Add(away))
+	b.Expire(begin.Add(away + retention - 2*time.Second))
+	writeAll(is, table, b)
+	is.True(table.state(is, "j") != nil)
+	is.Equal(table.state(is, "j").State, ledger.Completed)
+	b.Expire(begin.Add(away + retention + 2*time.Second))
+	writeAll(is, table, b)
+	is.True(table.state(is, "j") == nil)
+}
