Bar a job that is cancelled before it is stored

Callers saw: a DELETE that came before the job was stored was answered with 410, no such job, and the job was stored and ran after that. The request for it may have waited in the socket of a paused host, or the write that stores it may have had no answer and taken effect seconds later.

Cause: the cancelling looked for the state row and left nothing behind if there was none, so that a later acceptance did not learn of it.

Now the cancelling writes a cancelled state without a queue, under the condition that there is no state. Whatever stores the job later fails on that row, which the condition of its own write names, also for a write that is carried out late. As long as nobody has handed the job in it is shown as unknown, and after that as cancelled. The rows go when those of other cancelled jobs do; a data centre without open jobs keeps them until it has some or changes its owner.

--- a/fleet/keeper.go
+++ b/fleet/keeper.go
@@ -327,7 +327,8 @@
 	k.owner.step(func(now time.Time, m *dispatch.Machine) {
 		k.mutex.Lock()
 		defer k.mutex.Unlock()
-		for key := range rows {
+		for key, r := range rows {
+			k.book.LoadBarred(r)
 			k.book.Cancel(now, ledger.ID(key))
 			m.Cancel(now, ledger.ID(key))
 		}
--- a/fleet/keeper_test.go
+++ b/fleet/keeper_test.go
@@ -317,3 +317,39 @@
 		time.Sleep(2 * time.Second) // The cut ends.
 	})
 }
+
+// TestCancelBeforeAcceptance cancels a job that is not stored yet, whose request
+// is read after that: nothing of it runs, and its state says that it was cancelled.
+func TestCancelBeforeAcceptance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		m := w.hosts[0]
+		keep := func(j work.Job) dispatch.Result {
+			now := time.Now()
+			return m.submitter.Keep(m.life, j, now, now.Add(time.Second)).Result
+		}
+		late, never := keptJob(1, 2000, 2), keptJob(2, 2000, 2)
+		for _, j := range []work.Job{late, never, late} {
+			known, err := m.submitter.Cancel(m.life, j.ID)
+			is.NoErr(err)
+			is.True(!known)
+			is.Equal(w.state(j.ID), ledger.State("")) // Nobody has handed it in.
+		}
+		is.Equal(keep(late), dispatch.Kept)
+		time.Sleep(time.Second)
+		is.Equal(w.judge.Running(), 0)
+		is.Equal(w.state(late.ID), ledger.Cancelled)
+		is.Equal(keep(keptJob(3, 100_000, 1)), dispatch.Kept)
+		time.Sleep(80 * time.Second)
+		left := map[string]bool{}
+		for _, r := range w.store.History() {
+			left[r.Table+"/"+r.Key] = !r.Removed
+		}
+		for _, j := range []work.Job{late, never} {
+			is.True(!left[ledger.StateKey(j.ID)])
+			is.True(!left[ledger.CancelKey(j.ID)])
+		}
+	})
+}
--- a/fleet/kept.go
+++ b/fleet/kept.go
@@ -106,7 +106,7 @@
 func (s *Submitter) State(ctx context.Context, id work.ID) (*ledger.Entry, error) {
 	defer s.enter()()
 	row, err := s.stateRow(ctx, id)
-	if err != nil || row == nil {
+	if err != nil || !handedIn(row) {
 		return nil, err
 	}
 	e, err := ledger.ReadEntry(*row)
@@ -123,20 +123,18 @@
 	return row, nil
 }
 
-// Cancel ends a job that lasts. It returns false if there is no such job, and
-// an *UnavailableError if the cancelling may not be stored.
+// Cancel ends a job that lasts. It returns false if there is no such job, which
+// never runs then, and an *UnavailableError if the cancelling may not be stored.
 func (s *Submitter) Cancel(ctx context.Context, id work.ID) (bool, error) {
 	defer s.enter()()
 	for {
 		row, err := s.stateRow(ctx, id)
 		if err == nil {
-			if row == nil {
-				return false, nil
-			}
 			var done bool
-			if done, err = s.cancelRow(ctx, id, *row); done {
-				s.logger.WithField("job", string(id)).Info("job cancelled")
-				return true, nil
+			if done, err = s.cancelRow(ctx, id, row); done {
+				known := handedIn(row)
+				s.logger.WithFields(log.Fields{"job": string(id), "known": known}).Info("job cancelled")
+				return known, nil
 			}
 		}
 		if err != nil {
@@ -148,10 +146,27 @@
 	}
 }
 
-// cancelRow writes that a job is cancelled. It returns false without an error
-// if the row has changed.
-func (s *Submitter) cancelRow(ctx context.Context, id work.ID, row storage.Row) (bool, error) {
-	w, open, err := ledger.Cancel(time.Now(), id, row)
+// handedIn returns true if a state row is that of a job which a caller has handed
+// in.
+func handedIn(row *storage.Row) bool {
+	if row == nil {
+		return false
+	}
+	e, err := ledger.ReadEntry(*row)
+	return err != nil || !e.Barred()
+}
+
+// cancelRow writes that a job is cancelled, given its state row or nil. It returns
+// false without an error if the row has changed.
+func (s *Submitter) cancelRow(ctx context.Context, id work.ID, row *storage.Row) (bool, error) {
+	var w storage.Write
+	var err error
+	open := true
+	if row == nil {
+		w, err = ledger.Bar(time.Now(), id, s.self.DataCentre)
+	} else {
+		w, open, err = ledger.Cancel(time.Now(), id, *row)
+	}
 	if err != nil || !open {
 		return err == nil, err
 	}
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -100,6 +100,15 @@
 	b.entries[id] = &entry{id: id, job: job, row: row, revision: r, told: row.State == Cancelled}
 }
 
+// LoadBarred takes in a job that a host of this data centre has cancelled before it
+// was stored, given the row that tells so.
+func (b *Book) LoadBarred(r storage.Row) {
+	row, err := ReadEntry(r)
+	if id := ID(r.Key); err == nil && row.Barred() && row.DataCentre == b.config.DataCentre && b.entries[id] == nil {
+		b.Load(id, work.Job{}, row, r.Revision)
+	}
+}
+
 // Accept asks for a job to be stored. It returns true if it is already.
 func (b *Book) Accept(job work.Job) bool {
 	if e := b.entries[job.ID]; e != nil {
@@ -257,7 +266,7 @@
 			return err
 		}
 		w.Puts = append(w.Puts, storage.Put{Key: JobKey(e.id), Value: spec})
-	} else if e.row.Over() {
+	} else if e.row.Over() && e.job.ID != "" {
 		// Only the state of an ended job is asked for, and a new owner reads all
 		// specifications that there are.
 		w.Deletes = append(w.Deletes, JobKey(e.id))
@@ -361,6 +370,11 @@
 	}
 	row, err := ReadEntry(r)
 	switch {
+	case e.revision == 0 && err == nil && row.Barred():
+		// From now on its state says what became of it.
+		e.row.State, e.row.Ended, e.revision, e.told, e.job = Cancelled, row.Ended, r.Revision, true, work.Job{}
+		o.Known = append(o.Known, e.id)
+		b.again(e)
 	case e.revision == 0:
 		// Another owner has stored the job, or this one did before.
 		delete(b.entries, e.id)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -90,6 +90,23 @@
 	return j, errors.Wrapf(err, "row %s", r.Key)
 }
 
+// Barred returns true for the state of a job that was cancelled before anybody had
+// handed it in.
+func (e *Entry) Barred() bool { return e.State == Cancelled && e.Queue == "" }
+
+// Bar returns the write by which any host cancels a job that is not stored: its
+// request may be on its way, or the write that stores it. The owner of a data
+// centre removes the rows later.
+func Bar(now time.Time, id work.ID, d ident.DataCentre) (storage.Write, error) {
+	e := Entry{DataCentre: d}
+	e.End(now, Cancelled)
+	value, err := e.Encode()
+	return storage.Write{
+		Conditions: []storage.Condition{{Key: StateKey(id)}},
+		Puts:       []storage.Put{{Key: StateKey(id), Value: value}, {Key: CancelKey(id), Value: value}},
+	}, err
+}
+
 // Cancel returns the write by which any host cancels a job, given its state row.
 // It returns false if the job has ended.
 func Cancel(now time.Time, id work.ID, r storage.Row) (storage.Write, bool, error) {
