Say that a job may be cancelled when the holder's answer is lost

Callers saw: a cancelling by way of a host that does not hold the job was answered with 404, no host holds the job, while the table was away, while the holder could not be reached, and when the holder's answer was lost, in which case a holder that had been paused cancelled the job seconds later.

Cause: the cancelling returned only whether it had worked, and each other end was taken for a job that does not exist.

Evidence: TestLostCancelIsNotNotFound failed before in these three cases.

Now each end has an outcome of its own: the table is away and the holder can not be reached are notRun with a time to come back, a lost answer is unknown. 404 is left for jobs that have no holder.

--- a/entry/apijobs.go
+++ b/entry/apijobs.go
@@ -73,8 +73,8 @@
 }
 
 func (a *API) cancelJob(c *gin.Context) {
-	if !a.jobs.Cancel(c.Request.Context(), jobOf(c)) {
-		refuse(c, outcome.New(outcome.NotRun, outcome.NotFound, "no host holds job %s", jobOf(c)))
+	if e := a.jobs.Cancel(c.Request.Context(), jobOf(c)); e != nil {
+		refuse(c, e)
 		return
 	}
 	c.Status(http.StatusAccepted)
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -121,18 +121,29 @@
 	return failed(refusal.After(storeRetry))
 }
 
-// Cancel gives a job up, on this host or on the one that holds it. It returns
-// false if there is no such host.
-func (j *Jobs) Cancel(ctx context.Context, id ident.Job) bool {
+// Cancel gives a job up, on this host or on the one that holds it. It returns why
+// that was not done, or may not have been, or nil.
+func (j *Jobs) Cancel(ctx context.Context, id ident.Job) *outcome.Error {
 	if j.cancel(id) {
-		return true
+		return nil
 	}
 	row, _, err := j.read(ctx, id)
-	if err != nil || row == nil || row.State.Ended() {
-		return false
+	if err != nil {
+		return outcome.New(outcome.NotRun, outcome.StoreDown, "%v", err).After(storeRetry)
+	}
+	if row == nil || row.State.Ended() {
+		return outcome.New(outcome.NotRun, outcome.NotFound, "no host holds job %s", id)
 	}
 	answer, err := call[JobCancel, JobCancelled](ctx, j, row.Holder, kindJobCancel, JobCancel{Job: id})
-	return err == nil && answer.Held
+	switch {
+	case isUnreachable(err):
+		return outcome.New(outcome.NotRun, outcome.Unreachable, "the holder of job %s: %v", id, err).After(storeRetry)
+	case err != nil:
+		return outcome.New(outcome.Unknown, outcome.LinkLost, "the holder of job %s: %v", id, err).After(storeRetry)
+	case !answer.Held:
+		return outcome.New(outcome.NotRun, outcome.NotFound, "no host holds job %s", id)
+	}
+	return nil
 }
 
 func (j *Jobs) cancel(id ident.Job) bool {
