Stop the kept jobs of an owner that may have been replaced unseen

Callers saw: nothing; workers did: a task of a kept job ran on two workers at once, each ordered by another owner of the same data centre.

Cause: an owner that was cut off from the table and all other hosts, but not from some of its workers, went on with its kept jobs there: it kept their leases alive and started next steps. Its successor could not reach these workers to fence them, and started the same tasks elsewhere 1.1 s after its claim, the longest lease. A lease says nothing while somebody extends it.

Evidence: TestOwnerCutOffWithWorkers failed before with two tasks that ran twice at a time. TestDoubt covers the decisions.

Now an owner to whom no other host answers asks the table whether its row stands, and without a word for 1.2 s stops its kept runs until it has one. A successor starts what an earlier owner had only when all known workers have answered it, or after 3 s. While the table is away and any other host answers, kept jobs go on. The price: after a takeover in which a worker does not answer, kept jobs wait 3 s in place of 1.1 s, new ones too.

--- a/dispatch/keep.go
+++ b/dispatch/keep.go
@@ -114,6 +114,26 @@
 	m.pump(now)
 }
 
+// Settled returns true if nothing of the owner before can run unseen any more,
+// because all its workers have answered.
+func (m *Machine) Settled() bool {
+	return m.config.Sure && !slices.ContainsFunc(m.ordered, func(n *node) bool { return !n.adopted })
+}
+
+// Doubt tells that another host may have taken the workers: what runs of kept jobs
+// is stopped, and nothing of them starts before the next call of Loaded.
+func (m *Machine) Doubt(now time.Time) {
+	m.loaded = false
+	for _, n := range m.ordered {
+		for _, r := range n.sortedRuns() {
+			if r.state != stopping && r.task != nil && r.task.job.kept && r.task.job.live {
+				m.stop(now, r, "another host may own the workers")
+			}
+		}
+	}
+	m.pump(now)
+}
+
 // countFailure counts a failed run of a kept job's task once.
 func (t *task) countFailure(r work.Run) {
 	if slices.Contains(t.failedRuns, r) {
--- a/dispatch/keep_test.go
+++ b/dispatch/keep_test.go
@@ -275,3 +275,37 @@
 	m.Stored(at(2000), third)
 	is.Equal(seen(m, 2000, 3000, report), worker.EndNumber(3))
 }
+
+// TestDoubt has an owner be unsure whether another one has taken its workers: what
+// runs of kept jobs is stopped, and nothing of them starts until it is sure again.
+func TestDoubt(t *testing.T) {
+	is := is.New(t)
+	m, starts := keptMachine(is, 1)
+	looks := m.Take()
+	m.Keep(at(10), submission("k", 1, 1).Job, work.Progress{}, false)
+	is.Equal(len(m.Take().Starts), 1)
+	m.Doubt(at(20))
+	a := m.Take()
+	is.Equal(len(a.Stops), 2)
+	for _, s := range a.Stops {
+		m.Stopped(at(21), s, worker.Answer{Verdict: worker.Accepted, Clock: 1021})
+	}
+	m.Keep(at(30), submission("l", 1, 1).Job, work.Progress{}, false)
+	stopped := worker.Report{Life: 1, Clock: 1040, Ended: []worker.Ended{
+		{Number: 1, Task: "j.0.0.0", Run: starts[0].Run, How: worker.Lost}, {Number: 2, Task: "k.0.0.0", Run: 1, How: worker.Lost},
+	}}
+	answerLooks(m, at(40), looks, stopped)
+	for ms := 50; ms < 3000; ms += 50 {
+		m.Tick(at(ms))
+		a = m.Take()
+		is.Equal(len(a.Starts), 0)
+		answerLooks(m, at(ms), a, worker.Report{Life: 1, Clock: worker.Clock(1000 + ms)})
+	}
+	is.True(!m.Load(at(3000)).Loaded)
+	m.Loaded(at(3000))
+	a = m.Take()
+	is.Equal(len(a.Starts), 2) // The worker has room for two.
+	for _, s := range a.Starts {
+		is.True(s.Task.Job == "l" || s.Run == 2)
+	}
+}
--- a/fleet/keeper.go
+++ b/fleet/keeper.go
@@ -125,8 +125,11 @@
 				m.Keep(now, jobs[id], e.Progress, true)
 			}
 		}
-		m.Loaded(now)
+		if open == 0 {
+			m.Loaded(now)
+		}
 	})
+	go k.guard(ctx, open == 0)
 	if len(entries) > 0 {
 		k.logger.WithFields(log.Fields{"jobs": len(entries), "open": open}).Info("stored jobs loaded")
 	}
@@ -312,10 +315,7 @@
 func (k *keeper) followCancels(ctx context.Context) {
 	f := &follower{view: storage.NewView(k.table, k.feed, ledger.CancelGroup), logger: k.logger, name: "the table of cancelled jobs"}
 	for ctx.Err() == nil {
-		k.mutex.Lock()
-		open := k.book.Open()
-		k.mutex.Unlock()
-		if open == 0 {
+		if k.open() == 0 {
 			pause(ctx, keepInterval)
 			continue
 		}
@@ -323,6 +323,13 @@
 	}
 }
 
+// open returns the number of jobs that have not ended.
+func (k *keeper) open() int {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.book.Open()
+}
+
 func (k *keeper) cancel(rows map[string]storage.Row) {
 	k.owner.step(func(now time.Time, m *dispatch.Machine) {
 		k.mutex.Lock()
--- a/fleet/keeper_test.go
+++ b/fleet/keeper_test.go
@@ -353,3 +353,26 @@
 		}
 	})
 }
+
+// TestOwnerCutOffWithWorkers cuts an owner off together with some of its workers,
+// and another one takes its place: no task of a kept job runs on both sides.
+func TestOwnerCutOffWithWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		for n := range 12 {
+			is.True(w.keep(keptJob(n, 6000, 1), time.Second))
+		}
+		time.Sleep(time.Second)
+		name := w.owner("coast-a").name
+		inside := func(site string) bool {
+			return site == name || site == "coast-a.worker-1" || site == "coast-a.worker-2"
+		}
+		w.cut(8*time.Second, func(from, to string) bool { return inside(from) != inside(to) })
+		time.Sleep(10 * time.Second)
+		_, _, doubled := w.judge.Verdict()
+		is.Equal(doubled, nil)
+		is.Equal(w.judge.Again(), nil)
+	})
+}
