Tests of three ways in which a kept task still runs twice

- TestEndBeyondTheListedOnes: a worker lists 500 ends at a time.
If one end may not be forgotten because it is not stored, later ones pile up behind it; a kept run that is in neither list counts as lost and starts again, though it may be done.
- TestPausedOwnerStartsNoKeptJob: an owner that wakes after seconds starts what waits at the first message in its socket, before it asks whether it was replaced.
- TestEndTakenForOneOfAnEarlierLife: a worker that starts again under its name, unseen, numbers its ends anew.
The next look lets it forget them up to the highest of the earlier life, and the task starts again.

--- a/dispatch/keep_test.go
+++ b/dispatch/keep_test.go
@@ -309,3 +309,84 @@
 		is.True(s.Task.Job == "l" || s.Run == 2)
 	}
 }
+
+// TestEndBeyondTheListedOnes has a worker that lists its first 500 ends only, as
+// none may be forgotten while the table is away: a kept run that is missing from
+// both lists may be done, and does not start again.
+func TestEndBeyondTheListedOnes(t *testing.T) {
+	is := is.New(t)
+	m, starts := keptMachine(is, 1)
+	looks := m.Take()
+	report := worker.Report{Life: 1, Clock: 1100}
+	for i := range 500 {
+		report.Ended = append(report.Ended, worker.Ended{Number: worker.EndNumber(i + 1), Task: "k.0.0.0", Run: 1, How: worker.Lost})
+	}
+	answerLooks(m, at(100), looks, report)
+	for ms := 110; ms < 1000; ms += 10 {
+		m.Tick(at(ms))
+		a := m.Take()
+		is.Equal(len(a.Starts), 0)
+		report.Clock = worker.Clock(1000 + ms)
+		answerLooks(m, at(ms), a, report)
+	}
+	last := worker.Ended{Number: 501, Task: "j.0.0.0", Run: starts[0].Run, How: worker.Done}
+	m.Tick(at(1000))
+	a := m.Take()
+	answerLooks(m, at(1000), a, worker.Report{Life: 1, Clock: 2000, Ended: []worker.Ended{last}})
+	is.Equal(m.Take().Finishes, []dispatch.Finish{{Job: "j", Result: dispatch.Completed}})
+}
+
+// TestPausedOwnerStartsNoKeptJob has an owner wake after seconds, with an end in
+// its socket that makes room: another owner may have taken its place, and run what
+// waits here, so that nothing starts before it has asked.
+func TestPausedOwnerStartsNoKeptJob(t *testing.T) {
+	is := is.New(t)
+	m, starts := keptMachine(is, 2)
+	looks := m.Take()
+	m.Keep(at(10), submission("k", 1, 1).Job, work.Progress{}, false)
+	is.Equal(len(m.Take().Starts), 0) // There is no room.
+	report := worker.Report{Life: 1, Clock: 1100}
+	for i, s := range starts {
+		report.Ended = append(report.Ended, worker.Ended{Number: worker.EndNumber(i + 1), Task: s.Task.String(), Run: s.Run, How: worker.Done})
+	}
+	answerLooks(m, at(5000), looks, report)
+	is.Equal(len(m.Take().Starts), 0)
+}
+
+// TestEndTakenForOneOfAnEarlierLife has a worker start again under its name, unseen,
+// and do a kept task while looks are lost: the next look must not let it forget that
+// end as one of its earlier life, or the task runs again.
+func TestEndTakenForOneOfAnEarlierLife(t *testing.T) {
+	is := is.New(t)
+	m := openMachine("w1")
+	var ended []worker.Ended
+	for i := range 3 {
+		ended = append(ended, worker.Ended{Number: worker.EndNumber(i + 1), Task: "i.0.0.0", Run: work.Run(i + 1), How: worker.Lost})
+	}
+	m.Keep(at(2), submission("i", 1, 1).Job, work.Progress{}, false)
+	m.Cancel(at(3), "i")
+	is.Equal(seen(m, 10, 2000, worker.Report{Life: 1, Clock: 9000, Ended: ended}), worker.EndNumber(3))
+	// The second life begins. Its clock and the numbers of its ends begin anew.
+	m.Keep(at(3000), submission("j", 1, 1).Job, work.Progress{}, false)
+	s := m.Take().Starts[0]
+	m.Started(at(3001), s, worker.Answer{Verdict: worker.Accepted, Clock: 40})
+	ended = []worker.Ended{{Number: 1, Task: "j.0.0.0", Run: s.Run, How: worker.Done}}
+	finishes := 0
+	for ms := 3002; ms < 6000; ms += 10 {
+		m.Tick(at(ms))
+		a := m.Take()
+		is.Equal(len(a.Starts), 0)
+		finishes += len(a.Finishes)
+		for _, l := range a.Looks {
+			if ms < 3100 {
+				m.Looked(at(ms), at(ms-1), l, nil, worker.Unanswered)
+				continue
+			}
+			if l.Seen > 0 {
+				ended = nil
+			}
+			m.Looked(at(ms), at(ms-1), l, &worker.Report{Life: 2, Clock: worker.Clock(ms - 2960), Ended: ended}, worker.Accepted)
+		}
+	}
+	is.Equal(finishes, 1)
+}
