Carry writes of the table out late in the tests of kept jobs

The stand-in of the store can do so now, and kept jobs are run through it, with and without the death of owners.

--- a/fleet/keeper_test.go
+++ b/fleet/keeper_test.go
@@ -120,6 +120,28 @@
 		"answers of the table are lost": func(w *world) {
 			w.cut(3*time.Second, func(from, _ string) bool { return from == storeSite })
 		},
+		"writes of the table are carried out late": func(w *world) {
+			for range 12 {
+				w.store.Faults.Set(standin.Faults{Mode: standin.Late, Delay: 3 * time.Second})
+				time.Sleep(150 * time.Millisecond)
+				w.store.Faults.Set(standin.Faults{})
+				time.Sleep(250 * time.Millisecond)
+			}
+		},
+		"writes are carried out late and owners die": func(w *world) {
+			for range 8 {
+				w.store.Faults.Set(standin.Faults{Mode: standin.Late, Delay: 2500 * time.Millisecond})
+				time.Sleep(200 * time.Millisecond)
+				w.store.Faults.Set(standin.Faults{})
+				time.Sleep(300 * time.Millisecond)
+			}
+			w.store.Faults.Set(standin.Faults{Mode: standin.Late, Delay: 2500 * time.Millisecond})
+			w.kill(w.owner("coast-a"))
+			time.Sleep(200 * time.Millisecond)
+			w.kill(w.owner("coast-b"))
+			time.Sleep(900 * time.Millisecond)
+			w.store.Faults.Set(standin.Faults{})
+		},
 		"an owner is cut off and returns": func(w *world) {
 			name := w.owner("coast-a").name
 			w.cut(3*time.Second, func(from, to string) bool { return from == name || to == name })
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -4,6 +4,7 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -23,6 +24,9 @@
 	Refuse Mode = "refuse"
 	// LoseAnswer lets the request take effect and cuts the connection.
 	LoseAnswer Mode = "loseAnswer"
+	// Late cuts the connection at once, and lets the request take effect after
+	// Delay if it still can.
+	Late Mode = "late"
 	// Silent keeps the connection open and never answers; nothing takes effect.
 	Silent Mode = "silent"
 	// Stale answers reads with the state at the time of the switch.
@@ -105,6 +109,10 @@
 func (s *Switch) guard(next func(http.ResponseWriter, *http.Request, Faults)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		f := s.take()
+		if f.Mode == Late {
+			late(next, r, f)
+			panic(http.ErrAbortHandler)
+		}
 		if !sleep(r.Context(), f.Delay) {
 			return
 		}
@@ -125,6 +133,17 @@
 	}
 }
 
+// late carries a request out later. Its sender is gone by then.
+func late(next func(http.ResponseWriter, *http.Request, Faults), r *http.Request, f Faults) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	again := r.Clone(context.WithoutCancel(r.Context()))
+	again.Body = io.NopCloser(bytes.NewReader(body))
+	time.AfterFunc(f.Delay, func() { next(discard{}, again, f) })
+}
+
 // sleep waits for d and returns false if ctx ends first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
