--- a/dispatch/keep_test.go
+++ b/dispatch/keep_test.go
@@ -248,3 +248,145 @@
 	m.Keep(at(2), submission("j", 1, 1).Job, work.Progress{Done: []int{7, -1}, Failed: map[int][]work.Run{9: {1}}}, true)
 	is.Equal(len(m.Take().Finishes), 0)
 }
+
+// TestEndAfterTheJobFailed has a task be done just after another one has failed
+// for good: the worker may not forget that before the failure is stored.
+func TestEndAfterTheJobFailed(t *testing.T) {
+	is := is.New(t)
+	m, starts := keptMachine(is, 2)
+	looks := m.Take()
+	ends := []worker.Ended{{Number: 1, Task: "j.0.0.0", Run: starts[0].Run, How: worker.Failed}}
+	answerLooks(m, at(10), looks, worker.Report{Life: 1, Clock: 1010, Ended: ends, Running: []worker.Running{{Task: "j.0.0.1", Run: 1}}})
+	looks = m.Take()
+	is.Equal(len(looks.Starts), 1) // The second attempt.
+	m.Started(at(11), looks.Starts[0], worker.Answer{Verdict: worker.Accepted, Clock: 1011})
+	ends = append(ends, worker.Ended{Number: 2, Task: "j.0.0.0", Run: 2, How: worker.Failed})
+	answerLooks(m, at(40), looks, worker.Report{Life: 1, Clock: 1040, Ended: ends, Running: []worker.Running{{Task: "j.0.0.1", Run: 1}}})
+	looks = m.Take()
+	is.Equal(looks.Finishes, []dispatch.Finish{{Job: "j", Result: dispatch.Failed}})
+	m.Stored(at(41), firstEnd)
+	m.Stored(at(41), worker.EndID{Worker: "w1", Life: 1, Number: 2})
+	ends = append(ends, worker.Ended{Number: 3, Task: "j.0.0.1", Run: 1, How: worker.Done})
+	third := worker.EndID{Worker: "w1", Life: 1, Number: 3}
+	report := worker.Report{Life: 1, Clock: 1050, Ended: ends}
+	answerLooks(m, at(50), looks, report)
+	is.Equal(m.Take().Notes, []dispatch.Note{{Job: "j", Task: 1, Run: 1, Done: true, End: third}})
+	is.Equal(seen(m, 60, 2000, report), worker.EndNumber(2))
+	m.Stored(at(2000), third)
+	is.Equal(seen(m, 2000, 3000, report), worker.EndNumber(3))
+}
+
+// TestDoubt has an owner be unsure whether another one has taken its workers: what
+// runs of kept jobs is stopped, and nothing of them starts until it is sure again.
+func TestDoubt(t *testing.T) {
+	is := is.New(t)
+	m, starts := keptMachine(is, 1)
+	looks := m.Take()
+	m.Keep(at(10), submission("k", 1, 1).Job, work.Progress{}, false)
+	is.Equal(len(m.Take().Starts), 1)
+	m.Doubt(at(20))
+	a := m.Take()
+	is.Equal(len(a.Stops), 2)
+	for _, s := range a.Stops {
+		m.Stopped(at(21), s, worker.Answer{Verdict: worker.Accepted, Clock: 1021})
+	}
+	m.Keep(at(30), submission("l", 1, 1).Job, work.Progress{}, false)
+	stopped := worker.Report{Life: 1, Clock: 1040, Ended: []worker.Ended{
+		{Number: 1, Task: "j.0.0.0", Run: starts[0].Run, How: worker.Lost}, {Number: 2, Task: "k.0.0.0", Run: 1, How: worker.Lost},
+	}}
+	answerLooks(m, at(40), looks, stopped)
+	for ms := 50; ms < 3000; ms += 50 {
+		m.Tick(at(ms))
+		a = m.Take()
+		is.Equal(len(a.Starts), 0)
+		answerLooks(m, at(ms), a, worker.Report{Life: 1, Clock: worker.Clock(1000 + ms)})
+	}
+	is.True(!m.Load(at(3000)).Loaded)
+	m.Loaded(at(3000))
+	a = m.Take()
+	is.Equal(len(a.Starts), 2) // The worker has room for two.
+	for _, s := range a.Starts {
+		is.True(s.Task.Job == "l" || s.Run == 2)
+	}
+}
+
+// TestEndBeyondTheListedOnes has a worker that lists its first 500 ends only, as
+// none may be forgotten while the table is away: a kept run that is missing from
+// both lists may be done, and does not start again.
+func TestEndBeyondTheListedOnes(t *testing.T) {
+	is := is.New(t)
+	m, starts := keptMachine(is, 1)
+	looks := m.Take()
+	report := worker.Report{Life: 1, Clock: 1100}
+	for i := range 500 {
+		report.Ended = append(report.Ended, worker.Ended{Number: worker.EndNumber(i + 1), Task: "k.0.0.0", Run: 1, How: worker.Lost})
+	}
+	answerLooks(m, at(100), looks, report)
+	for ms := 110; ms < 1000; ms += 10 {
+		m.Tick(at(ms))
+		a := m.Take()
+		is.Equal(len(a.Starts), 0)
+		report.Clock = worker.Clock(1000 + ms)
+		answerLooks(m, at(ms), a, report)
+	}
+	last := worker.Ended{Number: 501, Task: "j.0.0.0", Run: starts[0].Run, How: worker.Done}
+	m.Tick(at(1000))
+	a := m.Take()
+	answerLooks(m, at(1000), a, worker.Report{Life: 1, Clock: 2000, Ended: []worker.Ended{last}})
+	is.Equal(m.Take().Finishes, []dispatch.Finish{{Job: "j", Result: dispatch.Completed}})
+}
+
+// TestPausedOwnerStartsNoKeptJob has an owner wake after seconds, with an end in
+// its socket that makes room: another owner may have taken its place, and run what
+// waits here, so that nothing starts before it has asked.
+func TestPausedOwnerStartsNoKeptJob(t *testing.T) {
+	is := is.New(t)
+	m, starts := keptMachine(is, 2)
+	looks := m.Take()
+	m.Keep(at(10), submission("k", 1, 1).Job, work.Progress{}, false)
+	is.Equal(len(m.Take().Starts), 0) // There is no room.
+	report := worker.Report{Life: 1, Clock: 1100}
+	for i, s := range starts {
+		report.Ended = append(report.Ended, worker.Ended{Number: worker.EndNumber(i + 1), Task: s.Task.String(), Run: s.Run, How: worker.Done})
+	}
+	answerLooks(m, at(5000), looks, report)
+	is.Equal(len(m.Take().Starts), 0)
+}
+
+// TestEndTakenForOneOfAnEarlierLife has a worker start again under its name, unseen,
+// and do a kept task while looks are lost: the next look must not let it forget that
+// end as one of its earlier life, or the task runs again.
+func TestEndTakenForOneOfAnEarlierLife(t *testing.T) {
+	is := is.New(t)
+	m := openMachine("w1")
+	var ended []worker.Ended
+	for i := range 3 {
+		ended = append(ended, worker.Ended{Number: worker.EndNumber(i + 1), Task: "i.0.0.0", Run: work.Run(i + 1), How: worker.Lost})
+	}
+	m.Keep(at(2), submission("i", 1, 1).Job, work.Progress{}, false)
+	m.Cancel(at(3), "i")
+	is.Equal(seen(m, 10, 2000, worker.Report{Life: 1, Clock: 9000, Ended: ended}), worker.EndNumber(3))
+	// The second life begins. Its clock and the numbers of its ends begin anew.
+	m.Keep(at(3000), submission("j", 1, 1).Job, work.Progress{}, false)
+	s := m.Take().Starts[0]
+	m.Started(at(3001), s, worker.Answer{Verdict: worker.Accepted, Clock: 40})
+	ended = []worker.Ended{{Number: 1, Task: "j.0.0.0", Run: s.Run, How: worker.Done}}
+	finishes := 0
+	for ms := 3002; ms < 6000; ms += 10 {
+		m.Tick(at(ms))
+		a := m.Take()
+		is.Equal(len(a.Starts), 0)
+		finishes += len(a.Finishes)
+		for _, l := range a.Looks {
+			if ms < 3100 {
+				m.Looked(at(ms), at(ms-1), l, nil, worker.Unanswered)
+				continue
+			}
+			if l.Seen > 0 {
+				ended = nil
+			}
+			m.Looked(at(ms), at(ms-1), l, &worker.Report{Life: 2, Clock: worker.Clock(ms - 2960), Ended: ended}, worker.Accepted)
+		}
+	}
+	is.Equal(finishes, 1)
+}
--- a/entry/shutdown_test.go
+++ b/entry/shutdown_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
@@ -15,6 +18,7 @@
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/peer"
 	"github.com/catkingap/catkingap/settings"
+	"github.com/catkingap/catkingap/storage"
 )
 
 // TestAnswersAskToClose checks that each answer of a host that shuts down asks
@@ -85,3 +89,64 @@
 		})
 	}
 }
+
+// TestLostHandoverIsNotNotRun has the link break after another host took an
+// idempotent request, and no other way to run it: it may have run.
+func TestLostHandoverIsNotNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		memory, logger := newNetwork(), &log.Logger{Handler: discard.New()}
+		taker := newLinks(logger, memory.Site("entry-2"))
+		peer.Handle(taker, kindHandover, func(context.Context, Call) (HandedOver, error) {
+			taker.Close()
+			return HandedOver{}, nil
+		})
+		listener, err := memory.Site("entry-2").Listen("entry-2:1")
+		is.NoErr(err)
+		defer listener.Close()
+		go func() { _ = taker.Serve(listener) }()
+		sender := &fakeSender{}
+		services := testServices(t, sender)
+		services.handover = newHandover(testIdentity(), newDirectory(), newLinks(logger, memory.Site("entry-1")))
+		defer services.handover.links.Close()
+		services.handover.takers = []storage.Member{{ID: "entry-2", Address: "entry-2:1"}}
+		services.handover.asked.Do(func() {})
+		go func() { _, _ = services.Do(t.Context(), Call{Service: "logs", Body: []byte("2s")}) }()
+		synctest.Wait() // The only slot is taken.
+		services.handover.begin()
+		_, failure := services.Do(t.Context(), Call{Service: "logs", Idempotent: true, Timeout: time.Second, Body: []byte("1ms")})
+		is.Equal(failure.Kind, outcome.Unknown)
+		is.Equal(failure.Code, outcome.DeadlinePassed)
+		time.Sleep(2 * time.Second)
+		is.Equal(sender.sent.Load(), int32(1))
+	})
+}
+
+// TestResubmissionAtShutdown refuses submissions while the host shuts down: of one
+// that was sent before it must not say that it did not run.
+func TestResubmissionAtShutdown(t *testing.T) {
+	tests := map[string]struct {
+		body string
+		kind outcome.Kind
+	}{
+		"first":        {body: `{"team":"kusweg","key":"j","pool":"logs","tasks":[{"index":0}]}`, kind: outcome.NotRun},
+		"resubmission": {body: `{"team":"kusweg","key":"j","pool":"logs","tasks":[{"index":0}],"resubmission":true}`, kind: outcome.Unknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			services := testServices(t, &fakeSender{})
+			s := settings.Default()
+			shutdown := newShutdown(s, nil, nil, services.handover)
+			handler := newAPI(s, services.store, nil, services, nil, newMetrics(), newRequestLog(&log.Logger{Handler: discard.Default}), nil, shutdown).Handler()
+			services.handover.begin()
+			recorder := httptest.NewRecorder()
+			handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, pathJobs, strings.NewReader(tt.body)))
+			var answer ErrorAnswer
+			is.NoErr(json.Unmarshal(recorder.Body.Bytes(), &answer))
+			is.Equal(answer.Error.Kind, tt.kind)
+			is.Equal(answer.Error.Code, outcome.Shutdown)
+			is.Equal(recorder.Header().Get("Retry-After"), "1")
+		})
+	}
+}
--- a/fleet/keeper.go
+++ b/fleet/keeper.go
@@ -125,8 +125,11 @@
 				m.Keep(now, jobs[id], e.Progress, true)
 			}
 		}
-		m.Loaded(now)
+		if open == 0 {
+			m.Loaded(now)
+		}
 	})
+	go k.guard(ctx, open == 0)
 	if len(entries) > 0 {
 		k.logger.WithFields(log.Fields{"jobs": len(entries), "open": open}).Info("stored jobs loaded")
 	}
@@ -202,23 +205,32 @@
 		k.owner.owners.fenced(k.owner.owner)
 		return false
 	}
-	k.owner.step(func(now time.Time, m *dispatch.Machine) {
-		for _, j := range o.Accepted {
-			m.Keep(now, j, work.Progress{}, false)
-		}
-		for _, e := range o.Stored {
-			m.Stored(now, e)
-		}
-		for _, id := range o.Cancelled {
-			m.Cancel(now, id)
-		}
-	})
+	k.owner.step(func(now time.Time, m *dispatch.Machine) { k.apply(now, m, o) })
 	if o.Pause > 0 {
 		pause(ctx, o.Pause)
 	}
 	return ctx.Err() == nil
 }
 
+// apply tells the machine what a write has brought about. The caller holds the
+// owner's mutex.
+func (k *keeper) apply(now time.Time, m *dispatch.Machine, o ledger.Outcome) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	for _, j := range o.Accepted {
+		// Its cancelling may have come since.
+		if !k.book.Over(j.ID) {
+			m.Keep(now, j, work.Progress{}, false)
+		}
+	}
+	for _, e := range o.Stored {
+		m.Stored(now, e)
+	}
+	for _, id := range o.Cancelled {
+		m.Cancel(now, id)
+	}
+}
+
 // told ends the wait of the callers of a job. The caller holds the mutex.
 func (k *keeper) told(id work.ID) {
 	for _, c := range k.waiting[id] {
@@ -303,10 +315,7 @@
 func (k *keeper) followCancels(ctx context.Context) {
 	f := &follower{view: storage.NewView(k.table, k.feed, ledger.CancelGroup), logger: k.logger, name: "the table of cancelled jobs"}
 	for ctx.Err() == nil {
-		k.mutex.Lock()
-		open := k.book.Open()
-		k.mutex.Unlock()
-		if open == 0 {
+		if k.open() == 0 {
 			pause(ctx, keepInterval)
 			continue
 		}
@@ -314,11 +323,19 @@
 	}
 }
 
+// open returns the number of jobs that have not ended.
+func (k *keeper) open() int {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.book.Open()
+}
+
 func (k *keeper) cancel(rows map[string]storage.Row) {
 	k.owner.step(func(now time.Time, m *dispatch.Machine) {
 		k.mutex.Lock()
 		defer k.mutex.Unlock()
-		for key := range rows {
+		for key, r := range rows {
+			k.book.LoadBarred(r)
 			k.book.Cancel(now, ledger.ID(key))
 			m.Cancel(now, ledger.ID(key))
 		}
--- a/fleet/keeper_test.go
+++ b/fleet/keeper_test.go
@@ -120,6 +120,28 @@
 		"answers of the table are lost": func(w *world) {
 			w.cut(3*time.Second, func(from, _ string) bool { return from == storeSite })
 		},
+		"writes of the table are carried out late": func(w *world) {
+			for range 12 {
+				w.store.Faults.Set(standin.Faults{Mode: standin.Late, Delay: 3 * time.Second})
+				time.Sleep(150 * time.Millisecond)
+				w.store.Faults.Set(standin.Faults{})
+				time.Sleep(250 * time.Millisecond)
+			}
+		},
+		"writes are carried out late and owners die": func(w *world) {
+			for range 8 {
+				w.store.Faults.Set(standin.Faults{Mode: standin.Late, Delay: 2500 * time.Millisecond})
+				time.Sleep(200 * time.Millisecond)
+				w.store.Faults.Set(standin.Faults{})
+				time.Sleep(300 * time.Millisecond)
+			}
+			w.store.Faults.Set(standin.Faults{Mode: standin.Late, Delay: 2500 * time.Millisecond})
+			w.kill(w.owner("coast-a"))
+			time.Sleep(200 * time.Millisecond)
+			w.kill(w.owner("coast-b"))
+			time.Sleep(900 * time.Millisecond)
+			w.store.Faults.Set(standin.Faults{})
+		},
 		"an owner is cut off and returns": func(w *world) {
 			name := w.owner("coast-a").name
 			w.cut(3*time.Second, func(from, to string) bool { return from == name || to == name })
@@ -317,3 +339,62 @@
 		time.Sleep(2 * time.Second) // The cut ends.
 	})
 }
+
+// TestCancelBeforeAcceptance cancels a job that is not stored yet, whose request
+// is read after that: nothing of it runs, and its state says that it was cancelled.
+func TestCancelBeforeAcceptance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		m := w.hosts[0]
+		keep := func(j work.Job) dispatch.Result {
+			now := time.Now()
+			return m.submitter.Keep(m.life, j, now, now.Add(time.Second)).Result
+		}
+		late, never := keptJob(1, 2000, 2), keptJob(2, 2000, 2)
+		for _, j := range []work.Job{late, never, late} {
+			known, err := m.submitter.Cancel(m.life, j.ID)
+			is.NoErr(err)
+			is.True(!known)
+			is.Equal(w.state(j.ID), ledger.State("")) // Nobody has handed it in.
+		}
+		is.Equal(keep(late), dispatch.Kept)
+		time.Sleep(time.Second)
+		is.Equal(w.judge.Running(), 0)
+		is.Equal(w.state(late.ID), ledger.Cancelled)
+		is.Equal(keep(keptJob(3, 100_000, 1)), dispatch.Kept)
+		time.Sleep(80 * time.Second)
+		left := map[string]bool{}
+		for _, r := range w.store.History() {
+			left[r.Table+"/"+r.Key] = !r.Removed
+		}
+		for _, j := range []work.Job{late, never} {
+			is.True(!left[ledger.StateKey(j.ID)])
+			is.True(!left[ledger.CancelKey(j.ID)])
+		}
+	})
+}
+
+// TestOwnerCutOffWithWorkers cuts an owner off together with some of its workers,
+// and another one takes its place: no task of a kept job runs on both sides.
+func TestOwnerCutOffWithWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		for n := range 12 {
+			is.True(w.keep(keptJob(n, 6000, 1), time.Second))
+		}
+		time.Sleep(time.Second)
+		name := w.owner("coast-a").name
+		inside := func(site string) bool {
+			return site == name || site == "coast-a.worker-1" || site == "coast-a.worker-2"
+		}
+		w.cut(8*time.Second, func(from, to string) bool { return inside(from) != inside(to) })
+		time.Sleep(10 * time.Second)
+		_, _, doubled := w.judge.Verdict()
+		is.Equal(doubled, nil)
+		is.Equal(w.judge.Again(), nil)
+	})
+}
--- a/ledger/book.go
+++ b/ledger/book.go
@@ -82,6 +82,9 @@
 	ends   []worker.EndID
 	// queued is true while the entry is in dirty.
 	queued bool
+	// over is when this owner learned that the job has ended, or last saw that the
+	// end was not stored; or zero.
+	over time.Time
 	// removing is true once the rows are to be deleted.
 	removing bool
 	// told is true if the table has a row that tells of the cancelling.
@@ -97,6 +100,15 @@
 	b.entries[id] = &entry{id: id, job: job, row: row, revision: r, told: row.State == Cancelled}
 }
 
+// LoadBarred takes in a job that a host of this data centre has cancelled before it
+// was stored, given the row that tells so.
+func (b *Book) LoadBarred(r storage.Row) {
+	row, err := ReadEntry(r)
+	if id := ID(r.Key); err == nil && row.Barred() && row.DataCentre == b.config.DataCentre && b.entries[id] == nil {
+		b.Load(id, work.Job{}, row, r.Revision)
+	}
+}
+
 // Accept asks for a job to be stored. It returns true if it is already.
 func (b *Book) Accept(job work.Job) bool {
 	if e := b.entries[job.ID]; e != nil {
@@ -123,12 +135,14 @@
 }
 
 // Note takes in that a run has ended. It returns false if that needs no storing.
+// An end that changes nothing has to wait for a state that is not stored yet.
 func (b *Book) Note(id work.ID, task int, r work.Run, done bool, end worker.EndID) bool {
 	e := b.entries[id]
-	if e == nil || e.row.Over() {
+	if e == nil {
 		return false
 	}
-	if !e.row.Progress.Note(task, r, done) && !e.queued && !slices.Contains(b.batch, e) {
+	isNew := !e.row.Over() && e.row.Progress.Note(task, r, done)
+	if !isNew && !b.unstored(e) {
 		return false
 	}
 	e.ends = append(e.ends, end)
@@ -142,6 +156,7 @@
 	if e == nil || e.row.Over() {
 		return
 	}
+	e.over = now
 	e.row.End(now, s)
 	b.touch(e)
 }
@@ -150,22 +165,41 @@
 func (b *Book) Cancel(now time.Time, id work.ID) {
 	if e := b.entries[id]; e != nil {
 		e.told = true
+		if e.over.IsZero() {
+			e.over = now
+		}
 		if !e.row.Over() {
 			e.row.End(now, Cancelled)
 		}
 	}
 }
 
-// Expire plans the removal of jobs that ended long ago.
+// Expire plans the removal of jobs that ended long ago. The time counts from when
+// this owner learned of the end or has stored it, on its own steady clock: the wall
+// clocks of hosts jump, callers see only what is stored, and a state that goes too
+// early lets a late request run the job again.
 func (b *Book) Expire(now time.Time) {
 	for _, e := range b.entries {
-		if e.row.Over() && !e.removing && now.Sub(time.UnixMilli(e.row.Ended)) > b.config.Retention {
+		switch {
+		case !e.row.Over() || e.removing:
+		case e.over.IsZero(), b.unstored(e):
+			e.over = now
+		case now.Sub(e.over) > b.config.Retention:
 			e.removing = true
 			b.touch(e)
 		}
 	}
 }
 
+// unstored returns true if the newest state of an entry may not be stored yet.
+func (b *Book) unstored(e *entry) bool { return e.queued || slices.Contains(b.batch, e) }
+
+// Over returns true if a job has ended.
+func (b *Book) Over(id work.ID) bool {
+	e := b.entries[id]
+	return e == nil || e.row.Over()
+}
+
 // Open returns the number of jobs that have not ended.
 func (b *Book) Open() int {
 	n := 0
@@ -232,7 +266,7 @@
 			return err
 		}
 		w.Puts = append(w.Puts, storage.Put{Key: JobKey(e.id), Value: spec})
-	} else if e.row.Over() {
+	} else if e.row.Over() && e.job.ID != "" {
 		// Only the state of an ended job is asked for, and a new owner reads all
 		// specifications that there are.
 		w.Deletes = append(w.Deletes, JobKey(e.id))
@@ -274,7 +308,7 @@
 // applied takes in that the newest value of an entry is stored.
 func (b *Book) applied(e *entry, r ident.Revision, o *Outcome) {
 	if e.removing && e.value == nil {
-		delete(b.entries, e.id)
+		b.removed(e, o)
 		return
 	}
 	if e.revision == 0 && !e.row.Over() {
@@ -288,6 +322,12 @@
 	}
 }
 
+// removed takes in that the rows of an entry are gone.
+func (b *Book) removed(e *entry, o *Outcome) {
+	delete(b.entries, e.id)
+	o.Stored = append(o.Stored, append(e.flying, e.ends...)...)
+}
+
 // conflict takes in that a condition of the write does not hold.
 func (b *Book) conflict(batch []*entry, current []storage.Row, o *Outcome) {
 	rows := make(map[string]storage.Row, len(current))
@@ -306,7 +346,7 @@
 			b.again(e)
 		case !ok:
 			// A removal without an answer has taken effect.
-			delete(b.entries, e.id)
+			b.removed(e, o)
 		default:
 			b.overtaken(e, r, o)
 		}
@@ -330,6 +370,11 @@
 	}
 	row, err := ReadEntry(r)
 	switch {
+	case e.revision == 0 && err == nil && row.Barred():
+		// From now on its state says what became of it.
+		e.row.State, e.row.Ended, e.revision, e.told, e.job = Cancelled, row.Ended, r.Revision, true, work.Job{}
+		o.Known = append(o.Known, e.id)
+		b.again(e)
 	case e.revision == 0:
 		// Another owner has stored the job, or this one did before.
 		delete(b.entries, e.id)
