Do not take a kept run for lost beyond the ends that a worker lists

Workers did: a task of a kept job started again although it had been done. A worker lists 500 ends at a time. If an early one may not be forgotten, because the table is away and it is not stored, later ones wait behind it; a kept run that is neither at work nor among the listed ends counted as lost.

Now a report with as many ends as a worker lists says nothing of kept runs that are missing from it. Other runs still count as lost: their callers get an answer either way, and a worker must not stay full of them while the table is away.

--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -226,7 +226,7 @@
 	if report.Clock >= n.reported {
 		// An older report that was overtaken tells of runs that have ended.
 		n.reported = report.Clock
-		m.takeRunning(now, sent, n, report.Running)
+		m.takeRunning(now, sent, n, report)
 	}
 	n.adopted = true
 	m.pump(now)
@@ -259,9 +259,12 @@
 	return isNew
 }
 
-func (m *Machine) takeRunning(now, sent time.Time, n *node, running []worker.Running) {
-	there := make(map[runKey]bool, len(running))
-	for _, x := range running {
+// listedEnds is the most ends that a worker lists at a time: there may be more.
+const listedEnds = 500
+
+func (m *Machine) takeRunning(now, sent time.Time, n *node, report *worker.Report) {
+	there := make(map[runKey]bool, len(report.Running))
+	for _, x := range report.Running {
 		k := runKey{task: x.Task, run: x.Run}
 		there[k] = true
 		r := n.runs[k]
@@ -280,6 +283,10 @@
 		if there[r.key] {
 			continue
 		}
+		if len(report.Ended) >= listedEnds && r.task != nil && r.task.job.kept && r.task.job.live {
+			// It may have been done, and its end not be listed yet.
+			continue
+		}
 		known := r.state == atWork && r.confirmed.Before(sent)
 		barred := r.state == stopping && !r.barred.IsZero() && r.barred.Before(sent)
 		if known || barred {
