Do not acknowledge ends of a new life of a worker by the numbers of the last

Workers did: a task of a kept job ran again after it had been done. A worker had started again under its name, unseen by the owner, and numbered its ends anew. The answer to a start came from the new life; the next look let it forget its ends up to the highest number of the earlier life, the done one among them, before any report had told of the new life.

Now a worker's clock that goes back by more than two seconds is taken for that of a new life: what was known of its ends is dropped, and nothing starts there until it has answered a look. Answers that overtake each other are less than that apart, as orders time out within half a second; a false alarm only has ends listed again.

A new life that is missed in its first two seconds, after one as short, is found by its report only.

--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -137,10 +137,24 @@
 	}
 	n.silent, n.pause = time.Time{}, 0
 	if clock > 0 && v != worker.Replaced {
+		if clock+clockGap < n.clock {
+			n.forgetEnds()
+		}
 		n.clock, n.clockAt = clock, now
 	}
 }
 
+// clockGap is how far the clock of a worker must go back for it to be another
+// life's: answers that overtake each other are less than two seconds apart.
+const clockGap = worker.Clock(2000)
+
+// forgetEnds drops what is known of a worker's ends, since a new life numbers them
+// anew. The next look tells which life it is.
+func (n *node) forgetEnds() {
+	n.adopted = false
+	n.seen, n.noted, n.reported, n.unstored = 0, 0, 0, nil
+}
+
 // until returns the worker's clock after d, and notes that its lease may last
 // until then.
 func (n *node) until(now time.Time, d time.Duration) worker.Clock {
@@ -395,9 +409,9 @@
 // reborn ends all that ran in an earlier life of a worker.
 func (m *Machine) reborn(now time.Time, n *node) {
 	m.lose(now, n)
-	n.adopted, n.watching = false, false
-	n.seen, n.noted, n.clock, n.reported = 0, 0, 0, 0
-	n.lapsed, n.noteAt, n.unstored = time.Time{}, time.Time{}, nil
+	n.forgetEnds()
+	n.watching, n.clock = false, 0
+	n.lapsed, n.noteAt = time.Time{}, time.Time{}
 	n.pace = pace{}
 }
 
