Start no kept job after a pause before the ownership is confirmed

An owner was paused for seconds, another host took its place and, after 3 s, started what had waited there, on workers that it reached; the first one woke, learned from an answer in its socket that a worker had room, and started the same task on one that its successor had not reached to fence it.

Now an owner that has handled no event for over 2 s starts no kept job until the table says that its row stands, or other hosts have answered it for 1.2 s, as after a cut; shorter pauses end before its successor starts anything. New kept jobs wait only for that, and not, as since the repair for owners that are cut off, for the workers of the owner before: nothing of them can have run.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -192,6 +192,10 @@
 	// holds the ends that workers have listed until then.
 	loaded bool
 	early  []early
+	// turned is when an event was last handled. doubted is true while another
+	// host may own the workers, so that nothing of kept jobs starts.
+	turned  time.Time
+	doubted bool
 	// stopped is true once the ownership has ended.
 	stopped bool
 }
--- a/dispatch/keep.go
+++ b/dispatch/keep.go
@@ -92,7 +92,7 @@
 // Loaded tells that all kept jobs of the owner before were handed to Keep. Until
 // then workers may not forget the ends of unknown jobs.
 func (m *Machine) Loaded(now time.Time) {
-	m.loaded = true
+	m.doubted, m.loaded = false, true
 	for _, e := range m.early {
 		if e.node.Life == e.life {
 			delete(e.node.unstored, e.end.Number)
@@ -120,10 +120,19 @@
 	return m.config.Sure && !slices.ContainsFunc(m.ordered, func(n *node) bool { return !n.adopted })
 }
 
+// longPause is how long nothing may have happened for an owner to take its workers
+// for its own: after that a successor may start what it has taken over before this
+// one learns of it.
+const longPause = 2 * time.Second
+
+// Doubted returns true if the owner has to make sure that it was not replaced: after
+// Doubt, and after a pause. Loaded ends it.
+func (m *Machine) Doubted() bool { return m.doubted }
+
 // Doubt tells that another host may have taken the workers: what runs of kept jobs
 // is stopped, and nothing of them starts before the next call of Loaded.
 func (m *Machine) Doubt(now time.Time) {
-	m.loaded = false
+	m.doubted, m.loaded = true, false
 	for _, n := range m.ordered {
 		for _, r := range n.sortedRuns() {
 			if r.state != stopping && r.task != nil && r.task.job.kept && r.task.job.live {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -71,8 +71,9 @@
 // again only when what an earlier owner started of it has ended, so that only
 // jobs which a host hands in again have to wait.
 func (m *Machine) opened(now time.Time, j *job) bool {
-	if j.kept && !m.loaded {
-		// What workers have listed of it is not taken in yet.
+	if j.kept && (m.doubted || (j.again && !m.loaded)) {
+		// Another owner may run it, or what workers have listed of it is not taken
+		// in yet.
 		return false
 	}
 	open := m.open
@@ -116,6 +117,10 @@
 	if m.stopped {
 		return
 	}
+	if !m.turned.IsZero() && now.Sub(m.turned) > longPause {
+		m.doubted = true
+	}
+	m.turned = now
 	if len(m.queue) > 0 {
 		m.startQueued(now)
 	}
--- a/fleet/guard.go
+++ b/fleet/guard.go
@@ -47,7 +47,7 @@
 			proved = now
 		}
 		switch late := time.Since(proved) > doubtTime; {
-		case late && !doubted:
+		case (late || k.owner.doubts()) && !doubted:
 			doubted, loaded = true, false
 			k.logger.Warn("another host may own the workers, kept jobs wait")
 			k.owner.step(func(now time.Time, m *dispatch.Machine) { m.Doubt(now) })
@@ -68,6 +68,13 @@
 	}
 }
 
+// doubts returns true if the owner has to make sure that it was not replaced.
+func (w *Owner) doubts() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.machine.Doubted()
+}
+
 // owns returns true if the table says that this owner has not been replaced.
 func (k *keeper) owns(ctx context.Context) bool {
 	call, cancel := context.WithTimeout(ctx, confirmTimeout)
