Remove the rows of cancelled jobs that nobody hands in

Since a job can be barred before it is stored, each cancelling of an unknown job leaves two rows. An owner followed the cancelled jobs only while jobs were open, so that a data centre whose callers never keep a job would have collected them for ever. It now looks once a minute without open jobs, and removes what is over.

--- a/fleet/keeper.go
+++ b/fleet/keeper.go
@@ -310,14 +310,18 @@
 	return dispatch.Reply{Job: j.ID, Result: dispatch.Expired, Reason: "the job may be stored"}
 }
 
-// followCancels learns which jobs other hosts have cancelled. Without open jobs
-// it asks for nothing.
+// sweepInterval is the time between two looks for cancelled jobs while none is
+// open: their rows have to go at last, and nothing waits for that.
+const sweepInterval = time.Minute
+
+// followCancels learns which jobs other hosts have cancelled.
 func (k *keeper) followCancels(ctx context.Context) {
 	f := &follower{view: storage.NewView(k.table, k.feed, ledger.CancelGroup), logger: k.logger, name: "the table of cancelled jobs"}
 	for ctx.Err() == nil {
-		if k.open() == 0 {
-			pause(ctx, keepInterval)
-			continue
+		for idle := time.Duration(0); idle < sweepInterval && k.open() == 0; idle += keepInterval {
+			if !pause(ctx, keepInterval) {
+				return
+			}
 		}
 		f.step(ctx, func() { k.cancel(f.view.Rows()) })
 	}
--- a/fleet/keeper_test.go
+++ b/fleet/keeper_test.go
@@ -376,6 +376,27 @@
 	})
 }
 
+// TestCancelOfUnknownJobLeavesNothing cancels jobs that nobody hands in, while no
+// job is open anywhere: their rows go, too.
+func TestCancelOfUnknownJobLeavesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		id := keptJob(1, 100, 1).ID
+		known, err := w.hosts[0].submitter.Cancel(t.Context(), id)
+		is.NoErr(err)
+		is.True(!known)
+		time.Sleep(150 * time.Second)
+		left := map[string]bool{}
+		for _, r := range w.store.History() {
+			left[r.Table+"/"+r.Key] = !r.Removed
+		}
+		is.True(!left[ledger.StateKey(id)])
+		is.True(!left[ledger.CancelKey(id)])
+	})
+}
+
 // TestOwnerCutOffWithWorkers cuts an owner off together with some of its workers,
 // and another one takes its place: no task of a kept job runs on both sides.
 func TestOwnerCutOffWithWorkers(t *testing.T) {
