--- /dev/null
+++ b/fleet/twice_owner_test.go
@@ -0,0 +1,145 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/catkingap/catkingap/standin"
+)
+
+// TestOwnerDiesWithItsOwnCallers kills an owner that has callers of its own, and
+// an owner soon after the host of its jobs.
+func TestOwnerDiesWithItsOwnCallers(t *testing.T) {
+	type row struct {
+		first, owner, second string
+		spill                bool
+		// gap is the time between the two deaths, slow the delay of the table.
+		gap, slow time.Duration
+	}
+	tests := map[string]row{}
+	for _, ms := range []time.Duration{0, 50, 100, 150} {
+		slow := ms * time.Millisecond
+		tests[fmt.Sprintf("own callers, table slow by %s", slow)] = row{
+			first: "coast-a.host-0", owner: "coast-a.host-0", second: "coast-b.host-1", slow: slow,
+		}
+	}
+	for _, ms := range []time.Duration{0, 100, 200, 300, 400, 500, 600} {
+		gap := ms * time.Millisecond
+		tests[fmt.Sprintf("%s after the host", gap)] = row{
+			first: "coast-a.host-1", owner: "coast-b.host-0", second: "coast-c.host-1", spill: true, gap: gap,
+		}
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				time.Sleep(startTime)
+				if tt.spill {
+					w.spill()
+				}
+				first, owner := w.host(tt.first), w.host(tt.owner)
+				c := w.calls(first, w.host(tt.second), jobOf("x", 2, longRun))
+				w.store.Faults.Set(standin.Faults{Delay: tt.slow})
+				time.Sleep(settledTime)
+				w.kill(first)
+				time.Sleep(tt.gap)
+				if owner != first {
+					w.kill(owner)
+				}
+				w.once(c)
+			})
+		})
+	}
+}
+
+// TestCallerLeavesAsOwnerDies has a caller leave around the time at which the
+// owner of its job dies or is cut off, and the next owner come late.
+func TestCallerLeavesAsOwnerDies(t *testing.T) {
+	// slow is the delay of the platform's table, which holds up the next owner.
+	const slow = 300 * time.Millisecond
+	tests := map[string]func(w *world, owner *member){
+		"dies": (*world).kill,
+		"is cut off": func(w *world, owner *member) {
+			w.network.Cut(func(from, to string) bool { return siteOf(from) == owner.name || siteOf(to) == owner.name })
+		},
+		"is cut off from hosts": func(w *world, owner *member) {
+			w.network.Cut(func(from, to string) bool {
+				from, to = siteOf(from), siteOf(to)
+				return isHost(from) && isHost(to) && (from == owner.name || to == owner.name)
+			})
+		},
+	}
+	for name, fault := range tests {
+		for _, ms := range []time.Duration{-1, 1, 50, 100} {
+			gap := ms * time.Millisecond
+			t.Run(fmt.Sprintf("%s, caller leaves after %s", name, gap), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(t)
+					time.Sleep(startTime)
+					w.spill()
+					c := w.calls(w.host("coast-a.host-1"), w.host("coast-c.host-1"), jobOf("x", 2, longRun))
+					time.Sleep(settledTime)
+					w.store.Faults.Set(standin.Faults{Delay: slow})
+					time.AfterFunc(settledTime+gap, c.leave)
+					time.Sleep(settledTime)
+					fault(w, w.owner("coast-b"))
+					w.once(c)
+				})
+			})
+		}
+	}
+}
+
+// TestNextOwnerDiesToo kills an owner with callers of its own, and the next one
+// after it has found their runs and extended their lease.
+func TestNextOwnerDiesToo(t *testing.T) {
+	for _, ms := range []time.Duration{600, 700, 800, 1000, 1200} {
+		gap := ms * time.Millisecond
+		t.Run(fmt.Sprint(gap), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				time.Sleep(startTime)
+				owner := w.host("coast-a.host-0")
+				c := w.calls(owner, w.host("coast-b.host-1"), jobOf("x", 2, longRun))
+				time.Sleep(settledTime)
+				w.kill(owner)
+				time.Sleep(gap)
+				w.kill(w.host("coast-a.host-1"))
+				w.once(c)
+			})
+		})
+	}
+}
+
+// TestWorkersFallSilentAfterTheHost has the workers of an owner fall silent after
+// the host of its jobs has died, before the owner has stopped them.
+func TestWorkersFallSilentAfterTheHost(t *testing.T) {
+	const silent = 2 * time.Second
+	for _, ms := range []time.Duration{0, 200, 400, 500, 600, 700} {
+		gap := ms * time.Millisecond
+		t.Run(fmt.Sprint(gap), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				time.Sleep(startTime)
+				w.spill()
+				first := w.host("coast-a.host-1")
+				c := w.calls(first, w.host("coast-c.host-1"), jobOf("x", 2, longRun))
+				time.Sleep(settledTime)
+				w.kill(first)
+				time.Sleep(gap)
+				for name, x := range w.workers {
+					if zoneOf(name) == "coast-b" {
+						x.Faults.Set(standin.Faults{Mode: standin.Silent})
+					}
+				}
+				time.Sleep(silent)
+				for _, x := range w.workers {
+					x.Faults.Set(standin.Faults{})
+				}
+				w.once(c)
+			})
+		})
+	}
+}
