Test: an owner's host starts again and finds its runs

A data centre that has lost all its hosts, or its owner while the table is slow, gets an owner again just before the leases lapse. The new owner extends them for the runs that it finds, whose callers are gone.

--- a/fleet/twice_owner_test.go
+++ b/fleet/twice_owner_test.go
@@ -143,3 +143,41 @@
 		})
 	}
 }
+
+// TestOwnerStartsAgain kills an owner with callers of its own, or all hosts of its
+// data centre, and starts the owner's host again.
+func TestOwnerStartsAgain(t *testing.T) {
+	type row struct {
+		all bool
+		// back is the time until the host starts again, slow the delay of the table.
+		back, slow time.Duration
+	}
+	tests := map[string]row{}
+	for _, ms := range []time.Duration{0, 300, 500, 550, 900} {
+		back := ms * time.Millisecond
+		tests[fmt.Sprintf("all hosts die, one is back after %s", back)] = row{all: true, back: back}
+	}
+	for _, ms := range []time.Duration{0, 200, 400} {
+		back := ms * time.Millisecond
+		tests[fmt.Sprintf("back after %s, table slow", back)] = row{back: back, slow: 300 * time.Millisecond}
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				time.Sleep(startTime)
+				owner := w.host("coast-a.host-0")
+				c := w.calls(owner, w.host("coast-b.host-1"), jobOf("x", 2, longRun))
+				time.Sleep(settledTime)
+				w.store.Faults.Set(standin.Faults{Delay: tt.slow})
+				w.kill(owner)
+				if tt.all {
+					w.kill(w.host("coast-a.host-1"))
+				}
+				time.Sleep(tt.back)
+				w.addHost(owner.zone, owner.name)
+				w.once(c)
+			})
+		})
+	}
+}
