Test: a paused owner starts a job of a host that died meanwhile

A place is free then, and the queued job of a host that has been silent for longer than its callers wait gets it. The worker of the test refuses starts that are late on its clock. The test drives an Owner without its loop, since a process can not be paused in virtual time.

After 2 s and a minute the worker refuses the start as late, and without a pause the job starts as it should.

--- /dev/null
+++ b/fleet/pause_test.go
@@ -0,0 +1,170 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/metrics"
+	"github.com/catkingap/catkingap/network"
+	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/worker"
+)
+
+// oneWorker is a worker with room for one task, whose answers to looks can be
+// left unread.
+type oneWorker struct {
+	begun  time.Time
+	mutex  sync.Mutex
+	starts []work.ID
+	unread chan struct{}
+	report worker.Report
+}
+
+func (x *oneWorker) clock() worker.Clock { return worker.Clock(time.Since(x.begun).Milliseconds() + 1) }
+
+func (x *oneWorker) Start(_ context.Context, s worker.Start) worker.Answer {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	if s.Until <= x.clock() {
+		return worker.Answer{Verdict: worker.Late, Clock: x.clock()}
+	}
+	x.starts = append(x.starts, s.Task.Job)
+	x.report.Running = append(x.report.Running, worker.Running{Task: s.Task.String(), Run: s.Run})
+	return worker.Answer{Verdict: worker.Accepted, Clock: x.clock()}
+}
+
+func (x *oneWorker) Stop(context.Context, worker.Stop) worker.Answer {
+	return worker.Answer{Verdict: worker.Accepted, Clock: x.clock()}
+}
+
+func (x *oneWorker) Look(_ context.Context, l worker.Look) (*worker.Report, worker.Verdict) {
+	time.Sleep(l.Wait)
+	x.mutex.Lock()
+	unread, r := x.unread, x.report
+	r.Life, r.Clock = 1, x.clock()
+	x.mutex.Unlock()
+	if unread != nil {
+		<-unread
+	}
+	return &r, worker.Accepted
+}
+
+func (*oneWorker) Reach(context.Context, worker.Worker) error { return nil }
+
+// pause leaves answers to looks unread until resume.
+func (x *oneWorker) pause() {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	x.unread = make(chan struct{})
+}
+
+func (x *oneWorker) resume() {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	close(x.unread)
+	x.unread = nil
+}
+
+// started returns the jobs of all starts.
+func (x *oneWorker) started() []work.ID {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	return slices.Clone(x.starts)
+}
+
+// done has what runs end.
+func (x *oneWorker) done() {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	for _, r := range x.report.Running {
+		x.report.Ended = append(x.report.Ended, worker.Ended{Number: 1, Task: r.Task, Run: r.Run, How: worker.Done})
+	}
+	x.report.Running = nil
+}
+
+// TestPausedOwnerStartsNothing has an owner read a worker's answer after a pause,
+// before it has noticed that the host of a queued job is silent.
+func TestPausedOwnerStartsNothing(t *testing.T) {
+	tests := map[string]time.Duration{"no pause": 0, "0.9s": 900 * time.Millisecond, "1.1s": 1100 * time.Millisecond, "2s": 2 * time.Second, "1m": time.Minute}
+	for name, paused := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testPausedOwner(t, paused) })
+		})
+	}
+}
+
+func testPausedOwner(t *testing.T, paused time.Duration) {
+	is := is.New(t)
+	logger := &log.Logger{Handler: discard.New()}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer func() {
+		cancel()
+		time.Sleep(time.Second)
+	}()
+	x := &oneWorker{begun: time.Now()}
+	contacts := &Contacts{asked: map[ident.Host]asked{}}
+	o := &Owner{
+		ctx: ctx, cancel: cancel, logger: logger, keeper: &keeper{},
+		owners: &Owners{
+			workers: x, contacts: contacts, counters: newCounters(metrics.NewSet(), newLinks(logger, network.Real{})),
+		},
+		machine: dispatch.New(time.Now(), dispatch.Config{MaxLease: time.Second, Token: 1}),
+		waiting: map[caller]chan dispatch.Reply{},
+		hosts:   map[ident.Host]string{},
+	}
+	const settled = 500 * time.Millisecond
+	const gone, near = ident.Host("gone"), ident.Host("near")
+	size := work.Size{Cores: 1000, Memory: 64}
+	o.setWorkers([]worker.Worker{{ID: "w", Life: 1, Pool: "p", Capacity: size}})
+	ask := func(hosts ...ident.Host) {
+		contacts.mutex.Lock()
+		defer contacts.mutex.Unlock()
+		for _, h := range hosts {
+			contacts.asked[h] = asked{at: time.Now()}
+		}
+	}
+	run := func(d time.Duration, hosts ...ident.Host) {
+		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(tickInterval) {
+			ask(hosts...)
+			o.step(func(now time.Time, m *dispatch.Machine) { m.Tick(now) })
+		}
+	}
+	submit := func(h ident.Host, id work.ID) {
+		go func() {
+			_, _ = o.submit(ctx, dispatch.Submission{
+				Host: h, Call: 1, Final: true, Left: 24 * time.Hour,
+				Job: work.Job{ID: id, Pool: "p", Stretch: 1, Target: 24 * time.Hour, Steps: []work.Step{{Count: 1, Size: size, Estimate: time.Second}}},
+			})
+		}()
+	}
+	run(2*time.Second, near, gone)
+	submit(near, "first")
+	run(settled, near, gone)
+	submit(gone, "queued")
+	run(settled, near, gone)
+	if paused > 0 {
+		// The host dies, and is not missed yet.
+		run(hostSilence-2*tickInterval, near)
+	}
+	x.done()
+	x.pause()
+	time.Sleep(paused)
+	ask(near)
+	is.Equal(x.started(), []work.ID{"first"})
+	x.resume()
+	time.Sleep(time.Millisecond)
+	if paused == 0 {
+		run(settled, near, gone)
+	}
+	is.Equal(len(x.started()) > 1, paused == 0)
+}
