Tell the test of the paused owner by signs that a host lives

TestPausedOwnerStartsNothing was written against the code before the repairs, where a host counted as alive by its contacts.

--- a/fleet/pause_test.go
+++ b/fleet/pause_test.go
@@ -112,30 +112,31 @@
 		time.Sleep(time.Second)
 	}()
 	x := &oneWorker{begun: time.Now()}
-	contacts := &Contacts{asked: map[ident.Host]asked{}}
+	contacts := &Contacts{clock: time.Now, wanted: func(ident.DataCentre) ([]uint64, dispatch.Try, bool) { return nil, 0, false }}
 	o := &Owner{
 		ctx: ctx, cancel: cancel, logger: logger, keeper: &keeper{},
 		owners: &Owners{
 			workers: x, contacts: contacts, counters: newCounters(metrics.NewSet(), newLinks(logger, network.Real{})),
 		},
-		machine: dispatch.New(time.Now(), dispatch.Config{MaxLease: time.Second, Token: 1}),
+		machine: dispatch.New(time.Now(), dispatch.Config{MaxLease: time.Second, Resend: 1300 * time.Millisecond, Token: 1}),
 		waiting: map[caller]chan dispatch.Reply{},
 		hosts:   map[ident.Host]string{},
 	}
-	const settled = 500 * time.Millisecond
+	// missedTime is just less than it takes to stop the jobs of a silent host.
+	const settled, missedTime = 500 * time.Millisecond, 650 * time.Millisecond
 	const gone, near = ident.Host("gone"), ident.Host("near")
 	size := work.Size{Cores: 1000, Memory: 64}
 	o.setWorkers([]worker.Worker{{ID: "w", Life: 1, Pool: "p", Capacity: size}})
-	ask := func(hosts ...ident.Host) {
-		contacts.mutex.Lock()
-		defer contacts.mutex.Unlock()
+	var try dispatch.Try
+	sign := func(hosts ...ident.Host) {
 		for _, h := range hosts {
-			contacts.asked[h] = asked{at: time.Now()}
+			try++
+			o.sign(dispatch.Sign{Host: h, At: time.Now(), Try: try, Calls: []uint64{1}})
 		}
 	}
 	run := func(d time.Duration, hosts ...ident.Host) {
 		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(tickInterval) {
-			ask(hosts...)
+			sign(hosts...)
 			o.step(func(now time.Time, m *dispatch.Machine) { m.Tick(now) })
 		}
 	}
@@ -154,12 +155,12 @@
 	run(settled, near, gone)
 	if paused > 0 {
 		// The host dies, and is not missed yet.
-		run(hostSilence-2*tickInterval, near)
+		run(missedTime, near)
 	}
 	x.done()
 	x.pause()
 	time.Sleep(paused)
-	ask(near)
+	sign(near)
 	is.Equal(x.started(), []work.ID{"first"})
 	x.resume()
 	time.Sleep(time.Millisecond)
