Wait for the next owner from when the last one was lost

What callers saw: 502 for a job that had run for over 0.7 s when its owner died, though the next owner was there half a second later and could have gone on.

Cause: the wait of 1.2 s for the next owner counted from when the job was handed in, not from when the owner was lost.

TestJobOutlivesItsOwner failed before (interrupted).

--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -199,10 +199,11 @@
 		Waited: now.Sub(a.arrived), Left: a.deadline.Sub(now), Final: final, Again: a.startedBefore(o),
 	}
 	reply, err := s.call(ctx, s.contacts.clock(), o, sub)
+	ended := time.Now()
 	if err != nil {
-		a.note(now, time.Now(), o, err.Error())
+		a.note(now, ended, o, err.Error())
 		if !errors.As(err, new(*peer.UnreachableError)) {
-			a.bind(now, o)
+			a.bind(ended, o)
 		} else if a.bound == "" {
 			s.wants.remove(o.DataCentre, a.call)
 		}
@@ -215,7 +216,7 @@
 		pause(ctx, retryPause)
 		return reply, false
 	}
-	a.note(now, time.Now(), o, string(reply.Result))
+	a.note(now, ended, o, string(reply.Result))
 	if reply.Result != dispatch.Moved {
 		s.contacts.SetLoad(o.DataCentre, reply.Load)
 	}
@@ -229,7 +230,7 @@
 		pause(ctx, retryPause)
 		return reply, false
 	case dispatch.Interrupted:
-		a.bind(now, o)
+		a.bind(ended, o)
 		return reply, false
 	case dispatch.Refused:
 		if a.bound != "" {
--- a/fleet/twice_owner_test.go
+++ b/fleet/twice_owner_test.go
@@ -7,6 +7,10 @@
 	"time"
 
 	"github.com/catkingap/catkingap/standin"
+
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/dispatch"
 )
 
 // TestOwnerDiesWithItsOwnCallers kills an owner that has callers of its own, and
@@ -181,3 +185,22 @@
 		})
 	}
 }
+
+// TestJobOutlivesItsOwner has the owner of a job that has run for long die: its
+// host waits for the next owner, and the caller gets its answer.
+func TestJobOutlivesItsOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		w.spill()
+		first := w.host("coast-a.host-1")
+		answer := make(chan dispatch.Reply, 1)
+		go func() {
+			answer <- first.submitter.Submit(first.life, jobOf("x", 2, longRun), time.Now(), time.Now().Add(time.Minute))
+		}()
+		time.Sleep(2 * resendTime)
+		w.kill(w.owner("coast-b"))
+		is.Equal((<-answer).Result, dispatch.Completed)
+	})
+}
