--- a/fleet/contacts.go
+++ b/fleet/contacts.go
@@ -59,8 +59,7 @@
 	DataCentre ident.DataCentre `msgpack:"dataCentre"`
 	Token      worker.Token     `msgpack:"token"`
 	Try        dispatch.Try     `msgpack:"try"`
-	// Calls is in ascending order.
-	Calls []uint64 `msgpack:"calls,omitempty"`
+	Calls      callList         `msgpack:"calls"`
 }
 
 // contactAnswer says what the host that was asked owns.
--- a/fleet/wants.go
+++ b/fleet/wants.go
@@ -5,10 +5,50 @@
 	"slices"
 	"sync"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/catkingap/catkingap/dispatch"
 	"github.com/catkingap/catkingap/ident"
 )
 
+// callList holds calls in ascending order. The wire has their distances, which are
+// small: hosts send these lists several times a second.
+type callList []uint64
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (c callList) EncodeMsgpack(e *msgpack.Encoder) error {
+	if err := e.EncodeArrayLen(len(c)); err != nil {
+		return err
+	}
+	last := uint64(0)
+	for _, x := range c {
+		if err := e.EncodeUint(x - last); err != nil {
+			return err
+		}
+		last = x
+	}
+	return nil
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (c *callList) DecodeMsgpack(d *msgpack.Decoder) error {
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	*c = nil
+	last := uint64(0)
+	for range n {
+		distance, err := d.DecodeUint64()
+		if err != nil {
+			return err
+		}
+		last += distance
+		*c = append(*c, last)
+	}
+	return nil
+}
+
 // wants knows which calls of this host's callers may be at the owner of which
 // data centre.
 type wants struct {
