Count how long ago a worker's clock was read in the lease that it gets

A worker's clock may be 2 % slow. An owner that had not read it for half a minute took it to be 0.6 s ahead of what it was, and granted that much more: past the time at which the caller sends its job again, if the last word of the caller was not new.

The bound of a lease now counts from when the clock was read. So that this does not cut leases on workers that have been idle, their clocks are read every 10 s, which shortens a lease by 0.2 s at most, at one look for each idle worker.

TestLeaseOnASlowClock and TestClockOfIdleWorker failed before. Found by reading.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -356,6 +356,7 @@
 		}
 	case n.hasConfirmed():
 		l.Wait = watchTime
+	case n.listed && now.Sub(n.clockAt) > clockTime:
 	case n.noted >= n.forgettable() || n.noteAt.IsZero() || now.Before(n.noteAt):
 		return
 	}
--- a/dispatch/wanted.go
+++ b/dispatch/wanted.go
@@ -40,6 +40,9 @@
 	// minLease is the shortest lease for a start: a look and its repetition fit
 	// into it.
 	minLease = 300 * time.Millisecond
+	// clockTime is how old the reading of a worker's clock may be: a clock that is
+	// 2 % slow then shortens a lease by 0.2 s.
+	clockTime = 10 * time.Second
 	// signTime is how long a sign is kept for submissions that it has overtaken,
 	// which links that went silent may deliver some seconds later.
 	signTime = 30 * time.Second
@@ -111,8 +114,9 @@
 	}
 	bound := func(j *job) {
 		if j != nil && !j.kept {
-			left := j.wanted.Add(m.wantedLease() - lapseMargin).Sub(now)
-			lease = min(lease, scaled(left, 1-clockDrift))
+			// The worker's clock may have run slow since it was read.
+			left := j.wanted.Add(m.wantedLease() - lapseMargin).Sub(n.clockAt)
+			lease = min(lease, scaled(left, 1-clockDrift)-now.Sub(n.clockAt))
 		}
 	}
 	bound(start)
--- a/dispatch/wanted_test.go
+++ b/dispatch/wanted_test.go
@@ -235,3 +235,40 @@
 		}
 	}
 }
+
+// TestLeaseOnASlowClock has a worker whose clock is as slow as one may be, and was
+// last read long ago: the lease ends before the caller sends its job again.
+func TestLeaseOnASlowClock(t *testing.T) {
+	is := is.New(t)
+	m := resendMachine("w1")
+	for ms := 25; ms < 9000; ms += 25 {
+		m.Tick(at(ms))
+		is.Equal(len(m.Take().Looks), 0)
+	}
+	s := long("j", 1, 2)
+	s.Boot, s.Wanted = "boot", at(8500)
+	m.Submit(at(9000), s)
+	a := m.Take()
+	is.Equal(len(a.Starts), 1)
+	ends := 1 + float64(a.Starts[0].Until-1000)/0.98
+	is.True(ends <= 8500+1250)
+}
+
+// TestClockOfIdleWorker has a worker do nothing for long: its clock is read from
+// time to time, so that leases on it need not be cut short.
+func TestClockOfIdleWorker(t *testing.T) {
+	is := is.New(t)
+	m := resendMachine("w1")
+	looks := 0
+	for ms := 25; ms < 60_000; ms += 25 {
+		m.Tick(at(ms))
+		a := m.Take()
+		looks += len(a.Looks)
+		answerLooks(m, at(ms), a, worker.Report{Life: 1, Clock: worker.Clock(1000 + ms)})
+	}
+	is.Equal(looks, 5)
+	s := long("j", 1, 2)
+	s.Boot, s.Wanted = "boot", at(60_000)
+	m.Submit(at(60_000), s)
+	is.Equal(len(m.Take().Starts), 1)
+}
