--- a/integration/soak_faults_test.go
+++ b/integration/soak_faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -21,55 +22,39 @@
 	Hosts []*rigHost
 }
 
-// rigFault is a kind of fault. It returns after its end.
-type rigFault struct {
-	// weight is how often it is drawn.
-	weight int
-	run    func(r *rig, x *rand.Rand)
-}
-
-var rigFaults = map[string]rigFault{
-	"pause":   {weight: 5, run: (*rig).pauseHosts},
-	"wake":    {weight: 2, run: (*rig).wakeLate},
-	"kill":    {weight: 2, run: func(r *rig, x *rand.Rand) { r.restartHost(x, syscall.SIGKILL) }},
-	"term":    {weight: 1, run: func(r *rig, x *rand.Rand) { r.restartHost(x, syscall.SIGTERM) }},
-	"links":   {weight: 4, run: (*rig).cutLinks},
-	"leave":   {weight: 2, run: (*rig).leaveBetween},
-	"silence": {weight: 3, run: (*rig).silenceHost},
-	"mute":    {weight: 2, run: (*rig).muteHosts},
-	"centre":  {weight: 1, run: (*rig).silenceCentre},
-	"table":   {weight: 2, run: (*rig).silenceTable},
-	"store":   {weight: 1, run: (*rig).slowStore},
-	"workers": {weight: 2, run: (*rig).loseWorkers},
+// rigFaults are the kinds of faults. Each returns after its end.
+var rigFaults = map[string]func(r *rig, x *rand.Rand){
+	"pause":   (*rig).pauseHosts,
+	"wake":    (*rig).wakeLate,
+	"kill":    func(r *rig, x *rand.Rand) { r.restartHost(x, syscall.SIGKILL) },
+	"term":    func(r *rig, x *rand.Rand) { r.restartHost(x, syscall.SIGTERM) },
+	"links":   (*rig).cutLinks,
+	"leave":   (*rig).leaveBetween,
+	"silence": (*rig).silenceHost,
+	"mute":    (*rig).muteHosts,
+	"centre":  (*rig).silenceCentre,
+	"table":   (*rig).silenceTable,
+	"store":   (*rig).slowStore,
+	"workers": (*rig).loseWorkers,
 }
 
 // someWays holds one way and both.
 var someWays = [][]way{{forth}, {back}, {forth, back}}
 
-// drawn returns the names of the kinds that may be drawn, each as often as its
-// weight says.
-func drawn(only string) []string {
-	var names []string
-	for name, f := range rigFaults {
-		if only == "" || slices.Contains(strings.Split(only, ","), name) {
-			names = append(names, slices.Repeat([]string{name}, f.weight)...)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
-
 // disturb carries faults out for a time, in series and overlapping, and waits
 // for their ends.
 func (r *rig) disturb(x *rand.Rand, d time.Duration) {
-	names := drawn(*soakOnly)
+	names := slices.Sorted(maps.Keys(rigFaults))
+	if *soakOnly != "" {
+		names = strings.Split(*soakOnly, ",")
+	}
 	var open sync.WaitGroup
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		for range 1 + x.IntN(3) {
 			name, after, own := names[x.IntN(len(names))], between(x, 0, 400), rand.New(rand.NewPCG(x.Uint64(), 0))
 			open.Go(func() {
 				time.Sleep(after)
-				rigFaults[name].run(r, own)
+				rigFaults[name](r, own)
 			})
 		}
 		time.Sleep(between(x, 300, 2200))
@@ -138,11 +123,14 @@
 	return zone, func(origin string) bool { return strings.HasPrefix(origin, zone) }
 }
 
-// cutLinks resets the links of a host in both directions.
-func (h *rigHost) cutLinks() {
-	h.peer.cut(anybody)
-	for _, o := range h.rig.hosts {
-		o.peer.cut(func(origin string) bool { return origin == h.name })
+// resetLinks resets the links of hosts in both directions.
+func (r *rig) resetLinks(hosts []*rigHost) {
+	defer r.fault(hosts, "links reset of")()
+	for _, h := range hosts {
+		h.peer.cut(anybody)
+		for _, o := range r.hosts {
+			o.peer.cut(func(origin string) bool { return origin == h.name })
+		}
 	}
 }
 
@@ -223,11 +211,7 @@
 // for their next try.
 func (r *rig) leaveBetween(x *rand.Rand) {
 	gap := between(x, 2, 20)
-	end := r.fault(r.hosts, "links reset of")
-	for _, h := range r.hosts {
-		h.cutLinks()
-	}
-	end()
+	r.resetLinks(r.hosts)
 	time.Sleep(gap)
 	r.breakCallers(r.hosts, true, fmt.Sprintf("%s after the links", gap))
 }
@@ -235,18 +219,13 @@
 // cutLinks resets the links of hosts, once or a few times, and then the
 // connections of callers, as when a middlebox drops all that it forwards.
 func (r *rig) cutLinks(x *rand.Rand) {
-	linked, called := r.some(x), r.some(x)
-	gap, times, abrupt := between(x, 0, []int{30, 100}[x.IntN(2)]), 1+x.IntN(3), x.IntN(2) == 0
-	end := r.fault(linked, "links reset, %d times, of", times)
-	for i := range times {
-		if i > 0 {
-			time.Sleep(between(x, 5, 40))
-		}
-		for _, h := range linked {
-			h.cutLinks()
-		}
+	linked, called, abrupt := r.some(x), r.some(x), x.IntN(2) == 0
+	gap := between(x, 0, []int{30, 100}[x.IntN(2)])
+	r.resetLinks(linked)
+	for range x.IntN(3) {
+		time.Sleep(between(x, 5, 40))
+		r.resetLinks(linked)
 	}
-	end()
 	time.Sleep(gap)
 	r.breakCallers(called, abrupt, fmt.Sprintf("%s after the links", gap))
 }
