Rig: seeds take turns in mixes of faults, and draw their load

One seed of three now draws from all, one pauses hosts, one resets links and callers; the load is 20 to 40 jobs a second, as a full queue hides what starts at once.

--- a/integration/soak_faults_test.go
+++ b/integration/soak_faults_test.go
@@ -38,16 +38,16 @@
 	"workers": (*rig).loseWorkers,
 }
 
+// rigMixes are the kinds of faults of one seed after the other: all, and those
+// that came before the incident.
+var rigMixes = [][]string{slices.Sorted(maps.Keys(rigFaults)), {"pause", "wake"}, {"leave", "links"}}
+
 // someWays holds one way and both.
 var someWays = [][]way{{forth}, {back}, {forth, back}}
 
 // disturb carries faults out for a time, in series and overlapping, and waits
 // for their ends.
-func (r *rig) disturb(x *rand.Rand, d time.Duration) {
-	names := slices.Sorted(maps.Keys(rigFaults))
-	if *soakOnly != "" {
-		names = strings.Split(*soakOnly, ",")
-	}
+func (r *rig) disturb(x *rand.Rand, names []string, d time.Duration) {
 	var open sync.WaitGroup
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		for range 1 + x.IntN(3) {
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -20,8 +21,8 @@
 	soakSeeds = flag.Int("soak.seeds", 3, "number of seeds of the soak")
 	soakFirst = flag.Uint64("soak.first", 1, "first seed of the soak")
 	soakTime  = flag.Duration("soak.time", 8*time.Second, "time of faults and load of one seed")
-	soakRate  = flag.Float64("soak.rate", 40, "jobs a second")
-	soakOnly  = flag.String("soak.only", "", "kinds of faults, divided by commas, or all")
+	soakRate  = flag.Float64("soak.rate", 0, "jobs a second, instead of the 20 to 40 of each seed")
+	soakOnly  = flag.String("soak.only", "", "kinds of faults, divided by commas, instead of the mix of each seed")
 	soakKeep  = flag.Bool("soak.keep", false, "keep the folders of runs that passed")
 )
 
@@ -47,13 +48,19 @@
 func soak(t *testing.T, seed uint64) {
 	r := newRig(t)
 	go r.balance(t.Context())
+	kinds := rigMixes[seed%uint64(len(rigMixes))]
+	if *soakOnly != "" {
+		kinds = strings.Split(*soakOnly, ",")
+	}
+	random := rand.New(rand.NewPCG(seed, 2))
+	rate := cmp.Or(*soakRate, 20+20*random.Float64())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		time.Sleep(soakCalm)
-		r.disturb(rand.New(rand.NewPCG(seed, 1)), *soakTime)
+		r.disturb(rand.New(rand.NewPCG(seed, 1)), kinds, *soakTime)
 	}()
-	r.load(rand.New(rand.NewPCG(seed, 2)), *soakRate, *soakTime+2*soakCalm)
+	r.load(random, rate, *soakTime+2*soakCalm)
 	<-done
 	time.Sleep(soakCalm)
 	r.report(seed)
