--- a/integration/soak_faults_test.go
+++ b/integration/soak_faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -21,55 +22,39 @@
 	Hosts []*rigHost
 }
 
-// rigFault is a kind of fault. It returns after its end.
-type rigFault struct {
-	// weight is how often it is drawn.
-	weight int
-	run    func(r *rig, x *rand.Rand)
+// rigFaults are the kinds of faults. Each returns after its end.
+var rigFaults = map[string]func(r *rig, x *rand.Rand){
+	"pause":   (*rig).pauseHosts,
+	"wake":    (*rig).wakeLate,
+	"kill":    func(r *rig, x *rand.Rand) { r.restartHost(x, syscall.SIGKILL) },
+	"term":    func(r *rig, x *rand.Rand) { r.restartHost(x, syscall.SIGTERM) },
+	"links":   (*rig).cutLinks,
+	"leave":   (*rig).leaveBetween,
+	"silence": (*rig).silenceHost,
+	"mute":    (*rig).muteHosts,
+	"centre":  (*rig).silenceCentre,
+	"table":   (*rig).silenceTable,
+	"store":   (*rig).slowStore,
+	"workers": (*rig).loseWorkers,
 }
 
-var rigFaults = map[string]rigFault{
-	"pause":   {weight: 5, run: (*rig).pauseHosts},
-	"wake":    {weight: 2, run: (*rig).wakeLate},
-	"kill":    {weight: 2, run: func(r *rig, x *rand.Rand) { r.restartHost(x, syscall.SIGKILL) }},
-	"term":    {weight: 1, run: func(r *rig, x *rand.Rand) { r.restartHost(x, syscall.SIGTERM) }},
-	"links":   {weight: 4, run: (*rig).cutLinks},
-	"leave":   {weight: 2, run: (*rig).leaveBetween},
-	"silence": {weight: 3, run: (*rig).silenceHost},
-	"mute":    {weight: 2, run: (*rig).muteHosts},
-	"centre":  {weight: 1, run: (*rig).silenceCentre},
-	"table":   {weight: 2, run: (*rig).silenceTable},
-	"store":   {weight: 1, run: (*rig).slowStore},
-	"workers": {weight: 2, run: (*rig).loseWorkers},
-}
+// rigMixes are the kinds of faults of one seed after the other: all, and those
+// that came before the incident.
+var rigMixes = [][]string{slices.Sorted(maps.Keys(rigFaults)), {"pause", "wake"}, {"leave", "links"}}
 
 // someWays holds one way and both.
 var someWays = [][]way{{forth}, {back}, {forth, back}}
 
-// drawn returns the names of the kinds that may be drawn, each as often as its
-// weight says.
-func drawn(only string) []string {
-	var names []string
-	for name, f := range rigFaults {
-		if only == "" || slices.Contains(strings.Split(only, ","), name) {
-			names = append(names, slices.Repeat([]string{name}, f.weight)...)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
-
 // disturb carries faults out for a time, in series and overlapping, and waits
 // for their ends.
-func (r *rig) disturb(x *rand.Rand, d time.Duration) {
-	names := drawn(*soakOnly)
+func (r *rig) disturb(x *rand.Rand, names []string, d time.Duration) {
 	var open sync.WaitGroup
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		for range 1 + x.IntN(3) {
 			name, after, own := names[x.IntN(len(names))], between(x, 0, 400), rand.New(rand.NewPCG(x.Uint64(), 0))
 			open.Go(func() {
 				time.Sleep(after)
-				rigFaults[name].run(r, own)
+				rigFaults[name](r, own)
 			})
 		}
 		time.Sleep(between(x, 300, 2200))
@@ -116,6 +101,16 @@
 	return []*rigHost{r.victim(x)}
 }
 
+// neighbours returns one host, or those of one data centre: then nobody takes the
+// owner's place while all are paused.
+func (r *rig) neighbours(x *rand.Rand) []*rigHost {
+	one := r.victim(x)
+	if x.IntN(2) > 0 {
+		return []*rigHost{one}
+	}
+	return slices.DeleteFunc(slices.Clone(r.hosts), func(h *rigHost) bool { return h.zone != one.zone })
+}
+
 // others returns all origins, or one, or those of one data centre.
 func (r *rig) others(x *rand.Rand) (string, func(origin string) bool) {
 	one, zone := r.hosts[x.IntN(len(r.hosts))].name, centres[x.IntN(len(centres))]
@@ -128,23 +123,22 @@
 	return zone, func(origin string) bool { return strings.HasPrefix(origin, zone) }
 }
 
-// cutLinks resets the links of a host in both directions.
-func (h *rigHost) cutLinks() {
-	h.peer.cut(anybody)
-	for _, o := range h.rig.hosts {
-		o.peer.cut(func(origin string) bool { return origin == h.name })
+// resetLinks resets the links of hosts in both directions.
+func (r *rig) resetLinks(hosts []*rigHost) {
+	defer r.fault(hosts, "links reset of")()
+	for _, h := range hosts {
+		h.peer.cut(anybody)
+		for _, o := range r.hosts {
+			o.peer.cut(func(origin string) bool { return origin == h.name })
+		}
 	}
 }
 
 // pauseHosts stops a process, or those of a data centre, for a time. The
 // connections of callers may break right before or meanwhile.
 func (r *rig) pauseHosts(x *rand.Rand) {
-	hosts, took, early, abrupt := []*rigHost{r.victim(x)}, between(x, 200, 4000), between(x, 0, 30), x.IntN(2) == 0
+	hosts, took, early, abrupt := r.neighbours(x), between(x, 200, 4000), between(x, 0, 30), x.IntN(2) == 0
 	after := between(x, 0, int(took.Milliseconds())+1)
-	if x.IntN(3) == 0 {
-		zone := hosts[0].zone
-		hosts = slices.DeleteFunc(slices.Clone(r.hosts), func(h *rigHost) bool { return h.zone != zone })
-	}
 	switch x.IntN(3) {
 	case 0:
 		r.pause(hosts, took, nil)
@@ -164,7 +158,7 @@
 // lets it wake with their requests in its sockets after they have sent their
 // jobs again.
 func (r *rig) wakeLate(x *rand.Rand) {
-	hosts, abrupt, before, after := []*rigHost{r.victim(x)}, x.IntN(2) == 0, between(x, 200, 900), between(x, 100, 900)
+	hosts, abrupt, before, after := r.neighbours(x), x.IntN(2) == 0, between(x, 200, 900), between(x, 100, 900)
 	r.pause(hosts, before, func() {
 		r.breakCallers(hosts, abrupt, "in a pause")
 		time.Sleep(resendTime + after)
@@ -217,11 +211,7 @@
 // for their next try.
 func (r *rig) leaveBetween(x *rand.Rand) {
 	gap := between(x, 2, 20)
-	end := r.fault(r.hosts, "links reset of")
-	for _, h := range r.hosts {
-		h.cutLinks()
-	}
-	end()
+	r.resetLinks(r.hosts)
 	time.Sleep(gap)
 	r.breakCallers(r.hosts, true, fmt.Sprintf("%s after the links", gap))
 }
@@ -229,18 +219,13 @@
 // cutLinks resets the links of hosts, once or a few times, and then the
 // connections of callers, as when a middlebox drops all that it forwards.
 func (r *rig) cutLinks(x *rand.Rand) {
-	linked, called := r.some(x), r.some(x)
-	gap, times, abrupt := between(x, 0, []int{30, 100}[x.IntN(2)]), 1+x.IntN(3), x.IntN(2) == 0
-	end := r.fault(linked, "links reset, %d times, of", times)
-	for i := range times {
-		if i > 0 {
-			time.Sleep(between(x, 5, 40))
-		}
-		for _, h := range linked {
-			h.cutLinks()
-		}
+	linked, called, abrupt := r.some(x), r.some(x), x.IntN(2) == 0
+	gap := between(x, 0, []int{30, 100}[x.IntN(2)])
+	r.resetLinks(linked)
+	for range x.IntN(3) {
+		time.Sleep(between(x, 5, 40))
+		r.resetLinks(linked)
 	}
-	end()
 	time.Sleep(gap)
 	r.breakCallers(called, abrupt, fmt.Sprintf("%s after the links", gap))
 }
