Rig: late wakes more often, and a load that leaves room

At 40 jobs a second submissions queue, which hides what a host starts as it wakes. Each seed draws 20 to 30 jobs a second, and the mix with pauses draws wake twice as often.

--- a/integration/soak_faults_test.go
+++ b/integration/soak_faults_test.go
@@ -40,7 +40,7 @@
 
 // rigMixes are the kinds of faults of one seed after the other: all, and those
 // that came before the incident.
-var rigMixes = [][]string{slices.Sorted(maps.Keys(rigFaults)), {"pause", "wake"}, {"leave", "links"}}
+var rigMixes = [][]string{slices.Sorted(maps.Keys(rigFaults)), {"pause", "wake", "wake"}, {"leave", "links"}}
 
 // someWays holds one way and both.
 var someWays = [][]way{{forth}, {back}, {forth, back}}
--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -21,7 +21,7 @@
 	soakSeeds = flag.Int("soak.seeds", 3, "number of seeds of the soak")
 	soakFirst = flag.Uint64("soak.first", 1, "first seed of the soak")
 	soakTime  = flag.Duration("soak.time", 8*time.Second, "time of faults and load of one seed")
-	soakRate  = flag.Float64("soak.rate", 0, "jobs a second, instead of the 20 to 40 of each seed")
+	soakRate  = flag.Float64("soak.rate", 0, "jobs a second, instead of the 20 to 30 of each seed")
 	soakOnly  = flag.String("soak.only", "", "kinds of faults, divided by commas, instead of the mix of each seed")
 	soakKeep  = flag.Bool("soak.keep", false, "keep the folders of runs that passed")
 )
@@ -53,7 +53,7 @@
 		kinds = strings.Split(*soakOnly, ",")
 	}
 	random := rand.New(rand.NewPCG(seed, 2))
-	rate := cmp.Or(*soakRate, 20+20*random.Float64())
+	rate := cmp.Or(*soakRate, 20+10*random.Float64())
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
