Test: a job starts under a lease that was extended for others

The lease of its order ends in time, but that of the worker, which counts, outlives the time at which its caller sends it again by up to half a second.

--- a/dispatch/wanted_test.go
+++ b/dispatch/wanted_test.go
@@ -235,3 +235,26 @@
 		}
 	}
 }
+
+// TestStartUnderTheLeaseOfOthers has a job whose caller was heard last a while ago
+// start on a worker whose lease was extended for the job of another one.
+func TestStartUnderTheLeaseOfOthers(t *testing.T) {
+	is := is.New(t)
+	m := resendMachine("w1")
+	other := submission("other", 1, 1)
+	other.Host, other.Left, other.Job.Steps[0].Estimate = hostB, 20*time.Second, 2*time.Second
+	started(is, m, 900, other)
+	m.Tick(at(990))
+	until := worker.Clock(0)
+	for _, l := range m.Take().Looks {
+		until = max(until, l.Until)
+	}
+	is.True(until > 0)
+	s := submission("late", 1, 1)
+	s.Left, s.Job.Steps[0].Estimate, s.Wanted = 20*time.Second, 2*time.Second, at(350)
+	m.Submit(at(1000), s)
+	for _, x := range m.Take().Starts {
+		until = max(until, x.Until)
+		is.True(float64(until-1000)/0.98 <= 350+1250) // with the slowest clock
+	}
+}
