--- a/dispatch/wanted_test.go
+++ b/dispatch/wanted_test.go
@@ -258,3 +258,13 @@
 		is.True(float64(until-1000)/0.98 <= 350+1250) // with the slowest clock
 	}
 }
+
+// TestSignOfAnEarlierProcess has an owner read a contact of a host's earlier process
+// after a submission of the next one.
+func TestSignOfAnEarlierProcess(t *testing.T) {
+	is := is.New(t)
+	m := resendMachine("w1")
+	started(is, m, 10, long("j", 1, 2))
+	m.Signed(at(20), dispatch.Sign{Host: hostA, Boot: "before", At: at(5), Try: 900})
+	is.Equal(len(m.Take().Stops), 0)
+}
