--- a/dispatch/wanted_test.go
+++ b/dispatch/wanted_test.go
@@ -268,3 +268,26 @@
 	m.Signed(at(20), dispatch.Sign{Host: hostA, Boot: "before", At: at(5), Try: 900})
 	is.Equal(len(m.Take().Stops), 0)
 }
+
+// TestLeaseOnIdleWorker starts a job on a worker that was heard last a minute ago,
+// and whose clock is slow: an order that comes late must not be carried out when
+// the caller has sent the job again.
+func TestLeaseOnIdleWorker(t *testing.T) {
+	const idle = 60_000
+	is := is.New(t)
+	m := resendMachine("w1")
+	for ms := 25; ms < idle; ms += 25 {
+		m.Tick(at(ms))
+		for _, l := range m.Take().Looks {
+			clock := worker.Clock(1000 + float64(ms)*0.98)
+			m.Looked(at(ms), at(ms), l, &worker.Report{Life: 1, Clock: clock}, worker.Accepted)
+		}
+	}
+	s := long("j", 1, 2)
+	s.Wanted = at(idle)
+	m.Submit(at(idle), s)
+	for _, x := range m.Take().Starts {
+		lapses := float64(x.Until-1000) / 0.98
+		is.True(lapses <= idle+1300)
+	}
+}
