--- a/fleet/twice_test.go
+++ b/fleet/twice_test.go
@@ -380,3 +380,42 @@
 		})
 	}
 }
+
+// answered hands in a job whose caller waits for its answer, and returns its result
+// or nothing if that takes too long.
+func (w *world) answered(m *member, j work.Job) func() dispatch.Result {
+	answer := make(chan dispatch.Reply, 1)
+	go func() {
+		answer <- m.submitter.Submit(m.life, j, time.Now(), time.Now().Add(time.Minute))
+	}()
+	return func() dispatch.Result {
+		select {
+		case r := <-answer:
+			return r.Result
+		case <-time.After(4 * longRun):
+			return ""
+		}
+	}
+}
+
+// TestEarlierTryArrivesLate has the first try of a job arrive at its owner after the
+// second one, while the caller waits.
+func TestEarlierTryArrivesLate(t *testing.T) {
+	for _, ms := range []time.Duration{800, 1600, 2500} {
+		late := ms * time.Millisecond
+		t.Run(fmt.Sprint(late), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t)
+				time.Sleep(startTime)
+				w.spill()
+				first := w.host("coast-a.host-1")
+				w.late(first.name, w.owner("coast-b").name, late)
+				result := w.answered(first, jobOf("x", 2, longRun))
+				time.Sleep(contactTime)
+				w.network.Slow(nil)
+				is.Equal(result(), dispatch.Completed)
+			})
+		})
+	}
+}
