--- a/fleet/twice_test.go
+++ b/fleet/twice_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -419,3 +420,36 @@
 		})
 	}
 }
+
+// TestLinkGoesSilent has the link of a host to the owner of its job go silent for
+// good, while new ones work: the job goes on.
+func TestLinkGoesSilent(t *testing.T) {
+	for _, ms := range []time.Duration{0, 40, 80, 120} {
+		gap := ms * time.Millisecond
+		t.Run(fmt.Sprint(gap), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t)
+				time.Sleep(startTime)
+				w.spill()
+				first, owner := w.host("coast-a.host-1"), w.owner("coast-b")
+				before, _, _ := w.judge.Verdict()
+				result := w.answered(first, jobOf("x", 2, longRun))
+				time.Sleep(settledTime + gap)
+				var dialed atomic.Bool
+				w.network.Refuse(func(from, to string) bool {
+					if between(first.name, owner.name)(from, to) {
+						dialed.Store(true)
+					}
+					return false
+				})
+				w.network.Drop(func(from, to string, _ []byte) bool {
+					return !dialed.Load() && (between(first.name, owner.name)(from, to) || between(owner.name, first.name)(from, to))
+				})
+				is.Equal(result(), dispatch.Completed)
+				starts, _, _ := w.judge.Verdict()
+				is.Equal(starts-before, 2)
+			})
+		})
+	}
+}
