Take a host's signs only for the jobs of its own process

What callers would see: no answer, and a job that is stopped, after a late contact of a host's earlier process, whose tries have higher numbers.

TestSignOfAnEarlierProcess failed before and passes now.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -13,6 +13,7 @@
 type job struct {
 	spec work.Job
 	host ident.Host
+	boot string
 	call uint64
 	try  Try
 	// wanted is when the caller was last known to wait.
@@ -74,6 +75,7 @@
 	j := &job{
 		spec:      s.Job,
 		host:      s.Host,
+		boot:      s.Boot,
 		call:      s.Call,
 		try:       s.Try,
 		wanted:    sent,
@@ -154,7 +156,7 @@
 		m.reply(now, j, Superseded, "the caller has sent the job again")
 		j.record.Host, j.record.Call = s.Host, s.Call
 	}
-	j.host, j.call, j.try, j.wanted = s.Host, s.Call, s.Try, s.sent(now)
+	j.host, j.boot, j.call, j.try, j.wanted = s.Host, s.Boot, s.Call, s.Try, s.sent(now)
 	j.deadline = j.wanted.Add(s.Left)
 	m.pump(now)
 }
--- a/dispatch/wanted.go
+++ b/dispatch/wanted.go
@@ -69,7 +69,7 @@
 	}
 	for _, j := range m.sortedJobs() {
 		switch {
-		case j.kept || j.host != s.Host || j.try > s.Try:
+		case j.kept || j.host != s.Host || j.boot != s.Boot || j.try > s.Try:
 		case !s.wants(j.call):
 			m.withdraw(now, j)
 		default:
