Start nothing on a worker whose lease outlives the job's caller

What runs on a worker shares its longest lease: a task of a job whose caller was heard 0.65 s before got one that was extended for others, and could be at work up to half a second after its caller sent the job again.

TestStartUnderTheLeaseOfOthers failed before and passes now; all other tests of dispatch and fleet as before. Not measured: what a queued job waits longer.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -262,7 +262,7 @@
 		if !anyWorker && expected > left {
 			continue
 		}
-		if m.leash(now, n, t.job) < minLease {
+		if m.leash(now, n, t.job) < minLease || m.outlived(n, t.job) {
 			continue
 		}
 		score := placeScore{
--- a/dispatch/wanted.go
+++ b/dispatch/wanted.go
@@ -129,6 +129,12 @@
 	return max(0, lease)
 }
 
+// outlived returns true if the lease that a worker has already may outlive the time
+// at which the caller of a job sends it again.
+func (m *Machine) outlived(n *node, j *job) bool {
+	return m.config.Resend > 0 && !j.kept && n.lapsed.After(j.wanted.Add(m.wantedLease()))
+}
+
 func latest(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
