Answer the newest try of a job that its host hands in twice

What callers saw: no answer, not even at their deadline. The first try of a job had waited on a link that its host had given up, and came to the owner after the second one: the owner answered the first one.

TestEarlierTryArrivesLate failed in two of three cases before (1.6 s, 2.5 s) and passes now, as do the other tests of late submissions.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -127,6 +127,7 @@
 type Reply struct {
 	Host   ident.Host `msgpack:"host"`
 	Call   uint64     `msgpack:"call"`
+	Try    Try        `msgpack:"try"`
 	Job    work.ID    `msgpack:"job"`
 	Result Result     `msgpack:"result"`
 	// Reason says why in a few words.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -155,6 +155,9 @@
 		}
 		m.reply(now, j, Superseded, "the caller has sent the job again")
 		j.record.Host, j.record.Call = s.Host, s.Call
+	} else if j.boot == s.Boot && s.Try < j.try {
+		m.refuse(now, s, Superseded, "a later try has come before", 0)
+		return
 	}
 	j.host, j.boot, j.call, j.try, j.wanted = s.Host, s.Boot, s.Call, s.Try, s.sent(now)
 	j.deadline = j.wanted.Add(s.Left)
@@ -282,7 +285,7 @@
 	const reason = "it waited too long"
 	wait, _ := m.expectedWait(now, j)
 	m.close(now, j, Refused, reason)
-	m.answer(now, Reply{Host: j.host, Call: j.call, Job: j.spec.ID, Result: Refused, Reason: reason, RetryAfter: wait})
+	m.answer(now, Reply{Host: j.host, Call: j.call, Try: j.try, Job: j.spec.ID, Result: Refused, Reason: reason, RetryAfter: wait})
 	m.drop(now, j)
 }
 
@@ -309,12 +312,12 @@
 }
 
 func (m *Machine) reply(now time.Time, j *job, r Result, reason string) {
-	m.answer(now, Reply{Host: j.host, Call: j.call, Job: j.spec.ID, Result: r, Reason: reason})
+	m.answer(now, Reply{Host: j.host, Call: j.call, Try: j.try, Job: j.spec.ID, Result: r, Reason: reason})
 }
 
 // refuse answers a submission that was not taken.
 func (m *Machine) refuse(now time.Time, s Submission, r Result, reason string, wait time.Duration) {
-	m.answer(now, Reply{Host: s.Host, Call: s.Call, Job: s.Job.ID, Result: r, Reason: reason, RetryAfter: wait})
+	m.answer(now, Reply{Host: s.Host, Call: s.Call, Try: s.Try, Job: s.Job.ID, Result: r, Reason: reason, RetryAfter: wait})
 }
 
 // answer sends a reply, with the load at the time.
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -46,6 +46,7 @@
 type caller struct {
 	host ident.Host
 	call uint64
+	try  dispatch.Try
 	job  work.ID
 }
 
@@ -199,7 +200,7 @@
 
 // reply hands a reply to its waiting submission. The caller holds the mutex.
 func (w *Owner) reply(r dispatch.Reply) {
-	k := caller{host: r.Host, call: r.Call, job: r.Job}
+	k := caller{host: r.Host, call: r.Call, try: r.Try, job: r.Job}
 	if c := w.waiting[k]; c != nil {
 		delete(w.waiting, k)
 		c <- r
@@ -210,7 +211,7 @@
 // on: its host submits it again or withdraws it.
 func (w *Owner) submit(ctx context.Context, s dispatch.Submission) (dispatch.Reply, error) {
 	c := make(chan dispatch.Reply, 1)
-	k := caller{host: s.Host, call: s.Call, job: s.Job.ID}
+	k := caller{host: s.Host, call: s.Call, try: s.Try, job: s.Job.ID}
 	w.step(func(now time.Time, m *dispatch.Machine) {
 		w.waiting[k] = c
 		if boot, ok := w.hosts[s.Host]; ok && boot != s.Boot {
