Stop a silent host's jobs only after a lost link can have been replaced

What callers saw: a job that starts again from the start. A link that goes silent is replaced within 0.85 s of the last sign, but the jobs of its host were stopped after 0.7 s. Leases end 1.14 s after it in any case.

TestLinkGoesSilent failed in all four cases before and passes now, as does the rest of fleet. Not measured: how often the other jobs of a worker lapse with a host that dies.

--- a/dispatch/wanted.go
+++ b/dispatch/wanted.go
@@ -36,7 +36,7 @@
 	resendMargin = 100 * time.Millisecond
 	// silentTime is the age of the last word that a caller waits at which its job is
 	// stopped, well before the caller sends it again. Hosts send four in that time.
-	silentTime = 700 * time.Millisecond
+	silentTime = 900 * time.Millisecond
 	// minLease is the shortest lease for a start: a look and its repetition fit
 	// into it.
 	minLease = 300 * time.Millisecond
@@ -94,7 +94,7 @@
 
 // silent returns true if nothing was heard of the caller of a job for too long.
 func (m *Machine) silent(now time.Time, j *job) bool {
-	return m.config.Resend > 0 && now.Sub(j.wanted) > min(silentTime, m.wantedLease()*2/3)
+	return m.config.Resend > 0 && now.Sub(j.wanted) > min(silentTime, m.wantedLease()*3/4)
 }
 
 // wantedLease is how long after the last word that a caller waits its tasks may
