--- a/dispatch/wanted.go
+++ b/dispatch/wanted.go
@@ -36,7 +36,7 @@
 	resendMargin = 100 * time.Millisecond
 	// silentTime is the age of the last word that a caller waits at which its job is
 	// stopped, well before the caller sends it again. Hosts send four in that time.
-	silentTime = 700 * time.Millisecond
+	silentTime = 900 * time.Millisecond
 	// minLease is the shortest lease for a start: a look and its repetition fit
 	// into it.
 	minLease = 300 * time.Millisecond
@@ -72,7 +72,7 @@
 	}
 	for _, j := range m.sortedJobs() {
 		switch {
-		case j.kept || j.host != s.Host || j.try > s.Try:
+		case j.kept || j.host != s.Host || j.boot != s.Boot || j.try > s.Try:
 		case !s.wants(j.call):
 			m.withdraw(now, j)
 		default:
@@ -97,7 +97,7 @@
 
 // silent returns true if nothing was heard of the caller of a job for too long.
 func (m *Machine) silent(now time.Time, j *job) bool {
-	return m.config.Resend > 0 && now.Sub(j.wanted) > min(silentTime, m.wantedLease()*2/3)
+	return m.config.Resend > 0 && now.Sub(j.wanted) > min(silentTime, m.wantedLease()*3/4)
 }
 
 // wantedLease is how long after the last word that a caller waits its tasks may
@@ -133,6 +133,12 @@
 	return max(0, lease)
 }
 
+// outlived returns true if the lease that a worker has already may outlive the time
+// at which the caller of a job sends it again.
+func (m *Machine) outlived(n *node, j *job) bool {
+	return m.config.Resend > 0 && !j.kept && n.lapsed.After(j.wanted.Add(m.wantedLease()))
+}
+
 func latest(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/dispatch/wanted_test.go
+++ b/dispatch/wanted_test.go
@@ -272,3 +272,59 @@
 	m.Submit(at(60_000), s)
 	is.Equal(len(m.Take().Starts), 1)
 }
+
+// TestStartUnderTheLeaseOfOthers has a job whose caller was heard last a while ago
+// start on a worker whose lease was extended for the job of another one.
+func TestStartUnderTheLeaseOfOthers(t *testing.T) {
+	is := is.New(t)
+	m := resendMachine("w1")
+	other := submission("other", 1, 1)
+	other.Host, other.Left, other.Job.Steps[0].Estimate = hostB, 20*time.Second, 2*time.Second
+	started(is, m, 900, other)
+	m.Tick(at(990))
+	until := worker.Clock(0)
+	for _, l := range m.Take().Looks {
+		until = max(until, l.Until)
+	}
+	is.True(until > 0)
+	s := submission("late", 1, 1)
+	s.Left, s.Job.Steps[0].Estimate, s.Wanted = 20*time.Second, 2*time.Second, at(350)
+	m.Submit(at(1000), s)
+	for _, x := range m.Take().Starts {
+		until = max(until, x.Until)
+		is.True(float64(until-1000)/0.98 <= 350+1250) // with the slowest clock
+	}
+}
+
+// TestSignOfAnEarlierProcess has an owner read a contact of a host's earlier process
+// after a submission of the next one.
+func TestSignOfAnEarlierProcess(t *testing.T) {
+	is := is.New(t)
+	m := resendMachine("w1")
+	started(is, m, 10, long("j", 1, 2))
+	m.Signed(at(20), dispatch.Sign{Host: hostA, Boot: "before", At: at(5), Try: 900})
+	is.Equal(len(m.Take().Stops), 0)
+}
+
+// TestLeaseOnIdleWorker starts a job on a worker that was heard last a minute ago,
+// and whose clock is slow: an order that comes late must not be carried out when
+// the caller has sent the job again.
+func TestLeaseOnIdleWorker(t *testing.T) {
+	const idle = 60_000
+	is := is.New(t)
+	m := resendMachine("w1")
+	for ms := 25; ms < idle; ms += 25 {
+		m.Tick(at(ms))
+		for _, l := range m.Take().Looks {
+			clock := worker.Clock(1000 + float64(ms)*0.98)
+			m.Looked(at(ms), at(ms), l, &worker.Report{Life: 1, Clock: clock}, worker.Accepted)
+		}
+	}
+	s := long("j", 1, 2)
+	s.Wanted = at(idle)
+	m.Submit(at(idle), s)
+	for _, x := range m.Take().Starts {
+		lapses := float64(x.Until-1000) / 0.98
+		is.True(lapses <= idle+1300)
+	}
+}
--- a/fleet/twice_test.go
+++ b/fleet/twice_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -380,3 +381,75 @@
 		})
 	}
 }
+
+// answered hands in a job whose caller waits for its answer, and returns its result
+// or nothing if that takes too long.
+func (w *world) answered(m *member, j work.Job) func() dispatch.Result {
+	answer := make(chan dispatch.Reply, 1)
+	go func() {
+		answer <- m.submitter.Submit(m.life, j, time.Now(), time.Now().Add(time.Minute))
+	}()
+	return func() dispatch.Result {
+		select {
+		case r := <-answer:
+			return r.Result
+		case <-time.After(4 * longRun):
+			return ""
+		}
+	}
+}
+
+// TestEarlierTryArrivesLate has the first try of a job arrive at its owner after the
+// second one, while the caller waits.
+func TestEarlierTryArrivesLate(t *testing.T) {
+	for _, ms := range []time.Duration{800, 1600, 2500} {
+		late := ms * time.Millisecond
+		t.Run(fmt.Sprint(late), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t)
+				time.Sleep(startTime)
+				w.spill()
+				first := w.host("coast-a.host-1")
+				w.late(first.name, w.owner("coast-b").name, late)
+				result := w.answered(first, jobOf("x", 2, longRun))
+				time.Sleep(contactTime)
+				w.network.Slow(nil)
+				is.Equal(result(), dispatch.Completed)
+			})
+		})
+	}
+}
+
+// TestLinkGoesSilent has the link of a host to the owner of its job go silent for
+// good, while new ones work: the job goes on.
+func TestLinkGoesSilent(t *testing.T) {
+	for _, ms := range []time.Duration{0, 40, 80, 120} {
+		gap := ms * time.Millisecond
+		t.Run(fmt.Sprint(gap), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t)
+				time.Sleep(startTime)
+				w.spill()
+				first, owner := w.host("coast-a.host-1"), w.owner("coast-b")
+				before, _, _ := w.judge.Verdict()
+				result := w.answered(first, jobOf("x", 2, longRun))
+				time.Sleep(settledTime + gap)
+				var dialed atomic.Bool
+				w.network.Refuse(func(from, to string) bool {
+					if between(first.name, owner.name)(from, to) {
+						dialed.Store(true)
+					}
+					return false
+				})
+				w.network.Drop(func(from, to string, _ []byte) bool {
+					return !dialed.Load() && (between(first.name, owner.name)(from, to) || between(owner.name, first.name)(from, to))
+				})
+				is.Equal(result(), dispatch.Completed)
+				starts, _, _ := w.judge.Verdict()
+				is.Equal(starts-before, 2)
+			})
+		})
+	}
+}
