Give up an ownership that the table says is another's

Workers did: nothing was seen to run twice; kept jobs went on 0.25 s after a pause on the strength of contacts before it, whatever the table said. Contacts count from the doubt on now, and the table's no ends the ownership.

TestPausedOwnerIsReplaced failed before and passes now, as do TestOwnerCutOffWithWorkers and the other tests of paused owners and kept jobs.

--- a/fleet/guard.go
+++ b/fleet/guard.go
@@ -48,7 +48,7 @@
 		}
 		switch late := time.Since(proved) > doubtTime; {
 		case (late || k.owner.doubts()) && !doubted:
-			doubted, loaded = true, false
+			doubted, loaded, inTouch = true, false, now
 			k.logger.Warn("another host may own the workers, kept jobs wait")
 			k.owner.step(func(now time.Time, m *dispatch.Machine) { m.Doubt(now) })
 		case doubted && (owns || now.Sub(inTouch) > doubtTime):
@@ -84,5 +84,9 @@
 		k.logger.WithError(err).Debug("ownership not confirmed")
 		return false
 	}
-	return row != nil && row.Revision == ident.Revision(k.owner.owner.Token)
+	mine := row != nil && row.Revision == ident.Revision(k.owner.owner.Token)
+	if !mine {
+		k.owner.owners.fenced(k.owner.owner)
+	}
+	return mine
 }
