Name all workers of an owner to its successor

Cause: an owner told the hosts of its data centre only the workers that had answered it. One that had just lost or not yet found an answer was left out, and used a moment later; the worker's entry had lapsed in the platform's list as well, since the data centre had been cut off. The successor started what an earlier owner had begun as soon as all workers that it knew had answered.

Now the list holds all workers that the owner may use. It has no price: those that do not answer hold the successor up as before, as it finds them in the platform's list.

TestWorkersOfAnOwnerThatHasJustBegun failed before.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -285,13 +285,12 @@
 	n.Life = life
 }
 
-// Workers returns the workers that have answered and may be at work.
+// Workers returns the workers that may be at work, now or before others learn of
+// it: those that have not answered yet are among them.
 func (m *Machine) Workers() []worker.Worker {
 	workers := make([]worker.Worker, 0, len(m.ordered))
 	for _, n := range m.ordered {
-		if n.adopted || len(n.runs) > 0 {
-			workers = append(workers, n.Worker)
-		}
+		workers = append(workers, n.Worker)
 	}
 	return workers
 }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -402,3 +402,14 @@
 		})
 	}
 }
+
+// TestWorkersOfAnOwnerThatHasJustBegun has an owner tell its workers before all have
+// answered: its successor must know of those that it is about to use.
+func TestWorkersOfAnOwnerThatHasJustBegun(t *testing.T) {
+	is := is.New(t)
+	m := newMachine()
+	m.SetWorkers(begin, []worker.Worker{aWorker("w1"), aWorker("w2")})
+	looks := m.Take().Looks
+	m.Looked(at(1), begin, looks[0], &worker.Report{Life: 1, Clock: 1000}, worker.Accepted)
+	is.Equal(len(m.Workers()), 2)
+}
