Sign for the time at which callers were known, and let the next try win

Two findings of the review. A standstill of less than 0.25 s does not count as a pause, but a sign made right after it carried the present time, though callers may have left meanwhile: leases could reach that much closer to the next try. Signs and submissions now carry the time of the watch's last turn. And a job that came again through another host was refused if that host's reading of the owner's clock was some milliseconds behind the last sign of the first one; it is now refused only if it was on its way for half of the time after which callers send again.

The review also found mechanisms that could be switched off unseen: TestAgainWhileAWorkerIsNotHeard and TestStartedBefore hold the wait of jobs that an earlier owner may have begun.

--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -149,7 +149,8 @@
 // submitAgain takes a submission of a job that is known.
 func (m *Machine) submitAgain(now time.Time, j *job, s Submission) {
 	if j.host != s.Host || j.call != s.Call {
-		if s.sent(now).Before(j.wanted) {
+		if s.sent(now).Add(m.wantedLease() / 2).Before(j.wanted) {
+			// It was on its way for long. Readings of clocks differ by less.
 			m.refuse(now, s, Superseded, "the caller has sent the job again", 0)
 			return
 		}
--- a/dispatch/wanted.go
+++ b/dispatch/wanted.go
@@ -35,7 +35,8 @@
 	// to end the runs, which takes up to 50 ms.
 	resendMargin = 100 * time.Millisecond
 	// silentTime is the age of the last word that a caller waits at which its job is
-	// stopped, well before the caller sends it again. Hosts send four in that time.
+	// stopped, before the caller sends it again: a link that goes silent is replaced
+	// within 0.85 s of the last sign.
 	silentTime = 900 * time.Millisecond
 	// minLease is the shortest lease for a start: a look and its repetition fit
 	// into it.
--- a/dispatch/wanted_test.go
+++ b/dispatch/wanted_test.go
@@ -328,3 +328,44 @@
 		is.True(lapses <= idle+1300)
 	}
 }
+
+// TestAgainWhileAWorkerIsNotHeard has a job that an earlier owner may have begun come
+// to an owner one of whose workers does not answer: what runs there ends first.
+func TestAgainWhileAWorkerIsNotHeard(t *testing.T) {
+	is := is.New(t)
+	m := resendMachine()
+	m.SetWorkers(begin, []worker.Worker{aWorker("w1"), aWorker("w2")})
+	for _, l := range m.Take().Looks {
+		if l.Worker == "w1" {
+			m.Looked(at(1), begin, l, &worker.Report{Life: 1, Clock: 1000}, worker.Accepted)
+		}
+	}
+	s := long("j", 1, 2)
+	s.Again, s.Job.Stretch = true, 10
+	started := -1
+	for ms := 2000; ms < 4000 && started < 0; ms += 25 {
+		s.Try++
+		s.Wanted = at(ms)
+		m.Submit(at(ms), s)
+		m.Tick(at(ms))
+		if len(m.Take().Starts) > 0 {
+			started = ms
+		}
+	}
+	is.True(started >= 3200)
+}
+
+// TestNextTryByAnotherHost has a caller send its job again through a host whose
+// reading of the owner's clock is a little behind: that one gets the answer.
+func TestNextTryByAnotherHost(t *testing.T) {
+	is := is.New(t)
+	m := resendMachine("w1")
+	started(is, m, 10, long("j", 1, 2))
+	m.Signed(at(1300), aSign(1300, 3, 1))
+	s := long("j", 7, 8)
+	s.Host, s.Boot, s.Wanted = hostB, "boot", at(1270)
+	m.Submit(at(1310), s)
+	replies := m.Take().Replies
+	is.Equal(len(replies), 1)
+	is.Equal(replies[0].Host, hostA)
+}
--- a/fleet/contacts.go
+++ b/fleet/contacts.go
@@ -116,8 +116,8 @@
 	// working returns the workers of a data centre that this host owns.
 	working func(ident.DataCentre) ([]worker.Worker, listVersion)
 	// wanted returns which calls of this host may be at the owner of a data
-	// centre, with the number of the list, and false if that is not known.
-	wanted func(ident.DataCentre) ([]uint64, dispatch.Try, bool)
+	// centre, and false if that is not known.
+	wanted func(ident.DataCentre) (wantedCalls, bool)
 	// signed takes in what another host has signed.
 	signed func(h ownership.Host, at time.Time, signs []sign)
 }
@@ -166,7 +166,7 @@
 		awake:    time.Now(),
 		owned:    func() ([]ownership.Owner, []dispatch.Load) { return nil, nil },
 		working:  func(ident.DataCentre) ([]worker.Worker, listVersion) { return nil, listVersion{} },
-		wanted:   func(ident.DataCentre) ([]uint64, dispatch.Try, bool) { return nil, 0, false },
+		wanted:   func(ident.DataCentre) (wantedCalls, bool) { return wantedCalls{}, false },
 		signed:   func(ownership.Host, time.Time, []sign) {},
 	}
 	peer.Handle(l, kindContact, contacts.answer)
@@ -253,7 +253,7 @@
 	leaving, known := c.leaving, c.workers.version
 	c.mutex.Unlock()
 	owners := c.directory.Owners()
-	signs, clock := c.signs(c.clock(), address, owners)
+	signs, clock := c.signs(address, owners)
 	a, err := peer.Call[contactRequest, contactAnswer](call, c.links, address, kindContact, contactRequest{
 		Host: c.self, Revision: c.configuration.Revision(), Leaving: leaving,
 		Owners: tokens(owners), Workers: known, Signs: signs, Sent: clock,
@@ -282,30 +282,37 @@
 	return true
 }
 
-// signs returns what to tell the host at an address, and its clock now.
-func (c *Contacts) signs(now time.Time, address string, owners map[ident.DataCentre]ownership.Owner) ([]sign, time.Duration) {
+// signs returns what to tell the host at an address, and the time on its clock at
+// which it was so.
+func (c *Contacts) signs(address string, owners map[ident.DataCentre]ownership.Owner) ([]sign, time.Duration) {
 	var signs []sign
 	var clock time.Duration
 	for d, o := range owners {
 		if o.Address != address {
 			continue
 		}
-		x, known := c.ClockOf(now, o)
-		calls, try, sure := c.wanted(d)
-		if known && sure {
-			signs, clock = append(signs, sign{DataCentre: d, Token: o.Token, Try: try, Calls: calls}), x
+		w, sure := c.wanted(d)
+		if !sure {
+			continue
+		}
+		x, known := c.ClockOf(w.at, o)
+		if !known {
+			continue
+		}
+		if signs = append(signs, sign{DataCentre: d, Token: o.Token, Try: w.try, Calls: w.calls}); len(signs) == 1 {
+			clock = x
 		}
 	}
 	return signs, clock
 }
 
-// ClockOf returns the least that the clock of an owner's process can be now, and
-// false if that process has not answered yet.
-func (c *Contacts) ClockOf(now time.Time, o ownership.Owner) (time.Duration, bool) {
+// ClockOf returns the least that the clock of an owner's process can have been at a
+// time, and false if that process has not answered yet.
+func (c *Contacts) ClockOf(at time.Time, o ownership.Owner) (time.Duration, bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	x, ok := c.clocks[o.Host]
-	return x.now(now), ok && x.boot == o.Boot
+	return x.now(at), ok && x.boot == o.Boot
 }
 
 // At returns the time at which the clock of this process was clock.
--- a/fleet/guard_test.go
+++ b/fleet/guard_test.go
@@ -73,4 +73,3 @@
 		is.True(o.doubts())
 	})
 }
-
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -107,8 +107,8 @@
 					w.loseHost(now, m, h)
 				}
 			}
-			if calls, try, ok := w.owners.contacts.wanted(w.owner.DataCentre); ok {
-				m.Signed(now, dispatch.Sign{Host: w.owners.self.Name, Boot: w.owners.self.Boot, At: now, Try: try, Calls: calls})
+			if x, ok := w.owners.contacts.wanted(w.owner.DataCentre); ok {
+				m.Signed(now, dispatch.Sign{Host: w.owners.self.Name, Boot: w.owners.self.Boot, At: x.at, Try: x.try, Calls: x.calls})
 			}
 			m.Tick(now)
 		})
--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -63,12 +63,13 @@
 
 // wanted returns which calls may be at the owner of a data centre, and false if
 // this process can not tell because it was paused.
-func (s *Submitter) wanted(c ident.DataCentre) ([]uint64, dispatch.Try, bool) {
+func (s *Submitter) wanted(c ident.DataCentre) (wantedCalls, bool) {
+	at := s.watch.Verified()
 	if !s.watch.Awake(s.contacts.clock()) {
-		return nil, 0, false
+		return wantedCalls{}, false
 	}
 	calls, try := s.wants.list(c)
-	return calls, try, true
+	return wantedCalls{calls: calls, try: try, at: at}, true
 }
 
 // Owned returns true if an owner of workers is known, or was so lately that
@@ -170,6 +171,7 @@
 		if !now.Before(a.deadline) {
 			return a.giveUp("the deadline has passed")
 		}
+		verified := s.watch.Verified()
 		if !s.watch.Awake(s.contacts.clock()) {
 			// The caller may have left while this process was paused.
 			pause(ctx, retryPause)
@@ -183,22 +185,23 @@
 			pause(ctx, retryPause)
 			continue
 		}
-		reply, ended := s.try(ctx, a, o, final)
+		reply, ended := s.try(ctx, verified, a, o, final)
 		if ended {
 			return reply
 		}
 	}
 }
 
-// try hands a job to one owner. It returns true with the final reply.
-func (s *Submitter) try(ctx context.Context, a *attempt, o ownership.Owner, final bool) (dispatch.Reply, bool) {
+// try hands a job to one owner, whose caller was known to wait at verified. It
+// returns true with the final reply.
+func (s *Submitter) try(ctx context.Context, verified time.Time, a *attempt, o ownership.Owner, final bool) (dispatch.Reply, bool) {
 	a.tries++
 	now := time.Now()
 	sub := dispatch.Submission{
 		Job: a.job, Host: s.self.Name, Boot: s.self.Boot, Call: a.call, Try: s.wants.add(o.DataCentre, a.call),
 		Waited: now.Sub(a.arrived), Left: a.deadline.Sub(now), Final: final, Again: a.startedBefore(o),
 	}
-	reply, err := s.call(ctx, s.contacts.clock(), o, sub)
+	reply, err := s.call(ctx, verified, o, sub)
 	ended := time.Now()
 	if err != nil {
 		a.note(now, ended, o, err.Error())
@@ -341,12 +344,12 @@
 	return ok && c.Boot == o.Boot && now.Sub(c.Heard) < ownerSilence
 }
 
-func (s *Submitter) call(ctx context.Context, now time.Time, o ownership.Owner, sub dispatch.Submission) (dispatch.Reply, error) {
+func (s *Submitter) call(ctx context.Context, verified time.Time, o ownership.Owner, sub dispatch.Submission) (dispatch.Reply, error) {
 	if o.Host == s.self.Name {
-		sub.Wanted = now
+		sub.Wanted = verified
 		return s.owners.Submit(ctx, o.DataCentre, sub)
 	}
-	sent, ok := s.contacts.ClockOf(now, o)
+	sent, ok := s.contacts.ClockOf(verified, o)
 	if !ok {
 		return dispatch.Reply{Result: dispatch.Moved}, nil
 	}
--- a/fleet/wants.go
+++ b/fleet/wants.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -49,6 +50,13 @@
 	return nil
 }
 
+// wantedCalls are the calls that a host waits for at one owner, as it was at a time.
+type wantedCalls struct {
+	calls callList
+	try   dispatch.Try
+	at    time.Time
+}
+
 // wants knows which calls of this host's callers may be at the owner of which
 // data centre.
 type wants struct {
--- a/fleet/wants_test.go
+++ b/fleet/wants_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/catkingap/catkingap/ownership"
 )
 
 // TestCallList checks that a list of calls is the same after the wire, and small
@@ -34,3 +37,18 @@
 		})
 	}
 }
+
+// TestStartedBefore tells a job that another ownership may have begun from one that
+// the same ownership knows.
+func TestStartedBefore(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	first, second := ownership.Owner{DataCentre: "coast-a", Token: 5}, ownership.Owner{DataCentre: "coast-a", Token: 9}
+	a := &attempt{}
+	is.True(!a.startedBefore(first))
+	a.bind(now, first)
+	is.True(!a.startedBefore(first))
+	is.True(a.startedBefore(second))
+	a.bind(now, second)
+	is.True(a.startedBefore(second))
+}
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -57,6 +57,9 @@
 	w.turned.Store(now.UnixNano())
 }
 
+// Verified returns when the connections of callers were known last.
+func (w *Watch) Verified() time.Time { return time.Unix(0, w.turned.Load()) }
+
 // Awake returns true if the process runs, and has done so for long enough to know
 // which callers have left. It does not depend on whether the watch has had its
 // turn since a pause.
