--- a/integration/soak_test.go
+++ b/integration/soak_test.go
@@ -18,7 +18,7 @@
 //
 //	go test ./integration -run TestSoak -timeout 2h -args -soak.seeds 50 -soak.first 100
 var (
-	soakSeeds = flag.Int("soak.seeds", 3, "number of seeds of the soak")
+	soakSeeds = flag.Int("soak.seeds", 0, "number of seeds of the soak, instead of those that have failed before")
 	soakFirst = flag.Uint64("soak.first", 1, "first seed of the soak")
 	soakTime  = flag.Duration("soak.time", 8*time.Second, "time of faults and load of one seed")
 	soakRate  = flag.Float64("soak.rate", 0, "jobs a second, instead of the 20 to 30 of each seed")
@@ -26,6 +26,15 @@
 	soakKeep  = flag.Bool("soak.keep", false, "keep the folders of runs that passed")
 )
 
+// soakFailed holds the seeds that have failed, by their faults. In each of these
+// tasks ran twice at once before owners acted on signs only.
+var soakFailed = map[string]uint64{
+	"all kinds of faults":           6,
+	"hosts wake late":               4,
+	"links are reset":               2,
+	"links are reset, other series": 5,
+}
+
 const (
 	// soakCalm is the time of load without faults before and after them, and
 	// that without load in which nothing may start any more.
@@ -39,6 +48,11 @@
 // may run twice at the same time, none of a job that was refused may start, and
 // each host that is left alone answers its callers.
 func TestSoak(t *testing.T) {
+	if *soakSeeds == 0 {
+		for name, seed := range soakFailed {
+			t.Run(name, func(t *testing.T) { soak(t, seed) })
+		}
+	}
 	for i := range *soakSeeds {
 		seed := *soakFirst + uint64(i)
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { soak(t, seed) })
