Build the machines of tests in one place, and name a time by what it is

After reading the change as a newcomer: two builders of a machine with workers in the tests of dispatch were the same but for one setting, and a time in the guard of kept jobs was named for the opposite of what it holds. No behaviour changes.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -58,8 +58,10 @@
 }
 
 // openMachine returns a machine whose workers have answered and run nothing.
-func openMachine(ids ...worker.ID) *dispatch.Machine {
-	m := newMachine()
+func openMachine(ids ...worker.ID) *dispatch.Machine { return withWorkers(newMachine(), ids...) }
+
+// withWorkers has workers that run nothing answer a machine.
+func withWorkers(m *dispatch.Machine, ids ...worker.ID) *dispatch.Machine {
 	m.Loaded(begin)
 	var workers []worker.Worker
 	for _, id := range ids {
--- a/dispatch/wanted_test.go
+++ b/dispatch/wanted_test.go
@@ -18,19 +18,10 @@
 // resendMachine returns a machine whose callers send jobs again, and whose
 // workers have answered and run nothing.
 func resendMachine(ids ...worker.ID) *dispatch.Machine {
-	m := dispatch.New(begin, dispatch.Config{
+	return withWorkers(dispatch.New(begin, dispatch.Config{
 		Token: 7, MaxLease: time.Second, FarFactor: 2, Resend: resend,
 		Ejection: ejection.Config{MaxShare: 0.5, Failures: 3, MinProbe: 500 * time.Millisecond, MaxProbe: 5 * time.Second},
-	})
-	m.Loaded(begin)
-	var workers []worker.Worker
-	for _, id := range ids {
-		workers = append(workers, aWorker(id))
-	}
-	m.SetWorkers(begin, workers)
-	answerLooks(m, at(1), m.Take(), worker.Report{Life: 1, Clock: 1000})
-	m.Take()
-	return m
+	}), ids...)
 }
 
 // long returns a job of one task that takes all of a worker for two seconds.
--- a/fleet/guard.go
+++ b/fleet/guard.go
@@ -31,7 +31,9 @@
 // them. An owner that is cut off with some of its workers is not fenced by them.
 func (k *keeper) guard(ctx context.Context, loaded bool) {
 	clock := k.owner.owners.contacts.clock
-	taken, proved, inTouch := clock(), time.Now(), time.Now()
+	// proved is when the ownership was last known to stand, and alone when no
+	// other host answered last.
+	taken, proved, alone := clock(), time.Now(), time.Now()
 	doubted, interval := false, settleInterval
 	for pause(ctx, interval) {
 		now := time.Now()
@@ -40,7 +42,7 @@
 		// write that proves the ownership.
 		isolated := view.Isolated(now) && k.open() > 0
 		if isolated {
-			inTouch = now
+			alone = now
 		}
 		owns := (isolated || doubted) && k.owns(ctx)
 		if owns || !isolated {
@@ -48,10 +50,10 @@
 		}
 		switch late := time.Since(proved) > doubtTime; {
 		case (late || k.owner.doubts()) && !doubted:
-			doubted, loaded, inTouch = true, false, now
+			doubted, loaded, alone = true, false, now
 			k.logger.Warn("another host may own the workers, kept jobs wait")
 			k.owner.step(func(now time.Time, m *dispatch.Machine) { m.Doubt(now) })
-		case doubted && (owns || now.Sub(inTouch) > doubtTime):
+		case doubted && (owns || now.Sub(alone) > doubtTime):
 			doubted = false
 			k.logger.Info("no other host owns the workers, kept jobs go on")
 		}
