Answer a job that is withdrawn

Owners: what waits for the reply to a submission waited on until the link to its host broke, for each job whose caller had left, as a withdrawal ends a job without a reply. A sign that withdraws a job of a host that waits after all would have left its caller without an answer.

TestWithdrawnJobIsAnswered failed before in both cases.

--- a/dispatch/wanted.go
+++ b/dispatch/wanted.go
@@ -85,7 +85,7 @@
 
 // withdraw ends a job whose caller has left.
 func (m *Machine) withdraw(now time.Time, j *job) {
-	m.close(now, j, Expired, "the caller has left")
+	m.end(now, j, Expired, "the caller has left")
 	m.drop(now, j)
 }
 
--- a/dispatch/wanted_test.go
+++ b/dispatch/wanted_test.go
@@ -69,6 +69,26 @@
 	is.Equal(len(m.Take().Stops), 0) // an older sign says nothing
 }
 
+// TestWithdrawnJobIsAnswered withdraws a job: what waits for its reply at the owner
+// ends.
+func TestWithdrawnJobIsAnswered(t *testing.T) {
+	tests := map[string]func(m *dispatch.Machine){
+		"by a sign":       func(m *dispatch.Machine) { m.Signed(at(100), aSign(100, 3)) },
+		"by a withdrawal": func(m *dispatch.Machine) { m.Withdraw(at(100), hostA, 1, "j") },
+	}
+	for name, withdraw := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := resendMachine("w1")
+			started(is, m, 10, long("j", 1, 2))
+			withdraw(m)
+			replies := m.Take().Replies
+			is.Equal(len(replies), 1)
+			is.Equal(replies[0].Result, dispatch.Expired)
+		})
+	}
+}
+
 // TestSubmissionAfterItsWithdrawal has a host's sign arrive before the submission
 // of a job whose caller has left meanwhile.
 func TestSubmissionAfterItsWithdrawal(t *testing.T) {
