Count a caller's times from when its submission says

Submissions carry the time at which the caller was known to wait, up to 25 ms before they are made, and the owner counts objective and deadline from it. What the caller had waited and has left was counted from the present, so that jobs looked up to 25 ms later than they are, of 156 ms for the shortest kind.

TestTimesOfASubmission holds it.

--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -197,9 +197,10 @@
 func (s *Submitter) try(ctx context.Context, verified time.Time, a *attempt, o ownership.Owner, final bool) (dispatch.Reply, bool) {
 	a.tries++
 	now := time.Now()
+	waited, left := a.times(now, s.contacts.clock().Sub(verified))
 	sub := dispatch.Submission{
 		Job: a.job, Host: s.self.Name, Boot: s.self.Boot, Call: a.call, Try: s.wants.add(o.DataCentre, a.call),
-		Waited: now.Sub(a.arrived), Left: a.deadline.Sub(now), Final: final, Again: a.startedBefore(o),
+		Waited: waited, Left: left, Final: final, Again: a.startedBefore(o),
 	}
 	reply, err := s.call(ctx, verified, o, sub)
 	ended := time.Now()
@@ -245,6 +246,12 @@
 	return reply, true
 }
 
+// times returns how long the caller had waited, and how long it waits yet, a while
+// before now.
+func (a *attempt) times(now time.Time, before time.Duration) (waited, left time.Duration) {
+	return now.Sub(a.arrived) - before, a.deadline.Sub(now) + before
+}
+
 // release notes that the owner of a data centre does not have a job, unless an
 // earlier try may still be there.
 func (s *Submitter) release(a *attempt, c ident.DataCentre) {
--- a/fleet/wants_test.go
+++ b/fleet/wants_test.go
@@ -52,3 +52,15 @@
 	a.bind(now, second)
 	is.True(a.startedBefore(second))
 }
+
+// TestTimesOfASubmission has a submission carry a time before it was made: what the
+// owner adds to that time gives the caller's own times.
+func TestTimesOfASubmission(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	a := &attempt{arrived: now.Add(-100 * time.Millisecond), deadline: now.Add(time.Second)}
+	const before = 20 * time.Millisecond
+	waited, left := a.times(now, before)
+	is.Equal(now.Add(-before).Add(-waited), a.arrived)
+	is.Equal(now.Add(-before).Add(left), a.deadline)
+}
