Keep what a start looks for up to date in place of a search

Cause: each event of an owner went over all of its workers and its whole queue (pump, fastest, freeCores, choose, expectedWait, Load), so that the first queue of a burst made events dearer, the owner fell behind and its orders timed out. Now workers are touched by the events that change them; package room finds usable ones by pool, label, class of pace and free cores; a heap has the times at which something is due at a worker; the queue is kept in classes, of which the first 64 jobs are looked at when room comes free, and all with each tick.

Placing differs in two points: workers are equally fast within fixed classes of 15 % (before, within 15 % of each other, which depended on the order of the search), and near workers come before far ones for tasks with data on a rack, since a task away from it takes the room of two or three.

TestIndexFindsWhatAScanFinds keeps the search as the oracle (8 seeds of 4,000 random events).

--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -2,6 +2,8 @@
 
 import (
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -16,7 +18,7 @@
 	switch {
 	case t != nil && !t.done && t.run == nil:
 		m.attach(now, r, t)
-		t.job.waiting = slices.DeleteFunc(t.job.waiting, func(w *task) bool { return w == t })
+		m.unqueue(now, t)
 	case t == nil && m.orphans[k.task] == nil:
 		m.orphans[k.task] = r
 	default:
@@ -28,8 +30,9 @@
 func (m *Machine) attach(now time.Time, r *run, t *task) {
 	r.task, r.size, r.orphanUntil = t, t.step().Size, time.Time{}
 	r.node.used = r.node.used.Plus(r.size)
+	m.touch(r.node)
 	t.run, t.number = r, max(t.number, r.key.run)
-	t.job.begun = true
+	m.begin(t.job)
 	t.job.note(now, r)
 }
 
@@ -38,7 +41,7 @@
 func (m *Machine) foundDone(now time.Time, name string) {
 	t := m.find(name)
 	if t == nil {
-		m.orphansDone[name] = now
+		m.orphansDone.Put(now, name, struct{}{})
 		return
 	}
 	if t.done {
@@ -48,21 +51,41 @@
 		t.run = nil
 		m.stop(now, r, "an earlier run has done the task")
 	}
-	t.job.begun = true
-	t.job.waiting = slices.DeleteFunc(t.job.waiting, func(w *task) bool { return w == t })
+	m.begin(t.job)
+	m.unqueue(now, t)
 	m.taskDone(now, t)
 }
 
+// unqueue takes a task out of those that may start.
+func (m *Machine) unqueue(now time.Time, t *task) {
+	t.job.waiting = slices.DeleteFunc(t.job.waiting, func(w *task) bool { return w == t })
+	m.queue.put(t.job, m.classOf(now, t.job))
+}
+
 // find returns the task of a name if its job is known.
 func (m *Machine) find(name string) *task {
 	j := m.jobs[jobOf(name)]
 	if j == nil {
 		return nil
 	}
-	for _, t := range j.tasks {
-		if t.text == name {
-			return t
-		}
+	parts := strings.Split(name, ".")
+	if len(parts) != taskParts {
+		return nil
+	}
+	step, err := strconv.Atoi(parts[taskParts-2])
+	if err != nil || step < 0 || step >= len(j.offsets) {
+		return nil
+	}
+	i, err := strconv.Atoi(parts[taskParts-1])
+	if err != nil || i < 0 || i >= j.spec.Steps[step].Count {
+		return nil
+	}
+	if t := j.tasks[j.offsets[step]+i]; t.text == name {
+		return t
 	}
 	return nil
 }
+
+// taskParts is the number of parts of a task's name, the last two of which are its
+// step and its number there.
+const taskParts = 4
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -11,6 +11,8 @@
 
 	"github.com/catkingap/catkingap/ejection"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/index"
+	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -169,13 +171,30 @@
 	actions Actions
 	nodes   map[worker.ID]*node
 	ordered []*node
-	jobs    map[work.ID]*job
-	// queue holds the jobs with tasks that may start, the first one first.
-	queue    []*job
-	outcomes map[work.ID]ended
+	// generation counts the changes of the list of workers.
+	generation uint64
+	jobs       map[work.ID]*job
+	// callers holds the jobs of each host.
+	callers map[ident.Host]map[work.ID]*job
+	// queue holds the jobs with tasks that may start.
+	queue *queue
+	// room finds usable workers, and stock counts what they have.
+	room  *room.Index[*node]
+	stock stock
+	// alarms holds the workers by the time at which something is to be done
+	// there. touched holds those at which something has changed in this event,
+	// and roomier is true if one of them can take more than before.
+	alarms  *index.Alarms[*node]
+	touched []*node
+	roomier bool
+	// visited counts the workers and jobs that events have looked at.
+	visited int
+	// outcomes holds how jobs ended that were answered, for callers that send
+	// them again.
+	outcomes *index.Recent[work.ID, Result]
 	// orphans are runs and ends that belong to no known job, by task.
 	orphans     map[string]*run
-	orphansDone map[string]time.Time
+	orphansDone *index.Recent[string, struct{}]
 	// past holds what earlier submissions of jobs left running.
 	past map[work.ID]*past
 	// signs holds the newest sign of each host.
@@ -193,6 +212,10 @@
 	// holds the ends that workers have listed until then.
 	loaded bool
 	early  []early
+	// pendingJobs is the number of kept jobs of each queue that have not begun, if
+	// that is known.
+	pendingJobs  map[work.Queue]int
+	pendingKnown bool
 	// turned is when an event was last handled. doubted is true while another
 	// host may own the workers, so that nothing of kept jobs starts.
 	turned  time.Time
@@ -201,21 +224,20 @@
 	stopped bool
 }
 
-// ended is the outcome of a job that was answered.
-type ended struct {
-	result Result
-	at     time.Time
-}
-
 // New returns the machine of an ownership that was taken at now.
 func New(now time.Time, c Config) *Machine {
 	m := &Machine{
 		config:      c,
 		nodes:       map[worker.ID]*node{},
 		jobs:        map[work.ID]*job{},
-		outcomes:    map[work.ID]ended{},
+		callers:     map[ident.Host]map[work.ID]*job{},
+		queue:       newQueue(),
+		room:        room.NewIndex[*node](),
+		stock:       stock{pools: map[ident.Pool]*poolStock{}},
+		alarms:      index.NewAlarms[*node](),
+		outcomes:    index.NewRecent[work.ID, Result](outcomeTime),
 		orphans:     map[string]*run{},
-		orphansDone: map[string]time.Time{},
+		orphansDone: index.NewRecent[string, struct{}](outcomeTime),
 		past:        map[work.ID]*past{},
 		signs:       map[ident.Host]Sign{},
 		judge:       ejection.NewJudge[worker.ID](c.Ejection),
@@ -257,10 +279,12 @@
 	for id, n := range m.nodes {
 		n.listed = listed[id]
 		if !n.listed && !known[id] && len(n.runs) == 0 {
+			m.remove(n)
 			delete(m.nodes, id)
 			continue
 		}
 		ids = append(ids, id)
+		m.touch(n)
 	}
 	slices.Sort(ids)
 	m.ordered = m.ordered[:0]
@@ -268,6 +292,7 @@
 		m.ordered = append(m.ordered, m.nodes[id])
 	}
 	m.judge.SetServers(ids)
+	m.generation++
 	m.pump(now)
 }
 
@@ -283,8 +308,12 @@
 	life := max(n.Life, w.Life)
 	n.Worker = w
 	n.Life = life
+	m.touch(n)
 }
 
+// Generation counts the changes of what Workers returns.
+func (m *Machine) Generation() uint64 { return m.generation }
+
 // Workers returns the workers that may be at work, now or before others learn of
 // it: those that have not answered yet are among them.
 func (m *Machine) Workers() []worker.Worker {
@@ -301,6 +330,7 @@
 	if n == nil || m.stopped {
 		return
 	}
+	m.touch(n)
 	m.hear(now, n, a.Verdict, a.Clock)
 	r := n.runs[runKey{task: s.Task.String(), run: s.Run}]
 	if r == nil || r.state == stopping {
@@ -350,6 +380,7 @@
 	if n == nil || m.stopped {
 		return
 	}
+	m.touch(n)
 	m.hear(now, n, a.Verdict, a.Clock)
 	if r := n.runs[runKey{task: s.Task, run: s.Run}]; r != nil && r.state == stopping && r.barred.IsZero() {
 		switch a.Verdict {
@@ -368,11 +399,9 @@
 // HostLost tells that an entry host is not heard from any more: its callers
 // will send their jobs to other hosts.
 func (m *Machine) HostLost(now time.Time, h ident.Host) {
-	for _, j := range m.sortedJobs() {
-		if j.host == h && !j.kept {
-			m.end(now, j, Interrupted, "the caller's host was silent")
-			m.drop(now, j)
-		}
+	for _, j := range sorted(m.callers[h], func(*job) bool { return true }) {
+		m.end(now, j, Interrupted, "the caller's host was silent")
+		m.drop(now, j)
 	}
 	m.pump(now)
 }
@@ -392,12 +421,12 @@
 // Depose ends the ownership: all submissions are interrupted, and no more
 // orders are given.
 func (m *Machine) Depose(now time.Time) {
-	for _, j := range m.sortedJobs() {
+	for _, j := range sorted(m.jobs, func(*job) bool { return true }) {
 		m.end(now, j, Interrupted, "another host owns the workers")
 		j.live = false
 	}
-	m.jobs = map[work.ID]*job{}
-	m.queue = nil
+	m.jobs, m.callers = map[work.ID]*job{}, map[ident.Host]map[work.ID]*job{}
+	m.queue = newQueue()
 	m.stopped = true
 	m.actions.Starts, m.actions.Stops, m.actions.Looks = nil, nil, nil
 }
@@ -407,39 +436,29 @@
 	if m.stopped {
 		return
 	}
-	for _, j := range m.sortedJobs() {
-		switch {
-		case j.kept:
-		case !now.Before(j.deadline):
+	over := func(j *job) bool { return !j.kept && (!now.Before(j.deadline) || m.silent(now, j)) }
+	for _, j := range sorted(m.jobs, over) {
+		if !now.Before(j.deadline) {
 			m.expire(now, j)
-		case m.silent(now, j):
-			m.end(now, j, Interrupted, "the caller's host was silent")
-			m.drop(now, j)
+			continue
 		}
-	}
-	for _, n := range m.ordered {
-		m.tickNode(now, n)
+		m.end(now, j, Interrupted, "the caller's host was silent")
+		m.drop(now, j)
 	}
 	for h, s := range m.signs {
 		if now.Sub(s.At) > signTime {
 			delete(m.signs, h)
 		}
 	}
-	for id, o := range m.outcomes {
-		if now.Sub(o.at) > outcomeTime {
-			delete(m.outcomes, id)
-		}
-	}
+	m.outcomes.Expire(now)
+	m.orphansDone.Expire(now)
 	for id, p := range m.past {
 		if len(p.runs) == 0 && now.Sub(p.at) > outcomeTime {
 			delete(m.past, id)
 		}
 	}
-	for name, at := range m.orphansDone {
-		if now.Sub(at) > outcomeTime {
-			delete(m.orphansDone, name)
-		}
-	}
+	m.queue.sort(func(j *job) class { return m.classOf(now, j) })
+	m.queue.all = true
 	m.pump(now)
 }
 
@@ -448,24 +467,22 @@
 	if m.cores == 0 {
 		return Load{Room: len(m.ordered), Pending: m.pending(), Loaded: m.loaded}
 	}
-	room := 0
-	for _, n := range m.ordered {
-		if m.usable(now, n) {
-			room += int(float64(n.Capacity.Cores-n.used.Cores) / m.cores)
+	m.settleTouched(now)
+	return Load{Room: m.stock.tasks - m.queue.tasks, Pending: m.pending(), Loaded: m.loaded}
+}
+
+// sorted returns the jobs that are wanted in a fixed order.
+func sorted(jobs map[work.ID]*job, wanted func(*job) bool) []*job {
+	var found []*job
+	for _, j := range jobs {
+		if wanted(j) {
+			found = append(found, j)
 		}
 	}
-	for _, j := range m.queue {
-		room -= len(j.waiting)
-	}
-	return Load{Room: room, Pending: m.pending(), Loaded: m.loaded}
+	sortJobs(found)
+	return found
 }
 
-// sortedJobs returns the jobs in a fixed order.
-func (m *Machine) sortedJobs() []*job {
-	jobs := make([]*job, 0, len(m.jobs))
-	for _, j := range m.jobs {
-		jobs = append(jobs, j)
-	}
+func sortJobs(jobs []*job) {
 	slices.SortFunc(jobs, func(a, b *job) int { return cmp.Compare(a.spec.ID, b.spec.ID) })
-	return jobs
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -36,8 +36,19 @@
 	ends   int
 	ratios float64
 	record Record
-	// queued is true while the job is in the queue.
-	queued bool
+	// chain is the estimate of the longest chain of tasks, latest when the job
+	// must start to meet its objective, and uselessAt when the answer is of no
+	// more use to the caller.
+	chain             time.Duration
+	latest, uselessAt time.Time
+	// queued is true while the job is in the queue, in a class. The queue counts
+	// its tasks, their cores and the cores of the smallest one. It is fresh until
+	// it was tried.
+	queued, fresh                        bool
+	class                                class
+	queuedTasks, queuedCores, leastCores int
+	// offsets holds the number of the first task of each step.
+	offsets []int
 	// again is true if something of the job may have started under an earlier
 	// owner.
 	again bool
@@ -88,7 +99,11 @@
 		},
 		live: true,
 	}
+	j.chain = s.Job.Chain()
+	j.latest = j.objective.Add(-j.chain)
+	j.uselessAt = j.objective.Add(uselessTime(s.Job.Objective()))
 	for i, st := range s.Job.Steps {
+		j.offsets = append(j.offsets, j.left)
 		j.stepLeft = append(j.stepLeft, st.Count)
 		j.left += st.Count
 		for k := range st.Count {
@@ -110,8 +125,8 @@
 		m.refuse(now, s, Moved, "another host owns the workers", 0)
 		return
 	}
-	if old, ok := m.outcomes[s.Job.ID]; ok {
-		m.refuse(now, s, old.result, "", 0)
+	if old, ok := m.outcomes.Get(s.Job.ID); ok {
+		m.refuse(now, s, old, "", 0)
 		return
 	}
 	if m.overtaken(s) {
@@ -139,6 +154,7 @@
 		}
 	}
 	m.jobs[j.spec.ID] = j
+	m.await(j)
 	m.refill(now, j)
 	if j.left == 0 {
 		m.finish(now, j, Completed, "")
@@ -160,15 +176,26 @@
 		m.refuse(now, s, Superseded, "a later try has come before", 0)
 		return
 	}
+	delete(m.callers[j.host], j.spec.ID)
 	j.host, j.boot, j.call, j.try, j.wanted = s.Host, s.Boot, s.Call, s.Try, s.sent(now)
 	j.deadline = j.wanted.Add(s.Left)
+	m.await(j)
+	m.retry(j)
 	m.pump(now)
 }
 
+// await notes which host waits for a job.
+func (m *Machine) await(j *job) {
+	if m.callers[j.host] == nil {
+		m.callers[j.host] = map[work.ID]*job{}
+	}
+	m.callers[j.host][j.spec.ID] = j
+}
+
 // reclaim attaches the runs and ends that an earlier owner left of a job. It
 // returns true if there are any.
 func (m *Machine) reclaim(now time.Time, j *job) bool {
-	if len(m.orphans) == 0 && len(m.orphansDone) == 0 {
+	if len(m.orphans) == 0 && m.orphansDone.Len() == 0 {
 		return false
 	}
 	found := false
@@ -176,7 +203,7 @@
 		if t.done {
 			continue
 		}
-		if _, ok := m.orphansDone[t.text]; ok {
+		if _, ok := m.orphansDone.Get(t.text); ok {
 			t.done = true
 			j.left--
 			j.stepLeft[t.name.Step]--
@@ -267,7 +294,7 @@
 		return
 	}
 	m.end(now, j, r, reason)
-	m.outcomes[j.spec.ID] = ended{result: r, at: now}
+	m.outcomes.Put(now, j.spec.ID, r)
 	m.drop(now, j)
 }
 
@@ -294,7 +321,14 @@
 func (m *Machine) drop(now time.Time, j *job) {
 	j.live = false
 	j.waiting = nil
+	m.queue.put(j, j.class)
 	delete(m.jobs, j.spec.ID)
+	if c := m.callers[j.host]; c[j.spec.ID] == j {
+		if delete(c, j.spec.ID); len(c) == 0 {
+			delete(m.callers, j.host)
+		}
+	}
+	m.pendingKnown = m.pendingKnown && !j.kept
 	for _, t := range j.tasks {
 		switch r := t.run; {
 		case r == nil:
--- a/dispatch/keep.go
+++ b/dispatch/keep.go
@@ -71,6 +71,7 @@
 	m.reclaim(now, k)
 	k.begun = k.begun || p.Begun()
 	m.jobs[j.ID] = k
+	m.pendingKnown = false
 	m.refill(now, k)
 	if m.loaded {
 		m.settleKept(now, k)
@@ -103,21 +104,21 @@
 		}
 	}
 	m.early = nil
-	for _, j := range m.sortedJobs() {
-		if j.kept {
-			m.settleKept(now, j)
-		}
+	for _, j := range sorted(m.jobs, func(j *job) bool { return j.kept }) {
+		m.settleKept(now, j)
 	}
 	for _, n := range m.ordered {
 		n.acknowledge(now)
+		m.touch(n)
 	}
+	m.queue.all = true
 	m.pump(now)
 }
 
 // Settled returns true if nothing of the owner before can run unseen any more,
 // because all its workers have answered.
 func (m *Machine) Settled() bool {
-	return m.config.Sure && !slices.ContainsFunc(m.ordered, func(n *node) bool { return !n.adopted })
+	return m.config.Sure && m.stock.unheard == 0
 }
 
 // longPause is how long nothing may have happened for an owner to take its workers
@@ -160,6 +161,7 @@
 	}
 	delete(n.unstored, e.Number)
 	n.acknowledge(now)
+	m.touch(n)
 }
 
 // Cancel ends a kept job at once.
@@ -173,6 +175,9 @@
 
 // pending returns the number of kept jobs of each queue that have not begun.
 func (m *Machine) pending() map[work.Queue]int {
+	if m.pendingKnown {
+		return m.pendingJobs
+	}
 	var counts map[work.Queue]int
 	for _, j := range m.jobs {
 		if !j.kept || j.begun {
@@ -183,6 +188,7 @@
 		}
 		counts[j.spec.Queue]++
 	}
+	m.pendingJobs, m.pendingKnown = counts, true
 	return counts
 }
 
@@ -218,7 +224,7 @@
 // knows returns true if a job was handed in to this ownership. Runs that were
 // stopped for want of a job say nothing.
 func (m *Machine) knows(id work.ID) bool {
-	_, over := m.outcomes[id]
+	_, over := m.outcomes.Get(id)
 	return over || m.jobs[id] != nil
 }
 
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -84,6 +85,10 @@
 	runs      map[runKey]*run
 	used      work.Size
 	pace      pace
+	// touched is true if something has changed in this event, and stale if that is
+	// not counted in share, which is what the worker adds to the counts.
+	touched, stale bool
+	share          share
 	// failures counts the failed runs of different jobs in a row.
 	failures   int
 	lastFailed work.ID
@@ -100,15 +105,13 @@
 	// paceWeight is the weight of a new run time in what is known of a worker:
 	// the estimates are off by some 40 %, so about a dozen are needed.
 	paceWeight = 0.12
-	// maxPace bounds what one run time can say.
-	maxPace = 2.5
 )
 
 func (p *pace) learn(took, estimate time.Duration) {
 	if took <= 0 || estimate <= 0 {
 		return
 	}
-	x := min(max(math.Log(float64(took)/float64(estimate)), -maxPace), maxPace)
+	x := min(max(math.Log(float64(took)/float64(estimate)), -room.MaxPace), room.MaxPace)
 	if !p.known {
 		p.known = true
 		// One run time says little: it is drawn towards the estimate.
@@ -121,13 +124,19 @@
 
 // scale returns the expected run time of a task with an estimate.
 func (p pace) scale(estimate time.Duration) time.Duration {
-	return time.Duration(float64(estimate) * math.Exp(p.log))
+	return scaled(estimate, math.Exp(p.log))
 }
 
 // hear takes a sign of life, or its lack. A worker that leaves an order without
 // an answer gets no work until it has answered a look.
 func (m *Machine) hear(now time.Time, n *node, v worker.Verdict, clock worker.Clock) {
 	if v == worker.Unanswered || v == worker.Unsent {
+		if !now.Before(m.lossyUntil) {
+			// The runs of all workers are asked for sooner from now on.
+			for _, x := range m.ordered {
+				m.touch(x)
+			}
+		}
 		m.lossyUntil = now.Add(lossyPeriod)
 		if n.silent.IsZero() {
 			n.silent = now
@@ -188,6 +197,7 @@
 		}
 	}
 	n.noteAt = time.Time{}
+	m.touch(n)
 	m.actions.Looks = append(m.actions.Looks, l)
 }
 
@@ -198,6 +208,7 @@
 	if n == nil || m.stopped {
 		return
 	}
+	m.touch(n)
 	if !l.Extra {
 		n.watching = false
 	}
@@ -229,6 +240,7 @@
 	if report.Life > n.Life {
 		m.reborn(now, n)
 		n.Life = report.Life
+		m.generation++
 	}
 	m.hear(now, n, worker.Accepted, report.Clock)
 	n.noted = max(n.noted, min(l.Seen, n.seen))
@@ -318,6 +330,7 @@
 		delete(m.orphans, r.key.task)
 	}
 	r.nextStop = now.Add(stopTimeout)
+	m.touch(r.node)
 	m.linger(r)
 	m.actions.Stops = append(m.actions.Stops, worker.Stop{Order: m.order(r.node), Task: r.key.task, Run: r.key.run})
 }
@@ -333,6 +346,7 @@
 		delete(m.orphans, r.key.task)
 	}
 	n.used = n.used.Minus(r.size)
+	m.touch(n)
 	m.settle(now, r)
 	t := r.task
 	if t == nil {
@@ -413,6 +427,7 @@
 	n.watching, n.clock = false, 0
 	n.lapsed, n.noteAt = time.Time{}, time.Time{}
 	n.pace = pace{}
+	m.touch(n)
 }
 
 // lose ends all runs of a worker.
--- a/dispatch/past.go
+++ b/dispatch/past.go
@@ -51,6 +51,9 @@
 		delete(p.runs, r)
 		p.highest = max(p.highest, r.key.run)
 		p.at = now
+		if j := m.jobs[r.jobOf()]; j != nil && len(p.runs) == 0 {
+			m.retry(j)
+		}
 	}
 }
 
--- /dev/null
+++ b/dispatch/scan_test.go
@@ -0,0 +1,330 @@
+package dispatch
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/ejection"
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/room"
+	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/worker"
+)
+
+var origin = time.Unix(1_800_000_000, 0)
+
+// scanned is where a worker stands among those that a task may start on: the
+// first one of all is the one to choose.
+type scanned struct {
+	failed, far, slow bool
+	class             room.Class
+	free              int
+	id                worker.ID
+}
+
+func (s scanned) compare(o scanned) int {
+	for _, c := range [...]int{compareBool(s.failed, o.failed), compareBool(s.far, o.far), compareBool(s.slow, o.slow)} {
+		if c != 0 {
+			return c
+		}
+	}
+	c := cmp.Compare(s.class, o.class)
+	if !s.slow {
+		c = -c
+	}
+	if c != 0 {
+		return c
+	}
+	if c := cmp.Compare(s.free, o.free); c != 0 {
+		return c
+	}
+	return cmp.Compare(s.id, o.id)
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// scan chooses a worker by a look at each.
+func (m *Machine) scan(now time.Time, t *task, anyWorker bool) *node {
+	var best *node
+	var place scanned
+	size := t.step().Size
+	left := t.job.objective.Sub(now) - answerTime
+	for _, n := range m.ordered {
+		if !n.suits(t) || !size.Fits(n.Capacity.Minus(n.used)) || !m.usable(now, n) || !m.apart(n, t) {
+			continue
+		}
+		expected := m.expected(n, t)
+		if (!anyWorker && expected > left) || m.leash(now, n, t.job) < minLease || m.outlived(n, t.job) {
+			continue
+		}
+		s := scanned{
+			failed: t.failedOn(n),
+			far:    t.step().Rack != "" && !slices.Contains(n.Labels, t.step().Rack),
+			slow:   anyWorker || scaled(expected, paceMargin) > left,
+			class:  room.ClassOf(n.pace.log), free: n.Capacity.Cores - n.used.Cores, id: n.ID,
+		}
+		if best == nil || s.compare(place) < 0 {
+			best, place = n, s
+		}
+	}
+	return best
+}
+
+// checkAgainstScan compares what is kept up to date with what a search finds.
+func checkAgainstScan(is *is.I, m *Machine, now time.Time) {
+	is.Helper()
+	pools := map[ident.Pool]*poolStock{}
+	tasks, unheard, usable := 0, 0, 0
+	for _, n := range m.ordered {
+		if pools[n.Pool] == nil {
+			pools[n.Pool] = &poolStock{}
+		}
+		if !n.adopted {
+			unheard++
+		}
+		if n.listed {
+			pools[n.Pool].usedCores += n.used.Cores
+		}
+		if m.usable(now, n) {
+			usable++
+			pools[n.Pool].freeCores += n.Capacity.Cores - n.used.Cores
+		}
+		is.Equal(n.share.offer != nil, m.usable(now, n))
+		tasks += n.share.tasks
+		is.True(m.watchAt(now, n).After(now)) // no look is missed
+	}
+	is.Equal(m.stock.unheard, unheard)
+	is.Equal(m.stock.tasks, tasks)
+	for p, x := range pools {
+		is.Equal(*m.stock.pool(p), *x)
+	}
+	waiting := 0
+	for c := range m.queue.jobs {
+		for _, j := range m.queue.jobs[c].Items() {
+			is.Equal(int(j.class), c)
+			is.True(j.live && len(j.waiting) > 0)
+			waiting += len(j.waiting)
+		}
+	}
+	is.Equal(m.queue.tasks, waiting)
+}
+
+// simulation plays random events on a Machine.
+type simulation struct {
+	m       *Machine
+	random  *rand.Rand
+	now     time.Time
+	jobs    int
+	numbers map[worker.ID]worker.EndNumber
+	starts  []worker.Start
+	looks   []worker.Look
+}
+
+const twoPools = 2
+
+func newSimulation(seed uint64, workers int) *simulation {
+	s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), now: origin, numbers: map[worker.ID]worker.EndNumber{}}
+	s.m = New(origin, Config{
+		Token: 1, MaxLease: time.Second, FarFactor: 2, Resend: 1300 * time.Millisecond,
+		Ejection: ejection.Config{MaxShare: 0.5, Failures: 3, MinProbe: 500 * time.Millisecond, MaxProbe: 5 * time.Second},
+	})
+	s.m.Loaded(origin)
+	s.m.SetWorkers(origin, s.workers(workers))
+	s.answerAll()
+	return s
+}
+
+func (s *simulation) workers(count int) []worker.Worker {
+	var list []worker.Worker
+	for i := range count {
+		list = append(list, worker.Worker{
+			ID: worker.ID(fmt.Sprintf("w%04d", i)), Life: 1, Address: fmt.Sprintf("w%d:1", i),
+			Pool: ident.Pool(fmt.Sprint("pool-", i%twoPools)), Labels: []string{fmt.Sprint("r", i%5), fmt.Sprint("kind-", i%3)},
+			Capacity: work.Size{Cores: 40_000 + 24_000*(i%2), Memory: 64_000}, Draining: s.random.IntN(40) == 0,
+		})
+	}
+	return list
+}
+
+// clock returns the time on the clock of all workers.
+func (s *simulation) clock() worker.Clock {
+	return worker.Clock(1000 + s.now.Sub(origin).Milliseconds())
+}
+
+// take collects the orders.
+func (s *simulation) take() {
+	a := s.m.Take()
+	s.starts = append(s.starts, a.Starts...)
+	s.looks = append(s.looks, a.Looks...)
+	for _, x := range a.Stops {
+		s.m.Stopped(s.now, x, worker.Answer{Verdict: worker.Accepted, Clock: s.clock()})
+	}
+}
+
+// report is what a worker says that runs all that it was told to.
+func (s *simulation) report(n *node) *worker.Report {
+	r := &worker.Report{Life: n.Life, Clock: s.clock()}
+	for _, x := range n.sortedRuns() {
+		if x.state == atWork {
+			r.Running = append(r.Running, worker.Running{Task: x.key.task, Run: x.key.run, Percent: 50})
+		}
+	}
+	return r
+}
+
+func (s *simulation) answerAll() {
+	for s.take(); len(s.looks) > 0; s.take() {
+		l := s.looks[0]
+		s.looks = s.looks[1:]
+		if n := s.m.nodes[l.Worker]; n != nil && l.Wait == 0 {
+			s.m.Looked(s.now, s.now, l, s.report(n), worker.Accepted)
+		} else if n != nil {
+			n.watching = true
+		}
+	}
+}
+
+func (s *simulation) submission() Submission {
+	s.jobs++
+	x := s.random
+	step := work.Step{
+		Count: 1 + x.IntN(6), Estimate: time.Duration(40+x.IntN(900)) * time.Millisecond,
+		Size: work.Size{Cores: 5_000 + x.IntN(35_000), Memory: 1000},
+	}
+	switch x.IntN(6) {
+	case 0:
+		step.Label = fmt.Sprint("kind-", x.IntN(3))
+	case 1:
+		step.Rack = fmt.Sprint("r", x.IntN(5))
+	case 2:
+		step.PerWorker = 1 + x.IntN(2)
+	}
+	return Submission{
+		Host: ident.Host(fmt.Sprint("host-", x.IntN(3))), Boot: "b", Call: uint64(s.jobs), Try: Try(s.jobs), Left: 4 * time.Second,
+		Final: x.IntN(3) > 0,
+		Job: work.Job{
+			ID: work.ID(fmt.Sprintf("j%05d", s.jobs)), Pool: ident.Pool(fmt.Sprint("pool-", x.IntN(twoPools))),
+			Attempts: 3, Stretch: 1.6, Target: 60 * time.Millisecond, Priority: work.Priority(x.IntN(2)), Steps: []work.Step{step},
+		},
+	}
+}
+
+// end has a random run end.
+func (s *simulation) end(how worker.How) {
+	busy := slices.DeleteFunc(slices.Clone(s.m.ordered), func(n *node) bool { return len(n.runs) == 0 })
+	if len(busy) == 0 {
+		return
+	}
+	n := busy[s.random.IntN(len(busy))]
+	runs := n.sortedRuns()
+	r := runs[s.random.IntN(len(runs))]
+	if r.state != atWork {
+		return
+	}
+	report := s.report(n)
+	report.Running = slices.DeleteFunc(report.Running, func(x worker.Running) bool { return x.Task == r.key.task })
+	s.numbers[n.ID]++
+	report.Ended = []worker.Ended{{Number: s.numbers[n.ID], Task: r.key.task, Run: r.key.run, How: how}}
+	s.m.Looked(s.now, s.now, worker.Look{Order: worker.Order{Worker: n.ID}}, report, worker.Accepted)
+}
+
+// sign has all hosts sign all calls.
+func (s *simulation) sign() {
+	s.jobs++
+	for h := range 3 {
+		host := ident.Host(fmt.Sprint("host-", h))
+		var calls []uint64
+		for _, j := range s.m.callers[host] {
+			calls = append(calls, j.call)
+		}
+		slices.Sort(calls)
+		s.m.Signed(s.now, Sign{Host: host, Boot: "b", At: s.now, Try: Try(s.jobs), Calls: calls})
+	}
+}
+
+// step plays one random event.
+func (s *simulation) step() {
+	s.now = s.now.Add(time.Duration(s.random.IntN(3)) * time.Millisecond)
+	switch x := s.random.IntN(100); {
+	case x < 20:
+		s.m.Submit(s.now, s.submission())
+	case x < 50:
+		s.end(worker.Done)
+	case x < 53:
+		s.end(worker.Failed)
+	case x < 56:
+		s.sign()
+	case x < 60:
+		s.m.Tick(s.now)
+	case x < 61:
+		n := s.m.ordered[s.random.IntN(len(s.m.ordered))]
+		s.m.Looked(s.now, s.now, worker.Look{Order: worker.Order{Worker: n.ID}, Extra: true}, nil, worker.Unanswered)
+	case x < 62:
+		for _, j := range s.m.queue.jobs[onTime].Items() {
+			s.m.Withdraw(s.now, j.host, j.call, j.spec.ID)
+			break
+		}
+	case len(s.starts) > 0:
+		verdict := worker.Accepted
+		if s.random.IntN(50) == 0 {
+			verdict = worker.Full
+		}
+		s.m.Started(s.now, s.starts[0], worker.Answer{Verdict: verdict, Clock: s.clock()})
+		s.starts = s.starts[1:]
+	}
+	s.answerAll()
+}
+
+// TestIndexFindsWhatAScanFinds plays random events and compares each choice and
+// all counts with those of a search over all workers. After a tick no task waits
+// that a search finds a worker for.
+func TestIndexFindsWhatAScanFinds(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(seed, 30)
+			chosen := 0
+			for range 4000 {
+				s.step()
+				if !s.m.turned.Equal(s.now) {
+					// There was nothing to play.
+					continue
+				}
+				checkAgainstScan(is, s.m, s.now)
+				j := newJob(s.now, s.submission())
+				anyWorker := s.random.IntN(2) == 0
+				n, want := s.m.choose(s.now, j.tasks[0], anyWorker), s.m.scan(s.now, j.tasks[0], anyWorker)
+				is.True(n == want)
+				if n != nil {
+					chosen++
+				}
+			}
+			is.True(chosen > 100)
+			s.m.Tick(s.now)
+			for c := range s.m.queue.jobs {
+				for _, j := range s.m.queue.jobs[c].Items() {
+					if s.m.lingers(j.spec.ID) {
+						continue
+					}
+					for _, x := range j.waiting {
+						is.True(s.m.scan(s.now, x, s.m.hope(s.now, j) != onTime) == nil)
+					}
+				}
+			}
+		})
+	}
+}
--- a/dispatch/straggler.go
+++ b/dispatch/straggler.go
@@ -30,13 +30,16 @@
 // overdue returns true if a run should have ended, and its worker was not asked
 // lately how far it is.
 func (m *Machine) overdue(now time.Time, n *node, r *run) bool {
-	if now.Before(r.checkAt) {
-		return false
-	}
+	return !now.Before(r.checkAt) && now.Sub(r.sent) > m.patience(now, n, r)
+}
+
+// patience returns how long a run may take before its worker is asked how far it
+// is.
+func (m *Machine) patience(now time.Time, n *node, r *run) time.Duration {
 	if now.Before(m.lossyUntil) {
-		return now.Sub(r.sent) > scaled(m.expected(n, r.task), lossyFactor)+lossyTime
+		return scaled(m.expected(n, r.task), lossyFactor) + lossyTime
 	}
-	return now.Sub(r.sent) > m.limit(n, r)
+	return m.limit(n, r)
 }
 
 // limit returns how long a run may take before it counts as a straggler.
@@ -70,8 +73,11 @@
 		}
 		return
 	}
+	if !m.queue.empty() {
+		return
+	}
 	other := m.choose(now, r.task, true)
-	if other == nil || len(m.queue) > 0 {
+	if other == nil {
 		return
 	}
 	again := scaled(m.expected(other, r.task), r.task.job.offBy()) + restartTime
--- a/dispatch/wanted.go
+++ b/dispatch/wanted.go
@@ -71,15 +71,21 @@
 	if at.After(now) {
 		at = now
 	}
-	for _, j := range m.sortedJobs() {
+	var left []*job
+	for _, j := range m.callers[s.Host] {
 		switch {
-		case j.kept || j.host != s.Host || j.boot != s.Boot || j.try > s.Try:
+		case j.boot != s.Boot || j.try > s.Try:
 		case !s.wants(j.call):
-			m.withdraw(now, j)
+			left = append(left, j)
 		default:
 			j.wanted = latest(j.wanted, at)
+			m.retry(j)
 		}
 	}
+	sortJobs(left)
+	for _, j := range left {
+		m.withdraw(now, j)
+	}
 	m.pump(now)
 }
 
--- a/ejection/ejection.go
+++ b/ejection/ejection.go
@@ -110,6 +110,15 @@
 	return !now.Before(r.probeAt.Add((carefulFactor - 1) * r.probe))
 }
 
+// Trial returns when a server that is left out may be tried again, or the zero
+// time if it is not left out or being tried.
+func (j *Judge[Name]) Trial(n Name) time.Time {
+	if r := j.records[n]; r != nil && r.ejected && !r.probing {
+		return r.probeAt
+	}
+	return time.Time{}
+}
+
 // Limit returns how many tasks a server may run at once while it is new or has
 // just returned. It grows with answers, and doubles with time, so that long
 // tasks do not wait for each other.
--- /dev/null
+++ b/index/index_test.go
@@ -0,0 +1,87 @@
+package index
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var begin = time.Unix(1_800_000_000, 0)
+
+// TestSorted inserts and removes random items, beside a slice that is sorted anew.
+func TestSorted(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	s := NewSorted(cmp.Compare[int])
+	var want []int
+	for range 2000 {
+		x := random.IntN(100)
+		if i := slices.Index(want, x); i >= 0 {
+			want = slices.Delete(want, i, i+1)
+			is.True(s.Remove(x))
+		} else {
+			want = append(want, x)
+			is.True(!s.Remove(x))
+			s.Insert(x)
+		}
+		slices.Sort(want)
+		is.True(slices.Equal(s.Items(), want))
+		is.Equal(s.Before(50), len(slices.DeleteFunc(slices.Clone(want), func(x int) bool { return x >= 50 })))
+	}
+}
+
+// TestAlarms sets and clears random alarms, beside a map.
+func TestAlarms(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(2, 1))
+	a := NewAlarms[int]()
+	want := map[int]time.Time{}
+	now := begin
+	for range 2000 {
+		now = now.Add(time.Millisecond)
+		x := random.IntN(50)
+		if random.IntN(4) == 0 {
+			a.Clear(x)
+			delete(want, x)
+		} else {
+			at := now.Add(time.Duration(random.IntN(100)) * time.Millisecond)
+			a.Set(x, at)
+			want[x] = at
+		}
+		is.Equal(a.Len(), len(want))
+		for {
+			x, ok := a.Due(now)
+			if !ok {
+				break
+			}
+			is.True(!want[x].After(now))
+			delete(want, x)
+		}
+		for _, at := range want {
+			is.True(at.After(now))
+		}
+	}
+}
+
+// TestRecent puts a key twice: it is kept from the second time on.
+func TestRecent(t *testing.T) {
+	is := is.New(t)
+	r := NewRecent[string, int](time.Second)
+	r.Put(begin, "a", 1)
+	r.Put(begin, "b", 2)
+	r.Put(begin.Add(time.Second), "a", 3)
+	r.Expire(begin.Add(time.Second))
+	is.Equal(r.Len(), 2)
+	r.Expire(begin.Add(1500 * time.Millisecond))
+	_, ok := r.Get("b")
+	is.True(!ok)
+	x, ok := r.Get("a")
+	is.True(ok)
+	is.Equal(x, 3)
+	r.Expire(begin.Add(3 * time.Second))
+	is.Equal(r.Len(), 0)
+}
