Ask what became of a start without an answer before it is stopped

Cause: a start that got no answer within 60 ms was stopped at once and its task started again, though most of such runs were at work and only their answers were late. Under load that made three more orders of one, and threw work away; a lost answer ended work that ran. Now the next look that was sent after the start was given up tells: a run that it lists goes on, another one is barred and starts again as before.

Ruled out: longer time-outs alone, which hide lost answers.

TestStartWithoutAnswer is as strict for starts that have not arrived, which are barred before the task starts again, and has the case of one that is at work; it failed before (one stop for none).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -343,8 +343,11 @@
 			r.state, r.confirmed = atWork, now
 		}
 	case worker.Unanswered:
-		m.judge.Withdrawn(n.ID)
-		m.stop(now, r, "no answer to the start")
+		// It may be at work: the next look tells.
+		r.unanswered = now
+		if !n.silent.Equal(now) {
+			m.look(now, n)
+		}
 	default:
 		m.refusedStart(now, n, r, a.Verdict)
 	}
@@ -462,6 +465,10 @@
 	m.pump(now)
 }
 
+// Jobs returns the number of jobs that are not answered, and that of their tasks
+// that wait.
+func (m *Machine) Jobs() (jobs, queued int) { return len(m.jobs), m.queue.tasks }
+
 // Load returns what the workers can take.
 func (m *Machine) Load(now time.Time) Load {
 	if m.cores == 0 {
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -169,27 +169,53 @@
 	}
 }
 
-// TestStartWithoutAnswer bars a start that got no answer before the task starts
-// again, with a higher run.
+// TestStartWithoutAnswer has a start get no answer. A run that the next look lists
+// goes on; another one is barred before the task starts again, with a higher run.
 func TestStartWithoutAnswer(t *testing.T) {
-	is := is.New(t)
-	m := openMachine("w1")
-	s := startOne(is, m, at(10))
-	m.Started(at(70), s, worker.Answer{Verdict: worker.Unanswered})
-	a := m.Take()
-	is.Equal(len(a.Starts), 0)
-	is.Equal(len(a.Stops), 1)
-	answerLooks(m, at(72), a, worker.Report{Life: 1, Clock: 1072})
-	is.Equal(len(m.Take().Starts), 0)
-	m.Stopped(at(73), a.Stops[0], worker.Answer{Verdict: worker.Accepted, Clock: 1073})
-	a = m.Take()
-	is.Equal(len(a.Starts), 0)
-	for _, l := range a.Looks {
-		m.Looked(at(75), at(74), l, &worker.Report{Life: 1, Clock: 1075}, worker.Accepted)
+	tests := map[string]struct {
+		running []worker.Running
+		stopped bool
+	}{
+		"at work":     {running: []worker.Running{{Task: "j.0.0.0", Run: 1, Percent: 50}}},
+		"not arrived": {stopped: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := openMachine("w1")
+			s := startOne(is, m, at(10))
+			m.Started(at(70), s, worker.Answer{Verdict: worker.Unanswered})
+			a := m.Take()
+			is.Equal(len(a.Starts), 0)
+			is.Equal(len(a.Stops), 0)
+			is.True(len(a.Looks) > 0)
+			// One that was sent before the start was given up tells nothing.
+			m.Looked(at(71), at(69), worker.Look{Order: a.Looks[0].Order, Extra: true}, &worker.Report{Life: 1, Clock: 1070}, worker.Accepted)
+			is.Equal(len(m.Take().Stops), 0)
+			answerLooks(m, at(72), a, worker.Report{Life: 1, Clock: 1072, Running: test.running})
+			a = m.Take()
+			is.Equal(len(a.Starts), 0)
+			is.Equal(len(a.Stops) == 1, test.stopped)
+			if !test.stopped {
+				m.Looked(at(100), at(99), worker.Look{Order: s.Order}, &worker.Report{
+					Life: 1, Clock: 1100, Ended: []worker.Ended{{Number: 1, Task: "j.0.0.0", Run: 1, How: worker.Done}},
+				}, worker.Accepted)
+				replies := m.Take().Replies
+				is.Equal(len(replies), 1)
+				is.Equal(replies[0].Result, dispatch.Completed)
+				return
+			}
+			m.Stopped(at(73), a.Stops[0], worker.Answer{Verdict: worker.Accepted, Clock: 1073})
+			a = m.Take()
+			is.Equal(len(a.Starts), 0)
+			for _, l := range a.Looks {
+				m.Looked(at(75), at(74), l, &worker.Report{Life: 1, Clock: 1075}, worker.Accepted)
+			}
+			a = m.Take()
+			is.Equal(len(a.Starts), 1)
+			is.Equal(a.Starts[0].Run, work.Run(2))
+		})
 	}
-	a = m.Take()
-	is.Equal(len(a.Starts), 1)
-	is.Equal(a.Starts[0].Run, work.Run(2))
 }
 
 // TestSameJobFromAnotherHost has a caller send its job again by another host:
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -36,6 +36,9 @@
 	size  work.Size
 	state runState
 	sent  time.Time
+	// unanswered is when the start was given up that was left without an answer, or
+	// zero.
+	unanswered time.Time
 	// confirmed is when the worker was known to have the run.
 	confirmed time.Time
 	// barred is when the worker accepted the stop: from then on the run can not
@@ -313,6 +316,12 @@
 			// It may have been done, and its end not be listed yet.
 			continue
 		}
+		if r.state == ordered && !r.unanswered.IsZero() && !r.unanswered.After(sent) {
+			// The start may be carried out yet.
+			m.judge.Withdrawn(n.ID)
+			m.stop(now, r, "no answer to the start")
+			continue
+		}
 		known := r.state == atWork && r.confirmed.Before(sent)
 		barred := r.state == stopping && !r.barred.IsZero() && r.barred.Before(sent)
 		if known || barred {
