Watch all links to other hosts by one timer

One loop looks at all links; it ends with the last of them. The decision is the same (TestSilence...), as is what a link does.

--- a/peer/link.go
+++ b/peer/link.go
@@ -81,6 +81,8 @@
 	dialed   map[string]*link
 	open     map[*link]struct{}
 	closed   bool
+	// watching is true while a loop looks for silent links.
+	watching bool
 }
 
 // NewLinks returns links without handlers.
@@ -163,7 +165,7 @@
 // attach starts a link on an open connection. If another link to the same
 // address was opened meanwhile, it stays open but is used no more.
 func (l *Links) attach(connection net.Conn, address string) *link {
-	k := &link{links: l, connection: connection, address: address, calls: map[uint64]chan *frame{}, done: make(chan struct{})}
+	k := &link{silence: silence{timeout: l.config.SilenceTimeout}, links: l, connection: connection, address: address, calls: map[uint64]chan *frame{}, done: make(chan struct{})}
 	k.heard.Store(time.Now().UnixNano())
 	l.mutex.Lock()
 	l.open[k] = struct{}{}
@@ -171,13 +173,15 @@
 		l.dialed[address] = k
 	}
 	closed := l.closed
+	watch := l.config.SilenceTimeout > 0 && !l.watching
+	l.watching = l.watching || watch
 	l.mutex.Unlock()
 	if closed {
 		connection.Close()
 	}
 	go k.read()
-	if l.config.SilenceTimeout > 0 {
-		go k.watch()
+	if watch {
+		go l.watch()
 	}
 	return k
 }
@@ -199,6 +203,8 @@
 	done       chan struct{}
 	// heard is when the last byte was received, in nanoseconds since 1970.
 	heard atomic.Int64
+	// silence is used by the loop that looks for silent links.
+	silence silence
 
 	writing sync.Mutex
 	mutex   sync.Mutex
--- a/peer/silence.go
+++ b/peer/silence.go
@@ -50,30 +50,40 @@
 // looksPerTimeout is how often a link is looked at within its timeout.
 const looksPerTimeout = 4
 
-// watch closes the link when it has gone silent, so that its calls end and
-// later calls open a new link.
-func (k *link) watch() {
-	s := &silence{timeout: k.links.config.SilenceTimeout}
-	ticker := time.NewTicker(s.timeout / looksPerTimeout)
+// watch closes the links that have gone silent, so that their calls end and later
+// calls open new ones. It ends with the last link.
+func (l *Links) watch() {
+	ticker := time.NewTicker(l.config.SilenceTimeout / looksPerTimeout)
 	defer ticker.Stop()
-	for {
-		select {
-		case <-k.done:
+	for now := range ticker.C {
+		l.mutex.Lock()
+		open := make([]*link, 0, len(l.open))
+		for k := range l.open {
+			open = append(open, k)
+		}
+		l.watching = len(open) > 0
+		l.mutex.Unlock()
+		if len(open) == 0 {
 			return
-		case now := <-ticker.C:
-			k.mutex.Lock()
-			open := len(k.calls)
-			k.mutex.Unlock()
-			switch s.judge(now, time.Unix(0, k.heard.Load()), open) {
-			case linkPing:
-				go k.ping(s.timeout)
-			case linkSilent:
-				k.links.Statistics.Silent.Add(1)
-				k.links.config.Logger.WithField("remote", k.connection.RemoteAddr().String()).WithError(errSilent).Warn("peer link closed")
-				k.connection.Close()
-				return
-			}
 		}
+		for _, k := range open {
+			k.look(now)
+		}
+	}
+}
+
+// look pings or closes the link if it is silent.
+func (k *link) look(now time.Time) {
+	k.mutex.Lock()
+	open := len(k.calls)
+	k.mutex.Unlock()
+	switch k.silence.judge(now, time.Unix(0, k.heard.Load()), open) {
+	case linkPing:
+		go k.ping(k.silence.timeout)
+	case linkSilent:
+		k.links.Statistics.Silent.Add(1)
+		k.links.config.Logger.WithField("remote", k.connection.RemoteAddr().String()).WithError(errSilent).Warn("peer link closed")
+		k.connection.Close()
 	}
 }
 
