Bound the contacts of a host, and give orders the time that an owner is late

Now only the owner of its data centre, the four hosts that would take its place, and owners that may have a job of it are contacted so often; other owners each 0.3 s, and all others at most ten a second together. TestContactsDoNotGrowWithTheFleet: 44 a second at 50 hosts, 45 at 150, 52 at 5,000. The first two missed contacts do not double the pause, so that a silent link is replaced as soon as before (TestLinkGoesSilent failed with a pause that did).

An order takes four turns in the owner's process; what these take longer when it is late is added, up to 0.3 s. Lists of workers are compared only after changes.

Ruled out: saturation of the machine that decides; with the index of free room it was late by 33 ms in the storm, and by under 30 ms on the other two owners.

--- a/fleet/contacts.go
+++ b/fleet/contacts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +20,16 @@
 	// contactInterval is the time between two contacts with a host: four fit
 	// into the silence after which an owner is replaced.
 	contactInterval = 150 * time.Millisecond
+	// idleInterval is that with the owner of another data centre that has no job
+	// of this host. It is below ownerSilence.
+	idleInterval = 300 * time.Millisecond
+	// minRareInterval and rareSpacing give that with all other hosts, which only
+	// pass on what they know.
+	minRareInterval = 1200 * time.Millisecond
+	rareSpacing     = 100 * time.Millisecond
+	// missingTime is how long a host must be silent for the next one to be counted
+	// in its place among those that may take an ownership.
+	missingTime = 3 * time.Second
 	// contactTimeout bounds a contact.
 	contactTimeout = 400 * time.Millisecond
 	// maxContactPause bounds the pause between contacts with a host that does
@@ -105,7 +114,6 @@
 	asked map[ident.Host]asked
 	// missed is when a host that was never heard was missed first.
 	missed map[ident.Host]time.Time
-	loops  map[string]bool
 	loads  map[ident.DataCentre]dispatch.Load
 	// workers is what the owner of this data centre has said of its workers.
 	workers knownWorkers
@@ -118,6 +126,8 @@
 	// wanted returns which calls of this host may be at the owner of a data
 	// centre, and false if that is not known.
 	wanted func(ident.DataCentre) (wantedCalls, bool)
+	// waits returns true if calls of this host may be at the owner of a data centre.
+	waits func(ident.DataCentre) bool
 	// signed takes in what another host has signed.
 	signed func(h ownership.Host, at time.Time, signs []sign)
 }
@@ -161,12 +171,12 @@
 		clocks:   map[ident.Host]hostClock{},
 		asked:    map[ident.Host]asked{},
 		missed:   map[ident.Host]time.Time{},
-		loops:    map[string]bool{},
 		loads:    map[ident.DataCentre]dispatch.Load{},
 		awake:    time.Now(),
 		owned:    func() ([]ownership.Owner, []dispatch.Load) { return nil, nil },
 		working:  func(ident.DataCentre) ([]worker.Worker, listVersion) { return nil, listVersion{} },
 		wanted:   func(ident.DataCentre) (wantedCalls, bool) { return wantedCalls{}, false },
+		waits:    func(ident.DataCentre) bool { return false },
 		signed:   func(ownership.Host, time.Time, []sign) {},
 	}
 	peer.Handle(l, kindContact, contacts.answer)
@@ -177,9 +187,10 @@
 	background(life, c.follow)
 }
 
-// follow opens a loop for each host that matters.
+// follow contacts each host that matters when its turn comes.
 func (c *Contacts) follow(ctx context.Context) {
 	last := time.Now()
+	turns := map[string]*turn{}
 	for pause(ctx, contactInterval) {
 		now := time.Now()
 		if now.Sub(last) > contactInterval+pausedTime {
@@ -188,60 +199,113 @@
 			c.mutex.Unlock()
 		}
 		last = now
-		for _, a := range c.targets() {
-			c.mutex.Lock()
-			running := c.loops[a]
-			c.loops[a] = true
-			c.mutex.Unlock()
-			if !running {
-				go c.keep(ctx, a)
+		targets := c.targets(now)
+		for a, interval := range targets {
+			t := turns[a]
+			if t == nil {
+				t = &turn{}
+				turns[a] = t
+			}
+			if t.begin(now, interval) {
+				go func() { t.end(c.contact(ctx, a)) }()
+			}
+		}
+		for a := range turns {
+			if _, ok := targets[a]; !ok {
+				delete(turns, a)
 			}
 		}
 	}
 }
 
-// targets returns the addresses of the hosts to keep in touch with.
-func (c *Contacts) targets() []string {
-	wanted := map[string]bool{}
-	for _, h := range c.directory.Hosts() {
-		if h.DataCentre == c.self.DataCentre {
-			wanted[h.Address] = true
-		}
+// turn is the state of the contacts with one address.
+type turn struct {
+	mutex sync.Mutex
+	busy  bool
+	begun time.Time
+	// misses is the number of contacts in a row without an answer.
+	misses int
+}
+
+const (
+	// freeMisses is how many contacts may be missed before the time between them
+	// doubles: one ends with its time, and one as the silent link is closed.
+	freeMisses = 2
+	// maxDoublings bounds how often it doubles.
+	maxDoublings = 4
+)
+
+// begin returns true if it is time for a contact.
+func (t *turn) begin(now time.Time, interval time.Duration) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	doublings := min(max(0, t.misses-freeMisses), maxDoublings)
+	wait := max(interval, min(interval<<doublings, maxContactPause))
+	// Turns come at multiples of contactInterval, give or take.
+	if t.busy || now.Sub(t.begun) < wait-contactInterval/2 {
+		return false
 	}
-	for _, o := range c.directory.Owners() {
-		wanted[o.Address] = true
+	t.busy, t.begun = true, now
+	return true
+}
+
+func (t *turn) end(answered bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.busy = false
+	if answered {
+		t.misses = 0
+		return
 	}
+	t.misses++
+}
+
+// targets returns the addresses of the hosts to keep in touch with, and how often.
+func (c *Contacts) targets(now time.Time) map[string]time.Duration {
+	hosts, owners := c.directory.Hosts(), c.directory.Owners()
+	targets := map[string]time.Duration{}
+	rare := rareInterval(len(hosts))
 	for _, a := range c.settings.Seeds {
-		wanted[a] = true
-	}
-	delete(wanted, c.self.Address)
-	delete(wanted, "")
-	addresses := make([]string, 0, len(wanted))
-	for a := range wanted {
-		addresses = append(addresses, a)
+		targets[a] = rare
 	}
-	return addresses
-}
-
-// keep stays in touch with one host.
-func (c *Contacts) keep(ctx context.Context, address string) {
-	wait := contactInterval
-	for ctx.Err() == nil {
-		if c.contact(ctx, address) {
-			wait = contactInterval
-		} else {
-			wait = min(2*wait, maxContactPause)
-			if !slices.Contains(c.targets(), address) {
-				c.mutex.Lock()
-				delete(c.loops, address)
-				c.mutex.Unlock()
-				return
-			}
+	for _, h := range hosts {
+		if h.DataCentre == c.self.DataCentre {
+			targets[h.Address] = rare
 		}
-		if !pause(ctx, wait) {
-			return
+	}
+	for _, h := range ownership.Rivals(c.self, hosts, func(h ownership.Host) bool { return c.missing(now, h.Name) }) {
+		targets[h.Address] = contactInterval
+	}
+	for d, o := range owners {
+		if d == c.self.DataCentre || c.waits(d) {
+			targets[o.Address] = contactInterval
+		} else if at, ok := targets[o.Address]; !ok || at > idleInterval {
+			targets[o.Address] = idleInterval
 		}
 	}
+	delete(targets, c.self.Address)
+	delete(targets, "")
+	return targets
+}
+
+// rareInterval returns the time between two contacts with a host that neither owns
+// workers nor is likely to. A host makes at most ten such contacts a second.
+func rareInterval(hosts int) time.Duration {
+	return max(minRareInterval, time.Duration(hosts)*rareSpacing)
+}
+
+// missing returns true if a host has not answered for long.
+func (c *Contacts) missing(now time.Time, h ident.Host) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return now.Sub(latestOf(c.contacts[h].Heard, c.awake)) > missingTime
+}
+
+func latestOf(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 // contact asks one host, and returns true if it answers.
--- /dev/null
+++ b/fleet/contacts_test.go
@@ -0,0 +1,91 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/ownership"
+)
+
+// TestContactsDoNotGrowWithTheFleet counts the contacts that a host makes in a
+// second, in five data centres of more and more hosts.
+func TestContactsDoNotGrowWithTheFleet(t *testing.T) {
+	const centres, bound = 5, 60.0 // a second; of them 27 with rivals and 24 with owners elsewhere, at most
+	now := time.Now()
+	rates := map[int]float64{}
+	for _, each := range []int{3, 10, 30, 100, 1000} {
+		is := is.New(t)
+		d := &Directory{hosts: map[ident.Host]ownership.Host{}, owners: map[ident.DataCentre]ownership.Owner{}}
+		for i := range centres {
+			centre := ident.DataCentre(fmt.Sprint("coast-", i))
+			for k := range each {
+				h := ownership.Host{Name: ident.Host(fmt.Sprint(centre, ".", k)), DataCentre: centre, Address: fmt.Sprint(centre, ":", k), Cores: float64(k % 3)}
+				d.hosts[h.Name] = h
+			}
+			d.owners[centre] = ownership.Owner{DataCentre: centre, Host: "owner", Address: fmt.Sprint(centre, ":", 2)}
+		}
+		c := &Contacts{self: d.hosts["coast-0.0"], directory: d, contacts: map[ident.Host]ownership.Contact{}, awake: now}
+		c.waits = func(d ident.DataCentre) bool { return d == "coast-1" }
+		for _, interval := range c.targets(now) {
+			rates[each] += float64(time.Second) / float64(interval)
+		}
+		t.Logf("%d hosts: %.1f contacts a second", centres*each, rates[each])
+		is.True(rates[each] <= bound)
+	}
+}
+
+// TestTurns plays turns of contacts with a host that answers, falls silent and
+// answers again.
+func TestTurns(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	x := &turn{}
+	contacts := func(seconds int, answers bool) int {
+		count := 0
+		for range int(time.Duration(seconds) * time.Second / contactInterval) {
+			now = now.Add(contactInterval)
+			if x.begin(now, contactInterval) {
+				count++
+				x.end(answers)
+			}
+		}
+		return count
+	}
+	is.Equal(contacts(3, true), 20)
+	is.True(contacts(30, false) <= 30)
+	is.True(contacts(3, true) >= 9) // The first answer ends the pause.
+	is.True(x.begin(now.Add(contactInterval), contactInterval))
+	is.True(!x.begin(now.Add(2*contactInterval), contactInterval)) // One at a time.
+}
+
+// TestPatienceOfAnOwnerThatIsBehind checks that what an owner waits for an answer
+// grows with its own delay, within bounds.
+func TestPatienceOfAnOwnerThatIsBehind(t *testing.T) {
+	is := is.New(t)
+	w := &Owner{ctx: t.Context()}
+	left := func() time.Duration {
+		ctx, cancel := w.patience(orderTimeout)
+		defer cancel()
+		deadline, ok := ctx.Deadline()
+		is.True(ok)
+		return time.Until(deadline)
+	}
+	is.True(left() <= orderTimeout)
+	now := time.Now()
+	fields, behind := w.lag.tick(now, 50*time.Millisecond)
+	is.True(behind)
+	is.Equal(fields["delayMs"], int64(50))
+	is.True(left() > 200*time.Millisecond)
+	_, behind = w.lag.tick(now.Add(tickInterval), 50*time.Millisecond)
+	is.True(!behind) // One line a second.
+	w.lag.tick(now, time.Minute)
+	is.True(left() <= orderTimeout+maxOwnDelay)
+	for range 100 {
+		w.lag.tick(now, 0)
+	}
+	is.True(left() <= orderTimeout+time.Millisecond)
+}
--- a/fleet/guard.go
+++ b/fleet/guard.go
@@ -52,13 +52,13 @@
 		case (late || k.owner.doubts()) && !doubted:
 			doubted, loaded, alone = true, false, now
 			k.logger.Warn("another host may own the workers, kept jobs wait")
-			k.owner.step(func(now time.Time, m *dispatch.Machine) { m.Doubt(now) })
+			k.owner.step(eventKeep, func(now time.Time, m *dispatch.Machine) { m.Doubt(now) })
 		case doubted && (owns || now.Sub(alone) > doubtTime):
 			doubted = false
 			k.logger.Info("no other host owns the workers, kept jobs go on")
 		}
 		if !loaded && !doubted {
-			k.owner.step(func(now time.Time, m *dispatch.Machine) {
+			k.owner.step(eventKeep, func(now time.Time, m *dispatch.Machine) {
 				if loaded = m.Settled() || now.Sub(taken) >= takeoverTime; loaded {
 					m.Loaded(now)
 				}
--- a/fleet/guard_test.go
+++ b/fleet/guard_test.go
@@ -63,11 +63,11 @@
 				contacts.mutex.Unlock()
 			}
 		}()
-		o.step(func(now time.Time, m *dispatch.Machine) { m.Loaded(now) })
+		o.step(eventTick, func(now time.Time, m *dispatch.Machine) { m.Loaded(now) })
 		time.Sleep(contactInterval + time.Millisecond)
 		go o.keeper.guard(ctx, true)
 		time.Sleep(2*time.Second + doubtTime)
-		o.step(func(now time.Time, m *dispatch.Machine) { m.Tick(now) })
+		o.step(eventTick, func(now time.Time, m *dispatch.Machine) { m.Tick(now) })
 		is.True(o.doubts())
 		time.Sleep(time.Second)
 		is.True(o.doubts())
--- a/fleet/keeper.go
+++ b/fleet/keeper.go
@@ -119,7 +119,7 @@
 	}
 	k.loaded = true
 	k.mutex.Unlock()
-	k.owner.step(func(now time.Time, m *dispatch.Machine) {
+	k.owner.step(eventKeep, func(now time.Time, m *dispatch.Machine) {
 		for id, e := range entries {
 			if !e.Over() {
 				m.Keep(now, jobs[id], e.Progress, true)
@@ -205,7 +205,7 @@
 		k.owner.owners.fenced(k.owner.owner)
 		return false
 	}
-	k.owner.step(func(now time.Time, m *dispatch.Machine) { k.apply(now, m, o) })
+	k.owner.step(eventKeep, func(now time.Time, m *dispatch.Machine) { k.apply(now, m, o) })
 	if o.Pause > 0 {
 		pause(ctx, o.Pause)
 	}
@@ -335,7 +335,7 @@
 }
 
 func (k *keeper) cancel(rows map[string]storage.Row) {
-	k.owner.step(func(now time.Time, m *dispatch.Machine) {
+	k.owner.step(eventKeep, func(now time.Time, m *dispatch.Machine) {
 		k.mutex.Lock()
 		defer k.mutex.Unlock()
 		for key, r := range rows {
--- /dev/null
+++ b/fleet/lag.go
@@ -0,0 +1,76 @@
+package fleet
+
+import (
+	"expvar"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/catkingap/catkingap/metrics"
+)
+
+// event names what an owner handles, for its counters.
+type event string
+
+// The events of an owner.
+const (
+	eventKeep     event = "keep"
+	eventLook     event = "look"
+	eventSign     event = "sign"
+	eventStart    event = "start"
+	eventStop     event = "stop"
+	eventSubmit   event = "submit"
+	eventTick     event = "tick"
+	eventWithdraw event = "withdraw"
+	eventWorkers  event = "workers"
+)
+
+const (
+	// behindTime is the delay from which an owner counts as behind: half of what
+	// an order may take.
+	behindTime = 30 * time.Millisecond
+	// behindInterval is the time between two log lines of an owner that is
+	// behind.
+	behindInterval = time.Second
+	// lagFade is the share of the last delay that remains with a tick that was in
+	// time.
+	lagFade = 0.8
+)
+
+// ownerCounters count what the owners of a host do.
+type ownerCounters struct {
+	// events counts the events, and busy the microseconds that they took, by
+	// kind.
+	events, busy *expvar.Map
+	// lag is how late the ticks are.
+	lag *metrics.Histogram
+}
+
+// lag knows how far an owner is behind. Its zero value is one that is not.
+type lag struct {
+	// delay is how late the last ticks were, in nanoseconds, and waiting is the
+	// number of events that wait for their turn.
+	delay, waiting atomic.Int64
+	logged         time.Time
+}
+
+// Delay returns how late the owner does what is due.
+func (l *lag) Delay() time.Duration { return time.Duration(l.delay.Load()) }
+
+// tick takes in how late a tick is. It returns what to log, and false for nothing.
+func (l *lag) tick(now time.Time, late time.Duration) (log.Fields, bool) {
+	delay := max(late, time.Duration(lagFade*float64(l.delay.Load())))
+	l.delay.Store(int64(delay))
+	if delay < behindTime || now.Sub(l.logged) < behindInterval {
+		return nil, false
+	}
+	l.logged = now
+	return log.Fields{"delayMs": delay.Milliseconds(), "waitingEvents": l.waiting.Load()}, true
+}
+
+// handled counts an event that took a time.
+func (c *ownerCounters) handled(e event, took time.Duration) {
+	c.events.Add(string(e), 1)
+	c.busy.Add(string(e), took.Microseconds())
+}
--- a/fleet/log.go
+++ b/fleet/log.go
@@ -40,6 +40,8 @@
 	results *expvar.Map
 	// response is the time from a caller's request to its answer.
 	response *metrics.Histogram
+	// owner counts what the owners of this host do.
+	owner ownerCounters
 	// withdrawals counts what became of the withdrawals of jobs whose callers
 	// have left.
 	withdrawals *expvar.Map
@@ -58,6 +60,7 @@
 	s.Func("peerReceivedBytes", func() any { return l.Statistics.ReceivedBytes.Load() })
 	s.Func("peerSilentLinks", func() any { return l.Statistics.Silent.Load() })
 	return &Counters{
+		owner:  ownerCounters{events: s.Counters("ownerEvents"), busy: s.Counters("ownerBusyUs"), lag: s.Histogram("ownerLag")},
 		orders: s.Counters("orders"), pauses: s.Counter("pauses"), results: s.Counters("results"),
 		response: s.Histogram("response"), withdrawals: s.Counters("withdrawals"),
 	}
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -24,6 +24,12 @@
 	// orderTimeout bounds a start or a stop: a worker answers within
 	// milliseconds, and a task of the shortest kind has 150 ms in all.
 	orderTimeout = 60 * time.Millisecond
+	// orderTurns is how often an order waits for its turn in this process: to be
+	// sent, to be written, to be read and to be handled. What its answer takes
+	// longer for that is not the worker's doing.
+	orderTurns = 4
+	// maxOwnDelay bounds what is added for it: a lease lasts a second.
+	maxOwnDelay = 300 * time.Millisecond
 	// lookTimeout bounds a look, beyond the time that the worker waits. Four
 	// lost looks fit into a lease of a second.
 	lookTimeout = 120 * time.Millisecond
@@ -60,16 +66,18 @@
 
 	// keeper stores the jobs that last.
 	keeper *keeper
+	lag    lag
 
 	mutex   sync.Mutex
 	machine *dispatch.Machine
 	waiting map[caller]chan dispatch.Reply
 	// hosts holds the process of each host that has handed jobs in.
 	hosts map[ident.Host]string
-	// listed is the list of workers that other hosts are told, and changes
-	// counts its versions.
-	listed  []worker.Worker
-	changes uint64
+	// listed is the list of workers that other hosts are told, of a generation of
+	// the machine's, and changes counts its versions.
+	listed     []worker.Worker
+	generation uint64
+	changes    uint64
 	// turn is when an event was last handled.
 	turn time.Time
 }
@@ -100,8 +108,15 @@
 
 // run keeps the time of the machine.
 func (w *Owner) run() {
+	due := w.owners.contacts.clock().Add(tickInterval)
 	for pause(w.ctx, tickInterval) {
-		w.step(func(now time.Time, m *dispatch.Machine) {
+		w.step(eventTick, func(now time.Time, m *dispatch.Machine) {
+			late := max(0, now.Sub(due))
+			w.owners.counters.owner.lag.Record(late)
+			if fields, ok := w.lag.tick(now, late); ok {
+				fields["jobs"], fields["queuedTasks"] = m.Jobs()
+				w.logger.WithFields(fields).Warn("owner is behind")
+			}
 			for h, boot := range w.hosts {
 				if b, ok := w.owners.contacts.bootOf(h); ok && h != w.owners.self.Name && b != boot {
 					w.loseHost(now, m, h)
@@ -112,6 +127,7 @@
 			}
 			m.Tick(now)
 		})
+		due = w.owners.contacts.clock().Add(tickInterval)
 	}
 }
 
@@ -142,16 +158,18 @@
 
 // sign takes in which calls a host still waits for.
 func (w *Owner) sign(s dispatch.Sign) {
-	w.step(func(now time.Time, m *dispatch.Machine) { m.Signed(now, s) })
+	w.step(eventSign, func(now time.Time, m *dispatch.Machine) { m.Signed(now, s) })
 }
 
 func (w *Owner) setWorkers(workers []worker.Worker) {
-	w.step(func(now time.Time, m *dispatch.Machine) { m.SetWorkers(now, workers) })
+	w.step(eventWorkers, func(now time.Time, m *dispatch.Machine) { m.SetWorkers(now, workers) })
 }
 
 // step lets the machine decide, and carries its actions out.
-func (w *Owner) step(decide func(now time.Time, m *dispatch.Machine)) {
+func (w *Owner) step(e event, decide func(now time.Time, m *dispatch.Machine)) {
+	w.lag.waiting.Add(1)
 	w.mutex.Lock()
+	w.lag.waiting.Add(-1)
 	now := w.owners.contacts.clock()
 	if paused := now.Sub(w.turn); !w.turn.IsZero() && paused > pausedTime {
 		w.owners.counters.pauses.Add(1)
@@ -166,6 +184,7 @@
 	for _, r := range actions.Replies {
 		w.reply(r)
 	}
+	w.owners.counters.owner.handled(e, w.owners.contacts.clock().Sub(now))
 	w.mutex.Unlock()
 	for i := range actions.Records {
 		w.record(&actions.Records[i])
@@ -212,7 +231,7 @@
 func (w *Owner) submit(ctx context.Context, s dispatch.Submission) (dispatch.Reply, error) {
 	c := make(chan dispatch.Reply, 1)
 	k := caller{host: s.Host, call: s.Call, try: s.Try, job: s.Job.ID}
-	w.step(func(now time.Time, m *dispatch.Machine) {
+	w.step(eventSubmit, func(now time.Time, m *dispatch.Machine) {
 		w.waiting[k] = c
 		if boot, ok := w.hosts[s.Host]; ok && boot != s.Boot {
 			w.loseHost(now, m, s.Host)
@@ -241,7 +260,7 @@
 
 func (w *Owner) withdraw(h ident.Host, call uint64, id work.ID) {
 	known := false
-	w.step(func(now time.Time, m *dispatch.Machine) { known = m.Withdraw(now, h, call, id) })
+	w.step(eventWithdraw, func(now time.Time, m *dispatch.Machine) { known = m.Withdraw(now, h, call, id) })
 	if known {
 		w.owners.counters.withdrawals.Add(withdrawalKnown, 1)
 		return
@@ -260,10 +279,12 @@
 func (w *Owner) working() ([]worker.Worker, listVersion) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	workers := w.machine.Workers()
-	if w.changes == 0 || !slices.EqualFunc(workers, w.listed, sameWorker) {
-		w.changes++
-		w.listed = workers
+	if g := w.machine.Generation(); w.changes == 0 || g != w.generation {
+		w.generation = g
+		if workers := w.machine.Workers(); w.changes == 0 || !slices.EqualFunc(workers, w.listed, sameWorker) {
+			w.changes++
+			w.listed = workers
+		}
 	}
 	return w.listed, listVersion{Token: w.owner.Token, Count: w.changes}
 }
@@ -271,35 +292,41 @@
 // close ends the ownership: no more orders are given, and the submissions are
 // told so.
 func (w *Owner) close() {
-	w.step(func(now time.Time, m *dispatch.Machine) { m.Depose(now) })
+	w.step(eventWorkers, func(now time.Time, m *dispatch.Machine) { m.Depose(now) })
 	w.cancel()
 }
 
+// patience returns a context that bounds an order, and by how much this process is
+// behind as well.
+func (w *Owner) patience(d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(w.ctx, d+min(orderTurns*w.lag.Delay(), maxOwnDelay))
+}
+
 func (w *Owner) start(s worker.Start) {
-	ctx, cancel := context.WithTimeout(w.ctx, orderTimeout)
+	ctx, cancel := w.patience(orderTimeout)
 	defer cancel()
 	a := w.owners.workers.Start(ctx, s)
 	w.note("start", a.Verdict, s.Order, s.Task.String(), s.Run)
-	w.step(func(now time.Time, m *dispatch.Machine) { m.Started(now, s, a) })
+	w.step(eventStart, func(now time.Time, m *dispatch.Machine) { m.Started(now, s, a) })
 }
 
 func (w *Owner) stop(s worker.Stop) {
-	ctx, cancel := context.WithTimeout(w.ctx, orderTimeout)
+	ctx, cancel := w.patience(orderTimeout)
 	defer cancel()
 	a := w.owners.workers.Stop(ctx, s)
 	w.note("stop", a.Verdict, s.Order, s.Task, s.Run)
-	w.step(func(now time.Time, m *dispatch.Machine) { m.Stopped(now, s, a) })
+	w.step(eventStop, func(now time.Time, m *dispatch.Machine) { m.Stopped(now, s, a) })
 }
 
 func (w *Owner) look(l worker.Look) {
-	ctx, cancel := context.WithTimeout(w.ctx, l.Wait+lookTimeout)
+	ctx, cancel := w.patience(l.Wait + lookTimeout)
 	defer cancel()
 	sent := w.owners.contacts.clock()
 	report, v := w.owners.workers.Look(ctx, l)
 	if v != worker.Accepted {
 		w.note("look", v, l.Order, "", 0)
 	}
-	w.step(func(now time.Time, m *dispatch.Machine) { m.Looked(now, sent, l, report, v) })
+	w.step(eventLook, func(now time.Time, m *dispatch.Machine) { m.Looked(now, sent, l, report, v) })
 }
 
 // note counts and logs the answer to an order.
--- a/fleet/owner_test.go
+++ b/fleet/owner_test.go
@@ -77,7 +77,7 @@
 		}
 	}()
 	time.Sleep(100 * time.Millisecond)
-	o.step(func(now time.Time, m *dispatch.Machine) { m.Tick(now.Add(250 * time.Millisecond)) })
+	o.step(eventTick, func(now time.Time, m *dispatch.Machine) { m.Tick(now.Add(250 * time.Millisecond)) })
 	select {
 	case r := <-results:
 		is.Equal(r.Job, work.ID("new"))
@@ -104,7 +104,7 @@
 		}
 		time.AfterFunc(100*time.Millisecond, func() {
 			suspended = 2 * time.Second
-			o.step(func(now time.Time, m *dispatch.Machine) { m.Tick(now) })
+			o.step(eventTick, func(now time.Time, m *dispatch.Machine) { m.Tick(now) })
 		})
 		r, err := o.submit(ctx, dispatch.Submission{
 			Host: "entry-1", Call: 1, Final: true, Left: time.Minute,
--- a/fleet/pause_test.go
+++ b/fleet/pause_test.go
@@ -137,7 +137,7 @@
 	run := func(d time.Duration, hosts ...ident.Host) {
 		for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(tickInterval) {
 			sign(hosts...)
-			o.step(func(now time.Time, m *dispatch.Machine) { m.Tick(now) })
+			o.step(eventTick, func(now time.Time, m *dispatch.Machine) { m.Tick(now) })
 		}
 	}
 	submit := func(h ident.Host, id work.ID) {
--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -58,6 +58,7 @@
 	}
 	s.owned.Store(time.Now().UnixNano())
 	c.wanted = s.wanted
+	c.waits = s.wants.any
 	return s
 }
 
--- a/fleet/wants.go
+++ b/fleet/wants.go
@@ -96,6 +96,13 @@
 	delete(w.calls[c], call)
 }
 
+// any returns true if a call may be at the owner of a data centre.
+func (w *wants) any(c ident.DataCentre) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return len(w.calls[c]) > 0
+}
+
 // list returns the calls that may be at the owner of a data centre in ascending
 // order, and the number of the list.
 func (w *wants) list(c ident.DataCentre) ([]uint64, dispatch.Try) {
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -177,6 +177,23 @@
 	return rank
 }
 
+// rivals is how many hosts of a data centre are kept in close touch: those that take
+// its workers next, one after the other, rankPause apart.
+const rivals = 4
+
+// Rivals returns the hosts of a data centre that are the first to take its workers,
+// without those that are missing.
+func Rivals(self Host, hosts []Host, missing func(Host) bool) []Host {
+	var found []Host
+	for _, h := range hosts {
+		if h.DataCentre == self.DataCentre && h.Name != self.Name && !missing(h) {
+			found = append(found, h)
+		}
+	}
+	slices.SortFunc(found, compareHosts)
+	return found[:min(rivals, len(found))]
+}
+
 func compareHosts(a, b Host) int {
 	if c := cmp.Compare(b.Cores, a.Cores); c != 0 {
 		return c
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -123,3 +123,26 @@
 		})
 	}
 }
+
+// TestRivals holds that the strongest hosts of a data centre are kept in close touch,
+// without those that are missing.
+func TestRivals(t *testing.T) {
+	is := is.New(t)
+	self := ownership.Host{Name: "self", DataCentre: "a", Cores: 2}
+	hosts := []ownership.Host{
+		self,
+		{Name: "b", DataCentre: "b", Cores: 9},
+		{Name: "small", DataCentre: "a", Cores: 0.1},
+		{Name: "one", DataCentre: "a", Cores: 1},
+		{Name: "two", DataCentre: "a", Cores: 2},
+		{Name: "gone", DataCentre: "a", Cores: 8},
+		{Name: "three", DataCentre: "a", Cores: 3},
+		{Name: "four", DataCentre: "a", Cores: 4},
+	}
+	var names []ident.Host
+	for _, h := range ownership.Rivals(self, hosts, func(h ownership.Host) bool { return h.Name == "gone" }) {
+		names = append(names, h.Name)
+	}
+	is.Equal(names, []ident.Host{"four", "three", "two", "one"})
+	is.Equal(len(ownership.Rivals(self, hosts[:3], func(ownership.Host) bool { return false })), 1)
+}
