Let a message that can not be handled fail alone

Cause: three ways in which one message or one unexpected error took a process down (what operators of similar systems saw). - A frame nested as deep as its 8 MB allow: the decoder calls itself for each level, which is a fatal error at 1 GB of stack. Frames nested deeper than 100 are refused. - A handler of another host's message that panicked ended the process. Its message fails now, is logged with its stack and counted. - An event of an owner that panicked, as a job without steps did, ended the process too, or would have left its mutex held. The owner is ended and its ownership is taken anew by a conditional write, so that the next one finds what runs. Jobs are checked by the owner as well.

--- a/fleet/log.go
+++ b/fleet/log.go
@@ -33,6 +33,8 @@
 type Counters struct {
 	// orders counts the orders to workers by kind and verdict.
 	orders *expvar.Map
+	// panics counts the events of owners that panicked.
+	panics *expvar.Int
 	// pauses counts the times at which an ownership of this host decided nothing
 	// for longer than pausedTime.
 	pauses *expvar.Int
@@ -58,10 +60,11 @@
 func newCounters(s *metrics.Set, l *peer.Links) *Counters {
 	s.Func("peerSentBytes", func() any { return l.Statistics.SentBytes.Load() })
 	s.Func("peerReceivedBytes", func() any { return l.Statistics.ReceivedBytes.Load() })
+	s.Func("peerPanics", func() any { return l.Statistics.Panics.Load() })
 	s.Func("peerSilentLinks", func() any { return l.Statistics.Silent.Load() })
 	return &Counters{
 		owner:  ownerCounters{events: s.Counters("ownerEvents"), busy: s.Counters("ownerBusyUs"), lag: s.Histogram("ownerLag")},
-		orders: s.Counters("orders"), pauses: s.Counter("pauses"), results: s.Counters("results"),
+		orders: s.Counters("orders"), panics: s.Counter("ownerPanics"), pauses: s.Counter("pauses"), results: s.Counters("results"),
 		response: s.Histogram("response"), withdrawals: s.Counters("withdrawals"),
 	}
 }
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -167,9 +168,43 @@
 
 // step lets the machine decide, and carries its actions out.
 func (w *Owner) step(e event, decide func(now time.Time, m *dispatch.Machine)) {
+	actions, ok := w.decide(e, decide)
+	if !ok {
+		w.owners.restart(w.owner)
+		return
+	}
+	for i := range actions.Records {
+		w.record(&actions.Records[i])
+	}
+	if w.ctx.Err() != nil {
+		return
+	}
+	for _, s := range actions.Starts {
+		go w.start(s)
+	}
+	for _, s := range actions.Stops {
+		go w.stop(s)
+	}
+	for _, l := range actions.Looks {
+		go w.look(l)
+	}
+}
+
+// decide lets the machine decide. It returns false if that panicked: what the
+// machine knows may then be wrong.
+func (w *Owner) decide(e event, decide func(now time.Time, m *dispatch.Machine)) (actions dispatch.Actions, ok bool) {
 	w.lag.waiting.Add(1)
 	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	w.lag.waiting.Add(-1)
+	defer func() {
+		if cause := recover(); cause != nil {
+			w.owners.counters.panics.Add(1)
+			w.logger.WithFields(log.Fields{
+				"event": string(e), "cause": fmt.Sprint(cause), "stack": string(debug.Stack()),
+			}).Error("event of an owner panicked")
+		}
+	}()
 	now := w.owners.contacts.clock()
 	if paused := now.Sub(w.turn); !w.turn.IsZero() && paused > pausedTime {
 		w.owners.counters.pauses.Add(1)
@@ -177,7 +212,7 @@
 	}
 	w.turn = now
 	decide(now, w.machine)
-	actions := w.machine.Take()
+	actions = w.machine.Take()
 	for _, e := range w.keeper.take(now, actions.Notes, actions.Finishes) {
 		w.machine.Stored(now, e)
 	}
@@ -185,22 +220,7 @@
 		w.reply(r)
 	}
 	w.owners.counters.owner.handled(e, w.owners.contacts.clock().Sub(now))
-	w.mutex.Unlock()
-	for i := range actions.Records {
-		w.record(&actions.Records[i])
-	}
-	if w.ctx.Err() != nil {
-		return
-	}
-	for _, s := range actions.Starts {
-		go w.start(s)
-	}
-	for _, s := range actions.Stops {
-		go w.stop(s)
-	}
-	for _, l := range actions.Looks {
-		go w.look(l)
-	}
+	return actions, true
 }
 
 // record logs how a submission went: each run with its task, worker and times.
--- a/fleet/owners.go
+++ b/fleet/owners.go
@@ -106,6 +106,11 @@
 		if x := o.get(r.DataCentre); x != nil && x.owner.Token != r.Token {
 			return dispatch.Reply{Host: r.Submission.Host, Call: r.Submission.Call, Job: r.Submission.Job.ID, Result: dispatch.Moved}, nil
 		}
+		if err := r.Submission.Job.Check(); err != nil {
+			return dispatch.Reply{
+				Host: r.Submission.Host, Call: r.Submission.Call, Job: r.Submission.Job.ID, Result: dispatch.Failed, Reason: err.Error(),
+			}, nil
+		}
 		r.Submission.Wanted = c.At(r.Submission.Sent)
 		return o.Submit(ctx, r.DataCentre, r.Submission)
 	})
@@ -327,6 +332,22 @@
 	current.close()
 }
 
+// restart ends an ownership of which too little is known, and takes it anew: the
+// next owner finds what runs on the workers.
+func (o *Owners) restart(x ownership.Owner) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	current := o.owned[x.DataCentre]
+	if current == nil || current.owner != x {
+		return
+	}
+	delete(o.owned, x.DataCentre)
+	o.beaten[x.DataCentre] = ownership.Newest(o.beaten[x.DataCentre], x)
+	o.logger.WithFields(log.Fields{"dataCentre": string(x.DataCentre), "token": int64(x.Token)}).Error("ownership is taken anew")
+	current.cancel()
+	go o.claim(o.ctx, x.DataCentre)
+}
+
 // fenced ends an ownership whose token a worker has seen beaten.
 func (o *Owners) fenced(x ownership.Owner) {
 	o.mutex.Lock()
--- /dev/null
+++ b/fleet/panic_test.go
@@ -0,0 +1,66 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/metrics"
+	"github.com/catkingap/catkingap/network"
+	"github.com/catkingap/catkingap/ownership"
+	"github.com/catkingap/catkingap/storage"
+	"github.com/catkingap/catkingap/worker"
+)
+
+// claimTable takes the claims of owners, which it numbers.
+type claimTable struct {
+	storage.Table
+	claims int
+}
+
+func (t *claimTable) Commit(context.Context, []storage.Write) ([]storage.Result, error) {
+	t.claims++
+	return []storage.Result{{Applied: true, Revision: ident.Revision(5 + t.claims)}}, nil
+}
+
+// TestOwnerPanics has an event of an owner panic: the process goes on, other events
+// do not wait for ever, and the ownership is taken anew.
+func TestOwnerPanics(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		logger := &log.Logger{Handler: discard.New()}
+		self := ownership.Host{Name: "here", Boot: "boot", DataCentre: "coast-a"}
+		table := &claimTable{}
+		x := ownership.Owner{DataCentre: "coast-a", Host: "here", Boot: "boot", Token: 5}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		owners := &Owners{
+			self: self, logger: logger, ctx: ctx, contacts: &Contacts{clock: time.Now}, workers: deaf{},
+			counters:  newCounters(metrics.NewSet(), newLinks(logger, network.Real{})),
+			directory: newDirectory(self, table, nil, logger),
+			beaten:    map[ident.DataCentre]ownership.Owner{}, claiming: map[ident.DataCentre]bool{},
+		}
+		w := &Owner{
+			owners: owners, owner: x, ctx: ctx, cancel: cancel, logger: logger,
+			machine: dispatch.New(time.Now(), dispatch.Config{MaxLease: time.Second, Token: 5}),
+		}
+		w.keeper = &keeper{owner: w, logger: logger}
+		owners.owned = map[ident.DataCentre]*Owner{"coast-a": w}
+		w.step(eventSubmit, func(time.Time, *dispatch.Machine) { panic("unexpected") })
+		_ = w.load()
+		synctest.Wait()
+		is.Equal(owners.get("coast-a"), nil)
+		is.Equal(owners.beaten["coast-a"].Token, worker.Token(5))
+		is.True(w.ctx.Err() != nil) // Its submissions are told.
+		is.Equal(table.claims, 1)
+		is.Equal(owners.directory.Owners()["coast-a"].Token, worker.Token(6))
+		is.Equal(owners.counters.panics.Value(), int64(1))
+	})
+}
--- a/peer/cast.go
+++ b/peer/cast.go
@@ -45,5 +45,10 @@
 	if h == nil {
 		return nil
 	}
-	return h(f.Body)
+	_, err := k.links.guarded(f.Kind, func() (any, error) { return nil, h(f.Body) })
+	var bad *FrameError
+	if errors.As(err, &bad) {
+		return err
+	}
+	return nil
 }
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -76,6 +76,9 @@
 	if _, err := io.CopyN(&body, r, int64(length)); err != nil {
 		return nil, &FrameError{Reason: "cut: " + err.Error()}
 	}
+	if nestedDeeper(body.Bytes(), maxNesting) {
+		return nil, &FrameError{Reason: "nested too deep"}
+	}
 	var f frame
 	if err := msgpack.Unmarshal(body.Bytes(), &f); err != nil {
 		return nil, &FrameError{Reason: "not msgpack: " + err.Error()}
--- /dev/null
+++ b/peer/hostile_test.go
@@ -0,0 +1,62 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// nested returns a frame whose body is an array in an array, and so on.
+func nested(depth int) []byte {
+	// A map of one entry: "body" and the arrays.
+	body := append([]byte{0x81, 0xa4, 'b', 'o', 'd', 'y'}, bytes.Repeat([]byte{0x91}, depth)...)
+	return raw(uint32(len(body)+1), Version, append(body, 0xc0))
+}
+
+// TestDeeplyNestedFrame reads a frame that is nested as deep as its length allows: it
+// is refused without a stack of its depth.
+func TestDeeplyNestedFrame(t *testing.T) {
+	tests := map[string]struct {
+		depth int
+		taken bool
+	}{
+		"as messages are": {depth: 10, taken: true},
+		"too deep":        {depth: maxNesting + 1},
+		"a whole frame":   {depth: MaxFrameBytes - 10},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := readFrame(bytes.NewReader(nested(test.depth)))
+			is.Equal(err == nil, test.taken)
+			var bad *FrameError
+			is.Equal(errors.As(err, &bad), !test.taken)
+		})
+	}
+}
+
+// TestPanicOfAHandler has the handler of one call panic: that call fails, is logged
+// and counted, and the next one on the same link is answered.
+func TestPanicOfAHandler(t *testing.T) {
+	is := is.New(t)
+	l, output, address := newTestLinks(t)
+	Handle(l, "panic", func(_ context.Context, steps []string) (string, error) { return steps[0], nil })
+	HandleCast(l, "panicCast", func(steps []string) { _ = steps[0] })
+	_, err := Call[[]string, string](t.Context(), l, address, "panic", []string{})
+	var remote *RemoteError
+	is.True(errors.As(err, &remote))
+	is.NoErr(Cast(t.Context(), l, address, "panicCast", []string{}))
+	answer, err := Call[string, string](t.Context(), l, address, "echo", "still here")
+	is.NoErr(err)
+	is.Equal(answer, "still here")
+	for end := time.Now().Add(5 * time.Second); l.Statistics.Panics.Load() < 2 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(l.Statistics.Panics.Load(), int64(2))
+	is.True(strings.Contains(output.text(), "index out of range"))
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +30,8 @@
 	// Bad counts links that were closed because of a frame that can not be
 	// read.
 	Bad atomic.Int64
+	// Panics counts messages whose handler panicked.
+	Panics atomic.Int64
 }
 
 // UnreachableError means that a call provably did not reach the peer.
@@ -297,7 +301,7 @@
 	h := k.links.handlers[f.Kind]
 	if h == nil {
 		answer.Error = "unknown kind " + string(f.Kind)
-	} else if response, err := h(ctx, f.Body); err != nil {
+	} else if response, err := k.links.guarded(f.Kind, func() (any, error) { return h(ctx, f.Body) }); err != nil {
 		answer.Error = err.Error()
 	} else if answer.Body, err = msgpack.Marshal(response); err != nil {
 		answer.Error = err.Error()
@@ -305,6 +309,22 @@
 	_ = k.write(answer)
 }
 
+// guarded runs a handler. One that panics fails its message only.
+func (l *Links) guarded(k Kind, handle func() (any, error)) (response any, err error) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		l.Statistics.Panics.Add(1)
+		l.config.Logger.WithFields(log.Fields{
+			"kind": string(k), "cause": fmt.Sprint(cause), "stack": string(debug.Stack()),
+		}).Error("handler of a message panicked")
+		err = errors.Newf("the handler of %s panicked", k)
+	}()
+	return handle()
+}
+
 func (k *link) close(cause error) {
 	k.links.detach(k)
 	k.connection.Close()
