Judge jobs by their estimates while no worker has answered

Cause: a new owner whose workers had not answered yet took the slowest pace there is for the fastest one, found that no job could end in time and refused all that came, as waiting too long: those that the owner before had begun ended with 502 though their runs went on. Without a worker the estimates count.

TestJobBeforeAnyWorkerAnswers failed before (two refusals).

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -111,6 +111,35 @@
 	}
 }
 
+// TestJobBeforeAnyWorkerAnswers hands jobs in to a new owner whose workers have not
+// answered yet: one that the owner before had begun goes on, and another one starts.
+func TestJobBeforeAnyWorkerAnswers(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(aWorker("w1"))
+	m.SetWorkers(begin, []worker.Worker{aWorker("w1")})
+	looks := m.Take().Looks
+	is.Equal(len(looks), 1)
+	again := submission("again", 1, 1)
+	again.Again = true
+	m.Submit(at(2), again)
+	m.Submit(at(2), submission("first", 2, 1))
+	m.Tick(at(3))
+	is.Equal(len(m.Take().Replies), 0)
+	m.Looked(at(4), begin, looks[0], &worker.Report{Life: 1, Clock: 1000, Running: []worker.Running{{Task: "again.0.0.0", Run: 3}}}, worker.Accepted)
+	a := m.Take()
+	is.Equal(len(a.Replies), 0)
+	is.Equal(len(a.Starts), 1)
+	is.Equal(a.Starts[0].Task.Job, work.ID("first"))
+	m.Looked(at(40), at(39), worker.Look{Order: a.Starts[0].Order}, &worker.Report{
+		Life: 1, Clock: 1040, Ended: []worker.Ended{{Number: 1, Task: "again.0.0.0", Run: 3, How: worker.Done}},
+		Running: []worker.Running{{Task: "first.0.0.0", Run: 1}},
+	}, worker.Accepted)
+	replies := m.Take().Replies
+	is.Equal(len(replies), 1)
+	is.Equal(replies[0].Job, work.ID("again"))
+	is.Equal(replies[0].Result, dispatch.Completed)
+}
+
 // startOne hands in a job of one task and returns the order to start it.
 func startOne(is *is.I, m *dispatch.Machine, now time.Time) worker.Start {
 	m.Submit(now, submission("j", 1, 1))
--- a/room/room.go
+++ b/room/room.go
@@ -103,13 +103,13 @@
 	x.paces[w.Pool].Remove(w)
 }
 
-// Pace returns the pace of the fastest worker of a pool, or MaxPace if there is
-// none.
+// Pace returns the pace of the fastest worker of a pool, or that of the estimates if
+// there is none: workers may not have answered a new owner yet.
 func (x *Index[T]) Pace(p ident.Pool) float64 {
 	if s := x.paces[p]; s != nil && s.Len() > 0 {
 		return s.Items()[0].Pace
 	}
-	return MaxPace
+	return 0
 }
 
 // List returns the workers of a pool that have a label. All have the empty one.
