--- a/peer/link.go
+++ b/peer/link.go
@@ -85,8 +85,8 @@
 	dialed   map[string]*link
 	open     map[*link]struct{}
 	closed   bool
-	// watching is true while a loop looks for silent links.
-	watching bool
+	// watched ends the loop that looks for silent links. It is nil without links.
+	watched chan struct{}
 }
 
 // NewLinks returns links without handlers.
@@ -177,16 +177,15 @@
 		l.dialed[address] = k
 	}
 	closed := l.closed
-	watch := l.config.SilenceTimeout > 0 && !l.watching
-	l.watching = l.watching || watch
+	if l.config.SilenceTimeout > 0 && l.watched == nil {
+		l.watched = make(chan struct{})
+		go l.watch(l.watched)
+	}
 	l.mutex.Unlock()
 	if closed {
 		connection.Close()
 	}
 	go k.read()
-	if watch {
-		go l.watch()
-	}
 	return k
 }
 
@@ -194,6 +193,10 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	delete(l.open, k)
+	if len(l.open) == 0 && l.watched != nil {
+		close(l.watched)
+		l.watched = nil
+	}
 	if l.dialed[k.address] == k {
 		delete(l.dialed, k.address)
 	}
--- a/peer/silence.go
+++ b/peer/silence.go
@@ -51,23 +51,24 @@
 const looksPerTimeout = 4
 
 // watch closes the links that have gone silent, so that their calls end and later
-// calls open new ones. It ends with the last link.
-func (l *Links) watch() {
+// calls open new ones. It ends with the last link, when done is closed.
+func (l *Links) watch(done <-chan struct{}) {
 	ticker := time.NewTicker(l.config.SilenceTimeout / looksPerTimeout)
 	defer ticker.Stop()
-	for now := range ticker.C {
-		l.mutex.Lock()
-		open := make([]*link, 0, len(l.open))
-		for k := range l.open {
-			open = append(open, k)
-		}
-		l.watching = len(open) > 0
-		l.mutex.Unlock()
-		if len(open) == 0 {
+	for {
+		select {
+		case <-done:
 			return
-		}
-		for _, k := range open {
-			k.look(now)
+		case now := <-ticker.C:
+			l.mutex.Lock()
+			open := make([]*link, 0, len(l.open))
+			for k := range l.open {
+				open = append(open, k)
+			}
+			l.mutex.Unlock()
+			for _, k := range open {
+				k.look(now)
+			}
 		}
 	}
 }
