--- a/fleet/turns.go
+++ b/fleet/turns.go
@@ -10,12 +10,10 @@
 
 const (
 	// idleInterval is the time between two contacts with the owner of another data
-	// centre that has no job
-	// of this host. It is below ownerSilence.
+	// centre that has no job of this host. It is below ownerSilence.
 	idleInterval = 300 * time.Millisecond
 	// minRareInterval and rareSpacing give the time between two contacts with any of
-	// the other hosts, which only
-	// pass on what they know.
+	// the other hosts, which only pass on what they know.
 	minRareInterval = 1200 * time.Millisecond
 	rareSpacing     = 100 * time.Millisecond
 	// missingTime is how long a host must be silent for the next one to be counted
