Refuse a job that can not end in time although nothing has room for it

Cause: since a tick tried only jobs whose smallest task fits a worker, and only a job that was tried was refused as of no use. Under full load others stayed until their deadline and their callers were held for nothing. A tick refuses all jobs in the class of no use now, whatever room there is.

TestJobThatCanNotEndInTimeIsRefused failed before: no reply in 2 s; now within 50 ms of the time from which the answer is of no use.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -460,8 +460,12 @@
 			delete(m.past, id)
 		}
 	}
+	m.settleTouched(now)
 	m.queue.sort(func(j *job) class { return m.classOf(now, j) })
 	m.queue.all = true
+	for _, j := range slices.Clone(m.queue.jobs[useless].Items()) {
+		m.refuseUseless(now, j)
+	}
 	m.pump(now)
 }
 
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -267,19 +267,28 @@
 	return j.leastCores <= m.room.List(j.spec.Pool, "").Largest()
 }
 
-// startWaiting starts the tasks of a job that have a worker, or refuses the job if
-// it has become of no use.
+// startWaiting starts the tasks of a job that have a worker, or refuses it if it has
+// become of no use.
 func (m *Machine) startWaiting(now time.Time, j *job) {
 	if !j.queued || !j.live {
 		return
 	}
 	m.visited++
 	c := m.classOf(now, j)
-	if c == useless && !j.begun && !j.kept {
-		m.giveUp(now, j)
+	if c == useless && m.refuseUseless(now, j) {
 		return
 	}
 	if m.startJob(now, j) || c != j.class {
 		m.queue.put(j, m.classOf(now, j))
 	}
 }
+
+// refuseUseless refuses a job that has become of no use, unless something of it runs
+// or it is kept.
+func (m *Machine) refuseUseless(now time.Time, j *job) bool {
+	if j.begun || j.kept {
+		return false
+	}
+	m.giveUp(now, j)
+	return true
+}
