Wait before an ownership that has failed is taken anew

A fault that comes with each ownership would have claimed it in a loop, a write of the table each few milliseconds. 0.3 s go between two claims; leases last 1 s. Found in the reading of the change; TestOwnerPanics has the wait.

--- a/fleet/owners.go
+++ b/fleet/owners.go
@@ -33,7 +33,8 @@
 	quietTime = 2500 * time.Millisecond
 	// listenPause is the time between two reads of its signs of life.
 	listenPause = 700 * time.Millisecond
-	// claimPause is the time after a claim that had no clear answer.
+	// claimPause is the time after a claim that had no clear answer, and before one
+	// of an ownership that has failed.
 	claimPause = 300 * time.Millisecond
 )
 
@@ -345,7 +346,11 @@
 	o.beaten[x.DataCentre] = ownership.Newest(o.beaten[x.DataCentre], x)
 	o.logger.WithFields(log.Fields{"dataCentre": string(x.DataCentre), "token": int64(x.Token)}).Error("ownership is taken anew")
 	current.cancel()
-	go o.claim(o.ctx, x.DataCentre)
+	go func() {
+		// A fault that comes with each ownership must not fill the table.
+		pause(o.ctx, claimPause)
+		o.claim(o.ctx, x.DataCentre)
+	}()
 }
 
 // fenced ends an ownership whose token a worker has seen beaten.
--- a/fleet/panic_test.go
+++ b/fleet/panic_test.go
@@ -56,6 +56,9 @@
 		w.step(eventSubmit, func(time.Time, *dispatch.Machine) { panic("unexpected") })
 		_ = w.load()
 		synctest.Wait()
+		is.Equal(table.claims, 0)
+		time.Sleep(claimPause + time.Millisecond)
+		synctest.Wait()
 		is.Equal(owners.get("coast-a"), nil)
 		is.Equal(owners.beaten["coast-a"].Token, worker.Token(5))
 		is.True(w.ctx.Err() != nil) // Its submissions are told.
