--- a/fleet/owners.go
+++ b/fleet/owners.go
@@ -348,8 +348,9 @@
 	current.cancel()
 	go func() {
 		// A fault that comes with each ownership must not fill the table.
-		pause(o.ctx, claimPause)
-		o.claim(o.ctx, x.DataCentre)
+		if pause(o.ctx, claimPause) {
+			o.claim(o.ctx, x.DataCentre)
+		}
 	}()
 }
 
--- a/fleet/panic_test.go
+++ b/fleet/panic_test.go
@@ -41,6 +41,7 @@
 		x := ownership.Owner{DataCentre: "coast-a", Host: "here", Boot: "boot", Token: 5}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
+		owned, end := context.WithCancel(ctx)
 		owners := &Owners{
 			self: self, logger: logger, ctx: ctx, contacts: &Contacts{clock: time.Now}, workers: deaf{},
 			counters:  newCounters(metrics.NewSet(), newLinks(logger, network.Real{})),
@@ -48,7 +49,7 @@
 			beaten:    map[ident.DataCentre]ownership.Owner{}, claiming: map[ident.DataCentre]bool{},
 		}
 		w := &Owner{
-			owners: owners, owner: x, ctx: ctx, cancel: cancel, logger: logger,
+			owners: owners, owner: x, ctx: owned, cancel: end, logger: logger,
 			machine: dispatch.New(time.Now(), dispatch.Config{MaxLease: time.Second, Token: 5}),
 		}
 		w.keeper = &keeper{owner: w, logger: logger}
