Let late work take no room from work that can be in time

Cause: the queue orders jobs by the time at which they must start, judged by estimates that are off by 40 %. Under overload each job starts at that very moment, ends late, and takes the room of the next one, which then does the same. And a late job went to any worker, also to one on which it could not end before its caller gives up.

A job now counts as on time only if it would be so at 1.6 times its expected time; late work is begun only where it ends before the deadline, with 1.4 times for what has not begun.

The old search stays the oracle of the index, with the same change of what a tardy task may start on.

--- /dev/null
+++ b/dispatch/load_test.go
@@ -0,0 +1,342 @@
+package dispatch
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/catkingap/catkingap/ejection"
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/worker"
+)
+
+// kind is a kind of job of a played load.
+type kind struct {
+	name     string
+	rate     float64 // jobs a second
+	tasks    float64
+	runTime  time.Duration
+	priority work.Priority
+}
+
+// The load of one data centre of a fleet of 350 workers: 68 % of the cores.
+var kinds = []kind{
+	{name: "short", rate: 69, tasks: 8, runTime: 60 * time.Millisecond, priority: 0},
+	{name: "medium", rate: 200, tasks: 2, runTime: 200 * time.Millisecond, priority: 1},
+	{name: "long", rate: 12.5, tasks: 4, runTime: 900 * time.Millisecond, priority: 2},
+}
+
+const (
+	loadWorkers = 117
+	// hop is the time of a message between an owner and a worker, or its host.
+	hop = 200 * time.Microsecond
+	// spread is how far run times, counts and estimates scatter around their means.
+	spread = 0.4
+	// loadSeconds is how long a load is played, burstFrom and burstTo when it is
+	// higher.
+	loadSeconds, burstFrom, burstTo = 14, 4, 8
+)
+
+// loadEvent is something that happens in a played load.
+type loadEvent struct {
+	at    time.Time
+	order int
+	do    func()
+}
+
+type loadEvents []loadEvent
+
+func (e loadEvents) Len() int { return len(e) }
+func (e loadEvents) Less(i, k int) bool {
+	if !e[i].at.Equal(e[k].at) {
+		return e[i].at.Before(e[k].at)
+	}
+	return e[i].order < e[k].order
+}
+func (e loadEvents) Swap(i, k int) { e[i], e[k] = e[k], e[i] }
+func (e *loadEvents) Push(x any)   { *e = append(*e, x.(loadEvent)) }
+func (e *loadEvents) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// loadRun is a run on a played worker.
+type loadRun struct {
+	took time.Duration
+	ends time.Time
+}
+
+// loadWorker is a played worker.
+type loadWorker struct {
+	id     worker.ID
+	speed  float64
+	runs   map[runKey]*loadRun
+	ended  []worker.Ended
+	number worker.EndNumber
+	// look is the one that waits for an end, and looks counts those that did.
+	look     *worker.Look
+	lookSent time.Time
+	looks    int
+}
+
+// answer is what a caller of a played load got.
+type answer struct {
+	kind            string
+	submitted       time.Time
+	objective, took time.Duration
+	result          Result
+}
+
+// load plays jobs on the workers of one owner in virtual time.
+type load struct {
+	m       *Machine
+	random  *rand.Rand
+	now     time.Time
+	events  loadEvents
+	order   int
+	workers map[worker.ID]*loadWorker
+	// factor is how many times as high as usual the load is at a second.
+	factor  func(second float64) float64
+	jobs    map[work.ID]*playedJob
+	answers []answer
+}
+
+// playedJob is a job of a played load, with the true run times of its tasks on a worker
+// of speed 1.
+type playedJob struct {
+	answer
+	runTimes []time.Duration
+}
+
+func newLoad(seed uint64, factor func(second float64) float64) *load {
+	l := &load{
+		random: rand.New(rand.NewPCG(seed, 7)), now: origin, workers: map[worker.ID]*loadWorker{}, jobs: map[work.ID]*playedJob{},
+		factor: factor,
+	}
+	l.m = New(origin, Config{
+		Token: 1, MaxLease: time.Second, FarFactor: 2,
+		Ejection: ejection.Config{MaxShare: 0.5, Failures: 3, MinProbe: 500 * time.Millisecond, MaxProbe: 5 * time.Second},
+	})
+	l.m.Loaded(origin)
+	var list []worker.Worker
+	for i := range loadWorkers {
+		x := &loadWorker{id: worker.ID(fmt.Sprintf("w%04d", i)), speed: 1.2, runs: map[runKey]*loadRun{}}
+		if i%4 == 0 {
+			x.speed = 0.55
+		}
+		size := work.Size{Cores: 64_000, Memory: 128_000}
+		if i%3 == 2 {
+			size.Cores = 96_000
+		}
+		l.workers[x.id] = x
+		list = append(list, worker.Worker{ID: x.id, Life: 1, Address: string(x.id), Pool: "pool", Capacity: size})
+	}
+	l.tell(func() { l.m.SetWorkers(l.now, list) })
+	l.tick()
+	for _, k := range kinds {
+		l.next(k)
+	}
+	return l
+}
+
+// after has something happen in a while.
+func (l *load) after(d time.Duration, do func()) {
+	l.order++
+	heap.Push(&l.events, loadEvent{at: l.now.Add(d), order: l.order, do: do})
+}
+
+// tell has the owner handle an event.
+func (l *load) tell(event func()) {
+	event()
+	l.carryOut(l.m.Take())
+}
+
+func (l *load) tick() {
+	l.tell(func() { l.m.Tick(l.now) })
+	l.after(25*time.Millisecond, l.tick)
+}
+
+func (l *load) clock() worker.Clock { return worker.Clock(1000 + l.now.Sub(origin).Milliseconds()) }
+
+// drawn returns a value of a log-normal distribution with a mean of 1.
+func (l *load) drawn(s float64) float64 {
+	sigma := math.Sqrt(math.Log(1 + s*s))
+	return math.Exp(l.random.NormFloat64()*sigma - sigma*sigma/2)
+}
+
+// next hands in jobs of a kind for ever.
+func (l *load) next(k kind) {
+	second := l.now.Sub(origin).Seconds()
+	pause := time.Duration(l.random.ExpFloat64() / (k.rate * l.factor(second)) * float64(time.Second))
+	l.after(pause, func() {
+		l.submit(k)
+		l.next(k)
+	})
+}
+
+func (l *load) submit(k kind) {
+	runTime := time.Duration(min(l.drawn(spread), 4) * float64(k.runTime))
+	size := work.Size{Cores: int(min(l.drawn(0.2)*32_000, 48_000)), Memory: 64}
+	j := &playedJob{answer: answer{
+		kind: k.name, submitted: l.now, objective: time.Duration(1.6*float64(runTime)) + 60*time.Millisecond,
+	}}
+	count := max(1, int(math.Round(min(l.drawn(spread), 4)*k.tasks)))
+	for range count {
+		j.runTimes = append(j.runTimes, time.Duration(l.drawn(0.15)*float64(runTime)))
+	}
+	spec := work.Job{
+		ID: work.ID(fmt.Sprintf("%s-%06d", k.name, len(l.jobs))), Pool: "pool", Priority: k.priority, Attempts: 3, Stretch: 1.6, Target: 60 * time.Millisecond,
+		Steps: []work.Step{{Count: count, Size: size, Estimate: time.Duration(l.drawn(spread) * float64(runTime))}},
+	}
+	l.jobs[spec.ID] = j
+	s := Submission{
+		Job: spec, Host: ident.Host(fmt.Sprint("host-", l.random.IntN(14))), Call: uint64(len(l.jobs)), Boot: "b",
+		Left: 1500*time.Millisecond + runTime, Final: true,
+	}
+	l.after(hop, func() { l.tell(func() { l.m.Submit(l.now, s) }) })
+}
+
+func (l *load) carryOut(a Actions) {
+	for _, r := range a.Replies {
+		j := l.jobs[r.Job]
+		l.after(hop, func() {
+			x := j.answer
+			x.result, x.took = r.Result, l.now.Sub(j.submitted)
+			l.answers = append(l.answers, x)
+		})
+	}
+	for _, s := range a.Starts {
+		l.after(hop, func() { l.start(s) })
+	}
+	for _, s := range a.Stops {
+		l.after(hop, func() { l.stop(s) })
+	}
+	for _, x := range a.Looks {
+		sent := l.now
+		l.after(hop, func() { l.lookAt(sent, x) })
+	}
+}
+
+func (l *load) start(s worker.Start) {
+	w := l.workers[s.Worker]
+	took := time.Duration(float64(l.jobs[s.Task.Job].runTimes[s.Task.Index]) / w.speed)
+	key := runKey{task: s.Task.String(), run: s.Run}
+	w.runs[key] = &loadRun{took: took, ends: l.now.Add(took)}
+	l.after(took, func() { l.end(w, key, worker.Done) })
+	l.after(hop, func() {
+		l.tell(func() { l.m.Started(l.now, s, worker.Answer{Verdict: worker.Accepted, Clock: l.clock()}) })
+	})
+}
+
+func (l *load) stop(s worker.Stop) {
+	l.end(l.workers[s.Worker], runKey{task: s.Task, run: s.Run}, worker.Lost)
+	l.after(hop, func() {
+		l.tell(func() { l.m.Stopped(l.now, s, worker.Answer{Verdict: worker.Accepted, Clock: l.clock()}) })
+	})
+}
+
+func (l *load) end(w *loadWorker, k runKey, how worker.How) {
+	if w.runs[k] == nil {
+		return
+	}
+	delete(w.runs, k)
+	w.number++
+	w.ended = append(w.ended, worker.Ended{Number: w.number, Task: k.task, Run: k.run, How: how})
+	if w.look != nil {
+		l.answerLook(w)
+	}
+}
+
+func (l *load) lookAt(sent time.Time, x worker.Look) {
+	w := l.workers[x.Worker]
+	for len(w.ended) > 0 && w.ended[0].Number <= x.Seen {
+		w.ended = w.ended[1:]
+	}
+	if x.Wait == 0 || len(w.ended) > 0 {
+		l.report(w, sent, x)
+		return
+	}
+	w.look, w.lookSent = &x, sent
+	w.looks++
+	number := w.looks
+	l.after(x.Wait, func() {
+		if w.look != nil && w.looks == number {
+			l.answerLook(w)
+		}
+	})
+}
+
+func (l *load) answerLook(w *loadWorker) {
+	x := *w.look
+	w.look = nil
+	l.report(w, w.lookSent, x)
+}
+
+func (l *load) report(w *loadWorker, sent time.Time, x worker.Look) {
+	r := &worker.Report{Life: 1, Clock: l.clock(), Ended: append([]worker.Ended(nil), w.ended...)}
+	for k, x := range w.runs {
+		done := 1 - float64(x.ends.Sub(l.now))/float64(x.took)
+		r.Running = append(r.Running, worker.Running{Task: k.task, Run: k.run, Percent: int(100 * done)})
+	}
+	slices.SortFunc(r.Running, func(a, b worker.Running) int { return cmp.Compare(a.Task, b.Task) })
+	l.after(hop, func() { l.tell(func() { l.m.Looked(l.now, sent, x, r, worker.Accepted) }) })
+}
+
+// play plays the load to its end.
+func (l *load) play() {
+	end := origin.Add(loadSeconds * time.Second)
+	for len(l.events) > 0 && l.events[0].at.Before(end) {
+		e := heap.Pop(&l.events).(loadEvent)
+		l.now = e.at
+		e.do()
+	}
+}
+
+// fate counts what became of jobs.
+type fate struct {
+	jobs, inTime, late, refused, broken int
+	// held is the sum of the times after which callers were refused, over objectives.
+	held float64
+}
+
+// fates counts what became of the jobs of a kind that came between two seconds, or of
+// all kinds.
+func (l *load) fates(name string, from, to float64) fate {
+	var f fate
+	for _, a := range l.answers {
+		s := a.submitted.Sub(origin).Seconds()
+		if s < from || s >= to || (name != "" && a.kind != name) {
+			continue
+		}
+		f.jobs++
+		switch {
+		case a.result == Completed && a.took <= a.objective:
+			f.inTime++
+		case a.result == Completed:
+			f.late++
+		case a.result == Refused:
+			f.refused++
+			f.held += a.took.Seconds() / a.objective.Seconds()
+		default:
+			f.broken++
+		}
+	}
+	return f
+}
+
+// burst returns a load that is x times as high for some seconds.
+func burst(x float64) func(second float64) float64 {
+	return func(second float64) float64 {
+		if second >= burstFrom && second < burstTo {
+			return x
+		}
+		return 1
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -111,7 +111,7 @@
 	if m.lingers(j.spec.ID) || !m.opened(now, j) {
 		return false
 	}
-	anyWorker := m.hope(now, j) != onTime
+	tardy := m.hope(now, j) != onTime
 	kept := j.waiting[:0]
 	started, full := false, -1
 	for _, t := range j.waiting {
@@ -119,7 +119,7 @@
 			kept = append(kept, t)
 			continue
 		}
-		n := m.choose(now, t, anyWorker)
+		n := m.choose(now, t, tardy)
 		if n == nil {
 			full = t.name.Step
 			kept = append(kept, t)
@@ -136,8 +136,10 @@
 // for a faster worker as long as that can still meet the objective. Of those
 // that meet it, the slowest with a margin is taken, so that fast ones are left
 // for long tasks; among equals the one with the least room left. Workers near the
-// task's data come first, those on which it has failed last.
-func (m *Machine) choose(now time.Time, t *task, anyWorker bool) *node {
+// task's data come first, those on which it has failed last. A task that is tardy
+// can not meet the objective: it goes to the fastest worker on which it is still of
+// use.
+func (m *Machine) choose(now time.Time, t *task, tardy bool) *node {
 	m.settleTouched(now)
 	s := t.step()
 	type search struct {
@@ -156,7 +158,7 @@
 			break
 		}
 		for _, x := range searches {
-			if n := m.search(now, t, x.list, x.factor, anyWorker, failed); n != nil {
+			if n := m.search(now, t, x.list, x.factor, tardy, failed); n != nil {
 				return n
 			}
 		}
@@ -167,21 +169,27 @@
 // search looks for a worker in a list. On its workers tasks take at least factor
 // times as long as their estimate and the pace of the worker say. Failed tells
 // whether a task may go to a worker on which it has failed.
-func (m *Machine) search(now time.Time, t *task, l *room.List[*node], factor float64, anyWorker, failed bool) *node {
+func (m *Machine) search(now time.Time, t *task, l *room.List[*node], factor float64, tardy, failed bool) *node {
 	left := t.job.objective.Sub(now) - answerTime
+	inTime := func(run time.Duration, margin float64) bool {
+		if tardy {
+			return t.job.worthwhile(now, run+answerTime)
+		}
+		return scaled(run, margin) <= left
+	}
 	estimate := scaled(t.estimate(), factor)
 	take := func(margin float64) func(*node) bool {
 		return func(n *node) bool {
 			m.visited++
 			return n.suits(t) && (failed || !t.failedOn(n)) && m.apart(n, t) &&
-				(anyWorker || scaled(m.expected(n, t), margin) <= left) &&
+				inTime(m.expected(n, t), margin) &&
 				m.leash(now, n, t.job) >= minLease && !m.outlived(n, t.job)
 		}
 	}
 	within := func(margin float64) func(room.Class) bool {
-		return func(c room.Class) bool { return anyWorker || scaled(estimate, margin*c.Fastest()) <= left }
+		return func(c room.Class) bool { return inTime(scaled(estimate, c.Fastest()), margin) }
 	}
-	if !anyWorker {
+	if !tardy {
 		if n, ok := l.Search(t.step().Size, true, within(paceMargin), take(paceMargin)); ok {
 			return n
 		}
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -17,7 +17,7 @@
 const (
 	// begun jobs have runs, whose work would be lost.
 	begun class = iota
-	// onTime jobs can meet their objective.
+	// onTime jobs can meet their objective, also if their estimates are off.
 	onTime
 	// late jobs can still be of use to their callers.
 	late
@@ -203,11 +203,27 @@
 	}
 }
 
+const (
+	// sureFactor is how many times its expected time a job may take and still count
+	// as on time: estimates are off by some 40 %, tasks of one job by some 15 %.
+	// Load: bursts beyond the room of all workers, in which jobs that start at the
+	// last moment end late, and take the room of others that then do the same.
+	sureFactor = 1.6
+	// lateFactor is how many times its expected time a late job may take and still
+	// end before its caller gives up: work that ends after that is thrown away.
+	lateFactor = 1.4
+)
+
 // classOf returns the class of a job.
 func (m *Machine) classOf(now time.Time, j *job) class {
 	h := m.hope(now, j)
-	if j.begun && h != useless {
+	switch {
+	case h == useless:
+		return useless
+	case j.begun:
 		return begun
+	case now.Add(scaled(m.fastest(j), sureFactor)).After(j.objective):
+		return late
 	}
 	return h
 }
@@ -215,16 +231,37 @@
 // hope returns what the fastest worker of its pool could still achieve for a job:
 // onTime, late or useless.
 func (m *Machine) hope(now time.Time, j *job) class {
-	end := now.Add(pace{log: m.room.Pace(j.spec.Pool)}.scale(j.chain))
+	run := m.fastest(j)
 	switch {
-	case !end.After(j.objective):
+	case !now.Add(run).After(j.objective):
 		return onTime
-	case !end.After(j.uselessAt):
+	case !now.Add(run).After(j.uselessAt) && j.meetsDeadline(now, run):
 		return late
 	}
 	return useless
 }
 
+// fastest returns the expected run time of a job on the fastest worker of its pool.
+func (m *Machine) fastest(j *job) time.Duration {
+	return pace{log: m.room.Pace(j.spec.Pool)}.scale(j.chain)
+}
+
+// meetsDeadline returns true if a run that is expected to take d ends before the
+// caller gives up. Nobody waits for a kept job, and what has begun is tried as long as
+// it may.
+func (j *job) meetsDeadline(now time.Time, d time.Duration) bool {
+	if !j.begun {
+		d = scaled(d, lateFactor)
+	}
+	return j.kept || !now.Add(d).After(j.deadline)
+}
+
+// worthwhile returns true if a tardy run that is expected to take d is of use. What has
+// begun is, up to the deadline.
+func (j *job) worthwhile(now time.Time, d time.Duration) bool {
+	return j.kept || (j.meetsDeadline(now, d) && (j.begun || !now.Add(d).After(j.uselessAt)))
+}
+
 // begin notes that something of a job has started.
 func (m *Machine) begin(j *job) {
 	j.begun = true
--- a/dispatch/scan_test.go
+++ b/dispatch/scan_test.go
@@ -58,7 +58,7 @@
 }
 
 // scan chooses a worker by a look at each.
-func (m *Machine) scan(now time.Time, t *task, anyWorker bool) *node {
+func (m *Machine) scan(now time.Time, t *task, tardy bool) *node {
 	var best *node
 	var place scanned
 	size := t.step().Size
@@ -68,13 +68,17 @@
 			continue
 		}
 		expected := m.expected(n, t)
-		if (!anyWorker && expected > left) || m.leash(now, n, t.job) < minLease || m.outlived(n, t.job) {
+		inTime := expected <= left
+		if tardy {
+			inTime = t.job.worthwhile(now, expected+answerTime)
+		}
+		if !inTime || m.leash(now, n, t.job) < minLease || m.outlived(n, t.job) {
 			continue
 		}
 		s := scanned{
 			failed: t.failedOn(n),
 			far:    t.step().Rack != "" && !slices.Contains(n.Labels, t.step().Rack),
-			slow:   anyWorker || scaled(expected, paceMargin) > left,
+			slow:   tardy || scaled(expected, paceMargin) > left,
 			class:  room.ClassOf(n.pace.log), free: n.Capacity.Cores - n.used.Cores, id: n.ID,
 		}
 		if best == nil || s.compare(place) < 0 {
@@ -306,8 +310,8 @@
 				}
 				checkAgainstScan(is, s.m, s.now)
 				j := newJob(s.now, s.submission())
-				anyWorker := s.random.IntN(2) == 0
-				n, want := s.m.choose(s.now, j.tasks[0], anyWorker), s.m.scan(s.now, j.tasks[0], anyWorker)
+				tardy := s.random.IntN(2) == 0
+				n, want := s.m.choose(s.now, j.tasks[0], tardy), s.m.scan(s.now, j.tasks[0], tardy)
 				is.True(n == want)
 				if n != nil {
 					chosen++
