Refuse late jobs that will not get room while they are of use

An owner now measures, with each tick, the room that late jobs of a pool start to take, and refuses those that it would not reach in time by that rate. While nothing is known late jobs may get all room, and nothing is refused while workers have not answered a new owner.

--- a/dispatch/burst_test.go
+++ b/dispatch/burst_test.go
@@ -56,6 +56,16 @@
 	}
 }
 
+// TestRefusalsComeBeforeTheObjective has callers who are refused in a burst hear so, on
+// the mean, before they would have expected the answer.
+func TestRefusalsComeBeforeTheObjective(t *testing.T) {
+	is := is.New(t)
+	f := playBurst(3).fates("", burstFrom, burstTo)
+	t.Logf("%d refused, after %.2f of the objective on the mean", f.refused, f.held/float64(f.refused))
+	is.True(f.refused > 0)
+	is.True(f.held <= float64(f.refused))
+}
+
 // TestLoadAfterABurst has jobs served as before two seconds after a burst.
 func TestLoadAfterABurst(t *testing.T) {
 	const share = 0.95
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -181,6 +181,8 @@
 	// room finds usable workers, and stock counts what they have.
 	room  *room.Index[*node]
 	stock stock
+	// lateRooms measures the room of late jobs, for the pools that have some.
+	lateRooms map[ident.Pool]*lateRoom
 	// alarms holds the workers by the time at which something is to be done
 	// there. touched holds those at which something has changed in this event,
 	// and roomier is true if one of them can take more than before.
@@ -234,6 +236,7 @@
 		queue:       newQueue(),
 		room:        room.NewIndex[*node](),
 		stock:       stock{pools: map[ident.Pool]*poolStock{}},
+		lateRooms:   map[ident.Pool]*lateRoom{},
 		alarms:      index.NewAlarms[*node](),
 		outcomes:    index.NewRecent[work.ID, Result](outcomeTime),
 		orphans:     map[string]*run{},
@@ -466,6 +469,7 @@
 	for _, j := range slices.Clone(m.queue.jobs[useless].Items()) {
 		m.refuseUseless(now, j)
 	}
+	m.shed(now)
 	m.pump(now)
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -125,6 +125,9 @@
 			kept = append(kept, t)
 			continue
 		}
+		if j.class == late {
+			m.lateRoomOf(j.spec.Pool).started += t.step().Size.Cores
+		}
 		m.start(now, t, n)
 		started = true
 	}
