Offer a refused job to owners that have room by then

A refusal says that nothing was started, so the host now asks the owners that have room at once before it tells the caller; they take the job or say busy.

TestRefusedJobGoesWhereRoomCameFree failed before (refused, not completed). Not mended by it: an owner with room refuses a job whose answer comes after three times its objective, though before its deadline.

--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -103,6 +103,9 @@
 	// tried holds the data centres without room.
 	tried map[ident.DataCentre]bool
 	tries int
+	// refusal is the reply of the owner that had the job last and has refused it as not
+	// run, or nil.
+	refusal *dispatch.Reply
 	// trail tells the tries for the log: the owner and its token, how the try
 	// ended, when it began after the caller's request and how long it took.
 	trail []string
@@ -179,6 +182,9 @@
 			continue
 		}
 		o, final, ok := s.pick(now, a)
+		if !ok && a.refusal != nil {
+			return *a.refusal
+		}
 		if !ok {
 			if !s.Owned(now) || a.lost(now) {
 				return a.giveUp("no owner of workers answers")
@@ -241,6 +247,10 @@
 		if a.bound != "" {
 			return a.giveUp(reply.Reason), true
 		}
+		s.release(a, o.DataCentre)
+		// Another data centre may have got room since it was asked.
+		a.refusal, a.tried = &reply, map[ident.DataCentre]bool{o.DataCentre: true}
+		return reply, false
 	}
 	a.bound = ""
 	s.release(a, o.DataCentre)
@@ -288,8 +298,8 @@
 	return a.bound != "" && now.Sub(a.boundAt) >= noOwnerTime
 }
 
-// pick returns the owner to ask next, and true if it must take or refuse the
-// job.
+// pick returns the owner to ask next, and true if it must take or refuse the job. A job
+// that was refused is offered only to owners that have room at once.
 func (s *Submitter) pick(now time.Time, a *attempt) (ownership.Owner, bool, bool) {
 	owners := s.directory.Owners()
 	if a.bound != "" {
@@ -309,6 +319,9 @@
 			room = tasks
 		}
 		home := c == s.self.DataCentre
+		if a.refusal != nil && room < tasks {
+			continue
+		}
 		if fallback.Host == "" || spillScore(room, home) > spillScore(fallbackRoom, fallback.DataCentre == s.self.DataCentre) {
 			fallback, fallbackRoom = o, room
 		}
@@ -325,7 +338,7 @@
 	if best.Host != "" && len(a.tried) < len(owners) {
 		return best, false, true
 	}
-	return fallback, true, fallback.Host != ""
+	return fallback, true, fallback.Host != "" && a.refusal == nil
 }
 
 // homeBonus makes the owner of the host's own data centre be asked first: bytes
