Take no ownership for the own delay of a process

The answers to its contacts were there, but waited for their turn in the process for longer than the 0.6 s after which an owner counts as silent.

A host now adds to that silence what its own claiming loop is late by, four times as for orders (to be sent, written, read and handled), at most 0.3 s: a lease lasts a second. A long pause was known before (Started); this is for a process that runs, but too slowly.

TestClaims, the owner is silent to a process that is behind: with the delay left out the host claims, and so failed. Not shown with real processes.

--- a/fleet/contacts_test.go
+++ b/fleet/contacts_test.go
@@ -83,7 +83,7 @@
 	_, behind = w.lag.tick(now.Add(tickInterval), 50*time.Millisecond)
 	is.True(!behind) // One line a second.
 	w.lag.tick(now, time.Minute)
-	is.True(left() <= orderTimeout+maxOwnDelay)
+	is.True(left() <= orderTimeout+maxAllowance)
 	for range 100 {
 		w.lag.tick(now, 0)
 	}
--- a/fleet/lag.go
+++ b/fleet/lag.go
@@ -36,6 +36,12 @@
 	// lagFade is the share of the last delay that remains with a tick that was in
 	// time.
 	lagFade = 0.8
+	// answerTurns is how often a message and its answer wait for their turn in this
+	// process: to be sent, to be written, to be read and to be handled. What the answer
+	// takes longer for that is not the other side's doing.
+	answerTurns = 4
+	// maxAllowance bounds what is added for it: a lease lasts a second.
+	maxAllowance = 300 * time.Millisecond
 )
 
 // ownerCounters count what the owners of a host do.
@@ -47,7 +53,7 @@
 	lag *metrics.Histogram
 }
 
-// lag knows how far an owner is behind. Its zero value is one that is not.
+// lag knows how far a loop of this process is behind. Its zero value is one that is not.
 type lag struct {
 	// delay is how late the last ticks were, in nanoseconds, and waiting is the
 	// number of events that wait for their turn.
@@ -55,13 +61,22 @@
 	logged         time.Time
 }
 
-// Delay returns how late the owner does what is due.
-func (l *lag) Delay() time.Duration { return time.Duration(l.delay.Load()) }
+// allowance returns how much longer than usual the other side may take to answer, because
+// this process is behind.
+func (l *lag) allowance() time.Duration {
+	return min(answerTurns*time.Duration(l.delay.Load()), maxAllowance)
+}
 
-// tick takes in how late a tick is. It returns what to log, and false for nothing.
-func (l *lag) tick(now time.Time, late time.Duration) (log.Fields, bool) {
+// note takes in how late a tick is. It returns how late the last ones were.
+func (l *lag) note(late time.Duration) time.Duration {
 	delay := max(late, time.Duration(lagFade*float64(l.delay.Load())))
 	l.delay.Store(int64(delay))
+	return delay
+}
+
+// tick takes in how late a tick is. It returns what to log, and false for nothing.
+func (l *lag) tick(now time.Time, late time.Duration) (log.Fields, bool) {
+	delay := l.note(late)
 	if delay < behindTime || now.Sub(l.logged) < behindInterval {
 		return nil, false
 	}
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -25,12 +25,6 @@
 	// orderTimeout bounds a start or a stop: a worker answers within
 	// milliseconds, and a task of the shortest kind has 150 ms in all.
 	orderTimeout = 60 * time.Millisecond
-	// orderTurns is how often an order waits for its turn in this process: to be
-	// sent, to be written, to be read and to be handled. What its answer takes
-	// longer for that is not the worker's doing.
-	orderTurns = 4
-	// maxOwnDelay bounds what is added for it: a lease lasts a second.
-	maxOwnDelay = 300 * time.Millisecond
 	// lookTimeout bounds a look, beyond the time that the worker waits. Four
 	// lost looks fit into a lease of a second.
 	lookTimeout = 120 * time.Millisecond
@@ -319,7 +313,7 @@
 // patience returns a context that bounds an order, and by how much this process is
 // behind as well.
 func (w *Owner) patience(d time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(w.ctx, d+min(orderTurns*w.lag.Delay(), maxOwnDelay))
+	return context.WithTimeout(w.ctx, d+w.lag.allowance())
 }
 
 func (w *Owner) start(s worker.Start) {
--- a/fleet/owners.go
+++ b/fleet/owners.go
@@ -135,9 +135,12 @@
 	o.ctx = ctx
 	o.mutex.Unlock()
 	o.reconcile()
-	for pause(ctx, claimInterval) {
+	var behind lag
+	for due := time.Now().Add(claimInterval); pause(ctx, claimInterval); due = time.Now().Add(claimInterval) {
 		now := time.Now()
+		behind.note(max(0, now.Sub(due)))
 		view := o.contacts.View()
+		view.Delay = behind.allowance()
 		centres := o.centres(&view)
 		view.Reachable = o.reachable(ctx, now, &view, centres)
 		view.Quiet = o.quiet(ctx, now, &view)
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -71,6 +71,8 @@
 	Contacts map[ident.Host]Contact
 	// Leaving is true if this process shuts down.
 	Leaving bool
+	// Delay is by how much this process reads what others say too late.
+	Delay time.Duration
 	// Reachable is true for data centres whose workers answer this host.
 	Reachable map[ident.DataCentre]bool
 	// Quiet is true for data centres whose owner has not shown life in the
@@ -154,7 +156,7 @@
 	case current && c.Leaving:
 		return c.Heard, true
 	}
-	lost := latest(v.Started, latest(c.Heard, learned)).Add(Silence)
+	lost := latest(v.Started, latest(c.Heard, learned)).Add(Silence + v.Delay)
 	return lost, !now.Before(lost)
 }
 
@@ -170,7 +172,7 @@
 func (v *View) rank(now time.Time, d ident.DataCentre) int {
 	rank := 0
 	for _, h := range v.Hosts {
-		if h.DataCentre == d && h.Name != v.Self.Name && v.alive(now, h, Silence) && compareHosts(h, v.Self) < 0 {
+		if h.DataCentre == d && h.Name != v.Self.Name && v.alive(now, h, Silence+v.Delay) && compareHosts(h, v.Self) < 0 {
 			rank++
 		}
 	}
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -61,6 +61,19 @@
 				Owners: owner(coastA, "a1"), Contacts: map[ident.Host]ownership.Contact{"a1": ago("a1", silent)}, Started: now.Add(-100 * time.Millisecond),
 			},
 		},
+		"the owner is silent to a process that is behind": {
+			view: ownership.View{
+				Owners: owner(coastA, "a1"), Delay: 300 * time.Millisecond,
+				Contacts: map[ident.Host]ownership.Contact{"a1": ago("a1", 800*time.Millisecond), "a3": ago("a3", near)},
+			},
+		},
+		"the owner is silent for longer than the process is behind": {
+			view: ownership.View{
+				Owners: owner(coastA, "a1"), Delay: 300 * time.Millisecond,
+				Contacts: map[ident.Host]ownership.Contact{"a1": ago("a1", silent), "a3": ago("a3", near)},
+			},
+			want: []ident.DataCentre{coastA},
+		},
 		"the owner has started again": {
 			view: ownership.View{Owners: owner(coastA, "a1"), Contacts: map[ident.Host]ownership.Contact{"a1": {Boot: "other", Heard: now}}},
 			want: []ident.DataCentre{coastA},
