Offer a refused job once to each owner, and forget the refusal once one has it

- The owner that took such a job dies: the host gave the caller the older refusal, "not run", though tasks may have started.
TestRefusedJobThatBeganElsewhere failed before (refused, not interrupted).
- Owners that have room and refuse all the same, since the job can not end before its deadline, were asked in turn without a pause up to the deadline.
TestRefusedEverywhere failed before (500 ms in place of at once).

--- a/fleet/refusal_test.go
+++ b/fleet/refusal_test.go
@@ -11,6 +11,25 @@
 	"github.com/catkingap/catkingap/work"
 )
 
+// waitingJob has a job wait for the workers of coast-a, whose owner refuses it, after
+// those of coast-b have become free. What it returns waits for the reply.
+func (w *world) waitingJob(runs time.Duration) func() dispatch.Reply {
+	const places = 2 * workersEach
+	a, b := w.owner("coast-a"), w.owner("coast-b")
+	submit := func(m *member, j work.Job) dispatch.Reply {
+		return m.submitter.Submit(m.life, j, time.Now(), time.Now().Add(10*time.Second))
+	}
+	// The owner learns how long tasks take.
+	is.New(w.t).Equal(submit(a, jobOf("first", 1, 100*time.Millisecond)).Result, dispatch.Completed)
+	w.fill("coast-a", places)
+	w.fill("coast-c", places)
+	go submit(b, jobOf("short", places, 400*time.Millisecond))
+	time.Sleep(settledTime / 2)
+	answer := make(chan dispatch.Reply, 1)
+	go func() { answer <- submit(a, jobOf("waits", 2, runs)) }()
+	return func() dispatch.Reply { return <-answer }
+}
+
 // TestRefusedJobGoesWhereRoomCameFree has a job wait for the workers of one data centre,
 // whose owner refuses it, after those of another one have become free.
 func TestRefusedJobGoesWhereRoomCameFree(t *testing.T) {
@@ -18,18 +37,44 @@
 		is := is.New(t)
 		w := newWorld(t)
 		time.Sleep(startTime)
-		const places = 2 * workersEach
-		a, b := w.owner("coast-a"), w.owner("coast-b")
-		submit := func(m *member, j work.Job) dispatch.Reply {
-			return m.submitter.Submit(m.life, j, time.Now(), time.Now().Add(10*time.Second))
+		is.Equal(w.waitingJob(100 * time.Millisecond)().Result, dispatch.Completed)
+	})
+}
+
+// TestRefusedEverywhere has a job come too late to end before its caller gives up: each
+// owner is asked once more at most, though all have room.
+func TestRefusedEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		m, arrived := w.owner("coast-a"), time.Now()
+		time.Sleep(time.Second)
+		j := jobOf("late", 1, time.Second)
+		j.Stretch, j.Target = 0.1, 0
+		began := time.Now()
+		is.Equal(m.submitter.Submit(m.life, j, arrived, arrived.Add(1500*time.Millisecond)).Result, dispatch.Refused)
+		is.True(time.Since(began) < 100*time.Millisecond)
+	})
+}
+
+// TestRefusedJobThatBeganElsewhere has the owner that took a refused job die: the caller
+// is not told that it has not run.
+func TestRefusedJobThatBeganElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		answer := w.waitingJob(time.Second)
+		before, _, _ := w.judge.Verdict()
+		for starts := before; starts == before; starts, _, _ = w.judge.Verdict() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		for _, m := range w.all() {
+			if m.zone == "coast-b" {
+				w.kill(m)
+			}
 		}
-		// The owner learns how long tasks take.
-		is.Equal(submit(a, jobOf("first", 1, 100*time.Millisecond)).Result, dispatch.Completed)
-		w.fill("coast-a", places)
-		w.fill("coast-c", places)
-		go submit(b, jobOf("short", places, 400*time.Millisecond))
-		time.Sleep(settledTime / 2)
-		r := submit(a, jobOf("waits", 2, 100*time.Millisecond))
-		is.Equal(r.Result, dispatch.Completed)
+		is.Equal(answer().Result, dispatch.Interrupted)
 	})
 }
--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -248,8 +248,11 @@
 			return a.giveUp(reply.Reason), true
 		}
 		s.release(a, o.DataCentre)
-		// Another data centre may have got room since it was asked.
-		a.refusal, a.tried = &reply, map[ident.DataCentre]bool{o.DataCentre: true}
+		if a.refusal == nil {
+			// Another data centre may have got room since it was asked.
+			clear(a.tried)
+		}
+		a.refusal, a.tried[o.DataCentre] = &reply, true
 		return reply, false
 	}
 	a.bound = ""
@@ -276,6 +279,7 @@
 func (a *attempt) bind(now time.Time, o ownership.Owner) {
 	a.moved = a.startedBefore(o)
 	a.bound, a.boundAt, a.token = o.DataCentre, now, o.Token
+	a.refusal = nil
 }
 
 // startedBefore returns true if something of the job may have started under an
