Serve a job that comes late while nothing else wants the room

A job whose answer would miss three times its objective was refused at once also by an owner all of whose workers were free, with a second or more left until its caller's deadline: after a change of owners or the end of a cut.

It now starts if all tasks of its first step have room, it is expected to end before the deadline (1.4 times its time), and no job of more use waits. Under load nothing changes but that it goes last; there it is refused as before.

TestLateJobStartsInSpareRoom failed before (no start).

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -170,6 +170,36 @@
 	is.True(refused <= 10+3*156-60+50)
 }
 
+// TestLateJobStartsInSpareRoom has a job arrive so late that its answer misses three
+// times its objective: it is served all the same if nothing else wants the room and its
+// caller still waits.
+func TestLateJobStartsInSpareRoom(t *testing.T) {
+	tests := map[string]struct {
+		left   time.Duration
+		busy   bool
+		starts int
+	}{
+		"all room is free":                       {left: time.Second, starts: 2},
+		"its caller gives up before the end":     {left: 80 * time.Millisecond},
+		"other work has taken the room it needs": {left: time.Second, busy: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := openMachine("w1")
+			if test.busy {
+				startOne(is, m, at(10))
+			}
+			s := submission("late", 3, 2)
+			s.Waited, s.Left = time.Second, test.left
+			m.Submit(at(20), s)
+			a := m.Take()
+			is.Equal(len(a.Starts), test.starts)
+			is.Equal(len(a.Replies) == 1 && a.Replies[0].Result == dispatch.Refused, test.starts == 0)
+		})
+	}
+}
+
 // startOne hands in a job of one task and returns the order to start it.
 func startOne(is *is.I, m *dispatch.Machine, now time.Time) worker.Start {
 	m.Submit(now, submission("j", 1, 1))
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -21,8 +21,8 @@
 	onTime
 	// late jobs can still be of use to their callers.
 	late
-	// useless jobs come too late to be of use. Those that have not begun are
-	// refused, so that their callers are told at once to come back.
+	// useless jobs come too late to be of use while others wait. Those that have not
+	// begun are refused, so that their callers are told at once to come back.
 	useless
 
 	classes = 4
@@ -257,9 +257,9 @@
 }
 
 // worthwhile returns true if a tardy run that is expected to take d is of use. What has
-// begun is, up to the deadline.
+// begun is, up to the deadline, and what starts only because nothing else waits.
 func (j *job) worthwhile(now time.Time, d time.Duration) bool {
-	return j.kept || (j.meetsDeadline(now, d) && (j.begun || !now.Add(d).After(j.uselessAt)))
+	return j.kept || (j.meetsDeadline(now, d) && (j.begun || j.class == useless || !now.Add(d).After(j.uselessAt)))
 }
 
 // begin notes that something of a job has started.
@@ -311,21 +311,38 @@
 		return
 	}
 	m.visited++
-	c := m.classOf(now, j)
-	if c == useless && m.refuseUseless(now, j) {
+	if c := m.classOf(now, j); c != j.class {
+		m.queue.put(j, c)
+	}
+	if j.class == useless && m.refuseUseless(now, j) {
 		return
 	}
-	if m.startJob(now, j) || c != j.class {
+	if m.startJob(now, j) {
 		m.queue.put(j, m.classOf(now, j))
 	}
 }
 
-// refuseUseless refuses a job that has become of no use, unless something of it runs
-// or it is kept.
+// refuseUseless refuses a job that has become of no use, unless something of it runs,
+// it is kept, or there is room that nothing else waits for.
 func (m *Machine) refuseUseless(now time.Time, j *job) bool {
-	if j.begun || j.kept {
+	if j.begun || j.kept || m.spare(now, j) {
 		return false
 	}
 	m.giveUp(now, j)
 	return true
 }
+
+// spare returns true if a job can start at once with all tasks of its first step and end
+// before its caller gives up, and no job waits that is of more use. Load: calm times, in
+// which a job comes late since its owner was replaced or a cut has ended.
+func (m *Machine) spare(now time.Time, j *job) bool {
+	for c := range useless {
+		if m.queue.jobs[c].Len() > 0 {
+			return false
+		}
+	}
+	m.settleTouched(now)
+	first := j.spec.Steps[0]
+	return j.meetsDeadline(now, m.fastest(j)) && m.opened(now, j) &&
+		m.room.List(j.spec.Pool, "").Count(first.Size, first.Count) >= first.Count
+}
--- a/fleet/refusal_test.go
+++ b/fleet/refusal_test.go
@@ -37,7 +37,7 @@
 		is := is.New(t)
 		w := newWorld(t)
 		time.Sleep(startTime)
-		is.Equal(w.waitingJob(100 * time.Millisecond)().Result, dispatch.Completed)
+		is.Equal(w.waitingJob(100*time.Millisecond)().Result, dispatch.Completed)
 	})
 }
 
