Test: an owner's processor in a burst

The played load now handles the events of an owner one after the other, at what they cost on a host of 0.8 cores, and gives orders up that wait for too long in the owner's own process.

--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -35,6 +35,9 @@
 	loadWorkers = 117
 	// hop is the time of a message between an owner and a worker, or its host.
 	hop = 200 * time.Microsecond
+	// orderTime is how long an order may go without an answer, and maxOwnTime bounds
+	// what the owner adds for its own lag.
+	orderTime, maxOwnTime = 60 * time.Millisecond, 300 * time.Millisecond
 	// spread is how far run times, counts and estimates scatter around their means.
 	spread = 0.4
 	// loadSeconds is how long a load is played, burstFrom and burstTo when it is
@@ -106,6 +109,16 @@
 	factor  func(second float64) float64
 	jobs    map[work.ID]*playedJob
 	answers []answer
+	// backlog holds the events that wait for the owner's processor, and busy is true
+	// while it handles one. cost tells how long that takes, by the workers and jobs that
+	// were looked at and the orders and replies that come of it.
+	backlog []func()
+	busy    bool
+	cost    func(visits, orders int) time.Duration
+	// lag is how late the last ticks were handled.
+	lag time.Duration
+	// unanswered counts the starts that were given up since the owner was behind.
+	unanswered int
 }
 
 // playedJob is a job of a played load, with the true run times of its tasks on a worker
@@ -118,7 +131,7 @@
 func newLoad(seed uint64, factor func(second float64) float64) *load {
 	l := &load{
 		random: rand.New(rand.NewPCG(seed, 7)), now: origin, workers: map[worker.ID]*loadWorker{}, jobs: map[work.ID]*playedJob{},
-		factor: factor,
+		factor: factor, cost: func(int, int) time.Duration { return 0 },
 	}
 	l.m = New(origin, Config{
 		Token: 1, MaxLease: time.Second, FarFactor: 2,
@@ -152,14 +165,36 @@
 	heap.Push(&l.events, loadEvent{at: l.now.Add(d), order: l.order, do: do})
 }
 
-// tell has the owner handle an event.
+// tell has the owner handle an event once its processor is free.
 func (l *load) tell(event func()) {
+	l.backlog = append(l.backlog, event)
+	if !l.busy {
+		l.handle()
+	}
+}
+
+func (l *load) handle() {
+	l.busy = len(l.backlog) > 0
+	if !l.busy {
+		return
+	}
+	event := l.backlog[0]
+	l.backlog = l.backlog[1:]
+	before := l.m.visited
 	event()
-	l.carryOut(l.m.Take())
+	a := l.m.Take()
+	l.after(l.cost(l.m.visited-before, len(a.Starts)+len(a.Stops)+len(a.Looks)+len(a.Replies)), func() {
+		l.carryOut(a)
+		l.handle()
+	})
 }
 
 func (l *load) tick() {
-	l.tell(func() { l.m.Tick(l.now) })
+	due := l.now
+	l.tell(func() {
+		l.lag = max(l.now.Sub(due), l.lag*4/5)
+		l.m.Tick(l.now)
+	})
 	l.after(25*time.Millisecond, l.tick)
 }
 
@@ -230,8 +265,23 @@
 	key := runKey{task: s.Task.String(), run: s.Run}
 	w.runs[key] = &loadRun{took: took, ends: l.now.Add(took)}
 	l.after(took, func() { l.end(w, key, worker.Done) })
-	l.after(hop, func() {
-		l.tell(func() { l.m.Started(l.now, s, worker.Answer{Verdict: worker.Accepted, Clock: l.clock()}) })
+	handled := false
+	tell := func(v worker.Verdict) {
+		l.tell(func() {
+			if !handled {
+				handled = true
+				l.m.Started(l.now, s, worker.Answer{Verdict: v, Clock: l.clock()})
+			}
+		})
+	}
+	l.after(hop, func() { tell(worker.Accepted) })
+	// An order that waits for too long, in the owner's own process, is given up.
+	l.after(orderTime+min(4*l.lag, maxOwnTime)-hop, func() {
+		if !handled {
+			l.unanswered++
+			handled = true
+			l.tell(func() { l.m.Started(l.now, s, worker.Answer{Verdict: worker.Unanswered}) })
+		}
 	})
 }
 
