Tests: workers that are replaced one after the other, and workers that flap

TestRelease replaces all workers of a data centre, 1.2 s apart, under load: all jobs are completed, none runs twice, and each new worker is used. Lying health answers have no test: nothing here asks workers for their health.

--- /dev/null
+++ b/fleet/release_test.go
@@ -0,0 +1,76 @@
+package fleet_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/dispatch"
+)
+
+// TestRelease has all workers of a data centre be replaced one after the other: callers
+// see no stall, and each of the new workers is used.
+func TestRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			zone  = "coast-b"
+			pause = 1200 * time.Millisecond
+			drain = 2500 * time.Millisecond
+		)
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		go func() {
+			for i := range workersEach {
+				time.Sleep(pause)
+				old := fmt.Sprintf("%s.worker-%d", zone, i)
+				w.store.Put("servers", old, w.workers[old].DrainingEntry("pool", old+":1", zone))
+				w.addWorker(zone, old+"-next")
+				time.AfterFunc(drain, func() { w.store.Remove("servers", old) })
+			}
+		}()
+		w.load(40, 12*time.Second)
+		starts, done, doubled := w.judge.Verdict()
+		is.Equal(doubled, nil)
+		is.Equal(starts, done)
+		is.Equal(len(w.results), 1)
+		is.True(w.results[dispatch.Completed] > 300)
+		for i := range workersEach {
+			is.True(!w.workers[fmt.Sprintf("%s.worker-%d-next", zone, i)].LastStart().IsZero())
+		}
+	})
+}
+
+// TestWorkersFlap has a third of all workers be gone and back by turns: nothing runs
+// twice, and most jobs are served.
+func TestWorkersFlap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			turn   = 700 * time.Millisecond
+			served = 0.9
+		)
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		go func() {
+			flaps := func(site string) bool { return strings.HasSuffix(site, "worker-1") || strings.HasSuffix(site, "worker-4") }
+			for range 6 {
+				time.Sleep(turn)
+				w.cut(turn, func(from, to string) bool { return flaps(from) || flaps(to) })
+			}
+		}()
+		w.load(40, 10*time.Second)
+		_, _, doubled := w.judge.Verdict()
+		is.Equal(doubled, nil)
+		total := 0
+		for _, n := range w.results {
+			total += n
+		}
+		t.Logf("results %v", w.results)
+		is.True(float64(w.results[dispatch.Completed]) >= served*float64(total))
+	})
+}
--- a/standin/rowstore.go
+++ b/standin/rowstore.go
@@ -67,6 +67,14 @@
 	s.set(StoredRow{Table: table, Key: key, Value: data, Ver: s.version})
 }
 
+// Remove removes a row as the workers do that have left.
+func (s *RowStore) Remove(table, key string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.version++
+	s.set(StoredRow{Table: table, Key: key, Ver: s.version, Removed: true})
+}
+
 // History returns all changes that are kept.
 func (s *RowStore) History() []StoredRow {
 	s.mutex.Lock()
