--- a/fleet/release_test.go
+++ b/fleet/release_test.go
@@ -57,7 +57,9 @@
 		w := newWorld(t)
 		time.Sleep(startTime)
 		go func() {
-			flaps := func(site string) bool { return strings.HasSuffix(site, "worker-1") || strings.HasSuffix(site, "worker-4") }
+			flaps := func(site string) bool {
+				return strings.HasSuffix(site, "worker-1") || strings.HasSuffix(site, "worker-4")
+			}
 			for range 6 {
 				time.Sleep(turn)
 				w.cut(turn, func(from, to string) bool { return flaps(from) || flaps(to) })
