Read on while a feed has more changes than one answer tells

The owner of za-coast-e started tasks on 15 workers for ten seconds after they had said that they leave.

Cause: the workers write their rows every 1.5 s, 733 versions a second of 1,100 workers, and the feed tells 500 rows in one answer. An owner reads it twice a second. At 1,330 workers it would never catch up without any cut.

A view now reads on as long as an answer brings a hundred changes or more and its revision moves. Ruled out: reading all rows anew after an outage (three answers of 500 rows for 1,100 workers, but it leaves the cliff at 1,330).

--- a/storage/feed.go
+++ b/storage/feed.go
@@ -56,20 +56,42 @@
 // Revision returns the revision of the view.
 func (v *View) Revision() ident.Revision { return v.revision }
 
-// Next waits up to wait for a change and takes it in. It returns true if the
-// rows may have changed. The first call, and one after history was lost, reads
+// Next waits up to wait for a change, and takes in all that have come. It returns true
+// if the rows may have changed. The first call, and one after history was lost, reads
 // all rows.
 func (v *View) Next(ctx context.Context, wait time.Duration) (bool, error) {
 	if !v.read {
 		return true, v.reload(ctx)
 	}
-	changes, revision, err := v.feed.Changes(ctx, v.group, v.revision, wait)
-	if err != nil {
-		if errors.As(err, new(*HistoryLostError)) {
+	changed := false
+	for {
+		before := v.revision
+		count, err := v.follow(ctx, wait)
+		switch {
+		case errors.As(err, new(*HistoryLostError)):
 			v.read = false
 			return true, v.reload(ctx)
+		case err != nil:
+			return changed, err
+		}
+		changed = changed || count > 0
+		if count < manyChanges || v.revision == before {
+			return changed, nil
 		}
-		return false, err
+		wait = 0
+	}
+}
+
+// manyChanges is the number of changes in one answer from which more may be waiting: a
+// table may tell its changes in parts, and a thousand workers make seven hundred a second,
+// of which a few come while one answer is on its way.
+const manyChanges = 100
+
+// follow takes in one answer of the feed, and returns the number of its changes.
+func (v *View) follow(ctx context.Context, wait time.Duration) (int, error) {
+	changes, revision, err := v.feed.Changes(ctx, v.group, v.revision, wait)
+	if err != nil {
+		return 0, err
 	}
 	for _, c := range changes {
 		if c.Deleted {
@@ -79,7 +101,7 @@
 		}
 	}
 	v.revision = max(v.revision, revision)
-	return len(changes) > 0, nil
+	return len(changes), nil
 }
 
 func (v *View) reload(ctx context.Context) error {
