Have the stand-in of the table tell a feed in parts, as the platform does

The stand-in told all changes in one answer, so that no test here could show what an owner of 1,100 workers misses after a cut. It now tells 500 rows, with the revision of the last one.

--- a/standin/rowstore.go
+++ b/standin/rowstore.go
@@ -194,8 +194,12 @@
 		}
 		a := rowsAnswer{Ver: s.version}
 		for _, c := range s.history {
-			if c.Ver > after && c.Table == q.Get("Table") {
-				a.Rows = append(a.Rows, c)
+			if c.Ver <= after || c.Table != q.Get("Table") {
+				continue
+			}
+			if a.Rows = append(a.Rows, c); len(a.Rows) == maxRows {
+				a.Ver = c.Ver
+				break
 			}
 		}
 		changed := s.changed
