Test: wait until the tasks of an accepted job are stored before its holder dies

Traced: the tasks of large jobs go into an object that is written beside the claim (jobrow.go, keepPayload), and the test killed the holder as soon as the row was accepted. If it dies before the object is written, the job ends as not run, which is true and said in job/machine.go.

The test now waits for the object itself, so that it still asks that each job whose tasks are stored is completed by another host, and that nothing starts twice.

--- a/integration/jobs_test.go
+++ b/integration/jobs_test.go
@@ -97,18 +97,26 @@
 	}
 }
 
-// state returns the state of a job as a host reads it, or nothing.
-func state(h *entryHost, s *job.Submission) job.State {
+// row returns the row of a job as a host reads it, or nil.
+func row(h *entryHost, s *job.Submission) *job.Row {
 	response, err := http.Get(h.api + "/v1/jobs/" + s.Job.String())
 	if err != nil {
-		return ""
+		return nil
 	}
 	defer response.Body.Close()
-	var row job.Row
-	if response.StatusCode != http.StatusOK || json.NewDecoder(response.Body).Decode(&row) != nil {
-		return ""
+	var r job.Row
+	if response.StatusCode != http.StatusOK || json.NewDecoder(response.Body).Decode(&r) != nil {
+		return nil
+	}
+	return &r
+}
+
+// state returns the state of a job as a host reads it, or nothing.
+func state(h *entryHost, s *job.Submission) job.State {
+	if r := row(h, s); r != nil {
+		return r.State
 	}
-	return row.State
+	return ""
 }
 
 // awaitState waits until a job has a state.
@@ -117,6 +125,24 @@
 	k.eventually(string(s.Key)+" "+string(want), func() bool { return state(h, s) == want })
 }
 
+// awaitStored waits until the tasks of an accepted job are stored: they are written beside
+// its row, and a job whose holder dies before is told as not run.
+func (k *cluster) awaitStored(h *entryHost, s *job.Submission) {
+	k.t.Helper()
+	k.eventually(string(s.Key)+" stored", func() bool {
+		r := row(h, s)
+		if r == nil || r.PayloadObject == "" {
+			return r != nil && len(r.Payload) > 0
+		}
+		response, err := http.Get("http://" + k.platform + "/objects/" + r.PayloadObject)
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+}
+
 // awaitStarts waits until n tasks of a job have started.
 func (k *cluster) awaitStarts(s *job.Submission, n int) {
 	k.t.Helper()
@@ -163,6 +189,8 @@
 	fillerEnd, waitingEnd := k.blocked(filler, waiting)
 	largeEnd := k.submitAny(large, k.hosts...)
 	k.awaitState(k.hosts[1], large, job.Accepted)
+	k.awaitStored(k.hosts[1], waiting)
+	k.awaitStored(k.hosts[1], large)
 	k.hosts[0].signal(syscall.SIGKILL)
 	killed := time.Now()
 
