Tell the delay of an owner from how long it takes to read answers

Cause: ticks are not late in a process that lacks processor time here. So no host ever held a job back.

Owners now tell the lower quartile of the times in which the answers to starts since the last tick came, if there are eight or more. The time that orders get grows with it as well.

TestReadingOfAnswers in place of TestStandingDelay, with its cases: a process that was paused once tells no delay, one that is behind does.

--- a/fleet/behind_test.go
+++ b/fleet/behind_test.go
@@ -66,19 +66,36 @@
 	is.Equal(count(), 0)
 }
 
-// TestStandingDelay tells a process that was paused once from one that is behind.
-func TestStandingDelay(t *testing.T) {
-	is := is.New(t)
-	var l lag
-	tick := func(late time.Duration) time.Duration {
-		l.note(late)
-		return time.Duration(l.standing.Load())
+// TestReadingOfAnswers tells an owner that lacks processor time from one with some slow
+// workers, and from one that was paused once.
+func TestReadingOfAnswers(t *testing.T) {
+	const quick, slow = 2 * time.Millisecond, 80 * time.Millisecond
+	tests := map[string]struct {
+		quick, slow int
+		reading     time.Duration
+	}{
+		"no answers":                   {},
+		"a few slow ones":              {slow: leastAnswers - 1},
+		"all are quick":                {quick: 20, reading: quick},
+		"half of the workers are slow": {quick: 10, slow: 10, reading: quick},
+		"all are slow":                 {slow: 20, reading: slow},
 	}
-	is.Equal(tick(time.Second), time.Duration(0))
-	is.Equal(tick(0), time.Duration(0))
-	for range standingTicks - 1 {
-		is.Equal(tick(50*time.Millisecond), time.Duration(0))
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var l lag
+			for range test.quick {
+				l.answered(quick)
+			}
+			for range test.slow {
+				l.answered(slow)
+			}
+			l.tick(time.Now(), time.Second) // It was paused.
+			is.Equal(time.Duration(l.reading.Load()), test.reading)
+			for range 100 {
+				l.tick(time.Now(), 0)
+			}
+			is.Equal(l.reading.Load(), int64(0))
+		})
 	}
-	is.Equal(tick(60*time.Millisecond), 50*time.Millisecond)
-	is.Equal(tick(0), time.Duration(0))
 }
--- a/fleet/lag.go
+++ b/fleet/lag.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,9 +38,9 @@
 	// lagFade is the share of the last delay that remains with a tick that was in
 	// time.
 	lagFade = 0.8
-	// standingTicks is the number of ticks that must all be late for a delay to count as
-	// a standing one: a pause of the process makes one late.
-	standingTicks = 4
+	// leastAnswers is the number of answers between two ticks from which they tell
+	// how late this process is: with fewer there is no load, and some workers are slow.
+	leastAnswers = 8
 	// answerTurns is how often a message and its answer wait for their turn in this
 	// process: to be sent, to be written, to be read and to be handled. What the answer
 	// takes longer for that is not the other side's doing.
@@ -63,11 +64,11 @@
 	// number of events that wait for their turn.
 	delay, waiting atomic.Int64
 	logged         time.Time
-	// recent holds how late the last ticks were, of which there were ticks, and
-	// standing is the least of them, in nanoseconds.
-	recent   [standingTicks]time.Duration
-	ticks    int
-	standing atomic.Int64
+	// answers holds how long the workers that answered since the last tick took, and
+	// reading is the lower quartile of that, in nanoseconds.
+	mutex   sync.Mutex
+	answers []time.Duration
+	reading atomic.Int64
 }
 
 // allowance returns how much longer than usual the other side may take to answer, because
@@ -80,15 +81,35 @@
 func (l *lag) note(late time.Duration) time.Duration {
 	delay := max(late, time.Duration(lagFade*float64(l.delay.Load())))
 	l.delay.Store(int64(delay))
-	l.recent[l.ticks%standingTicks] = late
-	l.ticks++
-	l.standing.Store(int64(slices.Min(l.recent[:])))
 	return delay
 }
 
+// answered takes in how long an order took that a worker has answered.
+func (l *lag) answered(took time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.answers = append(l.answers, took)
+}
+
+// read returns how long this process takes to read an answer: workers answer orders
+// within some milliseconds, so that if most take longer it is for want of its processor.
+// What it was fades while there are few answers.
+func (l *lag) read() time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	reading := time.Duration(lagFade * float64(l.reading.Load()))
+	if len(l.answers) >= leastAnswers {
+		slices.Sort(l.answers)
+		reading = l.answers[len(l.answers)/4]
+		l.answers = l.answers[:0]
+	}
+	l.reading.Store(int64(reading))
+	return reading
+}
+
 // tick takes in how late a tick is. It returns what to log, and false for nothing.
 func (l *lag) tick(now time.Time, late time.Duration) (log.Fields, bool) {
-	delay := l.note(late)
+	delay := l.note(max(late, l.read()))
 	if delay < behindTime || now.Sub(l.logged) < behindInterval {
 		return nil, false
 	}
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -249,7 +249,7 @@
 	k := caller{host: r.Host, call: r.Call, try: r.Try, job: r.Job}
 	if c := w.waiting[k]; c != nil {
 		delete(w.waiting, k)
-		r.Load.Delay = time.Duration(w.lag.standing.Load())
+		r.Load.Delay = time.Duration(w.lag.reading.Load())
 		c <- r
 	}
 }
@@ -301,7 +301,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	l := w.machine.Load(w.owners.contacts.clock())
-	l.Delay = time.Duration(w.lag.standing.Load())
+	l.Delay = time.Duration(w.lag.reading.Load())
 	return l
 }
 
@@ -335,7 +335,11 @@
 func (w *Owner) start(s worker.Start) {
 	ctx, cancel := w.patience(orderTimeout)
 	defer cancel()
+	sent := time.Now()
 	a := w.owners.workers.Start(ctx, s)
+	if a.Verdict == worker.Accepted {
+		w.lag.answered(time.Since(sent))
+	}
 	w.note("start", a.Verdict, s.Order, s.Task.String(), s.Run)
 	w.step(eventStart, func(now time.Time, m *dispatch.Machine) { m.Started(now, s, a) })
 }
