Let a started job wait for its owner although others are behind

Cause: the refusal of also met jobs that may have begun, if an earlier pick of theirs had found an owner behind.

--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -195,7 +195,7 @@
 		if !ok && a.refusal != nil {
 			return *a.refusal
 		}
-		if !ok && a.held {
+		if !ok && a.bound == "" && a.held {
 			return a.giveUp("the owners of the workers are behind")
 		}
 		if !ok {
