Do not take the way to the workers for a delay of the owner

An owner that is far from its workers, as after the loss of all hosts of a data centre, would have told the time of the way there and back as its own delay, and hosts would have held jobs back for as long as it owned them.

Owners now tell how much longer the lower quartile of answers took than the quickest answer of the ownership.

--- a/fleet/lag.go
+++ b/fleet/lag.go
@@ -65,9 +65,11 @@
 	delay, waiting atomic.Int64
 	logged         time.Time
 	// answers holds how long the workers that answered since the last tick took, and
-	// reading is the lower quartile of that, in nanoseconds.
+	// least is the least that any took, which is the way there and back. reading is how
+	// much longer the lower quartile of the answers took, in nanoseconds.
 	mutex   sync.Mutex
 	answers []time.Duration
+	least   time.Duration
 	reading atomic.Int64
 }
 
@@ -91,16 +93,19 @@
 	l.answers = append(l.answers, took)
 }
 
-// read returns how long this process takes to read an answer: workers answer orders
-// within some milliseconds, so that if most take longer it is for want of its processor.
-// What it was fades while there are few answers.
+// read returns how long this process takes to read an answer: workers answer orders at
+// once, so that if most take longer it is for want of its processor. What it was fades
+// while there are few answers.
 func (l *lag) read() time.Duration {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	reading := time.Duration(lagFade * float64(l.reading.Load()))
 	if len(l.answers) >= leastAnswers {
 		slices.Sort(l.answers)
-		reading = l.answers[len(l.answers)/4]
+		if l.least == 0 || l.answers[0] < l.least {
+			l.least = l.answers[0]
+		}
+		reading = l.answers[len(l.answers)/4] - l.least
 		l.answers = l.answers[:0]
 	}
 	l.reading.Store(int64(reading))
