Run the tests of an owner that is behind in virtual time

TestJobForAnOwnerThatIsBehind took real time, and could have met a stall of 0.1 s on a busy machine, after which a host takes itself to have been paused. It now checks that a refusal takes no time at all.

--- a/fleet/behind_test.go
+++ b/fleet/behind_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -19,69 +20,73 @@
 // late: most are refused as not run at once, without a message to the owner, and none
 // once it has caught up.
 func TestJobForAnOwnerThatIsBehind(t *testing.T) {
-	is := is.New(t)
-	const centre = ident.DataCentre("coast-a")
-	o := ownership.Owner{DataCentre: centre, Host: "owner", Boot: "b", Address: "coast-a:1"}
-	now := time.Now()
-	logger := &log.Logger{Handler: discard.New()}
-	c := &Contacts{
-		clock: time.Now, self: ownership.Host{Name: "self", DataCentre: centre},
-		loads: map[ident.DataCentre]dispatch.Load{}, gates: map[ident.DataCentre]*throttle.Gate{},
-		contacts: map[ident.Host]ownership.Contact{"owner": {Boot: "b", Heard: now.Add(time.Minute)}},
-	}
-	s := &Submitter{
-		self: c.self, watch: newWatch(time.Now, logger), contacts: c, wants: newWants(), logger: logger,
-		directory: &Directory{owners: map[ident.DataCentre]ownership.Owner{centre: o}},
-	}
-	held := func() bool {
-		a := &attempt{job: work.Job{Steps: make([]work.Step, 1)}, deadline: now.Add(time.Minute), gates: map[ident.DataCentre]bool{}}
-		if s.passes(a, centre) {
-			return false
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const centre = ident.DataCentre("coast-a")
+		o := ownership.Owner{DataCentre: centre, Host: "owner", Boot: "b", Address: "coast-a:1"}
+		now := time.Now()
+		logger := &log.Logger{Handler: discard.New()}
+		c := &Contacts{
+			clock: time.Now, self: ownership.Host{Name: "self", DataCentre: centre},
+			loads: map[ident.DataCentre]dispatch.Load{}, gates: map[ident.DataCentre]*throttle.Gate{},
+			contacts: map[ident.Host]ownership.Contact{"owner": {Boot: "b", Heard: now.Add(time.Minute)}},
 		}
-		s.watch.turn(time.Now())
-		began := time.Now()
-		r := s.run(t.Context(), a)
-		is.Equal(r.Result, dispatch.Refused)
-		is.True(r.RetryAfter > 0)
-		is.Equal(a.tries, 0)
-		is.True(time.Since(began) < 50*time.Millisecond)
-		return true
-	}
-	count := func() int {
-		n := 0
-		for range 100 {
-			if held() {
-				n++
+		s := &Submitter{
+			self: c.self, watch: newWatch(time.Now, logger), contacts: c, wants: newWants(), logger: logger,
+			directory: &Directory{owners: map[ident.DataCentre]ownership.Owner{centre: o}},
+		}
+		held := func() bool {
+			a := &attempt{job: work.Job{Steps: make([]work.Step, 1)}, deadline: now.Add(time.Minute), gates: map[ident.DataCentre]bool{}}
+			if s.passes(a, centre) {
+				return false
 			}
+			s.watch.turn(time.Now())
+			began := time.Now()
+			r := s.run(t.Context(), a)
+			is.Equal(time.Since(began), time.Duration(0))
+			is.Equal(r.Result, dispatch.Refused)
+			is.True(r.RetryAfter > 0)
+			is.Equal(a.tries, 0)
+			return true
 		}
-		return n
-	}
-	is.Equal(count(), 0)
-	c.SetLoad(centre, dispatch.Load{Delay: time.Second})
-	is.True(count() > 80)
-	for range 20 {
-		time.Sleep(60 * time.Millisecond)
-		c.SetLoad(centre, dispatch.Load{})
-	}
-	is.Equal(count(), 0)
+		count := func() int {
+			n := 0
+			for range 100 {
+				if held() {
+					n++
+				}
+			}
+			return n
+		}
+		is.Equal(count(), 0)
+		c.SetLoad(centre, dispatch.Load{Delay: time.Second})
+		is.True(count() > 80)
+		for range 20 {
+			time.Sleep(60 * time.Millisecond)
+			c.SetLoad(centre, dispatch.Load{})
+		}
+		is.Equal(count(), 0)
+	})
 }
 
 // TestStartedJobOfAnOwnerThatIsBehind has a job that may have begun wait for its owner,
 // also if it was not handed to another one that is behind.
 func TestStartedJobOfAnOwnerThatIsBehind(t *testing.T) {
-	is := is.New(t)
-	now := time.Now()
-	logger := &log.Logger{Handler: discard.New()}
-	s := &Submitter{
-		watch: newWatch(time.Now, logger), wants: newWants(), logger: logger, directory: &Directory{},
-		contacts: &Contacts{clock: time.Now},
-	}
-	s.owned.Store(now.UnixNano())
-	s.watch.turn(now)
-	a := &attempt{bound: "coast-a", boundAt: now, held: true, deadline: now.Add(200 * time.Millisecond)}
-	r := s.run(t.Context(), a)
-	is.Equal(r.Result, dispatch.Interrupted)
-	is.Equal(r.Reason, "the deadline has passed")
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		now := time.Now()
+		logger := &log.Logger{Handler: discard.New()}
+		s := &Submitter{
+			watch: newWatch(time.Now, logger), wants: newWants(), logger: logger, directory: &Directory{},
+			contacts: &Contacts{clock: time.Now},
+		}
+		s.owned.Store(now.UnixNano())
+		s.watch.turn(now)
+		a := &attempt{bound: "coast-a", boundAt: now, held: true, deadline: now.Add(200 * time.Millisecond)}
+		r := s.run(t.Context(), a)
+		is.Equal(r.Result, dispatch.Interrupted)
+		is.Equal(r.Reason, "the deadline has passed")
+	})
 }
 
 // TestReadingOfAnswers tells an owner that lacks processor time from one with some slow
