Work out the quickest run of a job once for its class

classOf asked for the expected run on the fastest worker twice for each job: in hope and for its own margin, on each tick for the whole queue. The rule itself is now a function of the run time, which hope and classOf share; behaviour and tests are as they were.

--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -216,13 +216,14 @@
 
 // classOf returns the class of a job.
 func (m *Machine) classOf(now time.Time, j *job) class {
-	h := m.hope(now, j)
+	run := m.fastest(j)
+	h := j.hope(now, run)
 	switch {
 	case h == useless:
 		return useless
 	case j.begun:
 		return begun
-	case now.Add(scaled(m.fastest(j), sureFactor)).After(j.objective):
+	case now.Add(scaled(run, sureFactor)).After(j.objective):
 		return late
 	}
 	return h
@@ -230,8 +231,10 @@
 
 // hope returns what the fastest worker of its pool could still achieve for a job:
 // onTime, late or useless.
-func (m *Machine) hope(now time.Time, j *job) class {
-	run := m.fastest(j)
+func (m *Machine) hope(now time.Time, j *job) class { return j.hope(now, m.fastest(j)) }
+
+// hope returns what a run that is expected to take run could still achieve.
+func (j *job) hope(now time.Time, run time.Duration) class {
 	switch {
 	case !now.Add(run).After(j.objective):
 		return onTime
