--- a/dispatch/shed.go
+++ b/dispatch/shed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/index"
 )
 
 // lateRoom measures the room that the late jobs of a pool get.
@@ -48,14 +49,7 @@
 const maxWait = time.Hour
 
 // lateRoomOf returns what is known of a pool's room for late jobs.
-func (m *Machine) lateRoomOf(p ident.Pool) *lateRoom {
-	r := m.lateRooms[p]
-	if r == nil {
-		r = &lateRoom{}
-		m.lateRooms[p] = r
-	}
-	return r
-}
+func (m *Machine) lateRoomOf(p ident.Pool) *lateRoom { return index.Entry(m.lateRooms, p) }
 
 // shed refuses the late jobs that will not get room while they are of use, by the room
 // that late jobs have got lately. Load: bursts beyond the room of all workers, in which
--- a/dispatch/stock.go
+++ b/dispatch/stock.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/index"
 	"github.com/catkingap/catkingap/room"
 )
 
@@ -24,14 +25,7 @@
 	usedCores, freeCores int
 }
 
-func (s *stock) pool(p ident.Pool) *poolStock {
-	x := s.pools[p]
-	if x == nil {
-		x = &poolStock{}
-		s.pools[p] = x
-	}
-	return x
-}
+func (s *stock) pool(p ident.Pool) *poolStock { return index.Entry(s.pools, p) }
 
 // share is what one worker adds to the counts and to the index of free room.
 type share struct {
--- a/drain/servers.go
+++ b/drain/servers.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/index"
 )
 
 // Server identifies a backend server at one address.
@@ -106,11 +107,7 @@
 // Said takes the word that a server is leaving. Only the host that had it from
 // the server itself tells the others, once for each departure.
 func (s *Servers) Said(now time.Time, server Server, source Source) []Action {
-	d := s.servers[server]
-	if d == nil {
-		d = &departure{}
-		s.servers[server] = d
-	}
+	d := index.Entry(s.servers, server)
 	if d.leaving {
 		d.trial = now.Add(d.pause)
 		return nil
--- a/fleet/contacts.go
+++ b/fleet/contacts.go
@@ -10,6 +10,7 @@
 
 	"github.com/catkingap/catkingap/dispatch"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/index"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/peer"
 	"github.com/catkingap/catkingap/throttle"
@@ -194,11 +195,7 @@
 		last = now
 		targets := c.targets(now)
 		for a, interval := range targets {
-			t := turns[a]
-			if t == nil {
-				t = &turn{}
-				turns[a] = t
-			}
+			t := index.Entry(turns, a)
 			if t.begin(now, interval) {
 				go func() { t.end(c.contact(ctx, a)) }()
 			}
--- a/fleet/loads.go
+++ b/fleet/loads.go
@@ -7,6 +7,7 @@
 
 	"github.com/catkingap/catkingap/dispatch"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/index"
 	"github.com/catkingap/catkingap/throttle"
 )
 
@@ -33,14 +34,7 @@
 }
 
 // gate returns the gate to the owner of a data centre. The caller holds the mutex.
-func (c *Contacts) gate(d ident.DataCentre) *throttle.Gate {
-	g := c.gates[d]
-	if g == nil {
-		g = &throttle.Gate{}
-		c.gates[d] = g
-	}
-	return g
-}
+func (c *Contacts) gate(d ident.DataCentre) *throttle.Gate { return index.Entry(c.gates, d) }
 
 // Pass returns true if the next job may be handed to the owner of a data centre, and
 // false if that is so late that it would do nothing in time.
--- /dev/null
+++ b/index/entry.go
@@ -0,0 +1,11 @@
+package index
+
+// Entry returns the entry of a key, and adds an empty one if there is none.
+func Entry[K comparable, V any](entries map[K]*V, key K) *V {
+	x := entries[key]
+	if x == nil {
+		x = new(V)
+		entries[key] = x
+	}
+	return x
+}
--- a/index/index_test.go
+++ b/index/index_test.go
@@ -85,3 +85,13 @@
 	r.Expire(begin.Add(3 * time.Second))
 	is.Equal(r.Len(), 0)
 }
+
+// TestEntry asks for an entry twice: the second time it is the one of the first.
+func TestEntry(t *testing.T) {
+	is := is.New(t)
+	entries := map[string]*int{}
+	*Entry(entries, "a") = 7
+	is.Equal(*Entry(entries, "a"), 7)
+	is.Equal(*Entry(entries, "b"), 0)
+	is.Equal(len(entries), 2)
+}
--- a/index/sorted.go
+++ b/index/sorted.go
@@ -1,6 +1,6 @@
 // Package index has the containers by which decisions find what an event
 // touches without a search: items in an order, items by a time at which they are
-// due, and items that are kept for a while.
+// due, items that are kept for a while, and entries that are there once asked for.
 package index
 
 import "slices"
--- a/route/pool.go
+++ b/route/pool.go
@@ -10,6 +10,7 @@
 	"github.com/catkingap/catkingap/admission"
 	"github.com/catkingap/catkingap/ejection"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/index"
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/retry"
 )
@@ -120,11 +121,7 @@
 	names := make([]ident.Server, 0, len(servers))
 	for _, s := range servers {
 		names = append(names, s.Name)
-		known := p.servers[s.Name]
-		if known == nil {
-			known = &server{}
-			p.servers[s.Name] = known
-		}
+		known := index.Entry(p.servers, s.Name)
 		known.Server = s
 		if s.Leaving {
 			// The list has caught up, and tells when the server is back.
