Derive whether a job was held back from the owners it was not given

attempt kept a flag beside the map that says it, and was built by hand in two places, one of them without that map. newAttempt and held serve both. The test of a started job sets the map in place of the flag; its assertions are the same. Behaviour is as it was.

--- a/fleet/behind_test.go
+++ b/fleet/behind_test.go
@@ -82,7 +82,7 @@
 		}
 		s.owned.Store(now.UnixNano())
 		s.watch.turn(now)
-		a := &attempt{bound: "coast-a", boundAt: now, held: true, deadline: now.Add(200 * time.Millisecond)}
+		a := &attempt{bound: "coast-a", boundAt: now, gates: map[ident.DataCentre]bool{"coast-b": false}, deadline: now.Add(200 * time.Millisecond)}
 		r := s.run(t.Context(), a)
 		is.Equal(r.Result, dispatch.Interrupted)
 		is.Equal(r.Reason, "the deadline has passed")
--- a/fleet/kept.go
+++ b/fleet/kept.go
@@ -45,7 +45,7 @@
 	defer s.enter()()
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	r := s.keep(ctx, &attempt{job: j, arrived: arrived, deadline: deadline, tried: map[ident.DataCentre]bool{}})
+	r := s.keep(ctx, newAttempt(j, arrived, deadline))
 	s.counters.results.Add(string(r.Result), 1)
 	s.logger.WithFields(log.Fields{
 		"job": string(j.ID), "queue": string(j.Queue), "result": string(r.Result), "reason": r.Reason,
--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -103,9 +103,8 @@
 	// tried holds the data centres without room.
 	tried map[ident.DataCentre]bool
 	// gates tells for the data centres that were picked whether their owners get the
-	// job, and held is true if one does not since it is too far behind.
+	// job, or are too far behind for it.
 	gates map[ident.DataCentre]bool
-	held  bool
 	tries int
 	// yielded is true if an owner that had queued the job has sent it away, since others
 	// had room.
@@ -118,6 +117,22 @@
 	trail []string
 }
 
+func newAttempt(j work.Job, arrived, deadline time.Time) *attempt {
+	return &attempt{
+		job: j, arrived: arrived, deadline: deadline, tried: map[ident.DataCentre]bool{}, gates: map[ident.DataCentre]bool{},
+	}
+}
+
+// held returns true if an owner does not get the job since it is too far behind.
+func (a *attempt) held() bool {
+	for _, passes := range a.gates {
+		if !passes {
+			return true
+		}
+	}
+	return false
+}
+
 // maxTrail bounds the tries of one job that are logged.
 const maxTrail = 8
 
@@ -133,7 +148,8 @@
 // does, which means that the caller has left.
 func (s *Submitter) Submit(ctx context.Context, j work.Job, arrived, deadline time.Time) dispatch.Reply {
 	defer s.enter()()
-	a := &attempt{job: j, call: s.wants.number(), arrived: arrived, deadline: deadline, tried: map[ident.DataCentre]bool{}, gates: map[ident.DataCentre]bool{}}
+	a := newAttempt(j, arrived, deadline)
+	a.call = s.wants.number()
 	r := s.run(ctx, a)
 	s.abandon(a)
 	took := time.Since(arrived)
@@ -195,7 +211,7 @@
 		if !ok && a.refusal != nil {
 			return *a.refusal
 		}
-		if !ok && a.bound == "" && a.held {
+		if !ok && a.bound == "" && a.held() {
 			return a.giveUp("the owners of the workers are behind")
 		}
 		if !ok {
@@ -218,7 +234,6 @@
 	if !asked {
 		passes = s.contacts.Pass(c)
 		a.gates[c] = passes
-		a.held = a.held || !passes
 	}
 	return passes
 }
