--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -244,6 +244,15 @@
 	w.results[r.Result]++
 }
 
+// completed returns the share of jobs that were completed.
+func (w *world) completed() float64 {
+	total := 0
+	for _, n := range w.results {
+		total += n
+	}
+	return float64(w.results[dispatch.Completed]) / float64(total)
+}
+
 // owner returns the living host that a data centre's workers are ordered by:
 // the largest by name order, since all are of one size.
 func (w *world) owner(zone string) *member {
@@ -351,11 +360,7 @@
 				w.load(40, 12*time.Second)
 				_, _, doubled := w.judge.Verdict()
 				is.Equal(doubled, nil)
-				total := 0
-				for _, n := range w.results {
-					total += n
-				}
-				share := float64(w.results[dispatch.Completed]) / float64(total)
+				share := w.completed()
 				t.Logf("results %v, completed %.3f", w.results, share)
 				is.True(share >= test.served)
 			})
--- a/fleet/release_test.go
+++ b/fleet/release_test.go
@@ -68,11 +68,7 @@
 		w.load(40, 10*time.Second)
 		_, _, doubled := w.judge.Verdict()
 		is.Equal(doubled, nil)
-		total := 0
-		for _, n := range w.results {
-			total += n
-		}
 		t.Logf("results %v", w.results)
-		is.True(float64(w.results[dispatch.Completed]) >= served*float64(total))
+		is.True(w.completed() >= served)
 	})
 }
