--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -313,7 +313,7 @@
 	defer w.mutex.Unlock()
 	if g := w.machine.Generation(); w.versions == 0 || g != w.generation {
 		w.generation = g
-		if workers := w.machine.Workers(); w.versions == 0 || !slices.EqualFunc(workers, w.published, sameWorker) {
+		if workers := w.machine.Workers(); w.versions == 0 || !slices.EqualFunc(workers, w.published, worker.Worker.Equal) {
 			w.versions++
 			w.published = workers
 		}
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,96 @@
+package roster_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/roster"
+	"github.com/catkingap/catkingap/storage"
+	"github.com/catkingap/catkingap/worker"
+)
+
+const (
+	coastA = ident.DataCentre("coast-a")
+	coastB = ident.DataCentre("coast-b")
+)
+
+func decode(r storage.Row) (worker.Worker, error) {
+	var w worker.Worker
+	err := json.Unmarshal(r.Value, &w)
+	return w, err
+}
+
+// row returns the row of a worker.
+func row(t *testing.T, revision ident.Revision, w worker.Worker) storage.Row {
+	value, err := json.Marshal(w)
+	is.New(t).NoErr(err)
+	return storage.Row{Key: string(w.ID), Value: value, Revision: revision}
+}
+
+// TestUpdate checks which changes of a worker's row change the list of its data centre.
+func TestUpdate(t *testing.T) {
+	w := worker.Worker{ID: "w1", Life: 1, Address: "a:1", Pool: "pool", DataCentre: coastA, Labels: []string{"rack-1"}}
+	with := func(change func(x *worker.Worker)) *worker.Worker {
+		x := w
+		change(&x)
+		return &x
+	}
+	tests := map[string]struct {
+		// next is the worker's next row, or nil if the row is removed.
+		next *worker.Worker
+		// after is the time from the first row to the next one.
+		after   time.Duration
+		changed bool
+		listed  bool
+	}{
+		"the same again":      {next: &w, listed: true},
+		"it drains":           {next: with(func(x *worker.Worker) { x.Draining = true }), changed: true, listed: true},
+		"another incarnation": {next: with(func(x *worker.Worker) { x.Life = 2 }), changed: true, listed: true},
+		"its row is removed":  {listed: true},
+		"its row stays away":  {after: 3 * time.Second, changed: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1_800_000_000, 0)
+			l := roster.NewList(roster.Config{DataCentre: coastA, Decode: decode})
+			changed, _ := l.Update(now, map[string]storage.Row{"w1": row(t, 1, w)})
+			is.True(changed)
+			rows := map[string]storage.Row{}
+			if test.next != nil {
+				rows["w1"] = row(t, 2, *test.next)
+			}
+			changed, _ = l.Update(now, rows)
+			if test.after > 0 {
+				changed, _ = l.Update(now.Add(test.after), rows)
+			}
+			is.Equal(changed, test.changed)
+			is.Equal(len(l.Workers()) == 1, test.listed)
+			if test.next != nil && test.listed {
+				is.Equal(l.Workers()[0], *test.next)
+			}
+		})
+	}
+}
+
+// TestUnreadableRow checks that a worker whose row cannot be read is not used, and that the
+// row is returned once.
+func TestUnreadableRow(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	l := roster.NewList(roster.Config{DataCentre: coastA, Decode: decode})
+	l.Update(now, map[string]storage.Row{"w1": row(t, 1, worker.Worker{ID: "w1", DataCentre: coastA})})
+	broken := map[string]storage.Row{"w1": {Key: "w1", Value: []byte("{"), Revision: 2}}
+	changed, unreadable := l.Update(now, broken)
+	is.True(changed)
+	is.Equal(len(unreadable), 1)
+	is.Equal(unreadable[0].Key, "w1")
+	changed, unreadable = l.Update(now, broken)
+	is.True(!changed)
+	is.Equal(len(unreadable), 0)
+	is.Equal(len(l.Workers()), 0)
+}
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -41,6 +41,12 @@
 	Draining bool
 }
 
+// Equal returns true if two entries describe the same state of a worker.
+func (w Worker) Equal(x Worker) bool {
+	return w.ID == x.ID && w.Life == x.Life && w.Address == x.Address && w.Pool == x.Pool &&
+		w.Capacity == x.Capacity && w.Draining == x.Draining && len(w.Labels) == len(x.Labels)
+}
+
 // Result is the way in which a run ended.
 type Result string
 
