Notice a worker that comes back with other labels

Cause: two entries of a worker counted as the same if they had the same number of labels. A worker whose rack or kind changed under the same incarnation kept its old labels at its owner, so tasks that require a label could start on a worker without it. Found by reading. Ruled out: a new incarnation, which changes the entry anyway. Test: TestUpdate/other_labels, seen failing (the list did not change). Conclusion: labels are compared one by one.

--- a/worker/worker.go
+++ b/worker/worker.go
@@ -3,6 +3,7 @@
 package worker
 
 import (
+	"slices"
 	"time"
 
 	"github.com/catkingap/catkingap/ident"
@@ -44,7 +45,7 @@
 // Equal returns true if two entries describe the same state of a worker.
 func (w Worker) Equal(x Worker) bool {
 	return w.ID == x.ID && w.Life == x.Life && w.Address == x.Address && w.Pool == x.Pool &&
-		w.Capacity == x.Capacity && w.Draining == x.Draining && len(w.Labels) == len(x.Labels)
+		w.Capacity == x.Capacity && w.Draining == x.Draining && slices.Equal(w.Labels, x.Labels)
 }
 
 // Result is the way in which a run ended.
