Drop a worker whose row moves to another data centre

Cause: a row of another data centre was passed over, also if the worker was on the list. It stayed there with its last state, so two owners could start tasks on it, and each lost it again to the other's token. Found by reading. Test: TestUpdate/another_data_centre, seen failing (the worker stayed listed).

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -99,7 +99,8 @@
 	}
 	delete(l.unreadable, key)
 	if w.DataCentre != l.config.DataCentre {
-		return false, nil
+		delete(l.known, key)
+		return e != nil, nil
 	}
 	changed := e == nil || !e.worker.Equal(w)
 	l.known[key] = &entry{worker: w, revision: r.Revision}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -51,6 +51,7 @@
 		"it drains":           {next: with(func(x *worker.Worker) { x.Draining = true }), changed: true, listed: true},
 		"another incarnation": {next: with(func(x *worker.Worker) { x.Life = 2 }), changed: true, listed: true},
 		"other labels":        {next: with(func(x *worker.Worker) { x.Labels = []string{"rack-2"} }), changed: true, listed: true},
+		"another data centre": {next: with(func(x *worker.Worker) { x.DataCentre = coastB }), changed: true},
 		"its row is removed":  {listed: true},
 		"its row stays away":  {after: 3 * time.Second, changed: true},
 	}
