Keep an owner whose row cannot be read

Cause: after a row of an owner that cannot be decoded, the empty owner was taken for the newest one. The host that owns the workers ended its ownership, interrupted all its jobs, and another one claimed. One malformed row so stopped a data centre. Found by reading. Ruled out: that the next claim needs the decoded row; it needs only its revision, which is still recorded. Test: TestUnreadableOwnerRow, seen failing (a second change of owners). It also kills the owner, whose place must be taken over the row that cannot be read.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -131,12 +131,15 @@
 		if !ok {
 			continue
 		}
+		// The next claim also replaces a row that cannot be read.
+		centre := ident.DataCentre(name)
+		d.ownerRows[centre] = r
 		var o ownership.Owner
 		if err := msgpack.Unmarshal(r.Value, &o); err != nil {
 			d.logger.WithField("key", key).WithError(err).Error("owner row cannot be read")
+			continue
 		}
-		o.DataCentre, o.Token = ident.DataCentre(name), worker.Token(r.Revision)
-		d.ownerRows[o.DataCentre] = r
+		o.DataCentre, o.Token = centre, worker.Token(r.Revision)
 		d.learnOwner(o)
 	}
 	d.mutex.Unlock()
--- a/fleet/recover_test.go
+++ b/fleet/recover_test.go
@@ -47,3 +47,26 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// TestUnreadableOwnerRow replaces the row of an owner by one that cannot be read. The owner
+// must go on, and another host must take its place when it dies.
+func TestUnreadableOwnerRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		submit := func(m *member, id string) dispatch.Result {
+			now := time.Now()
+			return m.submitter.Submit(t.Context(), newJob(id, 1, 60*time.Millisecond), now, now.Add(2*time.Second)).Result
+		}
+		owner := w.owner("coast-a")
+		w.store.Put("catkingap", "owner.coast-a", "not an owner")
+		time.Sleep(time.Second)
+		is.Equal(submit(owner, "before"), dispatch.Completed)
+		is.Equal(len(w.ownerChanges()), 1)
+		w.kill(owner)
+		time.Sleep(2 * time.Second)
+		is.Equal(submit(w.owner("coast-a"), "after"), dispatch.Completed)
+		is.Equal(len(w.ownerChanges()), 2)
+	})
+}
