Count listed workers and waiting tasks in a new owner's load

Cause: before its first start an owner told one task of free capacity for each worker it knew, also for those of the owner before that had left the list, and did not subtract the tasks that wait. After a loss of power hosts submitted their backlog to owners that were full already. Found by reading.

--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -50,11 +50,18 @@
 
 // Load returns the present load of the workers.
 func (m *Machine) Load(now time.Time) Load {
+	m.refreshChanged(now)
+	free := m.capacity.tasks
 	if m.meanCores == 0 {
-		return Load{FreeTasks: len(m.ordered), Pending: m.pendingCounts(), StoredJobsLoaded: m.storedLoaded}
+		// The size of tasks is not known yet: each worker is taken to have capacity for
+		// one.
+		for _, n := range m.ordered {
+			if n.listed {
+				free++
+			}
+		}
 	}
-	m.refreshChanged(now)
-	return Load{FreeTasks: m.capacity.tasks - m.queue.tasks, Pending: m.pendingCounts(), StoredJobsLoaded: m.storedLoaded}
+	return Load{FreeTasks: free - m.queue.tasks, Pending: m.pendingCounts(), StoredJobsLoaded: m.storedLoaded}
 }
 
 // sortedJobs returns the jobs for which match returns true, in a fixed order.
