Claim an ownership at once when its process is known to be gone

Cause: after all hosts lost power, hosts were up for 0.3 to 0.6 s while every worker was idle. The first contact with a host came 150 ms after the start, a contact that hung at a host that was not up yet held up the next one for 400 ms, claims were looked at each 50 ms, and the other hosts learned of a new owner with the next read of the table, up to 300 ms later. Change: a host whose row names another process, written after the ownership was taken, no longer runs the owner (its row and the owner's have revisions of one counter, so a stale view cannot mislead: an older row has a lower revision, and the claim needs the owner's row unchanged). A host that is contacted by a new process contacts it at once, a round of contacts follows each change of the directory, a check of the claims follows each first contact, and a new owner contacts the hosts of its data centre to tell them. Ruled out: claiming on the contact of a new process alone, since a message of an older process may be read late; a host that hears nobody still does not claim.

--- a/fleet/contacts.go
+++ b/fleet/contacts.go
@@ -49,6 +49,8 @@
 	// contacted host's process.
 	Keepalives []keepalive   `msgpack:"signs,omitempty"`
 	Sent       time.Duration `msgpack:"sent,omitempty"`
+	// Owned holds the ownerships of the host.
+	Owned []ownership.Owner `msgpack:"owned,omitempty"`
 }
 
 // keepalive tells which calls a host still waits for at one owner.
@@ -112,7 +114,9 @@
 	// runningSince is since when this process has run without a pause.
 	runningSince time.Time
 	leaving      bool
-	owned        func() ([]ownership.Owner, []dispatch.Load)
+	// ownerships returns the ownerships of this host, and owned their loads too.
+	ownerships func() []ownership.Owner
+	owned      func() ([]ownership.Owner, []dispatch.Load)
 	// ownWorkers returns the workers of a data centre that this host owns.
 	ownWorkers func(ident.DataCentre) ([]worker.Worker, listVersion)
 	// liveCalls returns which calls of this host may be at the owner of a data centre,
@@ -123,6 +127,10 @@
 	hasLiveCalls func(ident.DataCentre) bool
 	// receiveKeepalives handles the keepalives of another host.
 	receiveKeepalives func(h ownership.Host, at time.Time, keepalives []keepalive)
+	// wake starts a round of contacts before its time, and onNewProcess is called when a
+	// process has answered for the first time.
+	wake         signal
+	onNewProcess func()
 }
 
 // hostClock is a reading of the clock of another host's process, which showed at least
@@ -168,12 +176,16 @@
 		sharedOut:         map[ident.DataCentre]bool{},
 		gates:             map[ident.DataCentre]*throttle.Gate{},
 		runningSince:      time.Now(),
+		ownerships:        func() []ownership.Owner { return nil },
 		owned:             func() ([]ownership.Owner, []dispatch.Load) { return nil, nil },
 		ownWorkers:        func(ident.DataCentre) ([]worker.Worker, listVersion) { return nil, listVersion{} },
 		liveCalls:         func(ident.DataCentre) (liveCalls, bool) { return liveCalls{}, false },
 		hasLiveCalls:      func(ident.DataCentre) bool { return false },
 		receiveKeepalives: func(ownership.Host, time.Time, []keepalive) {},
+		wake:              newSignal(),
+		onNewProcess:      func() {},
 	}
+	d.OnOwnerChange(contacts.wake.send)
 	peer.Handle(l, kindContact, contacts.answerContact)
 	return contacts
 }
@@ -186,7 +198,7 @@
 func (c *Contacts) run(ctx context.Context) {
 	last := time.Now()
 	schedules := map[string]*contactSchedule{}
-	for sleep(ctx, contactInterval) {
+	for c.wake.wait(ctx, contactInterval) {
 		now := time.Now()
 		if now.Sub(last) > contactInterval+pauseThreshold {
 			c.mutex.Lock()
@@ -221,7 +233,7 @@
 	keepalives, clock := c.keepalivesFor(address, owners)
 	a, err := peer.Call[contactRequest, contactAnswer](call, c.links, address, kindContact, contactRequest{
 		Host: c.self, Revision: c.configuration.Revision(), Leaving: leaving,
-		Owners: tokenSum(owners), Workers: known, Keepalives: keepalives, Sent: clock,
+		Owners: tokenSum(owners), Workers: known, Keepalives: keepalives, Sent: clock, Owned: c.ownerships(),
 	})
 	if err != nil {
 		return false
@@ -241,6 +253,7 @@
 	c.mutex.Unlock()
 	if !met || old.Boot != a.Host.Boot {
 		c.logger.WithFields(log.Fields{"peer": string(a.Host.Name), "boot": a.Host.Boot}).Info("first contact with a process of a host")
+		defer c.onNewProcess()
 	}
 	c.directory.Observe(a.Host, append(a.Owned, a.Others...))
 	c.configuration.ObserveRevision(a.Host, a.Revision)
@@ -284,13 +297,17 @@
 func (c *Contacts) TimeAt(clock time.Duration) time.Time { return c.clockZero.Add(clock) }
 
 // answerContact handles a contact of another host.
-func (c *Contacts) answerContact(_ context.Context, r contactRequest) (contactAnswer, error) {
+func (c *Contacts) answerContact(ctx context.Context, r contactRequest) (contactAnswer, error) {
 	now := time.Now()
 	c.mutex.Lock()
+	if c.inbound[r.Host.Name].boot != r.Host.Boot {
+		// Other contacts with the host may still wait for its previous process.
+		go c.contact(context.WithoutCancel(ctx), r.Host.Address)
+	}
 	c.inbound[r.Host.Name] = inboundContact{at: now, boot: r.Host.Boot}
 	leaving := c.leaving
 	c.mutex.Unlock()
-	c.directory.Observe(r.Host, nil)
+	c.directory.Observe(r.Host, r.Owned)
 	c.configuration.ObserveRevision(r.Host, r.Revision)
 	c.receiveKeepalives(r.Host, c.TimeAt(r.Sent), r.Keepalives)
 	a := contactAnswer{Host: c.self, Clock: c.clock().Sub(c.clockZero), Revision: c.configuration.Revision(), Leaving: leaving}
@@ -355,7 +372,8 @@
 		contacts[h] = x
 	}
 	return ownership.View{
-		Self: c.self, Started: c.runningSince, Hosts: hosts, Owners: owners, Learned: learned, Contacts: contacts, Leaving: c.leaving,
+		Self: c.self, Started: c.runningSince, Hosts: hosts, Owners: owners, Learned: learned, Ended: c.directory.EndedOwners(),
+		Contacts: contacts, Leaving: c.leaving,
 	}
 }
 
--- a/fleet/contactschedule.go
+++ b/fleet/contactschedule.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -53,6 +54,14 @@
 	return targets
 }
 
+// announce contacts the hosts of this data centre and all owners at once, to tell them of
+// an ownership that this host has taken.
+func (c *Contacts) announce(ctx context.Context) {
+	for a := range c.targets(time.Now()) {
+		go c.contact(ctx, a)
+	}
+}
+
 // rareInterval returns the time between two contacts with a host that neither owns
 // workers nor is likely to. A host makes at most ten such contacts a second.
 func rareInterval(hosts int) time.Duration {
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -55,9 +55,9 @@
 	// loaded is true once the rows of hosts and owners have been read.
 	loaded bool
 	hosts  map[ident.Host]ownership.Host
-	// revisions holds the revision of each host's row.
-	revisions map[ident.Host]ident.Revision
-	owners    map[ident.DataCentre]ownership.Owner
+	// hostRows holds what the table has of each other host.
+	hostRows map[ident.Host]hostRow
+	owners   map[ident.DataCentre]ownership.Owner
 	// learned is when each owner became known.
 	learned map[ident.DataCentre]time.Time
 	// ownerRows holds the owners' rows as the table has them.
@@ -65,11 +65,19 @@
 	onOwnerChange []func()
 }
 
+// hostRow tells which process of a host has written the host's row.
+type hostRow struct {
+	boot     string
+	revision ident.Revision
+	// readAt is when this process first read the row at its revision.
+	readAt time.Time
+}
+
 func newDirectory(self ownership.Host, t storage.Table, f storage.Feed, l log.Interface) *Directory {
 	return &Directory{
 		self: self, table: t, feed: f, view: storage.NewView(t, f, hostsGroup), logger: l,
 		hosts:     map[ident.Host]ownership.Host{self.Name: self},
-		revisions: map[ident.Host]ident.Revision{},
+		hostRows:  map[ident.Host]hostRow{},
 		owners:    map[ident.DataCentre]ownership.Owner{},
 		learned:   map[ident.DataCentre]time.Time{},
 		ownerRows: map[ident.DataCentre]storage.Row{},
@@ -123,7 +131,9 @@
 				d.logger.WithField("key", key).WithError(err).Error("host row cannot be read")
 			} else if h.Name == ident.Host(name) && h.Name != d.self.Name {
 				d.hosts[h.Name] = h
-				d.revisions[h.Name] = r.Revision
+				if d.hostRows[h.Name].revision != r.Revision {
+					d.hostRows[h.Name] = hostRow{boot: h.Boot, revision: r.Revision, readAt: time.Now()}
+				}
 			}
 			continue
 		}
@@ -174,7 +184,7 @@
 	defer cancel()
 	key := hostPrefix + string(h.Name)
 	d.mutex.Lock()
-	revision := d.revisions[h.Name]
+	revision := d.hostRows[h.Name].revision
 	delete(d.hosts, h.Name)
 	d.mutex.Unlock()
 	_, err := d.table.Commit(call, []storage.Write{{
@@ -224,6 +234,21 @@
 	return maps.Clone(d.owners)
 }
 
+// EndedOwners returns the data centres whose owner's process has ended, with the time at
+// which this process learned of it. It has ended if its host has registered another
+// process after it took the workers.
+func (d *Directory) EndedOwners() map[ident.DataCentre]time.Time {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	ended := map[ident.DataCentre]time.Time{}
+	for c, o := range d.owners {
+		if r, ok := d.hostRows[o.Host]; ok && r.boot != o.Boot && worker.Token(r.revision) > o.Token {
+			ended[c] = r.readAt
+		}
+	}
+	return ended
+}
+
 // Learned returns when the owner of each data centre became known.
 func (d *Directory) Learned() map[ident.DataCentre]time.Time {
 	d.mutex.Lock()
--- a/fleet/owners.go
+++ b/fleet/owners.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -82,6 +84,8 @@
 	readingHeartbeats bool
 	silentSince       time.Time
 	ctx               context.Context
+	// wake starts a check which ownerships to claim before its time.
+	wake signal
 }
 
 func newOwners(self ownership.Host, s Settings, d *Directory, c *Contacts, r *Roster, w Workers, l *peer.Links, counters *Counters, logger log.Interface) *Owners {
@@ -93,8 +97,12 @@
 		previousTokens: map[ident.DataCentre]worker.Token{},
 		probing:        map[ident.DataCentre]bool{},
 		reachedAt:      map[ident.DataCentre]time.Time{},
+		wake:           newSignal(),
 	}
 	d.OnOwnerChange(o.reconcile)
+	d.OnOwnerChange(o.wake.send)
+	c.onNewProcess = o.wake.send
+	c.ownerships = o.ownerships
 	c.owned = o.ownersAndLoads
 	c.ownWorkers = func(d ident.DataCentre) ([]worker.Worker, listVersion) {
 		if x := o.get(d); x != nil {
@@ -136,7 +144,7 @@
 	o.mutex.Unlock()
 	o.reconcile()
 	var claimLag lag
-	for due := time.Now().Add(claimInterval); sleep(ctx, claimInterval); due = time.Now().Add(claimInterval) {
+	for due := time.Now().Add(claimInterval); o.wake.wait(ctx, claimInterval); due = time.Now().Add(claimInterval) {
 		now := time.Now()
 		claimLag.note(max(0, now.Sub(due)))
 		view := o.contacts.View()
@@ -335,6 +343,7 @@
 // startOwner starts an ownership. The caller holds the mutex.
 func (o *Owners) startOwner(x ownership.Owner) *Owner {
 	o.logger.WithFields(log.Fields{"dataCentre": string(x.DataCentre), "token": int64(x.Token)}).Info("ownership taken")
+	go o.contacts.announce(o.ctx)
 	return newOwner(o.ctx, o, x, o.previousTokens[x.DataCentre])
 }
 
@@ -380,17 +389,25 @@
 	}
 }
 
-// ownersAndLoads returns the ownerships of this host and their loads.
-func (o *Owners) ownersAndLoads() ([]ownership.Owner, []dispatch.Load) {
+// current returns the owners that this host runs, in the order of their tokens.
+func (o *Owners) current() []*Owner {
 	o.mutex.Lock()
-	current := make([]*Owner, 0, len(o.owned))
-	for _, x := range o.owned {
-		current = append(current, x)
+	defer o.mutex.Unlock()
+	return slices.SortedFunc(maps.Values(o.owned), func(a, b *Owner) int { return cmp.Compare(a.owner.Token, b.owner.Token) })
+}
+
+// ownerships returns the ownerships of this host.
+func (o *Owners) ownerships() []ownership.Owner {
+	var owned []ownership.Owner
+	for _, x := range o.current() {
+		owned = append(owned, x.owner)
 	}
-	o.mutex.Unlock()
-	slices.SortFunc(current, func(a, b *Owner) int {
-		return int(a.owner.Token - b.owner.Token)
-	})
+	return owned
+}
+
+// ownersAndLoads returns the ownerships of this host and their loads.
+func (o *Owners) ownersAndLoads() ([]ownership.Owner, []dispatch.Load) {
+	current := o.current()
 	owners := make([]ownership.Owner, 0, len(current))
 	loads := make([]dispatch.Load, 0, len(current))
 	for _, x := range current {
--- a/fleet/recover_test.go
+++ b/fleet/recover_test.go
@@ -1,7 +1,9 @@
 package fleet_test
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -70,3 +72,68 @@
 		is.Equal(len(w.ownerChanges()), 2)
 	})
 }
+
+// TestFirstDispatchAfterLossOfPower submits a job to each host as it returns after all of
+// them have lost power. Once the last one has returned, the jobs must start at once.
+func TestFirstDispatchAfterLossOfPower(t *testing.T) {
+	const (
+		// dispatched is the bound of the time from the return of the hosts to the first
+		// start, and slowest is the run time of the jobs on the slowest workers.
+		dispatched = 150 * time.Millisecond
+		runs       = 60 * time.Millisecond
+		slowest    = runs * 10 / 6
+	)
+	tests := map[string]struct {
+		// spacing is the time between the returns of two hosts. The owners' hosts, which
+		// come first by name, return last if ownersLast is true.
+		spacing    time.Duration
+		ownersLast bool
+	}{
+		"all at once":         {},
+		"one after the other": {spacing: 50 * time.Millisecond},
+		"one after the other, the hosts of owners last": {spacing: 50 * time.Millisecond, ownersLast: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t)
+				time.Sleep(startTime)
+				lost := w.allHosts()
+				slices.SortFunc(lost, func(a, b *member) int {
+					order := cmp.Compare(a.name[len(a.zone):], b.name[len(b.zone):])
+					if test.ownersLast {
+						return -order
+					}
+					return order
+				})
+				for _, m := range lost {
+					w.kill(m)
+				}
+				time.Sleep(2 * time.Second)
+				var open sync.WaitGroup
+				ended := make([]time.Time, len(lost))
+				var returned time.Time
+				for i, m := range lost {
+					if i > 0 {
+						time.Sleep(test.spacing)
+					}
+					m = w.addHost(m.zone, m.name)
+					returned = time.Now()
+					open.Go(func() {
+						r := m.submitter.Submit(t.Context(), newJob(fmt.Sprint("first", i), 1, runs), returned, returned.Add(2*time.Second))
+						is.Equal(r.Result, dispatch.Completed)
+						ended[i] = time.Now()
+					})
+				}
+				open.Wait()
+				for i, at := range ended {
+					t.Logf("%s: %v after the last host", lost[i].name, at.Sub(returned))
+				}
+				for _, at := range ended {
+					is.True(at.Sub(returned) <= dispatched+slowest)
+				}
+			})
+		})
+	}
+}
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -73,6 +73,9 @@
 	Leaving bool
 	// Lag is the lag with which this process reads the messages of others.
 	Lag time.Duration
+	// Ended holds the data centres whose owner's host has registered another process
+	// since, with the time at which this process learned of it.
+	Ended map[ident.DataCentre]time.Time
 	// Reachable is true for data centres whose workers answer this host.
 	Reachable map[ident.DataCentre]bool
 	// OwnerStale is true for data centres whose owner has stopped writing heartbeats
@@ -157,6 +160,9 @@
 	case current && c.Leaving:
 		return c.Heard, true
 	}
+	if ended, ok := v.Ended[d]; ok && (c.Boot != o.Boot || !c.Heard.After(ended)) {
+		return latest(v.Started, ended), true
+	}
 	lost := latest(v.Started, latest(c.Heard, learned)).Add(SilenceTimeout + v.Lag)
 	return lost, !now.Before(lost)
 }
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -100,6 +100,22 @@
 			},
 			want: []ident.DataCentre{coastA},
 		},
+		"the owner's host has registered another process": {
+			view: ownership.View{
+				Owners: owner(coastA, "a1"), Contacts: map[ident.Host]ownership.Contact{"a3": contactAgo("a3", near)},
+				Learned: map[ident.DataCentre]time.Time{coastA: now.Add(-near)}, Ended: map[ident.DataCentre]time.Time{coastA: now},
+			},
+			want: []ident.DataCentre{coastA},
+		},
+		"the owner's host has registered another process, but the owner still answers": {
+			view: ownership.View{
+				Owners: owner(coastA, "a1"), Contacts: map[ident.Host]ownership.Contact{"a1": contactAgo("a1", near)},
+				Ended: map[ident.DataCentre]time.Time{coastA: now.Add(-2 * near)},
+			},
+		},
+		"the owner's host has registered another process, which is not heard, nor is any other": {
+			view: ownership.View{Owners: owner(coastA, "a1"), Ended: map[ident.DataCentre]time.Time{coastA: now}},
+		},
 		"this host leaves": {
 			view: ownership.View{Owners: owner(coastA, "a1"), Contacts: map[ident.Host]ownership.Contact{"a1": contactAgo("a1", silent)}, Leaving: true},
 		},
