Put callers that can still be served in time before those that come again

Change: package patience compares the patience of a queue's last 64 callers; a caller far below the usual one, while a quarter or more are, has come again, and the resend delay is counted as waited. It then starts only on capacity that no other job can use, or is refused at once. Long jobs are left alone: their callers differ too much.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/catkingap/catkingap/ejection"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/index"
+	"github.com/catkingap/catkingap/patience"
 	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
@@ -192,6 +193,8 @@
 	// lateRates measures how fast late jobs start, for each pool that has
 	// some.
 	lateRates map[ident.Pool]*lateRate
+	// patience recognizes callers that come again.
+	patience *patience.Tracker
 	// timers holds the workers by the time at which they next need attention.
 	// changed holds those that have changed during this event, and capacityGrew is
 	// true if one of them can take more than before.
@@ -248,6 +251,7 @@
 		freeIndex:    room.NewIndex[*node](),
 		capacity:     capacity{pools: map[ident.Pool]*poolCapacity{}},
 		lateRates:    map[ident.Pool]*lateRate{},
+		patience:     patience.NewTracker(c.ResendDelay),
 		timers:       index.NewTimers[*node](),
 		outcomes:     index.NewRecent[work.ID, Result](outcomeRetention),
 		orphans:      map[string]*run{},
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -139,6 +139,7 @@
 		m.resubmit(now, j, s)
 		return
 	}
+	m.countEarlierWait(&s)
 	j := newJob(now, s)
 	known := m.adoptOrphans(now, j)
 	if !known {
@@ -164,6 +165,18 @@
 	m.advance(now)
 }
 
+// countEarlierWait adds the time for which a caller has waited before its connection broke
+// and it came again. It does so only where the answer is of use for a shorter time than
+// that: the callers of long jobs differ too much to be told apart.
+func (m *Machine) countEarlierWait(s *Submission) {
+	left := s.Waited + s.Remaining
+	m.patience.Observe(s.Job.Queue, left)
+	objective := s.Job.Objective()
+	if objective+uselessTime(objective) <= m.config.ResendDelay && m.patience.HasComeAgain(s.Job.Queue, left) {
+		s.Waited += m.config.ResendDelay
+	}
+}
+
 // resubmit handles a submission of a job that is known.
 func (m *Machine) resubmit(now time.Time, j *job, s Submission) {
 	if j.host != s.Host || j.call != s.Call {
