Replace owners sooner after all hosts of a data centre have restarted

Cause: after a loss of power the hosts of the owners can be the last to return. Change: a host that has started within the last second, and hears only hosts of its data centre that have too, replaces an owner that has not answered within 0.1 s. Contacts tell how long a process runs. A host that hears an older process waits as before: its silence then says more about this host. Ruled out: the age of the owner's heartbeat in the table, which is written once a second and so is up to 1 s old while the owner lives. Tests: TestFirstDispatchAfterLossOfPower/the_hosts_of_the_owners_later, seen failing (0.61 to 0.72 s; now 0.11 to 0.22); TestClaims, three rows.

--- a/fleet/contacts.go
+++ b/fleet/contacts.go
@@ -241,7 +241,7 @@
 	c.mutex.Lock()
 	c.clocks[a.Host.Name] = c.clocks[a.Host.Name].merge(hostClock{boot: a.Host.Boot, clock: a.Clock, at: c.clock()})
 	old, met := c.contacts[a.Host.Name]
-	c.contacts[a.Host.Name] = ownership.Contact{Boot: a.Host.Boot, Heard: sent, Leaving: a.Leaving}
+	c.contacts[a.Host.Name] = ownership.Contact{Boot: a.Host.Boot, Heard: sent, Leaving: a.Leaving, Started: sent.Add(-a.Clock)}
 	for i, o := range a.Owned {
 		if i < len(a.Loads) {
 			c.setLoad(o.DataCentre, a.Loads[i])
--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -20,6 +20,12 @@
 	// startupDelay is how long a host waits after its start before it takes workers
 	// that nobody owns. All hosts start within 0.3 s.
 	startupDelay = 800 * time.Millisecond
+	// restartSilence replaces SilenceTimeout after all hosts of a data centre have
+	// restarted together. An owner that lives answers within some milliseconds.
+	restartSilence = 100 * time.Millisecond
+	// restartWindow is the time within which hosts have started together: they take up
+	// to 0.3 s longer than each other.
+	restartWindow = time.Second
 	// rankDelay is how much later each further candidate may take the workers.
 	rankDelay = 150 * time.Millisecond
 	// remoteSilence is how long all hosts of a data centre must be silent before a
@@ -56,6 +62,8 @@
 	Heard time.Time
 	// Leaving is true if the process is shutting down.
 	Leaving bool
+	// Started is when the process started.
+	Started time.Time
 }
 
 // View is what a host knows when it decides.
@@ -163,10 +171,37 @@
 	if ended, ok := v.Ended[d]; ok && (c.Boot != o.Boot || !c.Heard.After(ended)) {
 		return latest(v.Started, ended), true
 	}
-	lost := latest(v.Started, latest(c.Heard, learned)).Add(SilenceTimeout + v.Lag)
+	silence := SilenceTimeout
+	if !current && v.haveRestarted(now, d) {
+		silence = restartSilence
+	}
+	lost := latest(v.Started, latest(c.Heard, learned)).Add(silence + v.Lag)
 	return lost, !now.Before(lost)
 }
 
+// haveRestarted returns true if this host and all others of a data centre that answer
+// have started within restartWindow. Its owner has probably lost power too. If no other
+// one answers there, those of the other data centres count.
+func (v *View) haveRestarted(now time.Time, d ident.DataCentre) bool {
+	if now.Sub(v.Started) > restartWindow {
+		return false
+	}
+	var near, far []Contact
+	for _, h := range v.Hosts {
+		switch {
+		case h.Name == v.Self.Name || !v.isAlive(now, h, SilenceTimeout):
+		case h.DataCentre == d:
+			near = append(near, v.Contacts[h.Name])
+		default:
+			far = append(far, v.Contacts[h.Name])
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	return len(near) > 0 && !slices.ContainsFunc(near, func(c Contact) bool { return now.Sub(c.Started) > restartWindow })
+}
+
 func latest(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/ownership/ownership_test.go
+++ b/ownership/ownership_test.go
@@ -27,6 +27,12 @@
 	return ownership.Contact{Boot: string(name), Heard: now.Add(-d)}
 }
 
+// startedAgo returns a contact with a process that has run for d.
+func startedAgo(c ownership.Contact, d time.Duration) ownership.Contact {
+	c.Started = now.Add(-d)
+	return c
+}
+
 func owner(d ident.DataCentre, name ident.Host) map[ident.DataCentre]ownership.Owner {
 	return map[ident.DataCentre]ownership.Owner{d: {DataCentre: d, Host: name, Boot: string(name), Token: 3}}
 }
@@ -116,6 +122,25 @@
 		"the owner's host has registered another process, which is not heard, nor is any other": {
 			view: ownership.View{Owners: owner(coastA, "a1"), Ended: map[ident.DataCentre]time.Time{coastA: now}},
 		},
+		"all hosts have just started and the owner does not answer": {
+			view: ownership.View{
+				Owners: owner(coastA, "a1"), Started: now.Add(-150 * time.Millisecond), Learned: map[ident.DataCentre]time.Time{coastA: now.Add(-140 * time.Millisecond)},
+				Contacts: map[ident.Host]ownership.Contact{"a3": startedAgo(contactAgo("a3", near), 200*time.Millisecond)},
+			},
+			want: []ident.DataCentre{coastA},
+		},
+		"all hosts have just started and the owner has answered": {
+			view: ownership.View{
+				Owners: owner(coastA, "a1"), Started: now.Add(-300 * time.Millisecond), Learned: map[ident.DataCentre]time.Time{coastA: now.Add(-290 * time.Millisecond)},
+				Contacts: map[ident.Host]ownership.Contact{"a1": contactAgo("a1", 2*near), "a3": startedAgo(contactAgo("a3", near), 200*time.Millisecond)},
+			},
+		},
+		"this host has just started, another one has not, and the owner does not answer": {
+			view: ownership.View{
+				Owners: owner(coastA, "a1"), Started: now.Add(-300 * time.Millisecond), Learned: map[ident.DataCentre]time.Time{coastA: now.Add(-290 * time.Millisecond)},
+				Contacts: map[ident.Host]ownership.Contact{"a3": startedAgo(contactAgo("a3", near), time.Minute)},
+			},
+		},
 		"this host leaves": {
 			view: ownership.View{Owners: owner(coastA, "a1"), Contacts: map[ident.Host]ownership.Contact{"a1": contactAgo("a1", silent)}, Leaving: true},
 		},
