Count from the logs why calls were not served in time

Cause: the account of what binds needs sums by cause and moment that anybody can repeat; story shows one job at a time. Change: catkingap losses reads the logs of all hosts, joins the line of the host and of the owner for each call, and prints for each window of time how many calls were lost to what: no owner, queue, lost run, refusal at once or after waiting, and so on. A call whose host lost power is in no log; objectives are those of the estimates, so jobs that ran longer than estimated are named apart.

--- a/cmd/storycmd_test.go
+++ b/cmd/storycmd_test.go
@@ -32,3 +32,21 @@
 	is.Equal(runCommand("", append([]string{"story", "cc33"}, files...)...).code, ExitFailed)
 	is.Equal(runCommand("", "story", "aa11", "no-such.log").code, ExitUsage)
 }
+
+const callsLog = `{"fields":{"call":7,"host":"entry-1","job":"aa11","result":"completed","tookMs":300},"level":"info","timestamp":"2026-12-04T10:00:03.4Z","message":"job answered"}
+{"fields":{"call":8,"host":"entry-1","job":"bb22","result":"refused","tookMs":2},"level":"info","timestamp":"2026-12-04T10:00:05Z","message":"job answered"}
+{"fields":{"call":7,"peer":"entry-1","job":"aa11","objectiveMs":156,"waitedMs":2,"runs":["0.0#1 w1 90+200 done"]},"level":"info","timestamp":"2026-12-04T10:00:03Z","message":"job dispatched"}
+`
+
+func TestLosses(t *testing.T) {
+	is := is.New(t)
+	r := runCommand("", "losses", "--window", "1s", writeFile(t, "entry.log", callsLog))
+	is.Equal(r.code, ExitDone)
+	is.Equal(strings.Split(strings.TrimSpace(r.stdout), "\n"), []string{
+		"10:00:03     1 calls: 1 ran longer than estimated",
+		"10:00:04     1 calls: 1 refused at once",
+		"all          2 calls: 1 refused at once, 1 ran longer than estimated",
+	})
+	is.Equal(runCommand("", "losses", "no-such.log").code, ExitUsage)
+	is.Equal(runCommand("", "losses", "--window", "0s", "no-such.log").code, ExitUsage)
+}
