Move the measurement of lag out of fleet

How late a process is can be measured and tested without an owner. Change: package lag has the meter, with its test; fleet keeps what is logged and counted. No behaviour changes.

--- a/fleet/contacts_test.go
+++ b/fleet/contacts_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/catkingap/catkingap/lag"
+
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/ownership"
 )
@@ -75,16 +77,16 @@
 	}
 	is.True(left() <= orderTimeout)
 	now := time.Now()
-	fields, behind := w.lag.tick(now, 50*time.Millisecond)
+	fields, behind := w.noteLag(now, 50*time.Millisecond)
 	is.True(behind)
 	is.Equal(fields["delayMs"], int64(50))
 	is.True(left() > 200*time.Millisecond)
-	_, behind = w.lag.tick(now.Add(tickInterval), 50*time.Millisecond)
+	_, behind = w.noteLag(now.Add(tickInterval), 50*time.Millisecond)
 	is.True(!behind) // One line a second.
-	w.lag.tick(now, time.Minute)
-	is.True(left() <= orderTimeout+maxAllowance)
+	w.noteLag(now, time.Minute)
+	is.True(left() <= orderTimeout+lag.MaxAllowance)
 	for range 100 {
-		w.lag.tick(now, 0)
+		w.noteLag(now, 0)
 	}
 	is.True(left() <= orderTimeout+time.Millisecond)
 }
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -6,6 +6,7 @@
 	"runtime/debug"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -14,6 +15,7 @@
 	"github.com/catkingap/catkingap/dispatch"
 	"github.com/catkingap/catkingap/ejection"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/lag"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
@@ -61,7 +63,9 @@
 
 	// jobStore persists the stored jobs.
 	jobStore *jobStore
-	lag      lag
+	lag      lag.Meter
+	// waitingEvents is the number of events that wait to be handled.
+	waitingEvents atomic.Int64
 
 	mutex   sync.Mutex
 	machine *dispatch.Machine
@@ -73,8 +77,9 @@
 	published  []worker.Worker
 	generation uint64
 	versions   uint64
-	// lastEvent is when an event was last handled.
-	lastEvent time.Time
+	// lastEvent is when an event was last handled, and lagLogged when the lag was last
+	// logged.
+	lastEvent, lagLogged time.Time
 }
 
 func newOwner(ctx context.Context, o *Owners, x ownership.Owner, previous worker.Token) *Owner {
@@ -108,7 +113,7 @@
 		w.handle(eventTick, func(now time.Time, m *dispatch.Machine) {
 			late := max(0, now.Sub(due))
 			w.owners.counters.owner.lag.Record(late)
-			if fields, ok := w.lag.tick(now, late); ok {
+			if fields, ok := w.noteLag(now, late); ok {
 				fields["jobs"], fields["queuedTasks"] = m.Jobs()
 				w.logger.WithFields(fields).Warn("owner lags")
 			}
@@ -201,10 +206,10 @@
 // decide passes an event to the machine and returns the resulting actions. It
 // returns false if the machine panicked, since its state may then be inconsistent.
 func (w *Owner) decide(e event, decide func(now time.Time, m *dispatch.Machine)) (actions dispatch.Actions, ok bool) {
-	w.lag.waiting.Add(1)
+	w.waitingEvents.Add(1)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.lag.waiting.Add(-1)
+	w.waitingEvents.Add(-1)
 	defer func() {
 		if cause := recover(); cause != nil {
 			w.owners.counters.panics.Add(1)
@@ -251,7 +256,7 @@
 	k := submissionKey{host: r.Host, call: r.Call, sequence: r.Sequence, job: r.Job}
 	if c := w.waiting[k]; c != nil {
 		delete(w.waiting, k)
-		r.Load.Lag = time.Duration(w.lag.readDelay.Load())
+		r.Load.Lag = w.lag.ReadDelay()
 		c <- r
 	}
 }
@@ -303,7 +308,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	l := w.machine.Load(w.owners.contacts.clock())
-	l.Lag = time.Duration(w.lag.readDelay.Load())
+	l.Lag = w.lag.ReadDelay()
 	return l
 }
 
@@ -331,7 +336,7 @@
 // orderContext returns a context that bounds an order by d plus an allowance for the
 // lag of this process.
 func (w *Owner) orderContext(d time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(w.ctx, d+w.lag.allowance())
+	return context.WithTimeout(w.ctx, d+w.lag.Allowance())
 }
 
 func (w *Owner) start(s worker.Start) {
@@ -340,7 +345,7 @@
 	sent := time.Now()
 	a := w.owners.workers.Start(ctx, s)
 	if a.Verdict == worker.Accepted {
-		w.lag.noteAnswer(time.Since(sent))
+		w.lag.NoteAnswer(time.Since(sent))
 	}
 	w.recordAnswer("start", a.Verdict, s.Order, s.Task.String(), s.Run)
 	w.handle(eventStart, func(now time.Time, m *dispatch.Machine) { m.Started(now, s, a) })
--- a/fleet/owners.go
+++ b/fleet/owners.go
@@ -13,6 +13,7 @@
 
 	"github.com/catkingap/catkingap/dispatch"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/lag"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/peer"
 	"github.com/catkingap/catkingap/work"
@@ -143,12 +144,12 @@
 	o.ctx = ctx
 	o.mutex.Unlock()
 	o.reconcile()
-	var claimLag lag
+	var claimLag lag.Meter
 	for due := time.Now().Add(claimInterval); o.wake.wait(ctx, claimInterval); due = time.Now().Add(claimInterval) {
 		now := time.Now()
-		claimLag.note(max(0, now.Sub(due)))
+		claimLag.Note(max(0, now.Sub(due)))
 		view := o.contacts.View()
-		view.Lag = claimLag.allowance()
+		view.Lag = claimLag.Allowance()
 		centres := o.centres(&view)
 		view.Reachable = o.reachableCentres(ctx, now, &view, centres)
 		view.OwnerStale = o.silentOwners(ctx, now, &view)
