Move the learned slowdown of workers to room

Change: room.Slowdown learns and scales; dispatch uses it. No behaviour changes. Measured: go test ./dispatch -run 'Scan|Index|Start|Refus' passes, TestIndexFindsWhatAScanFinds among them.

--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -74,7 +74,7 @@
 		if m.meanCores > 0 {
 			s.tasks = int(float64(free.Cores) / m.meanCores)
 		}
-		s.entry = &room.Worker[*node]{Item: n, ID: n.ID, Pool: n.Pool, Labels: n.Labels, Free: free, LogSlowdown: n.slowdown.logRatio}
+		s.entry = &room.Worker[*node]{Item: n, ID: n.ID, Pool: n.Pool, Labels: n.Labels, Free: free, LogSlowdown: n.slowdown.Log()}
 	}
 	m.setContribution(n, s)
 }
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"github.com/catkingap/catkingap/room"
@@ -87,7 +86,7 @@
 	holdUntil time.Time
 	runs      map[runKey]*run
 	used      work.Size
-	slowdown  slowdown
+	slowdown  room.Slowdown
 	// changed is true if the worker has changed during this event. stale is true if
 	// that is not yet reflected in contribution, which is what the worker adds to
 	// the counts.
@@ -98,40 +97,6 @@
 	lastFailedJob work.ID
 }
 
-// slowdown is the learned ratio of run times to their estimates on a worker. A
-// larger value means a slower worker.
-type slowdown struct {
-	// logRatio is the mean logarithm of the run time over the estimate.
-	logRatio float64
-	known    bool
-}
-
-const (
-	// slowdownWeight is the weight of a new run time in the slowdown of a worker:
-	// task estimates are off by some 40 %, so about a dozen run times are needed.
-	slowdownWeight = 0.12
-)
-
-func (p *slowdown) learn(took, estimate time.Duration) {
-	if took <= 0 || estimate <= 0 {
-		return
-	}
-	x := min(max(math.Log(float64(took)/float64(estimate)), -room.MaxLogSlowdown), room.MaxLogSlowdown)
-	if !p.known {
-		p.known = true
-		// A single run time is weak evidence, so it is pulled towards the estimate.
-		x /= 2
-		p.logRatio = x
-		return
-	}
-	p.logRatio += slowdownWeight * (x - p.logRatio)
-}
-
-// scale returns the expected run time of a task with the given estimate.
-func (p slowdown) scale(estimate time.Duration) time.Duration {
-	return scaled(estimate, math.Exp(p.logRatio))
-}
-
 // handleAnswer records whether a worker has answered. A worker that leaves an order
 // unanswered gets no work until it has answered a poll.
 func (m *Machine) handleAnswer(now time.Time, n *node, v worker.Verdict, clock worker.Clock) {
@@ -372,7 +337,7 @@
 			t.job.doneRuns++
 			t.job.runTimeRatios += float64(now.Sub(r.sent)) / float64(expected)
 		}
-		n.slowdown.learn(now.Sub(r.sent), t.estimate())
+		n.slowdown.Learn(now.Sub(r.sent), t.estimate())
 		m.updateMeanRunTime(now.Sub(r.sent), r.size.Cores)
 	}
 	m.recordHealth(now, n, t, result)
@@ -440,7 +405,7 @@
 	n.forgetEnds()
 	n.pollOpen, n.clock = false, 0
 	n.leaseEnd, n.acknowledgeAt = time.Time{}, time.Time{}
-	n.slowdown = slowdown{}
+	n.slowdown = room.Slowdown{}
 	m.markChanged(n)
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -62,7 +62,7 @@
 
 // expectedRunTime returns the expected run time of a task on a worker.
 func (m *Machine) expectedRunTime(n *node, t *task) time.Duration {
-	d := n.slowdown.scale(t.estimate())
+	d := n.slowdown.Scale(t.estimate())
 	if rack := t.step().Rack; rack != "" && !slices.Contains(n.Labels, rack) {
 		d = scaled(d, m.config.FarFactor)
 	}
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/catkingap/catkingap/index"
+	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/work"
 )
 
@@ -250,7 +251,7 @@
 // fastestRunTime returns the expected run time of a job on the fastest worker of
 // its pool.
 func (m *Machine) fastestRunTime(j *job) time.Duration {
-	return slowdown{logRatio: m.freeIndex.LowestLogSlowdown(j.spec.Pool)}.scale(j.chainEstimate)
+	return room.Scale(j.chainEstimate, m.freeIndex.LowestLogSlowdown(j.spec.Pool))
 }
 
 // meetsDeadline returns true if a run with the expected run time d ends before the
--- a/dispatch/scan_test.go
+++ b/dispatch/scan_test.go
@@ -79,7 +79,7 @@
 			failed: t.hasFailedOn(n),
 			far:    t.step().Rack != "" && !slices.Contains(n.Labels, t.step().Rack),
 			slow:   tardy || scaled(expected, slowWorkerMargin) > left,
-			class:  room.ClassOf(n.slowdown.logRatio), free: n.Capacity.Cores - n.used.Cores, id: n.ID,
+			class:  room.ClassOf(n.slowdown.Log()), free: n.Capacity.Cores - n.used.Cores, id: n.ID,
 		}
 		if best == nil || s.compare(bestRank) < 0 {
 			best, bestRank = n, s
