Expect causes with equal counts in the order of their names

The expectation of TestLosses was written before a cause was renamed, and was not run again then: among equal counts the causes come by name. The code is as it was.

--- a/cmd/storycmd_test.go
+++ b/cmd/storycmd_test.go
@@ -45,7 +45,7 @@
 	is.Equal(strings.Split(strings.TrimSpace(r.stdout), "\n"), []string{
 		"10:00:03     1 calls: 1 ran longer than estimated",
 		"10:00:04     1 calls: 1 refused at once",
-		"all          2 calls: 1 refused at once, 1 ran longer than estimated",
+		"all          2 calls: 1 ran longer than estimated, 1 refused at once",
 	})
 	is.Equal(runCommand("", "losses", "no-such.log").code, ExitUsage)
 	is.Equal(runCommand("", "losses", "--window", "0s", "no-such.log").code, ExitUsage)
