--- a/cmd/lossescmd.go
+++ b/cmd/lossescmd.go
@@ -33,13 +33,9 @@
 	if window <= 0 {
 		return &usageError{fmt.Errorf("--window %v is not allowed; it must be positive", window)}
 	}
-	var lines []logLine
-	for _, f := range files {
-		read, err := readLogLines(f)
-		if err != nil {
-			return &usageError{err}
-		}
-		lines = append(lines, read...)
+	lines, err := readLogs(files)
+	if err != nil {
+		return &usageError{err}
 	}
 	return writeLosses(c.stdout, losses.ByWindow(callsOf(lines), window))
 }
--- a/cmd/storycmd.go
+++ b/cmd/storycmd.go
@@ -52,13 +52,9 @@
 }
 
 func (c *Config) runStoryCmd(job string, files []string) error {
-	var lines []logLine
-	for _, f := range files {
-		read, err := readLogLines(f)
-		if err != nil {
-			return &usageError{err}
-		}
-		lines = append(lines, read...)
+	lines, err := readLogs(files)
+	if err != nil {
+		return &usageError{err}
 	}
 	slices.SortStableFunc(lines, func(a, b logLine) int { return a.Time.Compare(b.Time) })
 	first := slices.IndexFunc(lines, func(l logLine) bool { return l.concernsJob(job) })
@@ -105,6 +101,19 @@
 	return err
 }
 
+// readLogs reads the lines of several log files.
+func readLogs(files []string) ([]logLine, error) {
+	var lines []logLine
+	for _, f := range files {
+		read, err := readLogLines(f)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, read...)
+	}
+	return lines, nil
+}
+
 // readLogLines reads the lines of a log file. Lines that are not JSON are skipped.
 func readLogLines(file string) ([]logLine, error) {
 	f, err := os.Open(file)
