--- a/dispatch/returning_test.go
+++ b/dispatch/returning_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -35,8 +36,9 @@
 		return s, resendDelay, s.Remaining > 0
 	}
 	l.after(lostFrom*time.Second, func() {
-		for _, s := range l.open {
-			s.Remaining -= resendDelay + l.now.Sub(l.jobs[s.Job.ID].submitted)
+		for _, id := range slices.Sorted(maps.Keys(l.open)) {
+			s := l.open[id]
+			s.Remaining -= resendDelay + l.now.Sub(l.jobs[id].submitted)
 			if s.Remaining > 0 {
 				l.after(resendDelay, func() { l.offer(s) })
 			}
