Log and count workers that are lost with their runs

The logs could not tell the hypotheses about the crashed workers apart: a run that ended with 'lost' had been stopped, had lapsed, or had been lost with its worker, and no line named the tasks of a worker that was lost.

Runs now end with 'lost: CAUSE', a line 'worker lost with its runs' has the worker, cause and tasks, and the metrics workersLost and runsLost count by cause. 'story' prints the line for each of the tasks' jobs.

--- a/cmd/storycmd.go
+++ b/cmd/storycmd.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,8 +43,12 @@
 
 // concernsJob returns true if the line names a job or one of its tasks.
 func (l *logLine) concernsJob(job string) bool {
-	task, _ := l.Fields["task"].(string)
-	return l.Fields["job"] == job || (len(task) > len(job) && task[:len(job)+1] == job+".")
+	isTask := func(name any) bool {
+		task, _ := name.(string)
+		return strings.HasPrefix(task, job+".")
+	}
+	tasks, _ := l.Fields["tasks"].([]any)
+	return l.Fields["job"] == job || isTask(l.Fields["task"]) || slices.ContainsFunc(tasks, isTask)
 }
 
 // isGeneral returns true if the line is not about a single job, task or order.
--- a/cmd/storycmd_test.go
+++ b/cmd/storycmd_test.go
@@ -16,6 +16,8 @@
 	ownerLog = `{"fields":{"host":"entry-2","order":"start","task":"aa11.0.0.1","verdict":"unanswered"},"level":"warn","timestamp":"2026-12-04T10:00:01Z","message":"order not accepted"}
 {"fields":{"host":"entry-2","order":"start","task":"bb22.0.0.1","verdict":"unanswered"},"level":"warn","timestamp":"2026-12-04T10:00:01Z","message":"order not accepted"}
 {"fields":{"host":"entry-2","dataCentre":"coast-a"},"level":"warn","timestamp":"2026-12-04T10:00:02Z","message":"ownership lost"}
+{"fields":{"host":"entry-2","cause":"crashed","tasks":["bb22.0.0.1","aa11.0.0.1"],"worker":"w1"},"level":"warn","timestamp":"2026-12-04T10:00:07Z","message":"worker lost with its runs"}
+{"fields":{"host":"entry-2","dataCentre":"coast-a"},"level":"info","timestamp":"2026-12-04T10:00:08Z","message":"owner changed"}
 `
 )
 
@@ -25,8 +27,8 @@
 	r := runCommand("", append([]string{"story", "aa11"}, files...)...)
 	is.Equal(r.code, ExitDone)
 	lines := strings.Split(strings.TrimSpace(r.stdout), "\n")
-	is.Equal(len(lines), 3)
-	for i, word := range []string{"order not accepted", "ownership lost", "job answered"} {
+	is.Equal(len(lines), 5)
+	for i, word := range []string{"order not accepted", "ownership lost", "job answered", "worker lost with its runs", "owner changed"} {
 		is.True(strings.Contains(lines[i], word))
 	}
 	is.Equal(runCommand("", append([]string{"story", "cc33"}, files...)...).code, ExitFailed)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -165,6 +165,10 @@
 	Stops   []worker.Stop
 	Polls   []worker.Poll
 	Replies []Reply
+	// WorkerLosses describe workers that were lost with their runs, and LostRuns counts
+	// the runs that ended for another reason than their task, by cause.
+	WorkerLosses []WorkerLoss
+	LostRuns     map[string]int
 	// Records describe submissions that have ended.
 	Records []Record
 	// RunEnds must be stored and then reported to EndStored.
@@ -393,7 +397,7 @@
 		}
 	}
 	r.recordEnd(now, "start refused: "+string(v))
-	m.removeRun(now, n, r, worker.Lost)
+	m.loseRun(now, r, LossRefused)
 }
 
 // Stopped handles the answer to a stop.
--- /dev/null
+++ b/dispatch/loss.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/catkingap/catkingap/worker"
+)
+
+// LossCause tells why a run ended without its worker having reported an end.
+type LossCause string
+
+// The causes of losses.
+const (
+	// LossCrashed means that another process has taken the place of the worker.
+	LossCrashed LossCause = "crashed"
+	// LossSilent means that the worker answered no order until its lease had lapsed. It
+	// may have crashed, or may be paused or cut off.
+	LossSilent LossCause = "silent"
+	// LossLeft means that the worker was draining and has left.
+	LossLeft LossCause = "left"
+	// LossUnlisted means that the worker answers and no longer lists the run.
+	LossUnlisted LossCause = "unlisted"
+	// LossRefused means that the worker refused the start.
+	LossRefused LossCause = "refused"
+)
+
+// WorkerLoss tells that a worker was lost with all its runs.
+type WorkerLoss struct {
+	Worker      worker.ID
+	Incarnation worker.Incarnation
+	Cause       LossCause
+	// Tasks holds the tasks that the worker ran.
+	Tasks []string
+	// Silent is for how long the worker had answered no order.
+	Silent time.Duration
+}
+
+// countLost counts a run that ended for another reason than its task.
+func (m *Machine) countLost(cause string) {
+	if m.actions.LostRuns == nil {
+		m.actions.LostRuns = map[string]int{}
+	}
+	m.actions.LostRuns[cause]++
+}
+
+// loseRun ends a run as lost.
+func (m *Machine) loseRun(now time.Time, r *run, c LossCause) {
+	m.countLost(string(c))
+	r.recordEnd(now, "lost: "+string(c))
+	m.removeRun(now, r.node, r, worker.Lost)
+}
+
+// loseWorker ends runs of a worker as lost with it.
+func (m *Machine) loseWorker(now time.Time, n *node, runs []*run, c LossCause) {
+	if len(runs) == 0 {
+		return
+	}
+	if n.Draining {
+		c = LossLeft
+	}
+	loss := WorkerLoss{Worker: n.ID, Incarnation: n.Life, Cause: c}
+	if !n.silentSince.IsZero() {
+		loss.Silent = now.Sub(n.silentSince)
+	}
+	for _, r := range runs {
+		loss.Tasks = append(loss.Tasks, r.key.task)
+	}
+	m.actions.WorkerLosses = append(m.actions.WorkerLosses, loss)
+	for _, r := range runs {
+		m.loseRun(now, r, c)
+	}
+}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -248,6 +248,10 @@
 			m.handleFoundDone(now, e.Task)
 		}
 		if r != nil {
+			if e.Result == worker.Lost {
+				m.countLost(e.Reason)
+				r.recordEnd(now, e.Reason)
+			}
 			m.removeRun(now, n, r, e.Result)
 		}
 		if t := m.findTask(e.Task); t != nil && t.job.stored {
@@ -295,7 +299,7 @@
 		known := r.state == running && r.confirmedAt.Before(sent)
 		stopped := r.state == stopping && !r.stopAccepted.IsZero() && r.stopAccepted.Before(sent)
 		if known || stopped {
-			m.removeRun(now, n, r, worker.Lost)
+			m.loseRun(now, r, LossUnlisted)
 		}
 	}
 }
@@ -394,14 +398,14 @@
 
 // handleReplaced ends all runs of a worker at whose address another one answers.
 func (m *Machine) handleReplaced(now time.Time, n *node) {
-	m.loseRuns(now, n)
+	m.loseWorker(now, n, n.sortedRuns(), LossCrashed)
 	n.answered = false
 	n.nextPoll = now.Add(maxPollRetryDelay)
 }
 
 // handleNewIncarnation ends all runs of an earlier incarnation of a worker.
 func (m *Machine) handleNewIncarnation(now time.Time, n *node) {
-	m.loseRuns(now, n)
+	m.loseWorker(now, n, n.sortedRuns(), LossCrashed)
 	n.forgetEnds()
 	n.pollOpen, n.clock = false, 0
 	n.leaseEnd, n.acknowledgeAt = time.Time{}, time.Time{}
@@ -409,24 +413,19 @@
 	m.markChanged(n)
 }
 
-// loseRuns ends all runs of a worker as lost.
-func (m *Machine) loseRuns(now time.Time, n *node) {
-	for _, r := range n.sortedRuns() {
-		m.removeRun(now, n, r, worker.Lost)
-	}
-}
-
 // loseLapsedRuns ends the runs of a silent worker whose lease must have lapsed.
 // Runs of stored jobs may have been done before that: as long as the worker is
 // listed, they wait for its report.
 func (m *Machine) loseLapsedRuns(now time.Time, n *node) {
+	var lost []*run
 	for _, r := range n.sortedRuns() {
 		if r.task == nil || !r.task.job.stored || !r.task.job.live || !n.listed {
-			m.removeRun(now, n, r, worker.Lost)
+			lost = append(lost, r)
 		} else if r.state == startSent {
 			r.state, r.confirmedAt = running, r.sent
 		}
 	}
+	m.loseWorker(now, n, lost, LossSilent)
 }
 
 // sortedRuns returns the runs in a fixed order.
--- a/fleet/log.go
+++ b/fleet/log.go
@@ -44,6 +44,9 @@
 	response *metrics.Histogram
 	// owner counts the events of this host's owners.
 	owner ownerCounters
+	// workersLost counts the workers that were lost with their runs, and runsLost the runs
+	// that ended for another reason than their task, by cause.
+	workersLost, runsLost *expvar.Map
 	// withdrawals counts the withdrawals of jobs whose callers have left, by outcome.
 	withdrawals *expvar.Map
 }
@@ -65,6 +68,7 @@
 		owner:  ownerCounters{events: s.Counters("ownerEvents"), busy: s.Counters("ownerBusyUs"), lag: s.Histogram("ownerLag")},
 		orders: s.Counters("orders"), panics: s.Counter("ownerPanics"), pauses: s.Counter("pauses"), results: s.Counters("results"),
 		response: s.Histogram("response"), withdrawals: s.Counters("withdrawals"),
+		workersLost: s.Counters("workersLost"), runsLost: s.Counters("runsLost"),
 	}
 }
 
--- /dev/null
+++ b/fleet/losses.go
@@ -0,0 +1,69 @@
+package fleet
+
+import (
+	"math/bits"
+	"sync"
+
+	"github.com/apex/log"
+
+	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/worker"
+)
+
+// noteLosses counts and logs the workers and runs that an event has lost.
+func (w *Owner) noteLosses(a *dispatch.Actions) {
+	for cause, n := range a.LostRuns {
+		w.owners.counters.runsLost.Add(cause, int64(n))
+	}
+	for _, l := range a.WorkerLosses {
+		w.owners.counters.workersLost.Add(string(l.Cause), 1)
+		w.logger.WithFields(log.Fields{
+			"worker": string(l.Worker), "incarnation": int64(l.Incarnation), "cause": string(l.Cause), "tasks": l.Tasks,
+			"silentMs": l.Silent.Milliseconds(),
+		}).Warn("worker lost with its runs")
+	}
+}
+
+// orderFailures counts the orders that each worker has not accepted in a row.
+type orderFailures struct {
+	mutex  sync.Mutex
+	counts map[worker.ID]uint
+}
+
+// note counts the answer to one order. It returns the number of orders that the worker has
+// not accepted since the last one that it has.
+func (f *orderFailures) note(id worker.ID, v worker.Verdict) uint {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if v == worker.Accepted {
+		delete(f.counts, id)
+		return 0
+	}
+	if f.counts == nil {
+		f.counts = map[worker.ID]uint{}
+	}
+	f.counts[id]++
+	return f.counts[id]
+}
+
+// isLogged returns true for the failures in a row that are logged: the first one, and each
+// time that their number has doubled.
+func isLogged(failures uint) bool { return bits.OnesCount(failures) == 1 }
+
+// recordAnswer counts and logs the answer to an order.
+func (w *Owner) recordAnswer(order string, v worker.Verdict, o worker.Order, task string, run work.Run) {
+	w.owners.counters.orders.Add(order+"."+string(v), 1)
+	failures := w.failures.note(o.Worker, v)
+	if v == worker.Accepted || w.ctx.Err() != nil {
+		return
+	}
+	if isLogged(failures) {
+		w.logger.WithFields(log.Fields{
+			"order": order, "verdict": string(v), "worker": string(o.Worker), "task": task, "run": int(run), "failures": failures,
+		}).Warn("order not accepted")
+	}
+	if v == worker.Fenced {
+		w.owners.endFenced(w.owner)
+	}
+}
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -64,6 +64,8 @@
 	// jobStore persists the stored jobs.
 	jobStore *jobStore
 	lag      lag.Meter
+	// failures counts the orders that workers have not accepted.
+	failures orderFailures
 	// waitingEvents is the number of events that wait to be handled.
 	waitingEvents atomic.Int64
 
@@ -189,6 +191,7 @@
 	for i := range actions.Records {
 		w.logRecord(&actions.Records[i])
 	}
+	w.noteLosses(&actions)
 	if w.ctx.Err() != nil {
 		return
 	}
@@ -364,25 +367,6 @@
 	defer cancel()
 	sent := w.owners.contacts.clock()
 	report, v := w.owners.workers.Poll(ctx, l)
-	if v != worker.Accepted {
-		w.recordAnswer("look", v, l.Order, "", 0)
-	}
+	w.recordAnswer("look", v, l.Order, "", 0)
 	w.handle(eventPoll, func(now time.Time, m *dispatch.Machine) { m.PollAnswered(now, sent, l, report, v) })
 }
-
-// recordAnswer counts and logs the answer to an order.
-func (w *Owner) recordAnswer(order string, v worker.Verdict, o worker.Order, task string, run work.Run) {
-	w.owners.counters.orders.Add(order+string("."+v), 1)
-	if v == worker.Accepted {
-		return
-	}
-	if w.ctx.Err() != nil {
-		return
-	}
-	w.logger.WithFields(log.Fields{
-		"order": order, "verdict": string(v), "worker": string(o.Worker), "task": task, "run": int(run),
-	}).Warn("order not accepted")
-	if v == worker.Fenced {
-		w.owners.endFenced(w.owner)
-	}
-}
