--- a/work/work.go
+++ b/work/work.go
@@ -183,10 +183,13 @@
 	return longest
 }
 
+// maxObjective bounds objectives, so that sums of times with them cannot overflow.
+const maxObjective = 1 << 60 * time.Nanosecond
+
 // Objective returns the response time that callers of the job's queue expect:
 // Stretch times the critical path, plus Target.
 func (j *Job) Objective() time.Duration {
-	return time.Duration(j.Stretch*float64(j.CriticalPath())) + j.Target
+	return time.Duration(min(j.Stretch*float64(j.CriticalPath()), float64(maxObjective))) + j.Target
 }
 
 // Task identifies one task of a job.
