Ask a worker before its runs count as lost by its row

A row that named a later incarnation ended all runs of its worker at once. Such a row may come from another writer: then the runs went on beside the ones that were started in their place, and the worker, whose answers seemed to be those of an earlier process, got no work until its own restart.

The row is now a reason to ask: the worker's answer tells its incarnation, also if it is lower than the row's, unless the poll was sent before the row was read.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -337,17 +337,25 @@
 	m.advance(now)
 }
 
-// setWorker adds or updates one worker.
+// setWorker adds or updates one worker. A row that names another incarnation is only a
+// hint, since other writers may have written it: the worker is asked before its runs count
+// as lost.
 func (m *Machine) setWorker(now time.Time, w worker.Worker) {
 	n := m.nodes[w.ID]
-	if n == nil {
+	switch {
+	case n == nil:
 		n = &node{runs: map[runKey]*run{}}
+		n.Life = w.Life
 		m.nodes[w.ID] = n
-	} else if w.Life > n.Life || w.Address != n.Address {
+	case w.Address != n.Address:
 		m.handleNewIncarnation(now, n)
-		n.replaced = false
+		n.Life, n.replaced = max(n.Life, w.Life), false
+	case w.Life > n.Life && w.Life != n.rowLife:
+		n.answered, n.askedAt, n.nextPoll = false, now, now
+		m.pollAtOnce(now, n)
 	}
-	life := max(n.Life, w.Life)
+	n.rowLife = w.Life
+	life := n.Life
 	n.Worker = w
 	n.Life = life
 	m.markChanged(n)
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -63,6 +63,12 @@
 	// answered is true once the worker has answered a poll of this owner in its
 	// present incarnation.
 	answered bool
+	// rowLife is the incarnation in the worker's row. askedAt is when a row named a later
+	// one than the worker: answers to polls that were sent before do not count.
+	rowLife worker.Incarnation
+	askedAt time.Time
+	// known is true once a report has told the incarnation.
+	known bool
 	// replaced is true while another worker uses the address.
 	replaced bool
 	// clock was the worker's clock at clockAt.
@@ -212,15 +218,16 @@
 		m.advance(now)
 		return
 	}
-	if report.Incarnation < n.Life {
+	if n.known && (report.Incarnation < n.Life || (report.Incarnation < n.rowLife && sent.Before(n.askedAt))) {
 		m.advance(now)
 		return
 	}
-	if report.Incarnation > n.Life {
+	if report.Incarnation != n.Life {
 		m.handleNewIncarnation(now, n)
 		n.Life = report.Incarnation
 		m.generation++
 	}
+	n.known = true
 	m.handleAnswer(now, n, worker.Accepted, report.Clock)
 	n.acknowledged = max(n.acknowledged, min(l.AcknowledgedEnds, n.seen))
 	if !m.handleEnds(now, n, report.Ended) && n.highestForgettable() < n.seen && !l.Extra {
