Send no request on that servers were lost under twice

Two servers lost under a request are the limit, whatever the budget has. Work that provably did not run is retried as before.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -39,6 +39,8 @@
 	Queued time.Time
 	// FailedAttempts counts the attempts that ended without an answer.
 	FailedAttempts int
+	// LostAttempts counts those of them whose server was lost.
+	LostAttempts int
 
 	sequence    uint64
 	flow        *flow[Item]
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -22,10 +22,16 @@
 // exhausted.
 const exhaustedDoublings = 2
 
+// maxLost is the number of servers that may be lost under one piece of work. It may have
+// crashed them.
+const maxLost = 2
+
 // Attempt is an attempt that ended without an answer.
 type Attempt struct {
 	// Number is the number of attempts that have ended, including this one.
 	Number int
+	// Lost is the number of attempts whose server was lost while it ran the work.
+	Lost int
 	// NotRun is true if the work provably did not run.
 	NotRun bool
 	// Idempotent is true if the work may run more than once.
@@ -61,13 +67,14 @@
 }
 
 // Delay returns the time after which work is retried, or false if it is not.
-// Only idempotent work and work that provably did not run is retried. The first
+// Only idempotent work and work that provably did not run is retried, and none that
+// servers were lost under twice. The first
 // retry of work that did not run is immediate. Such work takes from the budget
 // only if the pool is overloaded, and with an exhausted budget it is delayed
 // longer instead of being given up: it was admitted, and its caller would submit
 // it again.
 func (p *Policy) Delay(now time.Time, a Attempt) (time.Duration, bool) {
-	if !a.NotRun && !a.Idempotent {
+	if (!a.NotRun && !a.Idempotent) || a.Lost >= maxLost {
 		return 0, false
 	}
 	after := p.backoff(a.Number)
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -30,6 +30,9 @@
 		"not run, overloaded":        {Attempt{Number: 1, NotRun: true, Overloaded: true}, false, 0, true},
 		"not run, overloaded, spent": {Attempt{Number: 1, NotRun: true, Overloaded: true}, true, 30 * time.Millisecond, true},
 		"spent, deadline too close":  {Attempt{Number: 1, NotRun: true, Overloaded: true, Deadline: start.Add(30 * time.Millisecond)}, true, 0, false},
+		"one server lost":            {Attempt{Number: 1, Idempotent: true, Lost: 1}, false, 7500 * time.Microsecond, true},
+		"two servers lost":           {Attempt{Number: 2, Idempotent: true, Lost: 2}, false, 0, false},
+		"lost twice, now not run":    {Attempt{Number: 3, NotRun: true, Lost: 2}, false, 0, false},
 		"deadline too close":         {Attempt{Number: 3, NotRun: true, Deadline: start.Add(20 * time.Millisecond)}, false, 0, false},
 		"deadline far":               {Attempt{Number: 3, NotRun: true, Deadline: start.Add(50 * time.Millisecond)}, false, 30 * time.Millisecond, true},
 	}
--- a/route/pool.go
+++ b/route/pool.go
@@ -398,8 +398,12 @@
 // and returns true if it did.
 func (p *Pool[Item]) requeue(now time.Time, e *admission.Entry[Item], end End) bool {
 	e.FailedAttempts++
+	if end.Result == Lost {
+		e.LostAttempts++
+	}
 	after, ok := p.retryPolicy(e.Team).Delay(now, retry.Attempt{
 		Number:     e.FailedAttempts,
+		Lost:       e.LostAttempts,
 		NotRun:     end.Result == Refused || end.Result == Unreachable,
 		Idempotent: e.Idempotent,
 		Overloaded: p.Waiting() > 0,
--- a/route/pool_test.go
+++ b/route/pool_test.go
@@ -73,6 +73,27 @@
 	}
 }
 
+// TestRequestThatCrashesServersIsNotSentOn loses each server that gets a request, with a
+// retry budget that is never spent.
+func TestRequestThatCrashesServersIsNotSentOn(t *testing.T) {
+	is := is.New(t)
+	p := newPool(20)
+	p.retryPolicies["a"] = retry.NewPolicy(retry.Config{Burst: 1000, MinBackoff: tick, MaxBackoff: time.Second, Jitter: func() float64 { return 0.5 }})
+	p.push(request(true))
+	lost := 0
+	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(100 * time.Millisecond) {
+		b, ok := p.Bind(now)
+		if !ok {
+			continue
+		}
+		lost++
+		if p.Ended(now, b, End{Result: Lost}) == Finish {
+			break
+		}
+	}
+	is.Equal(lost, 2)
+}
+
 func TestRefusingServerIsPaused(t *testing.T) {
 	is := is.New(t)
 	p := newPool(2)
