Isolate suspects only where something is known to crash

A suspect now prefers an idle worker and may else share one with tasks that are none; it is isolated after a second loss, or while any queue is known for crashes. A queue is known as soon as a suspect of it loses a second worker, which then ran no other suspect.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -50,8 +50,11 @@
 const (
 	// Clear means that the task may start on any worker.
 	Clear Standing = iota
-	// Suspect means that the task may start on a worker that runs nothing else.
+	// Suspect means that the task is better started on a worker that runs nothing else,
+	// and never beside another suspect.
 	Suspect
+	// Isolated means that the task may start only on a worker that runs nothing else.
+	Isolated
 	// Held means that the task may not start before it is known what became of the
 	// workers that were lost under it.
 	Held
@@ -93,7 +96,9 @@
 		return Condemned
 	case blamed >= maxCrashes && final < blamed:
 		return Held
-	case blamed > 0, excused >= maxExcused:
+	case blamed >= maxCrashes, excused >= maxExcused:
+		return Isolated
+	case blamed > 0:
 		return Suspect
 	}
 	return Clear
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -142,7 +142,7 @@
 	}
 	m.countEarlierWait(&s)
 	j := newJob(now, s)
-	if t := m.condemnedTask(j); t != nil {
+	if t := m.condemnedTask(now, j); t != nil {
 		m.refuse(now, s, Failed, TaskCrashes.Reason(), 0)
 		return
 	}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -49,8 +49,9 @@
 	// nextCheck is when the worker is next asked for the progress of the run,
 	// because it should have ended.
 	nextCheck time.Time
-	// exclusive is true for the run of a suspect, beside which nothing is started.
-	exclusive bool
+	// suspect is true for the run of a suspect, beside which no other suspect is started,
+	// and exclusive for one beside which nothing is.
+	suspect, exclusive bool
 	// recordIndex is the position of the run in the record of its job, counted from
 	// 1, or zero.
 	recordIndex int
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -116,16 +116,17 @@
 	remaining := j.waiting[:0]
 	started, full := false, -1
 	for _, t := range j.waiting {
-		standing := m.standing(t)
+		standing := m.standing(now, t)
 		if standing >= crash.Held || (standing == crash.Clear && t.name.Step == full) {
 			remaining = append(remaining, t)
 			continue
 		}
 		n := m.chooseWorker(now, t, tardy)
 		if n == nil {
-			if standing == crash.Suspect {
+			if standing == crash.Isolated {
 				m.reserve(now, t)
-			} else {
+			}
+			if standing == crash.Clear {
 				full = t.name.Step
 			}
 			remaining = append(remaining, t)
@@ -157,7 +158,7 @@
 		return nil
 	}
 	s := t.step()
-	standing := m.standing(t)
+	standing := m.standing(now, t)
 	type search struct {
 		list   *room.List[*node]
 		factor float64
@@ -169,13 +170,19 @@
 			{list: searches[0].list, factor: m.config.FarFactor},
 		}
 	}
-	for _, failed := range [...]bool{false, true} {
-		if failed && len(t.failedWorkers) == 0 && t.attempts == 0 {
-			break
+	for _, idle := range [...]bool{true, false} {
+		if idle && standing != crash.Suspect {
+			continue
 		}
-		for _, x := range searches {
-			if n := m.searchList(now, t, x.list, x.factor, tardy, failed, standing); n != nil {
-				return n
+		for _, failed := range [...]bool{false, true} {
+			if failed && len(t.failedWorkers) == 0 && t.attempts == 0 {
+				break
+			}
+			for _, x := range searches {
+				mayShare := func(n *node) bool { return n.mayShare(standing, idle) }
+				if n := m.searchList(now, t, x.list, x.factor, tardy, failed, mayShare); n != nil {
+					return n
+				}
 			}
 		}
 	}
@@ -185,12 +192,12 @@
 // searchList searches a list for a worker. On its workers a task takes at least
 // factor times as long as its estimate and the slowdown of the worker predict.
 // Parameter failed allows workers on which the task has failed.
-func (m *Machine) searchList(now time.Time, t *task, l *room.List[*node], factor float64, tardy, failed bool, s crash.Standing) *node {
+func (m *Machine) searchList(now time.Time, t *task, l *room.List[*node], factor float64, tardy, failed bool, mayShare func(*node) bool) *node {
 	estimate := scaled(t.estimate(), factor)
 	within := func(c room.SpeedClass) bool { return t.isInTime(now, scaled(estimate, c.LowestSlowdown()), tardy) }
 	n, _ := l.Search(t.step().Size, within, func(n *node) bool {
 		m.visited++
-		return (s == crash.Clear || len(n.runs) == 0) && (failed || !t.hasFailedOn(n)) && m.accepts(now, n, t) &&
+		return mayShare(n) && (failed || !t.hasFailedOn(n)) && m.accepts(now, n, t) &&
 			t.isInTime(now, m.expectedRunTime(n, t), tardy)
 	})
 	return n
@@ -236,8 +243,9 @@
 func (m *Machine) start(now time.Time, t *task, n *node) {
 	lease := m.maxLease(now, n, t.job)
 	t.lastRun = max(t.lastRun, m.highestPreviousRun(t)) + 1
-	r := &run{key: runKey{task: t.id, run: t.lastRun}, node: n, task: t, size: t.step().Size, state: startSent, sent: now, exclusive: m.standing(t) != crash.Clear}
-	if r.exclusive {
+	r := &run{key: runKey{task: t.id, run: t.lastRun}, node: n, task: t, size: t.step().Size, state: startSent, sent: now, suspect: m.standing(now, t) != crash.Clear}
+	r.exclusive = r.suspect && len(n.runs) == 0
+	if r.suspect {
 		m.actions.SuspectStarts++
 	}
 	n.runs[r.key] = r
--- a/dispatch/stored.go
+++ b/dispatch/stored.go
@@ -89,7 +89,7 @@
 	case slices.ContainsFunc(j.tasks, func(t *task) bool { return !t.done && t.failures >= max(1, j.spec.Attempts) }):
 		m.finish(now, j, Failed, "a task has failed")
 	default:
-		if t := m.condemnedTask(j); t != nil {
+		if t := m.condemnedTask(now, j); t != nil {
 			m.tryGiveUp(now, t)
 		}
 	}
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -10,7 +10,7 @@
 
 const (
 	// crashMemory is how long a queue is known for crashes after a task of it has crashed
-	// a worker that ran nothing else.
+	// a second worker.
 	crashMemory = 30 * time.Second
 	// unknownWorkerTime is how long after the start of an ownership a worker that is not
 	// listed counts as gone. The list is read anew within less.
@@ -65,7 +65,7 @@
 		if m.isKnownForCrashes(now, r) {
 			crashing[r.key.task] = true
 		}
-		if r.exclusive {
+		if r.suspect {
 			m.noteCulprit(now, r)
 		}
 	}
@@ -74,7 +74,8 @@
 	})
 }
 
-// noteCulprit records that a task that was alone on its worker has probably crashed it.
+// noteCulprit records that a suspect, of which a worker runs only one, has probably
+// crashed it.
 func (m *Machine) noteCulprit(now time.Time, r *run) {
 	if r.task != nil {
 		m.crashingQueues[r.task.job.spec.Queue] = now
@@ -82,7 +83,7 @@
 }
 
 // isKnownForCrashes returns true if a task of the queue of a run has lately crashed a
-// worker on which it was alone.
+// second worker.
 func (m *Machine) isKnownForCrashes(now time.Time, r *run) bool {
 	return r.task != nil && m.isCrashingQueue(now, r.task.job.spec.Queue)
 }
@@ -92,26 +93,54 @@
 	return ok && now.Sub(at) < crashMemory
 }
 
-// noteRefusedConnection handles that a worker refuses connections: if it runs a suspect
-// alone, that has probably crashed it. This is no proof.
+// noteRefusedConnection handles that a worker refuses connections: if it runs a suspect,
+// that has probably crashed it. This is no proof.
 func (m *Machine) noteRefusedConnection(now time.Time, n *node) {
 	for _, r := range n.runs {
-		if r.exclusive && r.state != stopping {
+		if r.suspect && r.state != stopping {
 			m.noteCulprit(now, r)
 		}
 	}
 }
 
-// standing tells whether a task may start, and where.
-func (m *Machine) standing(t *task) crash.Standing { return m.crashes.Losses(t.id).Standing() }
+// standing tells whether a task may start, and where. While any queue is known for crashes,
+// suspects are isolated: what runs beside one may be lost with it.
+func (m *Machine) standing(now time.Time, t *task) crash.Standing {
+	s := m.crashes.Losses(t.id).Standing()
+	if s == crash.Suspect {
+		for q := range m.crashingQueues {
+			if m.isCrashingQueue(now, q) {
+				return crash.Isolated
+			}
+		}
+	}
+	return s
+}
+
+// mayShare returns true if a task with the given standing may start beside what a worker
+// runs. Parameter idle is true for workers that run nothing.
+func (n *node) mayShare(s crash.Standing, idle bool) bool {
+	switch {
+	case s == crash.Clear:
+		return true
+	case idle || s == crash.Isolated:
+		return len(n.runs) == 0
+	}
+	for _, r := range n.runs {
+		if r.suspect {
+			return false
+		}
+	}
+	return true
+}
 
 // condemnedTask returns a task of a job that has crashed its workers, or nil.
-func (m *Machine) condemnedTask(j *job) *task {
+func (m *Machine) condemnedTask(now time.Time, j *job) *task {
 	if m.crashes.IsEmpty() {
 		return nil
 	}
 	for _, t := range j.tasks {
-		if !t.done && m.standing(t) == crash.Condemned {
+		if !t.done && m.standing(now, t) == crash.Condemned {
 			return t
 		}
 	}
@@ -124,7 +153,7 @@
 // It returns true if the job has ended.
 func (m *Machine) tryGiveUp(now time.Time, t *task) bool {
 	j, cause := t.job, TooLate
-	switch m.standing(t) {
+	switch m.standing(now, t) {
 	case crash.Clear:
 		return false
 	case crash.Condemned:
