Refuse jobs that no worker has the capacity for at present

A worker's capacity may shrink and grow again. If it has become too small for a task on all workers of an owner, callers were told that their job had failed, 'no worker is large enough for a task', though it could have run a moment later: TestShrunkenCapacityFailsNoJob got 'failed'. They are now refused as not run, with a Retry-After, if some worker has had the capacity; a job that none ever had the capacity for fails as before.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -22,6 +22,7 @@
 	rowLifetime = 7 * time.Second
 	// rowInterval is the time between two reads of the list.
 	rowInterval = 500 * time.Millisecond
+	taskCores   = 27_000
 )
 
 // crashWorker is a simulated worker that can crash.
@@ -37,11 +38,14 @@
 	lease               time.Time
 	poll                *worker.Poll
 	pollSent            time.Time
+	// changed is when the capacity last changed.
+	changed time.Time
 }
 
 type crashRun struct {
-	run  work.Run
-	ends time.Time
+	run   work.Run
+	ends  time.Time
+	cores int
 }
 
 // crashFleet simulates the workers of one owner, some of whose tasks crash their worker.
@@ -66,7 +70,11 @@
 	done    map[string]bool
 	// losses holds the losses under each task as the owner has reported them.
 	losses map[string]crash.TaskLosses
-	later  []crashEvent
+	// orderDelay is how long orders take to their worker. beyond lists the starts that
+	// brought a worker over its capacity.
+	orderDelay time.Duration
+	beyond     []string
+	later      []crashEvent
 }
 
 type crashEvent struct {
@@ -237,22 +245,11 @@
 		f.m.EndStored(f.now, e.End)
 	}
 	for _, s := range a.Starts {
-		w := f.workers[s.Worker]
-		if v, lost := w.verdict(); lost {
-			f.after(time.Millisecond, func() { f.m.Started(f.now, s, worker.Answer{Verdict: v}) })
+		if f.orderDelay > 0 {
+			f.after(f.orderDelay, func() { f.start(s) })
 			continue
 		}
-		task := s.Task.String()
-		f.starts[task]++
-		f.extend(w, s.Until)
-		took := f.took(task)
-		if f.deadly(task) {
-			took = crashAfter
-		}
-		w.runs[task] = crashRun{run: s.Run, ends: f.now.Add(took)}
-		f.after(time.Millisecond, func() {
-			f.m.Started(f.now, s, worker.Answer{Verdict: worker.Accepted, Clock: f.workerClock()})
-		})
+		f.start(s)
 	}
 	for _, s := range a.Stops {
 		w := f.workers[s.Worker]
@@ -285,6 +282,32 @@
 	}
 }
 
+func (f *crashFleet) start(s worker.Start) {
+	w := f.workers[s.Worker]
+	if v, lost := w.verdict(); lost {
+		f.after(time.Millisecond, func() { f.m.Started(f.now, s, worker.Answer{Verdict: v}) })
+		return
+	}
+	task := s.Task.String()
+	f.starts[task]++
+	f.extend(w, s.Until)
+	took := f.took(task)
+	if f.deadly(task) {
+		took = crashAfter
+	}
+	w.runs[task] = crashRun{run: s.Run, ends: f.now.Add(took), cores: taskCores}
+	used := 0
+	for _, x := range w.runs {
+		used += x.cores
+	}
+	if used > w.Capacity.Cores && f.now.Sub(w.changed) > rowInterval+f.orderDelay {
+		f.beyond = append(f.beyond, fmt.Sprintf("%s on %s at %v: %d of %d", task, w.ID, f.now.Sub(begin), used, w.Capacity.Cores))
+	}
+	f.after(time.Millisecond, func() {
+		f.m.Started(f.now, s, worker.Answer{Verdict: worker.Accepted, Clock: f.workerClock()})
+	})
+}
+
 func (f *crashFleet) report(w *crashWorker, l worker.Poll, sent time.Time) {
 	r := &worker.Report{Incarnation: w.Life, Clock: f.workerClock(), Ended: slices.Clone(w.ended)}
 	for _, task := range slices.Sorted(maps.Keys(w.runs)) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -357,7 +357,7 @@
 	n.rowLife = w.Life
 	life := n.Life
 	n.Worker = w
-	n.Life = life
+	n.Life, n.largest = life, n.largest.Max(w.Capacity)
 	m.markChanged(n)
 }
 
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -148,17 +148,23 @@
 	}
 	known := m.adoptOrphans(now, j)
 	if !known {
+		refusal := Refused
+		if !s.Final {
+			refusal = Busy
+		}
 		if reason, wait := m.refusalReason(now, j, s.Final); reason != "" {
-			result := Refused
-			if !s.Final {
-				result = Busy
-			}
-			m.refuse(now, s, result, reason, wait)
+			m.refuse(now, s, refusal, reason, wait)
 			return
 		}
-		if !now.Before(m.takeoverEnd) && !m.hasSuitableWorkers(j) {
-			m.refuse(now, s, Failed, "no worker is large enough for a task", 0)
-			return
+		if !now.Before(m.takeoverEnd) {
+			switch m.suitabilityFor(j) {
+			case unsuitable:
+				m.refuse(now, s, Failed, "no worker is large enough for a task", 0)
+				return
+			case shrunken:
+				m.refuse(now, s, refusal, "no worker has the capacity for a task at present", shrunkenRetryAfter)
+				return
+			}
 		}
 	}
 	m.jobs[j.spec.ID] = j
@@ -170,6 +176,10 @@
 	m.advance(now)
 }
 
+// shrunkenRetryAfter tells a caller when to come back after the capacity of all workers has
+// become too small for its job.
+const shrunkenRetryAfter = time.Second
+
 // countEarlierWait adds the time for which a caller has waited before its connection broke
 // and it came again. It does so only where the answer is of use for a shorter time than
 // that: the callers of long jobs differ too much to be told apart.
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -61,6 +61,8 @@
 type node struct {
 	worker.Worker
 	listed bool
+	// largest is the largest capacity that the worker has had.
+	largest work.Size
 	// answered is true once the worker has answered a poll of this owner in its
 	// present incarnation.
 	answered bool
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -37,25 +37,50 @@
 	return false
 }
 
-// suits returns true if a worker is of the kind that a task needs.
-func (n *node) suits(t *task) bool {
+// suits returns true if a worker is of the kind that a task needs and has the capacity for
+// it.
+func (n *node) suits(t *task) bool { return t.step().Size.Fits(n.Capacity) && n.isOfKind(t) }
+
+func (n *node) isOfKind(t *task) bool {
 	s := t.step()
-	return n.Pool == t.job.spec.Pool && s.Size.Fits(n.Capacity) && (s.Label == "" || slices.Contains(n.Labels, s.Label))
+	return n.Pool == t.job.spec.Pool && (s.Label == "" || slices.Contains(n.Labels, s.Label))
 }
 
-// hasSuitableWorkers returns true if each task of a job has a worker that suits it,
-// or if no workers are known yet.
-func (m *Machine) hasSuitableWorkers(j *job) bool {
+// suitability tells whether there are workers that suit all tasks of a job.
+type suitability int
+
+const (
+	// unsuitable means that a task has no worker that ever had the capacity for it.
+	unsuitable suitability = iota
+	// shrunken means that a task has a worker whose capacity has become too small for it.
+	shrunken
+	// suitable means that each task has a worker, or that no workers are known yet.
+	suitable
+)
+
+// suitabilityFor returns whether there are workers that suit all tasks of a job.
+func (m *Machine) suitabilityFor(j *job) suitability {
+	lowest := suitable
 	if len(m.ordered) == 0 {
-		return true
+		return lowest
 	}
 	for i, s := range j.spec.Steps {
 		t := &task{job: j, name: work.Task{Step: i}}
-		if s.Count > 0 && !slices.ContainsFunc(m.ordered, func(n *node) bool { return n.suits(t) }) {
-			return false
+		best := unsuitable
+		for _, n := range m.ordered {
+			switch {
+			case best == suitable || !n.isOfKind(t):
+			case s.Size.Fits(n.Capacity):
+				best = suitable
+			case s.Size.Fits(n.largest):
+				best = shrunken
+			}
+		}
+		if s.Count > 0 {
+			lowest = min(lowest, best)
 		}
 	}
-	return true
+	return lowest
 }
 
 // expectedRunTime returns the expected run time of a task on a worker.
--- a/work/work.go
+++ b/work/work.go
@@ -42,6 +42,11 @@
 	return Size{Cores: s.Cores - o.Cores, Memory: s.Memory - o.Memory, Graphics: s.Graphics - o.Graphics}
 }
 
+// Max returns the larger of s and o in each dimension.
+func (s Size) Max(o Size) Size {
+	return Size{Cores: max(s.Cores, o.Cores), Memory: max(s.Memory, o.Memory), Graphics: max(s.Graphics, o.Graphics)}
+}
+
 // Fits returns true if s is at most free in each dimension.
 func (s Size) Fits(free Size) bool {
 	return s.Cores <= free.Cores && s.Memory <= free.Memory && s.Graphics <= free.Graphics
