Hand on no job at which an owner panics

The same class of fault on our own side: an owner's event that panics ends the ownership, which is claimed again 0.2 s later, and the job that caused it came back with it: a caller's job from its host, a stored job from the table. The workers of a data centre then have no owner for as long as the job is open; a stored one is open for good. A row that cannot be decoded did not panic, but its owner loaded no other stored job either.

A job whose event panicked is set aside by the process: its caller is told that it has failed, and later owners of the process do not get it. Stored jobs are taken over one by one; rows that cannot be read or make no sense are logged and left out.

Open: a stored job whose row cannot be read keeps the state that it has.

--- a/fleet/jobstore.go
+++ b/fleet/jobstore.go
@@ -108,7 +108,7 @@
 		}
 		for id, e := range entries {
 			if _, ok := jobs[id]; !ok && !e.HasEnded() {
-				// It was cancelled between the two reads: its state row stays as it is.
+				// It cannot be run, or was cancelled between the two reads: its state row stays as it is.
 				s.logger.WithField("job", string(id)).Warn("open job without a specification is skipped")
 				delete(entries, id)
 			}
@@ -120,17 +120,17 @@
 	}
 	s.loaded = true
 	s.mutex.Unlock()
-	s.owner.handle(eventStore, func(now time.Time, m *dispatch.Machine) {
-		for id, e := range entries {
-			if !e.HasEnded() {
+	for id, e := range entries {
+		if !e.HasEnded() {
+			s.owner.handleJob(eventStore, id, func(now time.Time, m *dispatch.Machine) {
 				m.AddLosses(now, e.Losses)
 				m.AddStored(now, jobs[id], e.Progress, true)
-			}
-		}
-		if open == 0 {
-			m.StoredJobsLoaded(now)
+			})
 		}
-	})
+	}
+	if open == 0 {
+		s.owner.handle(eventStore, func(now time.Time, m *dispatch.Machine) { m.StoredJobsLoaded(now) })
+	}
 	go s.guardOwnership(ctx, open == 0)
 	if len(entries) > 0 {
 		s.logger.WithFields(log.Fields{"jobs": len(entries), "open": open}).Info("stored jobs loaded")
@@ -138,7 +138,8 @@
 	return nil
 }
 
-// readJobs reads the specifications of the jobs that have not ended.
+// readJobs reads the specifications of the jobs that have not ended. Those that cannot be
+// read or run are left out.
 func (s *jobStore) readJobs(ctx context.Context, entries map[work.ID]ledger.Entry) (map[work.ID]work.Job, error) {
 	rows, err := s.listRows(ctx, ledger.JobGroup)
 	if err != nil {
@@ -150,9 +151,15 @@
 		if !ok || e.HasEnded() {
 			continue
 		}
-		if jobs[id], err = ledger.ReadJob(r); err != nil {
-			return nil, err
+		j, err := ledger.ReadJob(r)
+		if err == nil {
+			err = j.Check()
+		}
+		if err != nil {
+			s.logger.WithField("job", string(id)).WithError(err).Error("stored job cannot be run")
+			continue
 		}
+		jobs[id] = j
 	}
 	return jobs, nil
 }
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -181,19 +181,20 @@
 	w.handle(eventWorkers, func(now time.Time, m *dispatch.Machine) { m.SetWorkers(now, workers) })
 }
 
-// handle passes an event to the machine and carries out the resulting actions.
-func (w *Owner) handle(e event, decide func(now time.Time, m *dispatch.Machine)) {
+// handle passes an event to the machine and carries out the resulting actions. It returns
+// false if the machine panicked, which ends the ownership.
+func (w *Owner) handle(e event, decide func(now time.Time, m *dispatch.Machine)) bool {
 	actions, ok := w.decide(e, decide)
 	if !ok {
 		w.owners.restart(w.owner)
-		return
+		return false
 	}
 	for i := range actions.Records {
 		w.logRecord(&actions.Records[i])
 	}
 	w.noteLosses(&actions)
 	if w.ctx.Err() != nil {
-		return
+		return true
 	}
 	for _, s := range actions.Starts {
 		go w.start(s)
@@ -204,6 +205,21 @@
 	for _, l := range actions.Polls {
 		go w.poll(l)
 	}
+	return true
+}
+
+// handleJob passes an event to the machine that brings a job. It returns false if the
+// machine panicked at the job, now or before: no owner of this process gets it again.
+func (w *Owner) handleJob(e event, id work.ID, decide func(now time.Time, m *dispatch.Machine)) bool {
+	if w.owners.poisonous.has(id) {
+		return false
+	}
+	if w.handle(e, decide) {
+		return true
+	}
+	w.owners.poisonous.add(id)
+	w.logger.WithFields(log.Fields{"event": string(e), "job": string(id)}).Error("job set aside")
+	return false
 }
 
 // decide passes an event to the machine and returns the resulting actions. It
@@ -269,7 +285,7 @@
 func (w *Owner) submit(ctx context.Context, s dispatch.Submission) (dispatch.Reply, error) {
 	c := make(chan dispatch.Reply, 1)
 	k := submissionKey{host: s.Host, call: s.Call, sequence: s.Sequence, job: s.Job.ID}
-	w.handle(eventSubmit, func(now time.Time, m *dispatch.Machine) {
+	ok := w.handleJob(eventSubmit, s.Job.ID, func(now time.Time, m *dispatch.Machine) {
 		w.waiting[k] = c
 		if boot, ok := w.hosts[s.Host]; ok && boot != s.Boot {
 			w.loseHost(now, m, s.Host)
@@ -277,6 +293,11 @@
 		w.hosts[s.Host] = s.Boot
 		m.Submit(now, s)
 	})
+	if !ok {
+		return dispatch.Reply{
+			Host: s.Host, Call: s.Call, Sequence: s.Sequence, Job: s.Job.ID, Result: dispatch.Failed, Reason: "no owner can handle the job",
+		}, nil
+	}
 	select {
 	case r := <-c:
 		return r, nil
--- a/fleet/owners.go
+++ b/fleet/owners.go
@@ -73,7 +73,9 @@
 	owned map[ident.DataCentre]*Owner
 	// lostOwners holds the newest lost ownership of each data centre.
 	lostOwners map[ident.DataCentre]ownership.Owner
-	claiming   map[ident.DataCentre]bool
+	// poisonous holds the jobs at which a machine of this process panicked.
+	poisonous jobSet
+	claiming  map[ident.DataCentre]bool
 	// previousTokens holds the token of the previous owner of each data centre.
 	previousTokens map[ident.DataCentre]worker.Token
 	// probing holds the data centres of other hosts that are being probed, and
--- a/fleet/panic_test.go
+++ b/fleet/panic_test.go
@@ -16,6 +16,7 @@
 	"github.com/catkingap/catkingap/network"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/storage"
+	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
 
@@ -68,3 +69,30 @@
 		is.Equal(owners.counters.panics.Value(), int64(1))
 	})
 }
+
+// TestJobThatPanicsItsOwnerIsNotHandedOn submits a job at which the owner's machine panics.
+// Its caller must hear that it has failed, and the next owner must not get it.
+func TestJobThatPanicsItsOwnerIsNotHandedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		logger := &log.Logger{Handler: discard.New()}
+		owners := &Owners{
+			logger: logger, ctx: t.Context(), contacts: &Contacts{clock: time.Now}, workers: silentWorkers{},
+			counters: newCounters(metrics.NewSet(), newLinks(logger, network.Real{})),
+		}
+		newBroken := func() *Owner {
+			w := &Owner{owners: owners, logger: logger, waiting: map[submissionKey]chan dispatch.Reply{}, hosts: map[ident.Host]string{}}
+			w.ctx, w.cancel = context.WithCancel(t.Context())
+			w.jobStore = &jobStore{owner: w, logger: logger}
+			return w // Without a machine each event panics.
+		}
+		s := dispatch.Submission{Host: "h", Call: 3, Job: work.Job{ID: "j"}}
+		for range 2 {
+			r, err := newBroken().submit(t.Context(), s)
+			is.NoErr(err)
+			is.Equal(r.Result, dispatch.Failed)
+			is.Equal(r.Call, uint64(3))
+		}
+		is.Equal(owners.counters.panics.Value(), int64(1))
+	})
+}
