Start an isolated task on its reserved worker under full load

A worker that is kept free for a suspect is in no index of free capacity, so its idleness woke nobody: a suspect behind other waiting jobs started only once those were gone. Found by reading; TestSuspectStartsUnderFullLoad failed without the change: the suspect had not started while 2,000 jobs waited.

The memory of queues that are known for crashes moves to the package crash.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -471,6 +471,26 @@
 	}
 }
 
+// TestSuspectStartsUnderFullLoad has a task that must be isolated wait for workers that have
+// more work than they can do.
+func TestSuspectStartsUnderFullLoad(t *testing.T) {
+	is := is.New(t)
+	f := newCrashFleet(newMachine(), 4)
+	f.took = func(string) time.Duration { return 200 * time.Millisecond }
+	f.runUntil(at(100))
+	lost := func(id worker.ID) crash.Loss {
+		return crash.Loss{Life: crash.Life{Worker: id, Incarnation: 1}, Proof: crash.Crashed}
+	}
+	f.m.AddLosses(f.now, []crash.TaskLosses{{Task: "z.0.0.0", Losses: crash.History{lost("x1"), lost("x2")}}})
+	for n := range 2000 {
+		f.m.AddStored(f.now, submission(work.ID(fmt.Sprint("sound", n)), 1, 1).Job, work.Progress{}, false)
+	}
+	f.m.AddStored(f.now, submission("z", 1, 1).Job, work.Progress{}, false)
+	f.runUntil(at(1100))
+	is.True(f.done["z.0.0.0"])
+	is.True(len(f.done) > 30) // The other workers go on.
+}
+
 // TestCutsAndStopsAreNotCrashes cuts off each worker that a task runs on, so that its
 // lease lapses, more often than a task may crash workers.
 func TestCutsAndStopsAreNotCrashes(t *testing.T) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -208,11 +208,10 @@
 	lateRates map[ident.Pool]*lateRate
 	// began is when the ownership began.
 	began time.Time
-	// crashes keeps the losses of workers under tasks, and crashingQueues when a task of
-	// a queue last crashed a worker that ran nothing else. reserved is the worker that is
-	// kept free for a suspect.
+	// crashes keeps the losses of workers under tasks, and crashingQueues the queues that
+	// are known for crashes. reserved is the worker that is kept free for a suspect.
 	crashes        *crash.Tracker
-	crashingQueues map[work.Queue]time.Time
+	crashingQueues *crash.Queues
 	reserved       reservation
 	// patience recognizes callers that come again.
 	patience *patience.Tracker
@@ -273,7 +272,7 @@
 		capacity:   capacity{pools: map[ident.Pool]*poolCapacity{}},
 		lateRates:  map[ident.Pool]*lateRate{},
 		patience:   patience.NewTracker(c.ResendDelay),
-		began:      now, crashes: crash.NewTracker(), crashingQueues: map[work.Queue]time.Time{},
+		began:      now, crashes: crash.NewTracker(), crashingQueues: crash.NewQueues(),
 		timers:       index.NewTimers[*node](),
 		outcomes:     index.NewRecent[work.ID, Result](outcomeRetention),
 		orphans:      map[string]*run{},
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -8,14 +8,9 @@
 	"github.com/catkingap/catkingap/worker"
 )
 
-const (
-	// crashMemory is how long a queue is known for crashes after a task of it has crashed
-	// a second worker.
-	crashMemory = 30 * time.Second
-	// unknownWorkerTime is how long after the start of an ownership a worker that is not
-	// listed counts as gone. The list is read anew within less.
-	unknownWorkerTime = 3 * time.Second
-)
+// unknownWorkerTime is how long after the start of an ownership a worker that is not listed
+// counts as gone. The list is read within less.
+const unknownWorkerTime = 3 * time.Second
 
 // GiveUpCause tells why a job was ended because of a task that workers were lost under.
 type GiveUpCause string
@@ -62,7 +57,7 @@
 			continue
 		}
 		tasks = append(tasks, r.key.task)
-		if m.isKnownForCrashes(now, r) {
+		if r.task != nil && m.crashingQueues.Crash(now, r.task.job.spec.Queue) {
 			crashing[r.key.task] = true
 		}
 		if r.suspect {
@@ -78,21 +73,10 @@
 // crashed it.
 func (m *Machine) noteCulprit(now time.Time, r *run) {
 	if r.task != nil {
-		m.crashingQueues[r.task.job.spec.Queue] = now
+		m.crashingQueues.Note(now, r.task.job.spec.Queue)
 	}
 }
 
-// isKnownForCrashes returns true if a task of the queue of a run has lately crashed a
-// second worker.
-func (m *Machine) isKnownForCrashes(now time.Time, r *run) bool {
-	return r.task != nil && m.isCrashingQueue(now, r.task.job.spec.Queue)
-}
-
-func (m *Machine) isCrashingQueue(now time.Time, q work.Queue) bool {
-	at, ok := m.crashingQueues[q]
-	return ok && now.Sub(at) < crashMemory
-}
-
 // noteRefusedConnection handles that a worker refuses connections: if it runs a suspect,
 // that has probably crashed it. This is no proof.
 func (m *Machine) noteRefusedConnection(now time.Time, n *node) {
@@ -106,13 +90,12 @@
 // standing tells whether a task may start, and where. While any queue is known for crashes,
 // suspects are isolated: what runs beside one may be lost with it.
 func (m *Machine) standing(now time.Time, t *task) crash.Standing {
+	if m.crashes.IsEmpty() {
+		return crash.Clear
+	}
 	s := m.crashes.Losses(t.id).Standing()
-	if s == crash.Suspect {
-		for q := range m.crashingQueues {
-			if m.isCrashingQueue(now, q) {
-				return crash.Isolated
-			}
-		}
+	if s == crash.Suspect && m.crashingQueues.AnyCrashes(now) {
+		return crash.Isolated
 	}
 	return s
 }
@@ -159,7 +142,7 @@
 	case crash.Condemned:
 		cause = TaskCrashes
 	default:
-		if j.stored || !m.isCrashingQueue(now, j.spec.Queue) || m.bestCase(now, j) != useless {
+		if j.stored || !m.crashingQueues.Crash(now, j.spec.Queue) || m.bestCase(now, j) != useless {
 			return false
 		}
 	}
@@ -228,14 +211,18 @@
 	}
 }
 
-// release ends the reservation if its task no longer waits or its worker cannot be used.
-func (m *Machine) release(now time.Time) {
+// followReservation has the task of the reservation start once its worker is idle. It ends
+// the reservation if the task no longer waits or the worker cannot be used.
+func (m *Machine) followReservation(now time.Time) {
 	n, t := m.reserved.node, m.reserved.task
-	if n == nil || (t.job.live && !t.done && t.run == nil && m.isUsable(now, n) && m.nodes[n.ID] == n) {
-		return
+	switch {
+	case n == nil:
+	case !t.job.live || t.done || t.run != nil || !m.isUsable(now, n) || m.nodes[n.ID] != n:
+		m.reserved = reservation{}
+		m.markChanged(n)
+	case len(n.runs) == 0:
+		m.markUntried(t.job)
 	}
-	m.reserved = reservation{}
-	m.markChanged(n)
 }
 
 // isExclusive returns true if a worker runs a suspect, beside which nothing is started.
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -36,7 +36,7 @@
 	}
 	m.resolveLosses(now)
 	m.crashes.Expire(now, func(task string) bool { return m.jobs[work.JobOfTask(task)] != nil })
-	m.release(now)
+	m.followReservation(now)
 	m.refreshChanged(now)
 	m.queue.reclassify(func(j *job) class { return m.classOf(now, j) })
 	m.queue.tryAll = true
