--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -122,7 +122,7 @@
 		}
 		m.lossyUntil = now.Add(lossyPeriod)
 		if v == worker.Unsent {
-			m.noteRefusedConnection(now, n)
+			m.noteUnreachable(now, n)
 		}
 		if n.silentSince.IsZero() {
 			n.silentSince = now
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -77,9 +77,9 @@
 	}
 }
 
-// noteRefusedConnection handles that a worker refuses connections: if it runs a suspect,
+// noteUnreachable handles that no connection to a worker can be made: if it runs a suspect,
 // that has probably crashed it. This is no proof.
-func (m *Machine) noteRefusedConnection(now time.Time, n *node) {
+func (m *Machine) noteUnreachable(now time.Time, n *node) {
 	for _, r := range n.runs {
 		if r.suspect && r.state != stopping {
 			m.noteCulprit(now, r)
