Shed late jobs while workers are silent

Cause: shedding waits while workers have yet to answer, since a new owner does not know what runs on them. A worker that fell silent and whose lease had lapsed counted as such a one, until it left the list seven seconds later. So shedding was off just when capacity was missing. Workers that are silent no longer count for it; what waits for the end of a takeover still does.

--- a/dispatch/burst_test.go
+++ b/dispatch/burst_test.go
@@ -92,6 +92,23 @@
 	is.True(f.refusedAfter <= float64(f.refused))
 }
 
+// TestRefusalsComeBeforeTheObjectiveWhileWorkersAreSilent checks the same while a tenth of
+// the workers has crashed.
+func TestRefusalsComeBeforeTheObjectiveWhileWorkersAreSilent(t *testing.T) {
+	const crashed = loadWorkers / 10
+	is := is.New(t)
+	f := simulateBurstWith(3, func(l *loadSim) {
+		l.after(burstFrom*time.Second, func() {
+			for _, w := range l.list[:crashed] {
+				l.crash(l.workers[w.ID])
+			}
+		})
+	}).outcomes("", burstFrom+1, burstTo)
+	t.Logf("%d refused, after %.2f of the objective on the mean", f.refused, f.refusedAfter/float64(f.refused))
+	is.True(f.refused > 0)
+	is.True(f.refusedAfter <= float64(f.refused))
+}
+
 // TestLoadAfterABurst checks that two seconds after a burst jobs are served as
 // before it.
 func TestLoadAfterABurst(t *testing.T) {
--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -16,8 +16,9 @@
 	pools map[ident.Pool]*poolCapacity
 	// tasks is the number of tasks of mean size that can start at once.
 	tasks int
-	// unanswered is the number of workers that have not answered yet.
-	unanswered int
+	// unanswered is the number of workers that have not answered yet, and expected the
+	// number of those of them that are not silent.
+	unanswered, expected int
 }
 
 // poolCapacity counts the cores of the listed workers of a pool. freeCores counts
@@ -34,7 +35,7 @@
 	pool                 ident.Pool
 	usedCores, freeCores int
 	tasks                int
-	unanswered           int
+	unanswered, expected int
 	// entry is the worker's entry in the index of free capacity, or nil.
 	entry *room.Worker[*node]
 }
@@ -67,6 +68,9 @@
 	}
 	if !n.answered {
 		s.unanswered = 1
+		if n.silentSince.IsZero() {
+			s.expected = 1
+		}
 	}
 	if m.isUsable(now, n) && m.takesOthers(n) {
 		free := n.Capacity.Minus(n.used)
@@ -97,6 +101,7 @@
 	after.freeCores += s.freeCores
 	m.capacity.tasks += s.tasks - old.tasks
 	m.capacity.unanswered += s.unanswered - old.unanswered
+	m.capacity.expected += s.expected - old.expected
 	if s.entry != nil && (old.entry == nil || hasGrown(old.entry, s.entry)) {
 		m.capacityGrew = true
 	}
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -91,6 +91,8 @@
 	poll     *worker.Poll
 	pollSent time.Time
 	polls    int
+	// down is true once the worker has crashed.
+	down bool
 }
 
 // callerAnswer is the answer to a caller of a simulated load.
@@ -297,8 +299,29 @@
 	}
 }
 
+// crash ends a worker and its runs. It does not return.
+func (l *loadSim) crash(w *simulatedWorker) {
+	w.down = true
+	clear(w.runs)
+	if w.poll != nil {
+		l.failPoll(w.pollSent, *w.poll, worker.Unanswered)
+		w.poll = nil
+	}
+}
+
+// failPoll has a poll end without a report.
+func (l *loadSim) failPoll(sent time.Time, x worker.Poll, v worker.Verdict) {
+	l.after(messageDelay, func() { l.deliver(func() { l.m.PollAnswered(l.now, sent, x, nil, v) }) })
+}
+
 func (l *loadSim) start(s worker.Start) {
 	w := l.workers[s.Worker]
+	if w.down {
+		l.after(messageDelay, func() {
+			l.deliver(func() { l.m.Started(l.now, s, worker.Answer{Verdict: worker.Unsent}) })
+		})
+		return
+	}
 	took := time.Duration(float64(l.jobs[s.Task.Job].runTimes[s.Task.Index]) / w.speed)
 	key := runKey{task: s.Task.String(), run: s.Run}
 	w.runs[key] = &simulatedRun{took: took, ends: l.now.Add(took)}
@@ -325,6 +348,12 @@
 }
 
 func (l *loadSim) stop(s worker.Stop) {
+	if l.workers[s.Worker].down {
+		l.after(messageDelay, func() {
+			l.deliver(func() { l.m.Stopped(l.now, s, worker.Answer{Verdict: worker.Unsent}) })
+		})
+		return
+	}
 	l.end(l.workers[s.Worker], runKey{task: s.Task, run: s.Run}, worker.Lost)
 	l.after(messageDelay, func() {
 		l.deliver(func() { l.m.Stopped(l.now, s, worker.Answer{Verdict: worker.Accepted, Clock: l.clock()}) })
@@ -345,6 +374,10 @@
 
 func (l *loadSim) receivePoll(sent time.Time, x worker.Poll) {
 	w := l.workers[x.Worker]
+	if w.down {
+		l.failPoll(sent, x, worker.Unsent)
+		return
+	}
 	for len(w.ended) > 0 && w.ended[0].Number <= x.AcknowledgedEnds {
 		w.ended = w.ended[1:]
 	}
--- a/dispatch/shed.go
+++ b/dispatch/shed.go
@@ -72,7 +72,7 @@
 			delete(m.lateRates, p)
 		}
 	}
-	if m.capacity.unanswered > 0 {
+	if m.capacity.expected > 0 {
 		// Workers that have not answered yet may have runs that end soon.
 		return
 	}
