Leave idle time out of the rate at which work starts

A caller can be refused with 'the wait would be too long' because the queue of a pool believes that work starts slowly. Its rate was measured over a window that began with a start while more work waited, and ended with a later start. If the work that waited had expired or was dropped, the window went on through the idle time that followed: ten starts a second after a minute's rest were measured as 0.017, then 3.

The window ends when nothing more can start.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -190,7 +190,7 @@
 // after it.
 func (m *rateMeter) recordStart(now time.Time, backlogged bool) {
 	if !backlogged {
-		m.windowStart = time.Time{}
+		m.interrupt()
 		return
 	}
 	if m.windowStart.IsZero() {
@@ -209,3 +209,6 @@
 	m.rate += rateSmoothing * (rate - m.rate)
 	m.windowStart, m.starts = now, 0
 }
+
+// interrupt ends the present sample because no more work can start.
+func (m *rateMeter) interrupt() { m.windowStart = time.Time{} }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -283,6 +283,9 @@
 		q.active.remove(t)
 		q.throttled.put(throttledOrder[Item]{t})
 	}
+	if len(q.active.items) == 0 {
+		q.drain.interrupt()
+	}
 }
 
 // pruneFlow removes a flow that has no waiting or running entries left.
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -225,3 +225,41 @@
 		q.Requeue(e)
 	}
 }
+
+// TestIdleTimeDoesNotLowerTheRate empties the queue without a start, and then fills it again
+// after some time. The rate at which work starts must not count the time between.
+func TestIdleTimeDoesNotLowerTheRate(t *testing.T) {
+	tests := map[string]func(q *Queue[int], last *Entry[int]){
+		"expired": func(q *Queue[int], _ *Entry[int]) { q.Expire(start.Add(time.Second)) },
+		"dropped": func(q *Queue[int], _ *Entry[int]) { q.Drop("a", Flow{Service: "last"}) },
+	}
+	for name, empty := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			q := newQueue(nil)
+			push := func(now time.Time, f Flow) *Entry[int] {
+				e := &Entry[int]{Team: "a", Flow: f}
+				if name == "expired" {
+					e.ExpiresAt = now.Add(time.Second)
+				}
+				q.Push(now, e)
+				return e
+			}
+			push(start, Flow{Service: "call"})
+			last := push(start, Flow{Service: "last"})
+			is.True(q.Pop(start) != nil)
+			empty(q, last)
+			is.Equal(q.Len(), 0)
+			later := start.Add(time.Minute)
+			for range 10 {
+				push(later, Flow{Service: "call"})
+			}
+			for n := range 6 {
+				is.True(q.Pop(later.Add(time.Duration(n)*100*time.Millisecond)) != nil)
+			}
+			t.Log(q.drain.rate)
+			is.True(q.drain.rate == 0 || q.drain.rate > 5) // Ten a second start.
+			is.True(q.Admit(later.Add(time.Second), Arrival{Team: "a", Entries: 1, MaxWait: 5 * time.Second}) == nil)
+		})
+	}
+}
