--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -45,9 +45,10 @@
 
 func isDeadly(task string) bool { return strings.Contains(task, "deadly") }
 
-// addMortalWorkers replaces the workers by ones that deadly tasks crash. Each returns under
-// another name, at the same address.
-func (w *world) addMortalWorkers() *crashes {
+// newMortalWorld returns a running world whose workers are crashed by deadly tasks. Each
+// returns under another name, at the same address.
+func newMortalWorld(t *testing.T) (*world, *crashes) {
+	w := newWorld(t)
 	c := &crashes{byTask: map[string]int{}, returned: map[string]time.Time{}}
 	for name := range w.workers {
 		w.store.Remove("servers", name)
@@ -58,7 +59,8 @@
 			w.addMortalWorker(c, z, fmt.Sprintf("%s.mortal-%d", z, i), 0)
 		}
 	}
-	return c
+	time.Sleep(startTime)
+	return w, c
 }
 
 func (w *world) addMortalWorker(c *crashes, zone, site string, life int) {
@@ -104,9 +106,7 @@
 func TestWorkerThatReturnsGetsWorkSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		w := newWorld(t)
-		c := w.addMortalWorkers()
-		time.Sleep(startTime)
+		w, c := newMortalWorld(t)
 		var open sync.WaitGroup
 		open.Go(func() { w.load(60, 8*time.Second) })
 		for n := range 9 {
@@ -144,9 +144,7 @@
 func TestDeadlyTasksWhileOwnersChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		w := newWorld(t)
-		c := w.addMortalWorkers()
-		time.Sleep(startTime)
+		w, c := newMortalWorld(t)
 		var open sync.WaitGroup
 		open.Go(func() {
 			for n := range 20 {
@@ -188,9 +186,7 @@
 func TestStoredDeadlyTask(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		w := newWorld(t)
-		c := w.addMortalWorkers()
-		time.Sleep(startTime)
+		w, c := newMortalWorld(t)
 		j := newJob("deadly", 2, 200*time.Millisecond)
 		is.True(w.storeJob(j, 5*time.Second))
 		seen := 0
