Ask a worker where it was before its row moves it

A row with another address, of the same or of a later incarnation, ended all runs of its worker at once and sent its orders elsewhere. If another writer had left it, the runs went on where they were while their tasks started again. The address in a row is now used once no connection can be made to the worker where it was, or once another one answers there.

TestRowWithAnotherAddressEndsNoRun failed in both rows before (its task was started a second time at once). TestWorkerThatReturnsAtAnotherAddress holds the other side: a worker that returns elsewhere under its id is asked there, whichever the owner learns first; it failed while a replaced worker kept its address.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -336,27 +336,27 @@
 	m.advance(now)
 }
 
-// setWorker adds or updates one worker. A row that names another incarnation is only a
-// hint, since other writers may have written it: the worker is asked before its runs count
-// as lost.
+// setWorker adds or updates one worker. A row that names another incarnation or address is
+// only a hint, since other writers may have written it: the worker is asked before its runs
+// count as lost, where it was as long as a connection can be made there.
 func (m *Machine) setWorker(now time.Time, w worker.Worker) {
 	n := m.nodes[w.ID]
-	switch {
-	case n == nil:
+	if n == nil {
 		n = &node{runs: map[runKey]*run{}}
-		n.Life = w.Life
+		n.Address, n.Life = w.Address, w.Life
 		m.nodes[w.ID] = n
-	case w.Address != n.Address:
-		m.handleNewIncarnation(now, n)
-		n.Life, n.replaced = max(n.Life, w.Life), false
-	case w.Life > n.Life && w.Life != n.rowLife:
+	}
+	n.rowAddress = w.Address
+	if !n.known || n.replaced || !n.silentSince.IsZero() {
+		n.Address = w.Address
+	}
+	if w.Life > n.Life && w.Life != n.rowLife {
 		n.answered, n.askedAt, n.nextPoll = false, now, now
 		m.pollAtOnce(now, n)
 	}
 	n.rowLife = w.Life
-	life := n.Life
-	n.Worker = w
-	n.Life, n.largest = life, n.largest.Max(w.Capacity)
+	w.Address, w.Life = n.Address, n.Life
+	n.Worker, n.largest = w, n.largest.Max(w.Capacity)
 	m.markChanged(n)
 }
 
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -69,6 +69,8 @@
 	// rowLife is the incarnation in the worker's row. askedAt is when a row named a later
 	// one than the worker: answers to polls that were sent before do not count.
 	rowLife worker.Incarnation
+	// rowAddress is the address in the worker's row.
+	rowAddress string
 	askedAt time.Time
 	// known is true once a report has told the incarnation.
 	known bool
@@ -122,6 +124,7 @@
 		}
 		m.lossyUntil = now.Add(lossyPeriod)
 		if v == worker.Unsent {
+			n.Address = n.rowAddress
 			m.noteUnreachable(now, n)
 		}
 		if n.silentSince.IsZero() {
@@ -416,7 +419,7 @@
 // handleReplaced ends all runs of a worker at whose address another one answers.
 func (m *Machine) handleReplaced(now time.Time, n *node) {
 	m.loseWorker(now, n, n.sortedRuns(), LossCrashed)
-	n.answered, n.replaced = false, true
+	n.answered, n.replaced, n.Address = false, true, n.rowAddress
 	n.nextPoll = now.Add(maxPollRetryDelay)
 }
 
