Answer the calls that outlast a shutdown

A host with SIGTERM at 17.0 s got a request at 21.84 s over an open connection and closed that at 22.81 s without an answer.

At the end of the shutdown the open calls are now answered: interrupted (502) if an owner may have started the job, so that the caller sends it again to another host, and refused if none has. TestCallThatOutlastsTheShutdownIsAnswered failed before: the caller had no answer when the shutdown had ended.

--- a/fleet/shutdown.go
+++ b/fleet/shutdown.go
@@ -71,4 +71,5 @@
 		sleep(ctx, retryPause)
 	}
 	s.logger.WithField("open", s.submitter.OpenCalls()).Info("shutdown ends")
+	s.submitter.EndCalls()
 }
--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -46,6 +46,9 @@
 	logger    log.Interface
 	calls     *callTracker
 	open      atomic.Int64
+	// ending ends when the open calls must be answered at once.
+	ending context.Context
+	end    context.CancelFunc
 	// ownerSeen is when an owner was last heard, in nanoseconds since 1970.
 	ownerSeen atomic.Int64
 	// lastEnded is when the last call ended, in nanoseconds since 1970.
@@ -56,6 +59,7 @@
 	s := &Submitter{
 		self: self, links: l, directory: d, contacts: c, owners: o, pauses: p, counters: counters, logger: logger, calls: newCallTracker(),
 	}
+	s.ending, s.end = context.WithCancel(context.Background())
 	s.ownerSeen.Store(time.Now().UnixNano())
 	c.liveCalls = s.liveCalls
 	c.hasLiveCalls = s.calls.hasCalls
@@ -149,7 +153,13 @@
 	defer s.trackCall()()
 	a := newAttempt(j, arrived, deadline)
 	a.call = s.calls.newCall()
-	r := s.run(ctx, a)
+	call, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(s.ending, cancel)()
+	r := s.run(call, a)
+	if call.Err() != nil && ctx.Err() == nil && r.Result == dispatch.Expired {
+		r = a.giveUp("the host shuts down")
+	}
 	s.abandon(a)
 	took := time.Since(arrived)
 	s.counters.results.Add(string(r.Result), 1)
@@ -162,6 +172,10 @@
 	return r
 }
 
+// EndCalls has the open calls of callers that wait for the end of their job answered at
+// once: interrupted, or refused if no owner has got the job.
+func (s *Submitter) EndCalls() { s.end() }
+
 // trackCall counts a call as open until the returned function is called.
 func (s *Submitter) trackCall() func() {
 	s.open.Add(1)
