Give a machine that has panicked no more events

Events that waited for an owner while its machine panicked were handled by that machine all the same. A job among them could panic on the inconsistent state and was then set aside in place of the one that had caused it: its caller was told that it had failed.

Such events now end with the ownership, and their hosts submit their jobs to the next one. TestJobsAfterAPanicAreNotSetAside failed before: the sound job was answered as failed.

--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -66,11 +66,12 @@
 	// answered is true once the worker has answered a poll of this owner in its
 	// present incarnation.
 	answered bool
-	// rowLife is the incarnation in the worker's row. askedAt is when a row named a later
-	// one than the worker: answers to polls that were sent before do not count.
-	rowLife worker.Incarnation
-	// rowAddress is the address in the worker's row.
+	// rowLife and rowAddress are the incarnation and the address in the worker's row. Other
+	// writers may have written it.
+	rowLife    worker.Incarnation
 	rowAddress string
+	// askedAt is when a row named a later incarnation than the worker: answers to polls that
+	// were sent before do not count.
 	askedAt time.Time
 	// known is true once a report has told the incarnation.
 	known bool
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -216,7 +216,8 @@
 
 // searchList searches a list for a worker. On its workers a task takes at least
 // factor times as long as its estimate and the slowdown of the worker predict.
-// Parameter failed allows workers on which the task has failed.
+// Parameter failed allows workers on which the task has failed, and mayShare returns
+// whether the task may start beside what a worker runs.
 func (m *Machine) searchList(now time.Time, t *task, l *room.List[*node], factor float64, tardy, failed bool, mayShare func(*node) bool) *node {
 	estimate := scaled(t.estimate(), factor)
 	within := func(c room.SpeedClass) bool { return t.isInTime(now, scaled(estimate, c.LowestSlowdown()), tardy) }
@@ -268,9 +269,9 @@
 func (m *Machine) start(now time.Time, t *task, n *node) {
 	lease := m.maxLease(now, n, t.job)
 	t.lastRun = max(t.lastRun, m.highestPreviousRun(t)) + 1
-	r := &run{key: runKey{task: t.id, run: t.lastRun}, node: n, task: t, size: t.step().Size, state: startSent, sent: now, suspect: m.standing(now, t) != crash.Clear}
-	r.exclusive = r.suspect && len(n.runs) == 0
-	if r.suspect {
+	r := &run{key: runKey{task: t.id, run: t.lastRun}, node: n, task: t, size: t.step().Size, state: startSent, sent: now}
+	if m.standing(now, t) != crash.Clear {
+		r.suspect, r.exclusive = true, len(n.runs) == 0
 		m.actions.SuspectStarts++
 	}
 	n.runs[r.key] = r
--- a/fleet/jobstore.go
+++ b/fleet/jobstore.go
@@ -122,7 +122,8 @@
 	s.mutex.Unlock()
 	for id, e := range entries {
 		if !e.HasEnded() {
-			s.owner.handleJob(eventStore, id, func(now time.Time, m *dispatch.Machine) {
+			// A job that is set aside stays in the table.
+			_ = s.owner.handleJob(eventStore, id, func(now time.Time, m *dispatch.Machine) {
 				m.AddLosses(now, e.Losses)
 				m.AddStored(now, jobs[id], e.Progress, true)
 			})
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -40,9 +40,15 @@
 	maxProbePause    = 5 * time.Second
 )
 
-// errOwnerEnded is returned for a submission that has no reply when its caller
-// leaves or the ownership ends.
-var errOwnerEnded = errors.New("submission ended without a reply")
+var (
+	// errOwnerEnded is returned for a submission that has no reply when its caller leaves
+	// or the ownership ends.
+	errOwnerEnded = errors.New("submission ended without a reply")
+	// errPanicked is returned for an event at which the machine panicked.
+	errPanicked = errors.New("event of an owner panicked")
+	// errSetAside is returned for a job at which a machine of this process has panicked.
+	errSetAside = errors.New("job is set aside")
+)
 
 // submissionKey identifies a submission that waits for its reply. A restarted host
 // reuses the numbers of its calls, so the key includes the job.
@@ -71,7 +77,9 @@
 
 	mutex   sync.Mutex
 	machine *dispatch.Machine
-	waiting map[submissionKey]chan dispatch.Reply
+	// panicked is true once the machine has panicked.
+	panicked bool
+	waiting  map[submissionKey]chan dispatch.Reply
 	// hosts maps each host that has submitted jobs to its process.
 	hosts map[ident.Host]string
 	// published is the list of workers sent to other hosts, generation the machine's
@@ -188,20 +196,26 @@
 	w.handle(eventWorkers, func(now time.Time, m *dispatch.Machine) { m.SetWorkers(now, workers) })
 }
 
-// handle passes an event to the machine and carries out the resulting actions. It returns
-// false if the machine panicked, which ends the ownership.
-func (w *Owner) handle(e event, decide func(now time.Time, m *dispatch.Machine)) bool {
-	actions, ok := w.decide(e, decide)
-	if !ok {
+// handle passes an event to the machine and carries out the resulting actions. A panic is
+// logged and ends the ownership.
+func (w *Owner) handle(e event, decide func(now time.Time, m *dispatch.Machine)) {
+	_ = w.tryHandle(e, decide)
+}
+
+// tryHandle is handle. It returns errPanicked if the machine panicked, and errOwnerEnded if
+// it had panicked before.
+func (w *Owner) tryHandle(e event, decide func(now time.Time, m *dispatch.Machine)) error {
+	actions, err := w.decide(e, decide)
+	if err != nil {
 		w.owners.restart(w.owner)
-		return false
+		return err
 	}
 	for i := range actions.Records {
 		w.logRecord(&actions.Records[i])
 	}
 	w.noteLosses(&actions)
 	if w.ctx.Err() != nil {
-		return true
+		return nil
 	}
 	for _, s := range actions.Starts {
 		go w.start(s)
@@ -212,32 +226,38 @@
 	for _, l := range actions.Polls {
 		go w.poll(l)
 	}
-	return true
+	return nil
 }
 
-// handleJob passes an event to the machine that brings a job. It returns false if the
-// machine panicked at the job, now or before: no owner of this process gets it again.
-func (w *Owner) handleJob(e event, id work.ID, decide func(now time.Time, m *dispatch.Machine)) bool {
+// handleJob passes an event to the machine that brings a job. It returns errSetAside if a
+// machine has panicked at the job, now or before: no owner of this process gets it again.
+func (w *Owner) handleJob(e event, id work.ID, decide func(now time.Time, m *dispatch.Machine)) error {
 	if w.owners.poisonous.has(id) {
-		return false
+		return errSetAside
 	}
-	if w.handle(e, decide) {
-		return true
+	err := w.tryHandle(e, decide)
+	if !errors.Is(err, errPanicked) {
+		return err
 	}
 	w.owners.poisonous.add(id)
 	w.logger.WithFields(log.Fields{"event": string(e), "job": string(id)}).Error("job set aside")
-	return false
+	return errSetAside
 }
 
-// decide passes an event to the machine and returns the resulting actions. It
-// returns false if the machine panicked, since its state may then be inconsistent.
-func (w *Owner) decide(e event, decide func(now time.Time, m *dispatch.Machine)) (actions dispatch.Actions, ok bool) {
+// decide passes an event to the machine and returns the resulting actions. After a panic,
+// for which it returns errPanicked, the state of the machine may be inconsistent: it gets no
+// more events.
+func (w *Owner) decide(e event, decide func(now time.Time, m *dispatch.Machine)) (actions dispatch.Actions, err error) {
 	w.waitingEvents.Add(1)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.waitingEvents.Add(-1)
+	if w.panicked {
+		return actions, errOwnerEnded
+	}
 	defer func() {
 		if cause := recover(); cause != nil {
+			w.panicked, err = true, errPanicked
 			w.owners.counters.panics.Add(1)
 			w.logger.WithFields(log.Fields{
 				"event": string(e), "cause": fmt.Sprint(cause), "stack": string(debug.Stack()),
@@ -259,7 +279,7 @@
 		w.deliver(r)
 	}
 	w.owners.counters.owner.handled(e, w.owners.contacts.clock().Sub(now))
-	return actions, true
+	return actions, nil
 }
 
 // logRecord logs the course of a submission: each run with its task, worker and times.
@@ -292,7 +312,7 @@
 func (w *Owner) submit(ctx context.Context, s dispatch.Submission) (dispatch.Reply, error) {
 	c := make(chan dispatch.Reply, 1)
 	k := submissionKey{host: s.Host, call: s.Call, sequence: s.Sequence, job: s.Job.ID}
-	ok := w.handleJob(eventSubmit, s.Job.ID, func(now time.Time, m *dispatch.Machine) {
+	err := w.handleJob(eventSubmit, s.Job.ID, func(now time.Time, m *dispatch.Machine) {
 		w.waiting[k] = c
 		if boot, ok := w.hosts[s.Host]; ok && boot != s.Boot {
 			w.loseHost(now, m, s.Host)
@@ -300,7 +320,10 @@
 		w.hosts[s.Host] = s.Boot
 		m.Submit(now, s)
 	})
-	if !ok {
+	switch {
+	case errors.Is(err, errOwnerEnded):
+		return dispatch.Reply{}, err
+	case err != nil:
 		return dispatch.Reply{
 			Host: s.Host, Call: s.Call, Sequence: s.Sequence, Job: s.Job.ID, Result: dispatch.Failed, Reason: "no owner can handle the job",
 		}, nil
--- a/fleet/panic_test.go
+++ b/fleet/panic_test.go
@@ -70,6 +70,30 @@
 	})
 }
 
+// TestJobsAfterAPanicAreNotSetAside submits a job to an owner at which another job has made
+// the machine panic. The next owner must get it.
+func TestJobsAfterAPanicAreNotSetAside(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		logger := &log.Logger{Handler: discard.New()}
+		owners := &Owners{
+			logger: logger, ctx: t.Context(), contacts: &Contacts{clock: time.Now}, workers: silentWorkers{},
+			counters: newCounters(metrics.NewSet(), newLinks(logger, network.Real{})),
+		}
+		w := &Owner{owners: owners, logger: logger, waiting: map[submissionKey]chan dispatch.Reply{}, hosts: map[ident.Host]string{}}
+		w.ctx, w.cancel = context.WithCancel(t.Context())
+		w.jobStore = &jobStore{owner: w, logger: logger}
+		r, err := w.submit(t.Context(), dispatch.Submission{Host: "h", Job: work.Job{ID: "odd"}})
+		is.NoErr(err)
+		is.Equal(r.Result, dispatch.Failed)
+		_, err = w.submit(t.Context(), dispatch.Submission{Host: "h", Job: work.Job{ID: "sound"}})
+		is.Equal(err, errOwnerEnded)
+		is.True(owners.poisonous.has("odd"))
+		is.True(!owners.poisonous.has("sound"))
+		is.Equal(owners.counters.panics.Value(), int64(1))
+	})
+}
+
 // TestJobThatPanicsItsOwnerIsNotHandedOn submits a job at which the owner's machine panics.
 // Its caller must hear that it has failed, and the next owner must not get it.
 func TestJobThatPanicsItsOwnerIsNotHandedOn(t *testing.T) {
