Count no lapsed or unreached run as a crash of its task

A caller was told that its job had failed; the only run of its task had lapsed.

Cause: a fifth of the workers was cut off, crashed behind the cut and came back. The owner took each worker that was silent until its lease and was then replaced for one that had crashed under the task: the first, whose run had lapsed two seconds earlier, and the next ones, which its starts had never reached. A start that was answered by another worker at the address counted as well. Two of these, one of them alone, condemned the task.

A loss now counts as a crash if the address refused connections (a new verdict, told apart from a dial that got no answer) or if the next process answered before the lease had ended. Others count for less: four of them, or five with starts that may not have arrived, end the job, so that a bound remains for workers that crash silently.

TestRunsThatLapsedBeforeTheirWorkersCrashedCondemnNoTask got 'failed' in both rows before.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -34,6 +34,12 @@
 type Loss struct {
 	Life  Life  `msgpack:"life"`
 	Proof Proof `msgpack:"proof"`
+	// InTime is true if the worker had ended, as far as is known, before the lease of its
+	// runs. Otherwise they may have lapsed before it crashed.
+	InTime bool `msgpack:"inTime,omitempty"`
+	// Unconfirmed is true if the worker had not answered the start. It may not have reached
+	// it.
+	Unconfirmed bool `msgpack:"unconfirmed,omitempty"`
 	// Alone is true if the worker ran no other task.
 	Alone bool `msgpack:"alone,omitempty"`
 	// Excused is true if a task of a queue that is known for crashes ran beside it.
@@ -66,9 +72,12 @@
 	// maxCrashes is the number of workers that have crashed under a task when it is
 	// given up, provided that it was alone on one of them.
 	maxCrashes = 2
-	// maxLosses is the number of workers that were lost under a task for good when it is
-	// given up in any case.
+	// maxLosses is the number of workers that were lost in time and for good under a task
+	// when it is given up in any case. maxLapses is the number of all that were lost for good
+	// under its runs, and maxStarts that of all with starts that may not have reached them.
 	maxLosses = 3
+	maxLapses = 4
+	maxStarts = 5
 	// maxExcused is the number of excused losses from which a task is suspected all the
 	// same.
 	maxExcused = 2
@@ -76,23 +85,34 @@
 
 // Standing returns the standing of a task with this history.
 func (h History) Standing() Standing {
-	blamed, excused, crashed, final, alone := 0, 0, 0, 0, false
+	blamed, excused, unconfirmed, final, inTime, crashed, alone := 0, 0, 0, 0, 0, 0, false
 	for _, l := range h {
-		if l.Excused {
+		switch {
+		case l.Excused:
 			excused++
 			continue
+		case l.Unconfirmed:
+			if l.Proof != Presumed {
+				unconfirmed++
+			}
+			continue
 		}
 		blamed++
-		if l.Proof >= Gone {
-			final++
+		if l.Proof == Presumed {
+			continue
+		}
+		final++
+		if !l.InTime {
+			continue
 		}
+		inTime++
 		if l.Proof == Crashed {
 			crashed++
 			alone = alone || l.Alone
 		}
 	}
 	switch {
-	case crashed >= maxCrashes && alone, final >= maxLosses:
+	case crashed >= maxCrashes && alone, inTime >= maxLosses, final >= maxLapses, final+unconfirmed >= maxStarts:
 		return Condemned
 	case blamed >= maxCrashes && final < blamed:
 		return Held
@@ -124,6 +144,8 @@
 			continue
 		}
 		merged[i].Proof = max(merged[i].Proof, l.Proof)
+		merged[i].InTime = merged[i].InTime || l.InTime
+		merged[i].Unconfirmed = merged[i].Unconfirmed && l.Unconfirmed
 		merged[i].Alone = merged[i].Alone || l.Alone
 		merged[i].Excused = merged[i].Excused && l.Excused
 	}
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -30,15 +30,7 @@
 	return &Tracker{tasks: map[string]*taskRecord{}, presumed: map[Life][]string{}, changed: map[string]struct{}{}}
 }
 
-// Lost records the loss of a worker that ran the given tasks. Tasks for which isExcused
-// returns true ran beside others that are more likely to have crashed it.
-func (t *Tracker) Lost(now time.Time, l Life, p Proof, tasks []string, isExcused func(task string) bool) {
-	for _, task := range tasks {
-		t.Add(now, TaskLosses{Task: task, Losses: History{{Life: l, Proof: p, Alone: len(tasks) == 1, Excused: isExcused(task)}}})
-	}
-}
-
-// Add adds losses that another owner has recorded.
+// Add adds losses under a task.
 func (t *Tracker) Add(now time.Time, x TaskLosses) {
 	if len(x.Losses) == 0 {
 		return
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -416,6 +416,7 @@
 		n.holdUntil = now.Add(pollRetryDelay)
 		m.pollAtOnce(now, n)
 	case worker.Replaced:
+		m.loseRun(now, r, LossRefused)
 		m.handleReplaced(now, n)
 		return
 	case worker.Rejected:
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -75,6 +75,8 @@
 	askedAt time.Time
 	// known is true once a report has told the incarnation.
 	known bool
+	// refusing is true if the address has refused a connection since silentSince.
+	refusing bool
 	// replaced is true while another worker uses the address.
 	replaced bool
 	// clock was the worker's clock at clockAt.
@@ -116,7 +118,7 @@
 // handleAnswer records whether a worker has answered. A worker that leaves an order
 // unanswered gets no work until it has answered a poll.
 func (m *Machine) handleAnswer(now time.Time, n *node, v worker.Verdict, clock worker.Clock) {
-	if v == worker.Unanswered || v == worker.Unsent {
+	if v == worker.Unanswered || v == worker.Unsent || v == worker.Refusing {
 		if !now.Before(m.lossyUntil) {
 			// From now on the runs of all workers are checked sooner.
 			for _, x := range m.ordered {
@@ -124,9 +126,12 @@
 			}
 		}
 		m.lossyUntil = now.Add(lossyPeriod)
-		if v == worker.Unsent {
+		if v != worker.Unanswered {
 			n.Address = n.rowAddress
-			m.noteUnreachable(now, n)
+		}
+		if v == worker.Refusing {
+			n.refusing = true
+			m.noteRefusing(now, n)
 		}
 		if n.silentSince.IsZero() {
 			n.silentSince = now
@@ -134,7 +139,7 @@
 		}
 		return
 	}
-	n.silentSince, n.pollDelay = time.Time{}, 0
+	n.silentSince, n.pollDelay, n.refusing = time.Time{}, 0, false
 	if clock > 0 && v != worker.Replaced {
 		if clock+incarnationClockGap < n.clock {
 			n.forgetEnds()
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -40,33 +40,41 @@
 	Cause   GiveUpCause
 }
 
-// blame records the loss of a worker for the tasks that it ran. A worker that was
-// draining is not lost under its tasks.
+// blame records the loss of a worker for the tasks that it ran. A worker that was draining
+// is not lost under its tasks. If a worker was silent and did not refuse connections, its
+// runs may have lapsed before it crashed, and starts without an answer may never have
+// reached it.
 func (m *Machine) blame(now time.Time, n *node, c LossCause, runs []*run) {
-	proof := crash.Presumed
-	switch c {
-	case LossLeft:
+	if c == LossLeft {
 		return
-	case LossCrashed:
-		proof = crash.Crashed
 	}
-	var tasks []string
+	proof, inTime := crash.Presumed, n.refusing
+	if c == LossCrashed {
+		proof, inTime = crash.Crashed, true
+	}
+	life := crash.Life{Worker: n.ID, Incarnation: n.Life}
+	var tasks []crash.TaskLosses
 	crashing := map[string]bool{}
 	for _, r := range runs {
 		if !r.stopAccepted.IsZero() {
 			continue
 		}
-		tasks = append(tasks, r.key.task)
+		unconfirmed := r.confirmedAt.IsZero() && !n.refusing
+		tasks = append(tasks, crash.TaskLosses{Task: r.key.task, Losses: crash.History{{
+			Life: life, Proof: proof, InTime: inTime, Unconfirmed: unconfirmed,
+		}}})
 		if r.task != nil && m.crashingQueues.Crash(now, r.task.job.spec.Queue) {
 			crashing[r.key.task] = true
 		}
-		if r.suspect {
+		if r.suspect && inTime && !unconfirmed {
 			m.noteCulprit(now, r)
 		}
 	}
-	m.crashes.Lost(now, crash.Life{Worker: n.ID, Incarnation: n.Life}, proof, tasks, func(task string) bool {
-		return len(crashing) > 0 && !crashing[task]
-	})
+	for _, x := range tasks {
+		x.Losses[0].Alone = len(tasks) == 1
+		x.Losses[0].Excused = len(crashing) > 0 && !crashing[x.Task]
+		m.crashes.Add(now, x)
+	}
 }
 
 // noteCulprit records that a suspect, of which a worker runs only one, has probably
@@ -77,9 +85,9 @@
 	}
 }
 
-// noteUnreachable handles that no connection to a worker can be made: if it runs a suspect,
-// that has probably crashed it. This is no proof.
-func (m *Machine) noteUnreachable(now time.Time, n *node) {
+// noteRefusing handles that a worker refuses connections: if it runs a suspect, that has
+// probably crashed it. This is no proof.
+func (m *Machine) noteRefusing(now time.Time, n *node) {
 	for _, r := range n.runs {
 		if r.suspect && r.state != stopping {
 			m.noteCulprit(now, r)
--- a/network/memory.go
+++ b/network/memory.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -140,7 +141,7 @@
 		return nil, &net.OpError{Op: "dial", Err: err}
 	}
 	if m.isRefused(s.name, to) {
-		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 	}
 	if m.isLost(s.name, to) || m.isLost(to, s.name) {
 		<-ctx.Done()
@@ -150,10 +151,10 @@
 	l := m.listeners[address]
 	m.mutex.Unlock()
 	if l == nil {
-		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 	}
 	near, far := m.newPair(s.name, to)
-	err = net.ErrClosed
+	err = syscall.ECONNREFUSED
 	select {
 	case l.pending <- far:
 		return near, nil
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -148,6 +148,9 @@
 	Fenced Verdict = "fenced"
 	// Unsent means that the order did not leave this host.
 	Unsent Verdict = "unsent"
+	// Refusing means that the order did not leave this host because the worker's address
+	// accepts no connection: no process listens there, or a network partition says so.
+	Refusing Verdict = "refusing"
 	// Superseded means that the worker has already stopped or ended a run of the
 	// task with the same or a higher number.
 	Superseded Verdict = "old"
