Forget a rate of starts that was not measured lately

Cause: the queue measures how fast work starts only while work waits for half a second. If the host stands still meanwhile, the rate is far too low; the queue then refuses whoever would wait behind two others, so that no backlog ever lasts half a second again, and the rate stays. Shown without load: TestRateOfAStallIsForgotten refused all of ten seconds before.

A rate that has not been measured for two seconds now counts as unknown, and work is admitted.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -49,6 +49,8 @@
 	rateWindow = 500 * time.Millisecond
 	// rateSmoothing is the weight of a new sample in the drain rate.
 	rateSmoothing = 0.3
+	// rateMaxAge is how long a drain rate counts after its last sample.
+	rateMaxAge = 2 * time.Second
 	// rateMargin is the factor by which the drain rate is assumed to be
 	// underestimated when work is refused because of its deadline.
 	rateMargin = 2
@@ -78,6 +80,7 @@
 // reason of the refusal and the time after which the caller may retry.
 func (q *Queue[Item]) Admit(now time.Time, a Arrival) *outcome.Error {
 	t := q.team(a.Team)
+	q.drain.forgetOld(now)
 	rate := q.expectedRate(t)
 	if q.waiting+a.Entries > q.limit {
 		return q.refusal(outcome.QueueFull, q.drain.rate, q.waiting, "the queue of the pool is full")
@@ -182,6 +185,7 @@
 // waiting, because an empty queue says nothing about the possible rate.
 type rateMeter struct {
 	rate        float64
+	measuredAt  time.Time
 	windowStart time.Time
 	starts      int
 }
@@ -207,8 +211,16 @@
 		m.rate = rate
 	}
 	m.rate += rateSmoothing * (rate - m.rate)
-	m.windowStart, m.starts = now, 0
+	m.measuredAt, m.windowStart, m.starts = now, now, 0
 }
 
 // interrupt ends the present sample because no more work can start.
 func (m *rateMeter) interrupt() { m.windowStart = time.Time{} }
+
+// forgetOld drops a rate that was not measured lately. A queue that refuses work because of
+// a low rate has no backlog by which it could measure a higher one.
+func (m *rateMeter) forgetOld(now time.Time) {
+	if now.Sub(m.measuredAt) >= rateMaxAge {
+		m.rate = 0
+	}
+}
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -263,3 +263,38 @@
 		})
 	}
 }
+
+// TestRateOfAStallIsForgotten measures a low rate while the host stands still for some
+// seconds. Later callers must not be refused for it: a queue that refuses them has no
+// backlog by which it could measure again.
+func TestRateOfAStallIsForgotten(t *testing.T) {
+	is := is.New(t)
+	q := newQueue(nil)
+	push := func(now time.Time, n int) {
+		for range n {
+			q.Push(now, &Entry[int]{Team: "a", Flow: Flow{Service: "call"}})
+		}
+	}
+	push(start, 4)
+	q.Pop(start)
+	stalled := start.Add(8 * time.Second)
+	q.Pop(stalled)
+	is.True(q.drain.rate > 0 && q.drain.rate < 1)
+	arrival := Arrival{Team: "a", Entries: 1, MaxWait: 5 * time.Second}
+	is.True(q.Admit(stalled, arrival) != nil)
+	for now := stalled; q.Len() > 0; now = now.Add(50 * time.Millisecond) {
+		q.Pop(now)
+	}
+	refused := 0
+	for ms := 0; ms < 10_000; ms += 100 {
+		now := stalled.Add(time.Duration(ms) * time.Millisecond)
+		push(now, 3)
+		if q.Admit(now, arrival) != nil {
+			refused++
+		}
+		for q.Len() > 0 {
+			q.Pop(now)
+		}
+	}
+	is.True(refused <= 20) // Two seconds of ten.
+}
