Say where suspects start; one setup for the tests of panics

Found by reading the whole change: the comment of chooseWorker did not name suspects, one of the simulated workers named a field that is gone, and two tests of panics built the same owner. No decision and no check has changed.

--- a/dispatch/crashfleet_test.go
+++ b/dispatch/crashfleet_test.go
@@ -57,8 +57,7 @@
 	// is true if it then has another id, at the same address.
 	comesBack time.Duration
 	renamed   bool
-	// crashes counts the workers that each task has crashed, starts its starts, and
-	// together the starts of a task beside others.
+	// crashes counts the workers that each task has crashed, and starts its starts.
 	crashes, starts map[string]int
 	// beside lists, for each crash, the tasks that the worker ran.
 	beside  [][]string
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -173,7 +173,8 @@
 // estimates are too far off to spare fast workers for tasks that may need them. Among
 // equals, the one with the least free capacity is taken. Workers near the task's data
 // come first, and those on which the task has failed come last. A tardy task cannot meet
-// its objective: it goes to the fastest worker on which its result is still of use.
+// its objective: it goes to the fastest worker on which its result is still of use. A
+// suspect goes to an idle worker if there is any, and an isolated task to no other one.
 func (m *Machine) chooseWorker(now time.Time, t *task, tardy bool) *node {
 	m.refreshChanged(now)
 	if n := m.reserved.node; n != nil && m.reserved.task == t {
--- a/fleet/panic_test.go
+++ b/fleet/panic_test.go
@@ -75,14 +75,8 @@
 func TestJobsAfterAPanicAreNotSetAside(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		logger := &log.Logger{Handler: discard.New()}
-		owners := &Owners{
-			logger: logger, ctx: t.Context(), contacts: &Contacts{clock: time.Now}, workers: silentWorkers{},
-			counters: newCounters(metrics.NewSet(), newLinks(logger, network.Real{})),
-		}
-		w := &Owner{owners: owners, logger: logger, waiting: map[submissionKey]chan dispatch.Reply{}, hosts: map[ident.Host]string{}}
-		w.ctx, w.cancel = context.WithCancel(t.Context())
-		w.jobStore = &jobStore{owner: w, logger: logger}
+		owners := newBareOwners(t)
+		w := newBrokenOwner(t, owners)
 		r, err := w.submit(t.Context(), dispatch.Submission{Host: "h", Job: work.Job{ID: "odd"}})
 		is.NoErr(err)
 		is.Equal(r.Result, dispatch.Failed)
@@ -94,25 +88,32 @@
 	})
 }
 
+// newBareOwners returns Owners that only log and count.
+func newBareOwners(t *testing.T) *Owners {
+	logger := &log.Logger{Handler: discard.New()}
+	return &Owners{
+		logger: logger, ctx: t.Context(), contacts: &Contacts{clock: time.Now}, workers: silentWorkers{},
+		counters: newCounters(metrics.NewSet(), newLinks(logger, network.Real{})),
+	}
+}
+
+// newBrokenOwner returns an Owner without a machine, at which each event panics.
+func newBrokenOwner(t *testing.T, owners *Owners) *Owner {
+	w := &Owner{owners: owners, logger: owners.logger, waiting: map[submissionKey]chan dispatch.Reply{}, hosts: map[ident.Host]string{}}
+	w.ctx, w.cancel = context.WithCancel(t.Context())
+	w.jobStore = &jobStore{owner: w, logger: owners.logger}
+	return w
+}
+
 // TestJobThatPanicsItsOwnerIsNotHandedOn submits a job at which the owner's machine panics.
 // Its caller must hear that it has failed, and the next owner must not get it.
 func TestJobThatPanicsItsOwnerIsNotHandedOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		logger := &log.Logger{Handler: discard.New()}
-		owners := &Owners{
-			logger: logger, ctx: t.Context(), contacts: &Contacts{clock: time.Now}, workers: silentWorkers{},
-			counters: newCounters(metrics.NewSet(), newLinks(logger, network.Real{})),
-		}
-		newBroken := func() *Owner {
-			w := &Owner{owners: owners, logger: logger, waiting: map[submissionKey]chan dispatch.Reply{}, hosts: map[ident.Host]string{}}
-			w.ctx, w.cancel = context.WithCancel(t.Context())
-			w.jobStore = &jobStore{owner: w, logger: logger}
-			return w // Without a machine each event panics.
-		}
+		owners := newBareOwners(t)
 		s := dispatch.Submission{Host: "h", Call: 3, Job: work.Job{ID: "j"}}
 		for range 2 {
-			r, err := newBroken().submit(t.Context(), s)
+			r, err := newBrokenOwner(t, owners).submit(t.Context(), s)
 			is.NoErr(err)
 			is.Equal(r.Result, dispatch.Failed)
 			is.Equal(r.Call, uint64(3))
