--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -22,7 +23,7 @@
 	_ = f.Parse(args)
 	trouble := os.Getenv("TROUBLE") != "0"
 	c, ok := map[string]func(record string, trouble bool) bool{
-		"zone": zoneCase, "label": labelCase, "large": largeCase, "budget": budgetCase, "cancel": cancelCase,
+		"zone": zoneCase, "label": labelCase, "large": largeCase, "budget": budgetCase, "blame": blameCase, "cancel": cancelCase,
 	}[*name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "there is no such case")
@@ -335,3 +336,100 @@
 	fmt.Printf("%d starts beyond MaxAttempts\n", broken)
 	return broken > 0
 }
+
+// blameCase crashes one runner of a zone, which is silent for a while, and a second one
+// after its return. A task that only the second one has started must not be given up.
+func blameCase(record string, trouble bool) bool {
+	const dark, down, cpu, ms, count, jobs = 3900 * time.Millisecond, 3 * time.Second, 16000, 2500, 16, 3
+	return withRig(record, 2, []string{"a", "a", "a", "a"}, func(r *rig) bool {
+		near := []*process{}
+		for _, p := range r.runners {
+			if p.zone == zones[0] {
+				near = append(near, p)
+			}
+		}
+		var ids []string
+		for i := range jobs {
+			first, second := near[i%len(near)], near[(i+1)%len(near)]
+			if trouble {
+				r.notef("%s crashes and is silent", first.name)
+				r.signal(first, syscall.SIGSTOP)
+			}
+			time.Sleep(200 * time.Millisecond)
+			id := jobID()
+			body := job(false, ms, cpu, "done", step{Count: count, CPU: cpu, MemMb: 64, EstimatedMs: ms})
+			if r.submit([]*host{r.hostOf(zones[0], 0), r.hostOf(zones[0], 1)}, id, body, 1500*time.Millisecond, 3) == http.StatusOK {
+				ids = append(ids, id)
+			}
+			time.Sleep(dark - 200*time.Millisecond)
+			if trouble {
+				r.restartRunner(first, 0)
+			}
+			time.Sleep(1300 * time.Millisecond)
+			if trouble {
+				r.notef("%s crashes", second.name)
+				r.restartRunner(second, down)
+			}
+			time.Sleep(7 * time.Second)
+		}
+		r.notef("the traffic ends")
+		time.Sleep(finishTime)
+		return r.reportFailed(ids)
+	})
+}
+
+// restartRunner kills a runner and starts it again after a while.
+func (r *rig) restartRunner(p *process, down time.Duration) {
+	r.signal(p, syscall.SIGKILL)
+	<-p.done
+	time.Sleep(down)
+	r.notef("%s starts again", p.name)
+	r.startRunner(p)
+}
+
+// reportFailed applies the part of the rule LOST on jobs that are shown as failed without
+// cause: it returns true if a job is shown as failed of which no task has ended failed
+// maxAttempts times, and two runners have crashed under none.
+func (r *rig) reportFailed(ids []string) bool {
+	broken := 0
+	for _, id := range ids {
+		if status, state := r.state(r.hostOf(zones[1], 0), id); status != http.StatusOK || state != "failed" {
+			continue
+		}
+		failed, crashed := map[string]int{}, map[string]int{}
+		for _, e := range r.snapshot() {
+			if e.job() != id {
+				continue
+			}
+			switch {
+			case e.what == "start":
+				crashed[e.task]++
+			case e.what == "end":
+				crashed[e.task]--
+				if e.how == "failed" {
+					failed[e.task]++
+				}
+			}
+		}
+		mostFailed, mostCrashed := 0, 0
+		for _, n := range failed {
+			mostFailed = max(mostFailed, n)
+		}
+		for _, n := range crashed {
+			mostCrashed = max(mostCrashed, n)
+		}
+		r.notef("job %s is shown as failed; its tasks have ended failed %d times, and %d runners at most have crashed under one of them",
+			id, mostFailed, mostCrashed)
+		if mostFailed < maxAttempts && mostCrashed < 2 {
+			broken++
+		}
+	}
+	fmt.Printf("%d of %d accepted jobs are shown as failed without cause\n", broken, len(ids))
+	return broken > 0
+}
+
+// job returns the job of the task of an event.
+func (e event) job() string {
+	id, _, _ := strings.Cut(e.task, ".")
+	return id
+}
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -49,6 +49,8 @@
 type process struct {
 	name string
 	zone string
+	// args holds the arguments of a runner.
+	args []string
 	cmd  *exec.Cmd
 	done chan struct{}
 }
@@ -115,9 +117,11 @@
 	for z, zone := range zones {
 		for i, label := range labels {
 			n := z*len(labels) + i
-			p := &process{name: fmt.Sprintf("i-%04x%02d", r.port, n), zone: zone}
-			r.start(p, exec.Command(self, "runner", "--id", p.name, "--listen", r.address(100+n, 0), "--store", r.control,
-				"--service", serviceName, "--zone", zone, "--labels", label), r.readEvents)
+			p := &process{name: fmt.Sprintf("i-%04x%02d", r.port, n), zone: zone, args: []string{
+				"runner", "--id", fmt.Sprintf("i-%04x%02d", r.port, n), "--listen", r.address(100+n, 0), "--store", r.control,
+				"--service", serviceName, "--zone", zone, "--labels", label,
+			}}
+			r.startRunner(p)
 			r.runners = append(r.runners, p)
 			r.labels[p.name] = label
 		}
@@ -188,6 +192,13 @@
 
 func (r *rig) settingsPath(h *host) string { return filepath.Join(r.dir, h.name+".toml") }
 
+// startRunner starts a runner, under the id and at the address that it had before.
+func (r *rig) startRunner(p *process) {
+	self, err := os.Executable()
+	must(err)
+	r.start(p, exec.Command(self, p.args...), r.readEvents)
+}
+
 // startHost starts the daemon as the deploy file does.
 func (r *rig) startHost(h *host) {
 	c := exec.Command("target/catkingap", "serve")
