Move the stored jobs of a lost data centre to the others

Cause: the state row of a job names the data centre whose owner runs it, and nothing changes that name. An owner reads the jobs of its own data centre, and a data centre whose workers do not answer gets no owner. Ruled out: jobs that are not stored (all rows are readable), a claim that fails (none is made), a wait that is too long only (20 s and more).

The owners of the other data centres now move the open jobs of an owner that has neither contacted them nor written a heartbeat for 7 s. The write has three rows as conditions: that heartbeat, the row of the lost owner, and the own row. Jobs are spread by the cores of the workers that suit them.

What runs behind a cut must not overlap with that. An owner now needs a heartbeat stored in the last 1.8 s, or answers of all who could take its jobs; the answer of any host was enough before, which was the gap left by two-runs-at-once. It resumes after the next heartbeat, once it has read which jobs are still its own. Ends that were not stored are forgotten once the lease of the worker has lapsed.

TestPausedOwnerIsReplaced gets a table that also answers writes, since an owner confirms itself by a write now; what it checks is unchanged.

--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -192,6 +192,9 @@
 	if !n.silentSince.IsZero() && len(n.runs) > 0 {
 		at = earliest(at, latest(justAfter(n.leaseEnd), now.Add(lapsedCheckInterval)))
 	}
+	if len(n.lapsingEnds) > 0 {
+		at = earliest(at, justAfter(latest(n.leaseEnd, now)))
+	}
 	for _, r := range n.runs {
 		switch {
 		case r.state == stopping && r.stopAccepted.IsZero():
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -160,6 +160,8 @@
 	StoredJobsLoaded bool `msgpack:"loaded,omitempty"`
 	// Lag is by how much the owner is late because its processor does not keep up.
 	Lag time.Duration `msgpack:"delay,omitempty"`
+	// Unconfirmed is true if the owner does not know whether it was replaced.
+	Unconfirmed bool `msgpack:"unconfirmed,omitempty"`
 }
 
 // Actions are what the caller of a Machine must carry out.
--- /dev/null
+++ b/dispatch/move_test.go
@@ -0,0 +1,72 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/worker"
+)
+
+// TestEndOfAMovedJobIsForgottenOnceTheLeaseHasLapsed checks that the end of a run that is not
+// stored counts as acknowledged nowhere after its job was moved, while other runs keep the
+// worker's lease: the task starts again at its new owner.
+func TestEndOfAMovedJobIsForgottenOnceTheLeaseHasLapsed(t *testing.T) {
+	is := is.New(t)
+	m, starts := storedJobMachine(is, 1)
+	other := submission("o", 2, 1)
+	other.Remaining = time.Minute
+	m.Submit(at(4), other)
+	a := m.TakeActions()
+	is.Equal(len(a.Starts), 1)
+	m.Started(at(5), a.Starts[0], worker.Answer{Verdict: worker.Accepted, Clock: 1005})
+	// leaseEnd is the last time on the worker's clock to which a lease was extended.
+	leaseEnd := a.Starts[0].Until
+	report := func(ms int) *worker.Report {
+		r := &worker.Report{
+			Incarnation: 1, Clock: worker.Clock(1000 + ms),
+			Ended: []worker.Ended{{Number: 1, Task: "j.0.0.0", Run: starts[0].Run, Result: worker.Done}},
+		}
+		if r.Clock <= leaseEnd {
+			r.Running = []worker.Running{{Task: "o.0.0.0", Run: a.Starts[0].Run}}
+		}
+		return r
+	}
+	poll := func(ms int) worker.EndNumber {
+		m.Tick(at(ms))
+		acknowledged := worker.EndNumber(0)
+		for _, l := range m.TakeActions().Polls {
+			leaseEnd, acknowledged = max(leaseEnd, l.Until), max(acknowledged, l.AcknowledgedEnds)
+			m.PollAnswered(at(ms), at(ms-1), l, report(ms), worker.Accepted)
+		}
+		return acknowledged
+	}
+	answerPolls(m, at(50), a, *report(50))
+	for ms := 100; ms < 1500; ms += 10 {
+		is.Equal(poll(ms), worker.EndNumber(0))
+	}
+	is.True(leaseEnd > 2200)
+	m.MoveAway(at(1500), "j", []worker.EndID{firstEnd})
+	lastLease, acknowledgedAt := leaseEnd, worker.Clock(0)
+	for ms := 1510; ms < 4000 && acknowledgedAt == 0; ms += 10 {
+		if poll(ms) == 1 {
+			acknowledgedAt = worker.Clock(1000 + ms)
+		}
+	}
+	is.True(acknowledgedAt > lastLease)
+	is.Equal(m.TakeActions().JobEnds, nil)
+}
+
+// TestMovedJobIsDropped checks that nothing of a job that was moved away runs or starts.
+func TestMovedJobIsDropped(t *testing.T) {
+	is := is.New(t)
+	m, _ := storedJobMachine(is, 2)
+	m.MoveAway(at(20), "j", nil)
+	a := m.TakeActions()
+	is.Equal(len(a.Stops), 2)
+	is.Equal(a.JobEnds, []dispatch.JobEnd(nil))
+	jobs, _ := m.Jobs()
+	is.Equal(jobs, 0)
+}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -93,6 +93,9 @@
 	// unstored holds the ends that must be stored before the worker may forget
 	// them.
 	unstored map[worker.EndNumber]struct{}
+	// lapsingEnds holds the ends that the worker may forget once its lease has lapsed. Until
+	// then its lease is not extended.
+	lapsingEnds []worker.EndNumber
 	// pollOpen is true while a waiting poll is open.
 	pollOpen bool
 	// silentSince is when the worker began to leave orders unanswered, or zero.
@@ -157,7 +160,7 @@
 // numbers them anew. The next poll tells which incarnation it is.
 func (n *node) forgetEnds() {
 	n.answered = false
-	n.seen, n.acknowledged, n.reportClock, n.unstored = 0, 0, 0, nil
+	n.seen, n.acknowledged, n.reportClock, n.unstored, n.lapsingEnds = 0, 0, 0, nil, nil
 }
 
 // extendLease returns the worker's clock after d, and notes that its lease may last
@@ -186,7 +189,7 @@
 // sendPoll completes and sends a poll.
 func (m *Machine) sendPoll(now time.Time, n *node, l worker.Poll) {
 	l.Order, l.AcknowledgedEnds = m.order(n), n.highestForgettable()
-	if len(n.runs) > 0 && n.silentSince.IsZero() {
+	if len(n.runs) > 0 && n.silentSince.IsZero() && len(n.lapsingEnds) == 0 {
 		// The lease is not extended for a worker whose answers get lost, or its
 		// runs would never end.
 		if lease := m.maxLease(now, n, nil); lease > 0 {
@@ -465,6 +468,7 @@
 }
 
 func (m *Machine) tickNode(now time.Time, n *node) {
+	m.forgetLapsedEnds(now, n)
 	if !n.silentSince.IsZero() && len(n.runs) > 0 && now.After(n.leaseEnd) {
 		m.loseLapsedRuns(now, n)
 		n.answered = false
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -25,7 +25,7 @@
 // isUsable returns true if a worker may get work.
 func (m *Machine) isUsable(now time.Time, n *node) bool {
 	return n.listed && n.answered && !n.Draining && n.silentSince.IsZero() && !now.Before(n.holdUntil) &&
-		m.detector.Allowed(now, n.ID, true) && !n.hasOrphans()
+		m.detector.Allowed(now, n.ID, true) && !n.hasOrphans() && len(n.lapsingEnds) == 0
 }
 
 func (n *node) hasOrphans() bool {
@@ -42,8 +42,7 @@
 func (n *node) suits(t *task) bool { return t.step().Size.Fits(n.Capacity) && n.isOfKind(t) }
 
 func (n *node) isOfKind(t *task) bool {
-	s := t.step()
-	return n.Pool == t.job.spec.Pool && (s.Label == "" || slices.Contains(n.Labels, s.Label))
+	return n.IsOfKind(t.job.spec.Pool, t.step().Label)
 }
 
 // suitability tells whether there are workers that suit all tasks of a job.
--- a/fleet/contactschedule.go
+++ b/fleet/contactschedule.go
@@ -42,6 +42,13 @@
 	for _, h := range ownership.Candidates(c.self, hosts, func(h ownership.Host) bool { return c.missing(now, h.Name) }) {
 		targets[h.Address] = contactInterval
 	}
+	if c.isVerifying(now) {
+		for _, h := range hosts {
+			if h.DataCentre == c.self.DataCentre {
+				targets[h.Address] = min(targets[h.Address], idleInterval)
+			}
+		}
+	}
 	for d, o := range owners {
 		if d == c.self.DataCentre || c.hasLiveCalls(d) {
 			targets[o.Address] = contactInterval
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -12,6 +12,7 @@
 	"go.uber.org/fx"
 
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/ledger"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/storage"
 	"github.com/catkingap/catkingap/worker"
@@ -61,7 +62,9 @@
 	// learned is when each owner became known.
 	learned map[ident.DataCentre]time.Time
 	// ownerRows holds the owners' rows as the table has them.
-	ownerRows     map[ident.DataCentre]storage.Row
+	ownerRows map[ident.DataCentre]storage.Row
+	// inboxes holds the revision of each data centre's inbox of stored jobs.
+	inboxes       map[ident.DataCentre]ident.Revision
 	onOwnerChange []func()
 }
 
@@ -81,6 +84,7 @@
 		owners:    map[ident.DataCentre]ownership.Owner{},
 		learned:   map[ident.DataCentre]time.Time{},
 		ownerRows: map[ident.DataCentre]storage.Row{},
+		inboxes:   map[ident.DataCentre]ident.Revision{},
 	}
 }
 
@@ -137,6 +141,10 @@
 			}
 			continue
 		}
+		if name, ok := strings.CutPrefix(key, ledger.InboxPrefix); ok {
+			d.inboxes[ident.DataCentre(name)] = r.Revision
+			continue
+		}
 		name, ok := strings.CutPrefix(key, ownerPrefix)
 		if !ok {
 			continue
@@ -256,18 +264,48 @@
 	return maps.Clone(d.learned)
 }
 
-// WriteHeartbeat writes the heartbeat of an owner.
-func (d *Directory) WriteHeartbeat(ctx context.Context, o ownership.Owner, beat uint64) error {
+// InboxRevision returns the revision of a data centre's inbox of stored jobs, or zero.
+func (d *Directory) InboxRevision(c ident.DataCentre) ident.Revision {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.inboxes[c]
+}
+
+// WriteHeartbeat writes the heartbeat of an owner. It returns false if another owner has
+// replaced it, and an *OwnerRowError if the row of the owner was written by others.
+func (d *Directory) WriteHeartbeat(ctx context.Context, o ownership.Owner, beat uint64) (bool, error) {
 	value, err := msgpack.Marshal(heartbeat{Token: o.Token, Beat: beat})
 	if err != nil {
-		return err
+		return true, err
 	}
-	call, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	_, err = d.table.Commit(call, []storage.Write{{Puts: []storage.Put{{Key: heartbeatPrefix + string(o.DataCentre), Value: value}}}})
-	return err
+	results, err := d.table.Commit(ctx, []storage.Write{{
+		Conditions: []storage.Condition{{Key: ownerKey(o.DataCentre), Revision: ident.Revision(o.Token)}},
+		Puts:       []storage.Put{{Key: heartbeatKey(o.DataCentre), Value: value}},
+	}})
+	if err != nil || results[0].Applied {
+		return true, err
+	}
+	var next ownership.Owner
+	if rows := results[0].Current; len(rows) == 0 || msgpack.Unmarshal(rows[0].Value, &next) != nil {
+		return true, &OwnerRowError{DataCentre: o.DataCentre}
+	}
+	return false, nil
+}
+
+// OwnerRowError means that the row of an owner is missing or cannot be read.
+type OwnerRowError struct {
+	DataCentre ident.DataCentre
 }
 
+// Error implements error.
+func (e *OwnerRowError) Error() string {
+	return "the owner row of " + string(e.DataCentre) + " is missing or cannot be read"
+}
+
+func ownerKey(c ident.DataCentre) string { return ownerPrefix + string(c) }
+
+func heartbeatKey(c ident.DataCentre) string { return heartbeatPrefix + string(c) }
+
 // heartbeat is the row by which an owner shows that it is alive.
 type heartbeat struct {
 	Token worker.Token `msgpack:"token"`
@@ -278,7 +316,7 @@
 func (d *Directory) HeartbeatRevision(ctx context.Context, c ident.DataCentre) (ident.Revision, error) {
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	row, _, err := d.table.Get(call, heartbeatPrefix+string(c))
+	row, _, err := d.table.Get(call, heartbeatKey(c))
 	if err != nil || row == nil {
 		return 0, err
 	}
@@ -289,7 +327,7 @@
 // first. If the answer is lost after the write took effect, the view delivers the
 // result.
 func (d *Directory) Claim(ctx context.Context, centre ident.DataCentre) error {
-	key := ownerPrefix + string(centre)
+	key := ownerKey(centre)
 	o := ownership.Owner{DataCentre: centre, Host: d.self.Name, Boot: d.self.Boot, Address: d.self.Address}
 	value, err := msgpack.Marshal(o)
 	if err != nil {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -46,9 +46,11 @@
 	store    *standin.RowStore
 	recorder *standin.RunRecorder
 	workers  map[string]*standin.Worker
-	hosts    []*member
-	random   *rand.Rand
-	servers  []*http.Server
+	// workerServers holds the server of each worker.
+	workerServers map[string]*http.Server
+	hosts         []*member
+	random        *rand.Rand
+	servers       []*http.Server
 
 	mutex   sync.Mutex
 	results map[dispatch.Result]int
@@ -93,22 +95,26 @@
 	w := &world{
 		t: t, network: network.NewMemory(network.MemoryConfig{Delay: delay, DialTimeout: time.Second}), recorder: standin.NewRunRecorder(),
 		store:   standin.NewRowStore(standin.RowStoreConfig{WriteTime: 4 * time.Millisecond}),
-		workers: map[string]*standin.Worker{}, random: rand.New(rand.NewPCG(seed, 0)), results: map[dispatch.Result]int{},
+		workers: map[string]*standin.Worker{}, workerServers: map[string]*http.Server{}, random: rand.New(rand.NewPCG(seed, 0)), results: map[dispatch.Result]int{},
 	}
 	w.serve(storeSite+":1", w.store.Handler())
 	w.configure(1)
 	for _, z := range zones {
 		for i := range workersPerZone {
-			w.addWorker(z, fmt.Sprintf("%s.worker-%d", z, i))
+			w.addWorker(z, workerName(z, i))
 		}
 		for i := range hostsPerZone {
-			w.addHost(z, fmt.Sprintf("%s.host-%d", z, i))
+			w.addHost(z, hostName(z, i))
 		}
 	}
 	t.Cleanup(w.close)
 	return w
 }
 
+func workerName(zone string, i int) string { return fmt.Sprintf("%s.worker-%d", zone, i) }
+
+func hostName(zone string, i int) string { return fmt.Sprintf("%s.host-%d", zone, i) }
+
 func (w *world) configure(version int) {
 	w.store.Put("op", "config", map[string]any{
 		"Version": version, "Routes": []any{map[string]any{
@@ -117,7 +123,7 @@
 	})
 }
 
-func (w *world) serve(address string, h http.Handler) {
+func (w *world) serve(address string, h http.Handler) *http.Server {
 	l, err := w.network.Site(zoneOf(address)).Listen(address)
 	if err != nil {
 		w.t.Fatal(err)
@@ -125,6 +131,7 @@
 	s := &http.Server{Handler: h}
 	w.servers = append(w.servers, s)
 	go func() { _ = s.Serve(l) }()
+	return s
 }
 
 func (w *world) addWorker(zone, name string) {
@@ -134,7 +141,7 @@
 	}
 	x := standin.NewWorker(standin.WorkerConfig{ID: name, Cores: 64_000, Speed: speed, RunTime: runTime, Recorder: w.recorder, MaxLease: time.Second})
 	w.workers[name] = x
-	w.serve(name+":1", x.Handler())
+	w.workerServers[name] = w.serve(name+":1", x.Handler())
 	w.store.Put("servers", name, x.Entry("pool", name+":1", zone))
 }
 
--- a/fleet/guard_test.go
+++ b/fleet/guard_test.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/catkingap/catkingap/dispatch"
 	"github.com/catkingap/catkingap/ident"
@@ -26,6 +27,11 @@
 	return &storage.Row{Key: key, Revision: 9}, 9, nil
 }
 
+func (movedTable) Commit(context.Context, []storage.Write) ([]storage.Result, error) {
+	value, err := msgpack.Marshal(ownership.Owner{Host: "other"})
+	return []storage.Result{{Current: []storage.Row{{Value: value, Revision: 9}}}}, err
+}
+
 // TestPausedOwnerIsReplaced resumes a paused owner that was replaced, while the hosts that
 // it contacts have not told it so. Its stored jobs must be held back as long as the table
 // names another owner.
@@ -42,12 +48,12 @@
 		other := ownership.Host{Name: "other", DataCentre: "coast-a"}
 		contacts := &Contacts{
 			clock: time.Now, contacts: map[ident.Host]ownership.Contact{},
-			directory: &Directory{hosts: map[ident.Host]ownership.Host{other.Name: other}},
+			directory: &Directory{table: movedTable{}, hosts: map[ident.Host]ownership.Host{other.Name: other}},
 		}
 		o := &Owner{
 			ctx: ctx, cancel: cancel, logger: logger, owner: x,
 			owners: &Owners{
-				workers: silentWorkers{}, contacts: contacts, counters: newCounters(metrics.NewSet(), newLinks(logger, network.Real{})),
+				workers: silentWorkers{}, contacts: contacts, directory: contacts.directory, counters: newCounters(metrics.NewSet(), newLinks(logger, network.Real{})),
 			},
 			machine: dispatch.New(time.Now(), dispatch.Config{MaxLease: time.Second, Token: 5}),
 		}
--- a/fleet/jobstore.go
+++ b/fleet/jobstore.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
 
 	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/ledger"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/storage"
@@ -27,9 +31,15 @@
 	feed   storage.Feed
 	logger log.Interface
 	wake   chan struct{}
+	// reading is full while the states of all jobs are read and taken over.
+	reading chan struct{}
+	// recheck is true if they have to be read again.
+	recheck atomic.Bool
 
 	mutex  sync.Mutex
 	ledger *ledger.Store
+	// cancelled holds the jobs that have a cancellation row.
+	cancelled map[work.ID]bool
 	// loaded is true once the jobs of the previous owner are known.
 	loaded bool
 	// waiting holds a channel for each caller that waits for its job to be stored. It is
@@ -39,9 +49,9 @@
 
 func newJobStore(w *Owner, t storage.Table, f storage.Feed, x ownership.Owner, retention time.Duration) *jobStore {
 	return &jobStore{
-		owner: w, table: t, feed: f, logger: w.logger, wake: make(chan struct{}, 1),
+		owner: w, table: t, feed: f, logger: w.logger, wake: make(chan struct{}, 1), reading: make(chan struct{}, 1),
 		ledger: ledger.NewStore(ledger.Config{
-			DataCentre: x.DataCentre, OwnerKey: ownerPrefix + string(x.DataCentre), Token: x.Token, Retention: retention,
+			DataCentre: x.DataCentre, OwnerKey: ownerKey(x.DataCentre), Token: x.Token, Retention: retention,
 		}),
 		waiting: map[work.ID][]chan struct{}{},
 	}
@@ -49,6 +59,7 @@
 
 // run loads the stored jobs, and then writes changes until ctx ends.
 func (s *jobStore) run(ctx context.Context) {
+	inbox := s.owner.owners.directory.InboxRevision(s.owner.owner.DataCentre)
 	for {
 		err := s.load(ctx)
 		if err == nil {
@@ -62,6 +73,8 @@
 		}
 	}
 	go s.followCancels(ctx)
+	go s.followInbox(ctx, inbox)
+	go s.watchOthers(ctx)
 	timer := time.NewTicker(storeInterval)
 	defer timer.Stop()
 	for {
@@ -81,37 +94,53 @@
 
 // load reads the stored jobs of this owner's data centre.
 func (s *jobStore) load(ctx context.Context) error {
-	states, err := s.listRows(ctx, ledger.StateGroup)
+	open, err := s.readNew(ctx)
 	if err != nil {
 		return err
 	}
-	entries := map[work.ID]ledger.Entry{}
-	open := 0
-	for id, r := range states {
-		e, err := ledger.ReadEntry(r)
-		if err != nil {
-			s.logger.WithError(err).Error("state of a job cannot be read")
-			continue
-		}
-		if e.DataCentre != s.owner.owner.DataCentre {
-			continue
-		}
-		entries[id] = e
-		if !e.HasEnded() {
-			open++
-		}
+	if open == 0 {
+		s.owner.handle(eventStore, func(now time.Time, m *dispatch.Machine) { m.StoredJobsLoaded(now) })
 	}
-	jobs := map[work.ID]work.Job{}
-	if open > 0 {
-		if jobs, err = s.readJobs(ctx, entries); err != nil {
-			return err
-		}
-		for id, e := range entries {
-			if _, ok := jobs[id]; !ok && !e.HasEnded() {
-				// It cannot be run, or was cancelled between the two reads: its state row stays as it is.
-				s.logger.WithField("job", string(id)).Warn("open job without a specification is skipped")
-				delete(entries, id)
-			}
+	go s.guardOwnership(ctx, open == 0)
+	return nil
+}
+
+// refresh takes over the jobs that others have moved to this data centre, and drops those
+// that were moved away.
+func (s *jobStore) refresh(ctx context.Context) error {
+	_, err := s.readNew(ctx)
+	return err
+}
+
+// readNew reads the states of all jobs, drops those that were moved to another data centre,
+// and adds those of this one that are not known. It returns how many of these are open.
+func (s *jobStore) readNew(ctx context.Context) (int, error) {
+	select {
+	case s.reading <- struct{}{}:
+		defer func() { <-s.reading }()
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+	states, err := s.listRows(ctx, ledger.StateGroup)
+	if err != nil {
+		return 0, err
+	}
+	s.mutex.Lock()
+	o, entries, unreadable := s.ledger.Compare(states)
+	s.mutex.Unlock()
+	for _, err := range unreadable {
+		s.logger.WithError(err).Error("state of a job cannot be read")
+	}
+	s.owner.handle(eventStore, func(now time.Time, m *dispatch.Machine) { s.applyOutcome(now, m, o) })
+	jobs, err := s.readJobs(ctx, entries)
+	if err != nil {
+		return 0, err
+	}
+	for id, e := range entries {
+		if _, ok := jobs[id]; !ok && !e.HasEnded() {
+			// It cannot be run, or was cancelled between the two reads: its state row stays as it is.
+			s.logger.WithField("job", string(id)).Warn("open job without a specification is skipped")
+			delete(entries, id)
 		}
 	}
 	s.mutex.Lock()
@@ -120,28 +149,46 @@
 	}
 	s.loaded = true
 	s.mutex.Unlock()
-	for id, e := range entries {
-		if !e.HasEnded() {
-			// A job that is set aside stays in the table.
-			_ = s.owner.handleJob(eventStore, id, func(now time.Time, m *dispatch.Machine) {
-				m.AddLosses(now, e.Losses)
-				m.AddStored(now, jobs[id], e.Progress, true)
-			})
-		}
-	}
-	if open == 0 {
-		s.owner.handle(eventStore, func(now time.Time, m *dispatch.Machine) { m.StoredJobsLoaded(now) })
+	for id, j := range jobs {
+		e := entries[id]
+		// A job that is set aside stays in the table.
+		_ = s.owner.handleJob(eventStore, id, func(now time.Time, m *dispatch.Machine) {
+			m.AddLosses(now, e.Losses)
+			m.AddStored(now, j, e.Progress, true)
+			if s.isCancelled(id) {
+				m.Cancel(now, id)
+			}
+		})
 	}
-	go s.guardOwnership(ctx, open == 0)
 	if len(entries) > 0 {
-		s.logger.WithFields(log.Fields{"jobs": len(entries), "open": open}).Info("stored jobs loaded")
+		s.logger.WithFields(log.Fields{"jobs": len(entries), "open": len(jobs)}).Info("stored jobs loaded")
+	}
+	return len(jobs), nil
+}
+
+// followInbox takes over the jobs that are moved to this data centre, until ctx ends.
+func (s *jobStore) followInbox(ctx context.Context, seen ident.Revision) {
+	for sleep(ctx, storeInterval) {
+		revision := s.owner.owners.directory.InboxRevision(s.owner.owner.DataCentre)
+		if revision <= seen && !s.recheck.Load() {
+			continue
+		}
+		s.recheck.Store(false)
+		if err := s.refresh(ctx); err != nil {
+			s.recheck.Store(true)
+			s.logger.WithError(err).Warn("stored jobs not read")
+			continue
+		}
+		seen = revision
 	}
-	return nil
 }
 
 // readJobs reads the specifications of the jobs that have not ended. Those that cannot be
 // read or run are left out.
 func (s *jobStore) readJobs(ctx context.Context, entries map[work.ID]ledger.Entry) (map[work.ID]work.Job, error) {
+	if !slices.ContainsFunc(slices.Collect(maps.Values(entries)), func(e ledger.Entry) bool { return !e.HasEnded() }) {
+		return nil, nil
+	}
 	rows, err := s.listRows(ctx, ledger.JobGroup)
 	if err != nil {
 		return nil, err
@@ -240,6 +287,20 @@
 	for _, id := range o.Cancelled {
 		m.Cancel(now, id)
 	}
+	for _, x := range o.Moved {
+		s.logger.WithFields(log.Fields{"job": string(x.ID), "to": string(x.To), "unstored": len(x.UnstoredEnds)}).Info("stored job moved")
+		m.MoveAway(now, x.ID, x.UnstoredEnds)
+		if x.To == s.owner.owner.DataCentre {
+			s.recheck.Store(true)
+		}
+	}
+}
+
+// isCancelled returns true if a cancellation row of a job was read.
+func (s *jobStore) isCancelled(id work.ID) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.cancelled[id]
 }
 
 // notifyStored ends the wait of a job's callers. The caller holds the mutex.
@@ -353,7 +414,9 @@
 	s.owner.handle(eventStore, func(now time.Time, m *dispatch.Machine) {
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
+		s.cancelled = make(map[work.ID]bool, len(rows))
 		for key, r := range rows {
+			s.cancelled[ledger.ID(key)] = true
 			s.ledger.LoadTombstone(r)
 			s.ledger.Cancel(now, ledger.ID(key))
 			m.Cancel(now, ledger.ID(key))
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -72,6 +72,10 @@
 	lag      lag.Meter
 	// failures counts the orders that workers have not accepted.
 	failures orderFailures
+	// tenure tells how long this owner may rely on its ownership, and beats counts its
+	// heartbeats.
+	tenure tenure
+	beats  atomic.Uint64
 	// waitingEvents is the number of events that wait to be handled.
 	waitingEvents atomic.Int64
 
@@ -87,6 +91,8 @@
 	published  []worker.Worker
 	generation uint64
 	versions   uint64
+	// otherWorkers holds the listed workers of the other data centres.
+	otherWorkers map[ident.DataCentre][]worker.Worker
 	// lastEvent is when an event was last handled, and lagLogged when the lag was last
 	// logged.
 	lastEvent, lagLogged time.Time
@@ -112,7 +118,7 @@
 	go w.tickLoop()
 	go w.jobStore.run(w.ctx)
 	go w.heartbeatLoop()
-	go o.roster.follow(w.ctx, x.DataCentre, w.missesWorkers, w.setWorkers)
+	go o.roster.follow(w.ctx, x.DataCentre, w)
 	return w
 }
 
@@ -161,14 +167,34 @@
 
 // heartbeatLoop writes the heartbeats of this owner into the platform's table.
 func (w *Owner) heartbeatLoop() {
-	for beat := uint64(1); w.ctx.Err() == nil; beat++ {
-		if err := w.owners.directory.WriteHeartbeat(w.ctx, w.owner, beat); err != nil && beat%heartbeatLogEvery == 1 {
-			w.logger.WithError(err).Warn("heartbeat not written")
+	failed := 0
+	for w.ctx.Err() == nil {
+		if err := w.beat(w.ctx, storeTimeout); err != nil {
+			if failed++; failed%heartbeatLogEvery == 1 {
+				w.logger.WithError(err).Warn("heartbeat not written")
+			}
 		}
 		sleep(w.ctx, heartbeatInterval)
 	}
 }
 
+// beat writes a heartbeat, which confirms that this owner was not replaced.
+func (w *Owner) beat(ctx context.Context, timeout time.Duration) error {
+	call, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	sent := w.owners.contacts.clock()
+	valid, err := w.owners.directory.WriteHeartbeat(call, w.owner, w.beats.Add(1))
+	switch {
+	case err != nil:
+		return err
+	case !valid:
+		w.owners.endFenced(w.owner)
+	default:
+		w.tenure.confirm(sent)
+	}
+	return nil
+}
+
 // heartbeatLogEvery is the number of failed heartbeats per logged failure.
 const heartbeatLogEvery = 5
 
@@ -196,6 +222,12 @@
 	w.handle(eventWorkers, func(now time.Time, m *dispatch.Machine) { m.SetWorkers(now, workers) })
 }
 
+func (w *Owner) setOtherWorkers(workers map[ident.DataCentre][]worker.Worker) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.otherWorkers = workers
+}
+
 // handle passes an event to the machine and carries out the resulting actions. A panic is
 // logged and ends the ownership.
 func (w *Owner) handle(e event, decide func(now time.Time, m *dispatch.Machine)) {
@@ -363,6 +395,7 @@
 	defer w.mutex.Unlock()
 	l := w.machine.Load(w.owners.contacts.clock())
 	l.Lag = w.lag.ReadDelay()
+	l.Unconfirmed = w.tenure.isUnconfirmed()
 	return l
 }
 
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -36,20 +36,34 @@
 	return &Roster{table: t, feed: f, decoder: d, logger: l}
 }
 
-// follow calls set with the workers of a data centre whenever their list changes. It reads
-// the list more often while isMissing returns true.
-func (r *Roster) follow(ctx context.Context, centre ident.DataCentre, isMissing func() bool, set func([]worker.Worker)) {
+// rosterUser uses the list of workers.
+type rosterUser interface {
+	// missesWorkers returns true while workers are missing: the list is then read more often.
+	missesWorkers() bool
+	// setWorkers replaces the workers of the data centre, and setOtherWorkers those of the
+	// other ones.
+	setWorkers([]worker.Worker)
+	setOtherWorkers(map[ident.DataCentre][]worker.Worker)
+}
+
+// follow tells a user the workers of its data centre and of the others whenever they change.
+func (r *Roster) follow(ctx context.Context, centre ident.DataCentre, u rosterUser) {
 	group, _, _ := r.decoder.Groups()
 	f := &follower{view: storage.NewView(r.table, r.feed, group), logger: r.logger, name: "the list of workers"}
 	list := r.newList(centre)
+	others := list.OtherChanges()
 	for ctx.Err() == nil {
 		// Absent workers expire with time, even without a change of the rows.
 		f.next(ctx, 0)
 		if !f.lost && r.update(list, f.view) {
-			set(list.Workers())
+			u.setWorkers(list.Workers())
+		}
+		if n := list.OtherChanges(); n != others {
+			others = n
+			u.setOtherWorkers(list.Others())
 		}
 		interval := rosterInterval
-		if isMissing() {
+		if u.missesWorkers() {
 			interval = missingInterval
 		}
 		sleep(ctx, interval)
--- a/fleet/storedjobs_test.go
+++ b/fleet/storedjobs_test.go
@@ -45,8 +45,14 @@
 	return false
 }
 
-// storeLoad submits stored jobs at a rate for d, and returns the accepted ones.
+// storeLoad submits stored jobs at a rate for d, and returns the accepted ones. Each fifth
+// one is long.
 func (w *world) storeLoad(perSecond int, d time.Duration) []work.ID {
+	return w.storeJobs(perSecond, d, 1500)
+}
+
+// storeJobs is storeLoad with tasks of the given milliseconds in the long jobs.
+func (w *world) storeJobs(perSecond int, d time.Duration, longMs int) []work.ID {
 	var mutex sync.Mutex
 	var open sync.WaitGroup
 	var accepted []work.ID
@@ -55,7 +61,7 @@
 		time.Sleep(time.Duration(w.random.ExpFloat64() * float64(time.Second) / float64(perSecond)))
 		ms := 200
 		if n%5 == 0 {
-			ms = 1500
+			ms = longMs
 		}
 		j := storedJob(n, ms, 1+w.random.IntN(3))
 		open.Go(func() {
--- /dev/null
+++ b/ledger/move_test.go
@@ -0,0 +1,109 @@
+package ledger_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/ledger"
+	"github.com/catkingap/catkingap/storage"
+	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/worker"
+)
+
+// states returns the state rows.
+func (t *table) states() map[work.ID]storage.Row {
+	found := map[work.ID]storage.Row{}
+	for key, r := range t.rows {
+		if id := ledger.ID(key); key == ledger.StateKey(id) {
+			found[id] = r
+		}
+	}
+	return found
+}
+
+// transfer moves all jobs to another data centre, as the owner of another one does. It
+// returns whether all writes were applied.
+func (t *table) transfer(is *is.I, fence []storage.Condition, to ident.DataCentre) bool {
+	is.Helper()
+	var transfers []ledger.Transfer
+	for id, r := range t.states() {
+		e, err := ledger.ReadEntry(r)
+		is.NoErr(err)
+		transfers = append(transfers, ledger.Transfer{ID: id, Row: e, Revision: r.Revision, To: to})
+	}
+	writes, err := ledger.TransferWrites(fence, transfers)
+	is.NoErr(err)
+	for _, w := range writes {
+		is.True(len(w.Conditions)+len(w.Puts) <= 100)
+		if !t.commit(w).Applied {
+			return false
+		}
+	}
+	return true
+}
+
+// TestJobMovedByAnotherOwner moves jobs away from an owner that was cut off. It must drop
+// them, without storing the ends that it has not stored.
+func TestJobMovedByAnotherOwner(t *testing.T) {
+	end := worker.EndID{Worker: "w", Incarnation: 1, Number: 1}
+	tests := map[string]func(is *is.I, tb *table, s *ledger.Store) ledger.Outcome{
+		"it reads the rows": func(_ *is.I, tb *table, s *ledger.Store) ledger.Outcome {
+			o, unknown, _ := s.Compare(tb.states())
+			is.New(t).Equal(len(unknown), 0)
+			return o
+		},
+		"it writes the end of a run": func(is *is.I, tb *table, s *ledger.Store) ledger.Outcome { return writeAll(is, tb, s) },
+		"a write without an answer": func(is *is.I, tb *table, s *ledger.Store) ledger.Outcome {
+			next(is, s)
+			s.HandleResult(storage.Result{}, errLost)
+			return writeAll(is, tb, s)
+		},
+	}
+	for name, notice := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tb := newTable()
+			s := tb.claim()
+			s.Accept(newJob("j"))
+			writeAll(is, tb, s)
+			is.True(tb.transfer(is, nil, "coast-b"))
+			is.True(s.RecordEnd("j", 0, 1, true, end))
+			o := notice(is, tb, s)
+			is.Equal(o.Moved, []ledger.MovedJob{{ID: "j", To: "coast-b", UnstoredEnds: []worker.EndID{end}}})
+			is.Equal(len(o.StoredEnds), 0)
+			is.True(!o.Fenced)
+			is.Equal(len(tb.state(is, "j").Progress.Done), 0)
+			_, unknown, _ := s.Compare(tb.states())
+			is.Equal(len(unknown), 0)
+			_, ok, err := s.Next()
+			is.NoErr(err)
+			is.True(!ok)
+		})
+	}
+}
+
+// TestTransferIsFenced checks that jobs are moved only while the rows of the fence stand, in
+// writes that the table takes.
+func TestTransferIsFenced(t *testing.T) {
+	is := is.New(t)
+	const jobs = 120
+	tb := newTable()
+	s := tb.claim()
+	for n := range jobs {
+		s.Accept(newJob(work.ID(fmt.Sprint("j", n))))
+	}
+	writeAll(is, tb, s)
+	fence := []storage.Condition{{Key: ownerKey, Revision: tb.rows[ownerKey].Revision}}
+	late := []storage.Condition{{Key: ownerKey, Revision: tb.rows[ownerKey].Revision - 1}}
+	is.True(!tb.transfer(is, late, "coast-b"))
+	is.Equal(tb.state(is, "j7").DataCentre, ident.DataCentre("coast-a"))
+	is.True(tb.transfer(is, fence, "coast-b"))
+	is.Equal(tb.state(is, "j7").DataCentre, ident.DataCentre("coast-b"))
+	is.True(tb.rows[ledger.InboxKey("coast-b")].Revision != 0)
+	other := ledger.NewStore(ledger.Config{DataCentre: "coast-b", OwnerKey: "catkingap/owner.coast-b", Retention: retention})
+	_, unknown, _ := other.Compare(tb.states())
+	is.Equal(len(unknown), jobs)
+}
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -49,6 +49,8 @@
 	StoredEnds []worker.EndID
 	// Cancelled holds the jobs that another host has cancelled.
 	Cancelled []work.ID
+	// Moved holds the jobs that belong to another data centre now.
+	Moved []MovedJob
 	// Fenced is true if another owner has taken the workers.
 	Fenced bool
 	// Pause is the time to wait before the next write.
@@ -65,6 +67,8 @@
 	batch []*entry
 	// fenced is true once another owner has taken the workers.
 	fenced bool
+	// moved holds the revision at which each job that was moved away was last known.
+	moved map[work.ID]ident.Revision
 }
 
 // entry is one job.
@@ -77,8 +81,9 @@
 	// unconfirmed holds the values of writes without an answer. Each of them may be
 	// the value of the row by now.
 	unconfirmed [][]byte
-	// value is the value of the last write.
-	value []byte
+	// value is the value of the last write, and valueCentre the data centre in it.
+	value       []byte
+	valueCentre ident.DataCentre
 	// pendingEnds holds the ends that the pending write stores, and nextEnds those
 	// that the next one stores.
 	pendingEnds []worker.EndID
@@ -95,10 +100,12 @@
 }
 
 // NewStore returns a Store without jobs.
-func NewStore(c Config) *Store { return &Store{config: c, entries: map[work.ID]*entry{}} }
+func NewStore(c Config) *Store {
+	return &Store{config: c, entries: map[work.ID]*entry{}, moved: map[work.ID]ident.Revision{}}
+}
 
-// Load adds a job that an earlier owner has stored. The specification is not used
-// if the job has ended.
+// Load adds a job that another owner has stored. The specification is not used if the
+// job has ended.
 func (s *Store) Load(id work.ID, job work.Job, row Entry, r ident.Revision) {
 	s.entries[id] = &entry{id: id, job: job, row: row, revision: r, hasCancelRow: row.State == Cancelled}
 }
@@ -255,6 +262,9 @@
 		if err := e.addTo(&w); err != nil {
 			return storage.Write{}, false, err
 		}
+		if !e.removing && e.valueCentre != s.config.DataCentre {
+			putInbox(&w, s.config.DataCentre, e.valueCentre)
+		}
 		e.pendingEnds, e.nextEnds = append(e.pendingEnds, e.nextEnds...), nil
 		s.batch = append(s.batch, e)
 		items = len(w.Conditions) + len(w.Puts) + len(w.Deletes)
@@ -278,6 +288,7 @@
 	if e.value, err = e.row.Encode(); err != nil {
 		return err
 	}
+	e.valueCentre = e.row.DataCentre
 	w.Puts = append(w.Puts, storage.Put{Key: StateKey(e.id), Value: e.value})
 	if e.revision == 0 {
 		spec, err := msgpack.Marshal(&e.job)
@@ -335,6 +346,10 @@
 	}
 	o.StoredEnds = append(o.StoredEnds, e.pendingEnds...)
 	e.revision, e.unconfirmed, e.pendingEnds = r, nil, nil
+	if e.valueCentre != "" && e.valueCentre != s.config.DataCentre {
+		s.movedAway(e, e.valueCentre, r, e.nextEnds, o)
+		return
+	}
 	if e.row.HasEnded() {
 		// Only the state of an ended job is needed.
 		e.job = work.Job{}
@@ -375,6 +390,11 @@
 // rowChanged handles that the state row of an entry differs from the expected one:
 // this owner wrote it without an answer, or another host wrote it.
 func (s *Store) rowChanged(e *entry, r storage.Row, o *Outcome) {
+	row, err := ReadEntry(r)
+	if err == nil && e.revision != 0 && row.DataCentre != s.config.DataCentre && !bytes.Equal(r.Value, e.value) {
+		s.movedAway(e, row.DataCentre, r.Revision, append(e.pendingEnds, e.nextEnds...), o)
+		return
+	}
 	if slices.ContainsFunc(e.unconfirmed, func(v []byte) bool { return bytes.Equal(v, r.Value) }) {
 		if bytes.Equal(r.Value, e.value) {
 			s.applied(e, r.Revision, o)
@@ -387,7 +407,6 @@
 		s.retry(e)
 		return
 	}
-	row, err := ReadEntry(r)
 	switch {
 	case e.revision == 0 && err == nil && row.IsTombstone():
 		// The job is cancelled: its entry takes over the tombstone.
@@ -405,6 +424,9 @@
 		if e.removing {
 			s.markDirty(e)
 		}
+	case err == nil && e.valueCentre != "" && e.valueCentre != s.config.DataCentre:
+		// The job was moved away, and is back.
+		s.movedAway(e, row.DataCentre, r.Revision-1, append(e.pendingEnds, e.nextEnds...), o)
 	default:
 		// The row was written by hand: the state of this owner replaces it.
 		e.revision = r.Revision
--- a/ledger/store_test.go
+++ b/ledger/store_test.go
@@ -124,6 +124,7 @@
 		all.AlreadyStored = append(all.AlreadyStored, o.AlreadyStored...)
 		all.StoredEnds = append(all.StoredEnds, o.StoredEnds...)
 		all.Cancelled = append(all.Cancelled, o.Cancelled...)
+		all.Moved = append(all.Moved, o.Moved...)
 		all.Fenced = all.Fenced || o.Fenced
 	}
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -1,4 +1,4 @@
-// Package roster keeps the list of the workers of a data centre up to date with the
+// Package roster keeps the lists of the workers of all data centres up to date with the
 // rows of the platform's table. It has no side effects.
 package roster
 
@@ -21,10 +21,12 @@
 	Decode func(storage.Row) (worker.Worker, error)
 }
 
-// List is the list of the workers of one data centre.
+// List is the list of the workers of one data centre, beside those of the others.
 type List struct {
 	config Config
 	known  map[string]*entry
+	// otherChanges counts the changes of workers of other data centres.
+	otherChanges uint64
 	// unreadable holds the rows that cannot be read.
 	unreadable map[string]struct{}
 }
@@ -54,8 +56,8 @@
 	return &List{config: c, known: map[string]*entry{}, unreadable: map[string]struct{}{}}
 }
 
-// Update applies the rows to the list. It returns true if a worker changed, and the rows
-// that cannot be read, each of them once.
+// Update applies the rows to the list. It returns true if a worker of the data centre
+// changed, and the rows that cannot be read, each of them once.
 func (l *List) Update(now time.Time, rows map[string]storage.Row) (changed bool, unreadable []*RowError) {
 	for key, r := range rows {
 		e := l.known[key]
@@ -77,8 +79,7 @@
 			e.absentSince = now
 		}
 		if now.Sub(e.absentSince) >= absentTime {
-			delete(l.known, key)
-			changed = true
+			changed = l.remove(key, e) || changed
 		}
 	}
 	return changed, unreadable
@@ -91,27 +92,61 @@
 	if err != nil {
 		_, again := l.unreadable[key]
 		l.unreadable[key] = struct{}{}
-		delete(l.known, key)
+		changed := l.remove(key, e)
 		if again {
-			return e != nil, nil
+			return changed, nil
 		}
-		return e != nil, &RowError{Key: key, Cause: err}
+		return changed, &RowError{Key: key, Cause: err}
 	}
 	delete(l.unreadable, key)
-	if w.DataCentre != l.config.DataCentre {
-		delete(l.known, key)
-		return e != nil, nil
-	}
-	changed := e == nil || !e.worker.Equal(w)
 	l.known[key] = &entry{worker: w, revision: r.Revision}
-	return changed, nil
+	if e != nil && e.worker.DataCentre == w.DataCentre && e.worker.Equal(w) {
+		return false, nil
+	}
+	was, is := e != nil && l.isOwn(e), l.isOwn(l.known[key])
+	if !is || (e != nil && !was) {
+		l.otherChanges++
+	}
+	return was || is, nil
+}
+
+// remove removes a row, if it is known. It returns true if that changes a worker of the
+// data centre.
+func (l *List) remove(key string, e *entry) bool {
+	if e == nil {
+		return false
+	}
+	delete(l.known, key)
+	if l.isOwn(e) {
+		return true
+	}
+	l.otherChanges++
+	return false
 }
 
-// Workers returns the workers of the list, in no order.
+func (l *List) isOwn(e *entry) bool { return e.worker.DataCentre == l.config.DataCentre }
+
+// Workers returns the workers of the data centre, in no order.
 func (l *List) Workers() []worker.Worker {
-	workers := make([]worker.Worker, 0, len(l.known))
+	var workers []worker.Worker
 	for _, e := range l.known {
-		workers = append(workers, e.worker)
+		if l.isOwn(e) {
+			workers = append(workers, e.worker)
+		}
 	}
 	return workers
 }
+
+// OtherChanges returns the number of changes to the result of Others.
+func (l *List) OtherChanges() uint64 { return l.otherChanges }
+
+// Others returns the workers of the other data centres, in no order.
+func (l *List) Others() map[ident.DataCentre][]worker.Worker {
+	others := map[ident.DataCentre][]worker.Worker{}
+	for _, e := range l.known {
+		if !l.isOwn(e) {
+			others[e.worker.DataCentre] = append(others[e.worker.DataCentre], e.worker)
+		}
+	}
+	return others
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -34,11 +34,13 @@
 type Worker struct {
 	Faults Switch
 
-	config    WorkerConfig
-	started   time.Time
-	mutex     sync.Mutex
-	token     int64
-	lease     time.Time
+	config  WorkerConfig
+	started time.Time
+	mutex   sync.Mutex
+	token   int64
+	lease   time.Time
+	// lapses counts how often the lease has lapsed and begun anew.
+	lapses    int
 	lastStart time.Time
 	// firstOrder is when the first order was accepted, or zero.
 	firstOrder time.Time
@@ -77,6 +79,8 @@
 	task   string
 	run    int
 	how    string
+	// lapses is the number of lapses of the worker's lease before the end.
+	lapses int
 }
 
 // NewWorker returns a worker without runs.
@@ -183,6 +187,9 @@
 	}
 	left := min(time.Duration(until-w.clockMs())*time.Millisecond, w.config.MaxLease)
 	if end := time.Now().Add(left); end.After(w.lease) {
+		if w.hasLapsed() {
+			w.lapses++
+		}
 		w.lease = end
 		time.AfterFunc(left+time.Millisecond, func() {
 			w.mutex.Lock()
@@ -192,9 +199,12 @@
 	}
 }
 
+// hasLapsed returns true if the lease has lapsed. The caller holds the mutex.
+func (w *Worker) hasLapsed() bool { return !time.Now().Before(w.lease) }
+
 // endExpired ends all runs if the lease has expired. The caller holds the mutex.
 func (w *Worker) endExpired() {
-	if time.Now().Before(w.lease) {
+	if !w.hasLapsed() {
 		return
 	}
 	for _, x := range w.running {
@@ -213,7 +223,7 @@
 	w.usedCores -= x.cores
 	w.lastEnd++
 	w.lastRun[x.task] = max(w.lastRun[x.task], x.run)
-	w.ended = append(w.ended, workerEnd{number: w.lastEnd, task: x.task, run: x.run, how: how})
+	w.ended = append(w.ended, workerEnd{number: w.lastEnd, task: x.task, run: x.run, how: how, lapses: w.lapses})
 	w.config.Recorder.end(x.record, how, at)
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -267,8 +277,16 @@
 // crashDelay is how long after its start a task crashes the worker.
 const crashDelay = 10 * time.Millisecond
 
-// crash ends all runs without a report. The worker must not be reached any more.
+// crash is PowerOff, and calls the Crash function.
 func (w *Worker) crash() {
+	if tasks := w.PowerOff(); len(tasks) > 0 {
+		w.config.Crash(w, tasks)
+	}
+}
+
+// PowerOff ends all runs without a report, and returns their tasks. The worker must not be
+// reached any more.
+func (w *Worker) PowerOff() []string {
 	w.mutex.Lock()
 	var tasks []string
 	for _, x := range w.running {
@@ -279,9 +297,7 @@
 	clear(w.running)
 	w.mutex.Unlock()
 	slices.Sort(tasks)
-	if len(tasks) > 0 {
-		w.config.Crash(w, tasks)
-	}
+	return tasks
 }
 
 func (w *Worker) serveStop(rw http.ResponseWriter, r *http.Request, _ Faults) {
@@ -307,7 +323,8 @@
 	for _, e := range w.ended {
 		if e.number > o.LastSeen {
 			unseen = append(unseen, e)
-		} else {
+		} else if e.lapses == w.lapses && !w.hasLapsed() {
+			// The platform counts no end as acknowledged after the lease has lapsed.
 			w.config.Recorder.acknowledge(e.task, e.how)
 		}
 	}
--- a/work/work.go
+++ b/work/work.go
@@ -157,6 +157,32 @@
 	return n
 }
 
+// OpenSteps returns the steps that are not done and may start, and all steps that are not
+// done, given the numbers of the tasks that are done, counted over all steps.
+func (j *Job) OpenSteps(done []int) (ready, left []int) {
+	open := make([]int, len(j.Steps))
+	first := 0
+	for i, s := range j.Steps {
+		open[i] = s.Count
+		for _, number := range done {
+			if number >= first && number < first+s.Count {
+				open[i]--
+			}
+		}
+		first += s.Count
+	}
+	for i, s := range j.Steps {
+		if open[i] <= 0 {
+			continue
+		}
+		left = append(left, i)
+		if !slices.ContainsFunc(s.After, func(a int) bool { return open[a] > 0 }) {
+			ready = append(ready, i)
+		}
+	}
+	return ready, left
+}
+
 // CriticalPath returns the estimated run time of the critical path, the longest
 // chain of dependent steps.
 func (j *Job) CriticalPath() time.Duration { return max(0, j.criticalPath()) }
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -48,6 +48,11 @@
 		w.Capacity == x.Capacity && w.Draining == x.Draining && slices.Equal(w.Labels, x.Labels)
 }
 
+// IsOfKind returns true if a worker is of a pool and has a label. Empty means any label.
+func (w Worker) IsOfKind(p ident.Pool, label string) bool {
+	return w.Pool == p && (label == "" || slices.Contains(w.Labels, label))
+}
+
 // Result is the way in which a run ended.
 type Result string
 
