Bound each answer while stored jobs are read, not only all of them

What callers saw: jobs that had been moved to a data centre, or whose owner had been replaced, did not start for 20 s after one answer of the table was lost.

Cause: listTimeout, made for a group of 20 pages, bounded each single answer too.

Each page now has the bound of other calls, 1 s, and three tries. TestLostAnswerWhileStoredJobsAreRead failed before: 2 of 6 jobs were still open after 26 s.

--- a/fleet/jobstore.go
+++ b/fleet/jobstore.go
@@ -214,19 +214,42 @@
 
 // listRows reads all rows of a group by job.
 func (s *jobStore) listRows(ctx context.Context, group string) (map[work.ID]storage.Row, error) {
-	call, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
 	found := map[work.ID]storage.Row{}
-	rows, _, err := s.table.List(call, group+"/", "", 0)
-	for _, r := range rows {
-		found[ledger.ID(r.Key)] = r
+	for after := ""; ; {
+		rows, err := s.listPage(ctx, group, after)
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range rows {
+			found[ledger.ID(r.Key)] = r
+			after = r.Key
+		}
+		if len(rows) < pageRows {
+			return found, nil
+		}
 	}
-	return found, err
 }
 
-// listTimeout bounds the reading of a whole group. The 10,000 states of two minutes at
-// 80 jobs a second are read in 20 pages of 500.
-const listTimeout = 20 * time.Second
+// listPage reads up to pageRows rows of a group after a key. A page whose answer is lost is
+// read again.
+func (s *jobStore) listPage(ctx context.Context, group, after string) ([]storage.Row, error) {
+	for try := 1; ; try++ {
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		rows, _, err := s.table.List(call, group+"/", after, pageRows)
+		cancel()
+		if err == nil || try == pageTries || !sleep(ctx, storeRetryPause) {
+			return rows, err
+		}
+	}
+}
+
+const (
+	// pageRows is the number of rows that are read at once. The table sends at most 500 in
+	// one answer.
+	pageRows = 500
+	// pageTries is how often a page is read before the reading of the group fails.
+	pageTries = 3
+)
 
 // writeNext sends the next write. It returns false if there is none or the store has to
 // stop.
--- a/fleet/storedjobs_test.go
+++ b/fleet/storedjobs_test.go
@@ -1,11 +1,13 @@
 package fleet_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -183,6 +185,25 @@
 	}
 }
 
+// TestLostAnswerWhileStoredJobsAreRead loses one answer of the table while a new owner reads
+// the stored jobs. They must go on soon.
+func TestLostAnswerWhileStoredJobsAreRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		time.Sleep(startTime)
+		accepted := w.storeAt(w.owner("coast-b"), 6)
+		time.Sleep(500 * time.Millisecond)
+		w.kill(w.owner("coast-b"))
+		var lost atomic.Bool
+		w.network.Drop(func(from, _ string, data []byte) bool {
+			return siteOf(from) == storeSite && bytes.Contains(data, []byte("catkingapJobState")) && lost.CompareAndSwap(false, true)
+		})
+		time.Sleep(longestRun)
+		is.New(t).True(lost.Load())
+		w.checkCompleted(accepted)
+	})
+}
+
 // TestKeptJobsThatFail makes all workers fail. A task must run at most as often as its
 // queue allows, even when owners change meanwhile.
 func TestKeptJobsThatFail(t *testing.T) {
