Move stored jobs for which a data centre has no worker

Cause: a stored job went to the owner of the host's own data centre, which accepted it without asking whether a worker there could run it, and nothing moved it on. Ruled out: free capacity (11 of 12 workers were idle), and the search by label.

An owner now moves a stored job of which nothing runs if a task that may start has no worker in the data centre that suits it: of the kind, with the capacity, listed, not draining, not silent for over 4 s. Submissions are referred to a data centre with such workers. Where nobody has one, the job waits.

A new owner whose first list of workers was empty was never told so; it is now.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -144,6 +144,8 @@
 	Reason string `msgpack:"reason,omitempty"`
 	// RetryAfter is when a refused caller should come back.
 	RetryAfter time.Duration `msgpack:"retryAfter,omitempty"`
+	// DataCentre is another data centre that has workers for a job, or empty.
+	DataCentre ident.DataCentre `msgpack:"dataCentre,omitempty"`
 	// Load is the owner's load at the time of the reply.
 	Load Load `msgpack:"load"`
 }
@@ -246,6 +248,8 @@
 	meanRunTime time.Duration
 	// meanCores is the mean number of cores of recent tasks.
 	meanCores float64
+	// listRead is true once the list of workers was read.
+	listRead bool
 	// storedLoaded is true once the stored jobs of the previous owner are known.
 	// earlyEnds holds the ends that workers have listed until then.
 	storedLoaded bool
@@ -285,6 +289,7 @@
 		takeoverEnd:  now.Add(lapseTime(c.MaxLease)),
 	}
 	m.SetWorkers(now, nil)
+	m.listRead = false
 	return m
 }
 
@@ -305,6 +310,7 @@
 // SetWorkers replaces the list of workers. A worker that is missing gets no new
 // work, and its runs are followed to their end.
 func (m *Machine) SetWorkers(now time.Time, workers []worker.Worker) {
+	m.listRead = true
 	listed := make(map[worker.ID]bool, len(workers))
 	known := map[worker.ID]bool{}
 	if now.Before(m.takeoverEnd) {
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -54,8 +54,9 @@
 	pinned bool
 	// live is false once the job was answered or dropped.
 	live bool
-	// stored is true for a stored job, see AddStored.
-	stored bool
+	// stored is true for a stored job, see AddStored, and leaving if it is about to be moved
+	// to another data centre.
+	stored, leaving bool
 }
 
 // task is one task of a job.
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
+	"github.com/catkingap/catkingap/relocation"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -24,6 +26,74 @@
 	return workers
 }
 
+// StrandedJob is a stored job that no worker of its data centre can continue.
+type StrandedJob struct {
+	Job work.Job
+	// Done holds the numbers of the tasks that are done.
+	Done []int
+}
+
+// StrandedJobs returns the stored jobs of which nothing runs, and of which a task that may
+// start has no available worker that suits it. Jobs that only wait for free capacity are not
+// among them.
+func (m *Machine) StrandedJobs(now time.Time) []StrandedJob {
+	if m.stopped || !m.listRead || !m.storedLoaded || m.ownershipUncertain || now.Before(m.takeoverEnd) {
+		return nil
+	}
+	waiting := sortedJobs(m.jobs, func(j *job) bool { return j.stored && !j.leaving && len(j.waiting) > 0 })
+	if len(waiting) == 0 {
+		return nil
+	}
+	workers := m.AvailableWorkers(now)
+	var found []StrandedJob
+	for _, j := range waiting {
+		if m.hasPreviousRuns(j.spec.ID) || slices.ContainsFunc(j.tasks, func(t *task) bool { return t.run != nil }) {
+			continue
+		}
+		steps := j.waitingSteps()
+		if !relocation.Suits(&j.spec, steps, workers) {
+			found = append(found, StrandedJob{Job: j.spec, Done: j.doneTasks()})
+		}
+	}
+	return found
+}
+
+// CanRun returns true if workers are available for the steps with which a job begins, or if
+// the workers are not known yet.
+func (m *Machine) CanRun(now time.Time, j *work.Job) bool {
+	ready, _ := j.OpenSteps(nil)
+	return !m.listRead || relocation.Suits(j, ready, m.AvailableWorkers(now))
+}
+
+// waitingSteps returns the steps that have tasks which may start.
+func (j *job) waitingSteps() []int {
+	var steps []int
+	for _, t := range j.waiting {
+		if !slices.Contains(steps, t.name.Step) {
+			steps = append(steps, t.name.Step)
+		}
+	}
+	return steps
+}
+
+// doneTasks returns the numbers of the tasks that are done.
+func (j *job) doneTasks() []int {
+	var done []int
+	for number, t := range j.tasks {
+		if t.done {
+			done = append(done, number)
+		}
+	}
+	return done
+}
+
+// Leave keeps the tasks of a stored job from starting, because the job is about to be moved.
+func (m *Machine) Leave(id work.ID) {
+	if j := m.jobs[id]; j != nil && j.stored {
+		j.leaving = true
+	}
+}
+
 // MoveAway drops a stored job that another owner continues. The given ends of its runs are
 // not stored: its tasks may run again elsewhere, so each worker may forget them only after
 // its lease has lapsed.
--- a/dispatch/move_test.go
+++ b/dispatch/move_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
 
@@ -59,6 +60,60 @@
 	is.Equal(m.TakeActions().JobEnds, nil)
 }
 
+// TestStrandedJobs checks when no worker of the data centre can continue a stored job, which
+// is then moved: not while it only waits for free capacity, and not while a part of it runs.
+func TestStrandedJobs(t *testing.T) {
+	own := testWorker("w1")
+	tests := map[string]struct {
+		change    func(w *worker.Worker)
+		label     string
+		gone      bool
+		running   bool
+		uncertain bool
+		stranded  bool
+	}{
+		"a worker that suits":               {},
+		"a worker that is busy":             {running: true},
+		"no worker of the kind":             {label: "rare", stranded: true},
+		"no worker at all":                  {gone: true, stranded: true},
+		"the worker drains":                 {change: func(w *worker.Worker) { w.Draining = true }, stranded: true},
+		"the capacity has shrunk":           {change: func(w *worker.Worker) { w.Capacity.Cores = 100 }, stranded: true},
+		"another owner may have the worker": {label: "rare", uncertain: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := readyMachine("w1")
+			if test.running {
+				m.AddStored(at(2), submission("other", 1, 2).Job, work.Progress{}, false)
+			}
+			w := own
+			if test.change != nil {
+				test.change(&w)
+			}
+			workers := []worker.Worker{w}
+			if test.gone {
+				workers = nil
+			}
+			m.SetWorkers(at(2000), workers)
+			j := submission("j", 2, 1).Job
+			j.Steps[0].Label = test.label
+			m.AddStored(at(2001), j, work.Progress{}, false)
+			if test.uncertain {
+				m.MarkOwnershipUncertain(at(2002))
+			}
+			stranded := m.StrandedJobs(at(2003))
+			is.Equal(len(stranded) == 1, test.stranded)
+			if test.stranded {
+				is.Equal(stranded[0].Job.ID, work.ID("j"))
+				m.Leave("j")
+				m.SetWorkers(at(2004), []worker.Worker{own})
+				is.Equal(len(m.StrandedJobs(at(2005))), 0)
+			}
+		})
+	}
+}
+
 // TestMovedJobIsDropped checks that nothing of a job that was moved away runs or starts.
 func TestMovedJobIsDropped(t *testing.T) {
 	is := is.New(t)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -95,6 +95,9 @@
 // Callers send a job again only after what an earlier owner started of it has
 // ended, so only jobs that a host resubmits have to wait.
 func (m *Machine) mayStart(now time.Time, j *job) bool {
+	if j.leaving {
+		return false
+	}
 	if j.stored && (m.ownershipUncertain || (j.resubmitted && !m.storedLoaded)) {
 		// Another owner may run it, or the ends that workers have listed of it are
 		// not handled yet.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -134,12 +134,17 @@
 	return s
 }
 
-func (w *world) addWorker(zone, name string) {
+func (w *world) addWorker(zone, name string) { w.addWorkerOfKind(zone, name) }
+
+// addWorkerOfKind adds a worker with the given labels.
+func (w *world) addWorkerOfKind(zone, name string, labels ...string) {
 	speed := 1.2
 	if len(w.workers)%4 == 0 {
 		speed = 0.6
 	}
-	x := standin.NewWorker(standin.WorkerConfig{ID: name, Cores: 64_000, Speed: speed, RunTime: runTime, Recorder: w.recorder, MaxLease: time.Second})
+	x := standin.NewWorker(standin.WorkerConfig{
+		ID: name, Cores: 64_000, Labels: labels, Speed: speed, RunTime: runTime, Recorder: w.recorder, MaxLease: time.Second,
+	})
 	w.workers[name] = x
 	w.workerServers[name] = w.serve(name+":1", x.Handler())
 	w.store.Put("servers", name, x.Entry("pool", name+":1", zone))
--- a/fleet/jobstore.go
+++ b/fleet/jobstore.go
@@ -14,6 +14,7 @@
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/ledger"
 	"github.com/catkingap/catkingap/ownership"
+	"github.com/catkingap/catkingap/relocation"
 	"github.com/catkingap/catkingap/storage"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
@@ -86,6 +87,7 @@
 			s.mutex.Lock()
 			s.ledger.Expire(time.Now())
 			s.mutex.Unlock()
+			s.moveStranded()
 		}
 		for s.writeNext(ctx) {
 		}
@@ -319,6 +321,13 @@
 	}
 }
 
+// isKnown returns true if a job is stored here, or is being stored.
+func (s *jobStore) isKnown(id work.ID) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.ledger.IsKnown(id)
+}
+
 // isCancelled returns true if a cancellation row of a job was read.
 func (s *jobStore) isCancelled(id work.ID) bool {
 	s.mutex.Lock()
@@ -371,8 +380,47 @@
 	}
 }
 
-// store stores a job, and waits until it is stored or ctx ends.
-func (s *jobStore) store(ctx context.Context, j work.Job) dispatch.Reply {
+// moveStranded passes jobs that no worker here can continue on to data centres that have
+// workers for them.
+func (s *jobStore) moveStranded() {
+	found := 0
+	s.owner.handle(eventStore, func(now time.Time, m *dispatch.Machine) { found = len(m.StrandedJobs(now)) })
+	if found == 0 {
+		return
+	}
+	centres := s.owner.usableWorkers()
+	delete(centres, s.owner.owner.DataCentre)
+	s.owner.handle(eventStore, func(now time.Time, m *dispatch.Machine) {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		for _, x := range m.StrandedJobs(now) {
+			if to, ok := relocation.Choose(&x.Job, x.Done, centres); ok && s.ledger.Move(x.Job.ID, to) {
+				m.Leave(x.Job.ID)
+			}
+		}
+	})
+}
+
+// betterCentre returns a data centre that has workers for a job, if this one has none.
+func (s *jobStore) betterCentre(j *work.Job) (ident.DataCentre, bool) {
+	canRun := true
+	s.owner.handle(eventStore, func(now time.Time, m *dispatch.Machine) { canRun = m.CanRun(now, j) })
+	if canRun || s.isKnown(j.ID) {
+		return "", false
+	}
+	centres := s.owner.usableWorkers()
+	delete(centres, s.owner.owner.DataCentre)
+	return relocation.Choose(j, nil, centres)
+}
+
+// store stores a job, and waits until it is stored or ctx ends. If mayRefer is true and only
+// another data centre has workers for the job, the reply names that one.
+func (s *jobStore) store(ctx context.Context, j work.Job, mayRefer bool) dispatch.Reply {
+	if mayRefer {
+		if c, ok := s.betterCentre(&j); ok {
+			return dispatch.Reply{Job: j.ID, Result: dispatch.Busy, DataCentre: c}
+		}
+	}
 	s.mutex.Lock()
 	if !s.loaded {
 		s.mutex.Unlock()
--- a/fleet/lostcentre_test.go
+++ b/fleet/lostcentre_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,6 +67,12 @@
 	w.cut(d, func(from, to string) bool { return inside(from) != inside(to) })
 }
 
+// loseAnswers loses each third answer of the table for d.
+func (w *world) loseAnswers(d time.Duration) {
+	var answers atomic.Int64
+	w.cut(d, func(from, _ string) bool { return from == storeSite && answers.Add(1)%3 == 0 })
+}
+
 // TestAcceptedJobsOfALostDataCentreAreCompleted loses a data centre, or cuts it off, while
 // jobs run there. The others must complete its jobs, and no task may run in two places.
 func TestAcceptedJobsOfALostDataCentreAreCompleted(t *testing.T) {
@@ -107,7 +114,7 @@
 		"answers of the table are lost": func(w *world) {
 			w.loseCentre(lost)
 			time.Sleep(7 * time.Second)
-			w.cut(3*time.Second, func(from, _ string) bool { return from == storeSite && w.random.IntN(3) == 0 })
+			w.loseAnswers(3 * time.Second)
 		},
 		"it is cut off for a moment": func(w *world) {
 			w.cutCentre(lost, 3*time.Second, func(string) bool { return false })
--- /dev/null
+++ b/fleet/lostkind_test.go
@@ -0,0 +1,138 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/standin"
+	"github.com/catkingap/catkingap/work"
+)
+
+const rareLabel = "rare"
+
+// rareWorker returns the name of the only worker of its kind in a data centre.
+func rareWorker(zone string) string { return zone + ".worker-rare" }
+
+// rareJob returns a stored job that needs a worker of the rare kind in its last step, and in
+// its first one too unless late is true.
+func rareJob(n int, late bool) work.Job {
+	j := storedJob(n, 100, 2)
+	j.ID = work.ID(fmt.Sprintf("100msrare%d%v", n, late))
+	j.Steps[1].Label = rareLabel
+	if !late {
+		j.Steps[0].Label = rareLabel
+	}
+	return j
+}
+
+// TestAcceptedJobsForALostKindOfWorkerAreCompleted loses the only worker of a kind in a data
+// centre while its hosts accept jobs for that kind. The workers of that kind elsewhere must
+// complete them.
+func TestAcceptedJobsForALostKindOfWorkerAreCompleted(t *testing.T) {
+	const lost = "coast-a"
+	name := rareWorker(lost)
+	tests := map[string]func(w *world){
+		"for good": func(w *world) { w.loseWorkers(func(n string) bool { return n == name }) },
+		"it drains and leaves": func(w *world) {
+			w.store.Put("servers", name, w.workers[name].DrainingEntry("pool", name+":1", lost))
+			time.Sleep(3 * time.Second)
+			w.loseWorkers(func(n string) bool { return n == name })
+		},
+		"it is cut off": func(w *world) {
+			w.cut(12*time.Second, func(from, to string) bool { return from == name || to == name })
+		},
+		"it is back as jobs are moved": func(w *world) {
+			w.loseWorkers(func(n string) bool { return n == name })
+			time.Sleep(4500 * time.Millisecond)
+			w.addWorkerOfKind(lost, name+"-new", rareLabel)
+		},
+		"its capacity shrinks": func(w *world) {
+			w.store.Put("servers", name, w.workers[name].ShrunkenEntry("pool", name+":1", lost, 1000))
+		},
+		"all workers": func(w *world) { w.loseWorkers(func(n string) bool { return zoneOf(n) == lost }) },
+		"all workers, and the owner dies": func(w *world) {
+			w.loseWorkers(func(n string) bool { return zoneOf(n) == lost })
+			time.Sleep(4100 * time.Millisecond)
+			w.kill(w.owner(lost))
+		},
+		"and another one of that kind": func(w *world) {
+			w.loseWorkers(func(n string) bool { return n == name })
+			time.Sleep(3 * time.Second)
+			w.loseWorkers(func(n string) bool { return n == rareWorker("coast-b") })
+		},
+		"answers of the table are lost": func(w *world) {
+			w.loseWorkers(func(n string) bool { return n == name })
+			time.Sleep(4 * time.Second)
+			w.loseAnswers(3 * time.Second)
+		},
+		"writes of the table are carried out late": func(w *world) {
+			w.loseWorkers(func(n string) bool { return n == name })
+			time.Sleep(3500 * time.Millisecond)
+			for range 6 {
+				w.store.Faults.Set(standin.Faults{Mode: standin.Late, Delay: 1500 * time.Millisecond})
+				time.Sleep(150 * time.Millisecond)
+				w.store.Faults.Set(standin.Faults{})
+				time.Sleep(200 * time.Millisecond)
+			}
+		},
+	}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t)
+				for _, z := range zones {
+					w.addWorkerOfKind(z, rareWorker(z), rareLabel)
+				}
+				time.Sleep(startTime)
+				faultEnded := make(chan struct{})
+				go func() {
+					time.Sleep(2 * time.Second)
+					fault(w)
+					close(faultEnded)
+				}()
+				var accepted []work.ID
+				for n := range 60 {
+					m, j := w.randomHost(), rareJob(n, n%3 == 0)
+					now := time.Now()
+					if m.submitter.SubmitStored(m.ctx, j, now, now.Add(2*time.Second)).Result == dispatch.Stored {
+						accepted = append(accepted, j.ID)
+					}
+					time.Sleep(150 * time.Millisecond)
+				}
+				<-faultEnded
+				time.Sleep(finishTime)
+				is.True(len(accepted) > 50)
+				w.checkCompleted(accepted)
+			})
+		})
+	}
+}
+
+// TestJobForALostKindOfWorkerIsReferred submits a job at a host whose data centre has lost the
+// kind of worker that it needs. Another data centre must store it, so that it need not be moved.
+func TestJobForALostKindOfWorkerIsReferred(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		for _, z := range zones {
+			w.addWorkerOfKind(z, rareWorker(z), rareLabel)
+		}
+		time.Sleep(startTime)
+		w.loseWorkers(func(name string) bool { return name == rareWorker("coast-a") })
+		time.Sleep(rowExpiry + 3*time.Second)
+		m, j := w.owner("coast-a"), rareJob(1, false)
+		now := time.Now()
+		is.Equal(m.submitter.SubmitStored(m.ctx, j, now, now.Add(time.Second)).Result, dispatch.Stored)
+		e, err := m.submitter.State(t.Context(), j.ID)
+		is.NoErr(err)
+		is.True(e.DataCentre != "coast-a")
+		time.Sleep(finishTime)
+		w.checkCompleted([]work.ID{j.ID})
+	})
+}
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -51,11 +51,13 @@
 	group, _, _ := r.decoder.Groups()
 	f := &follower{view: storage.NewView(r.table, r.feed, group), logger: r.logger, name: "the list of workers"}
 	list := r.newList(centre)
-	others := list.OtherChanges()
+	read, others := false, list.OtherChanges()
 	for ctx.Err() == nil {
 		// Absent workers expire with time, even without a change of the rows.
 		f.next(ctx, 0)
-		if !f.lost && r.update(list, f.view) {
+		if !f.lost && (r.update(list, f.view) || !read) {
+			// An empty list is also worth to be known.
+			read = true
 			u.setWorkers(list.Workers())
 		}
 		if n := list.OtherChanges(); n != others {
--- a/fleet/storedjobs.go
+++ b/fleet/storedjobs.go
@@ -24,6 +24,8 @@
 	Job        work.Job         `msgpack:"job"`
 	// Left is how long the caller still waits for the job to be stored.
 	Left time.Duration `msgpack:"left"`
+	// MayRefer is true if the owner may name another data centre instead.
+	MayRefer bool `msgpack:"mayRefer,omitempty"`
 }
 
 // UnavailableError means that the platform's table did not answer.
@@ -55,10 +57,15 @@
 }
 
 func (s *Submitter) store(ctx context.Context, a *attempt) dispatch.Reply {
-	uncertain := false
+	uncertain, mayRefer := false, true
+	var referred ident.DataCentre
 	for ctx.Err() == nil {
 		now := time.Now()
 		o, _, ok := s.pickOwner(now, a)
+		if x, known := s.directory.Owners()[referred]; known && s.isHeard(now, x) {
+			o, ok = x, true
+		}
+		referred = ""
 		if !ok {
 			if !s.HasOwner(now) {
 				break
@@ -66,8 +73,11 @@
 			sleep(ctx, retryPause)
 			continue
 		}
-		r, err := s.callStore(ctx, o, storeRequest{DataCentre: o.DataCentre, Job: a.job, Left: a.deadline.Sub(now)})
+		r, err := s.callStore(ctx, o, storeRequest{DataCentre: o.DataCentre, Job: a.job, Left: a.deadline.Sub(now), MayRefer: mayRefer})
 		switch {
+		case err == nil && r.Result == dispatch.Busy:
+			referred, mayRefer = r.DataCentre, false
+			continue
 		case err == nil && r.Result == dispatch.Stored:
 			return r
 		case err == nil && r.Result == dispatch.Refused && !uncertain:
@@ -98,7 +108,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.Left)
 	defer cancel()
-	return x.jobStore.store(ctx, r.Job)
+	return x.jobStore.store(ctx, r.Job, r.MayRefer)
 }
 
 // State returns the state of a stored job, or nil if there is no such job. It returns an
--- a/ledger/move.go
+++ b/ledger/move.go
@@ -24,6 +24,18 @@
 	UnstoredEnds []worker.EndID
 }
 
+// Move plans to pass a job on to another data centre. It returns false if the job has
+// ended, or is not stored yet.
+func (s *Store) Move(id work.ID, to ident.DataCentre) bool {
+	e := s.entries[id]
+	if e == nil || e.revision == 0 || e.row.HasEnded() || e.removing {
+		return false
+	}
+	e.row.DataCentre = to
+	s.markDirty(e)
+	return true
+}
+
 // Compare compares the known jobs with the state rows of all data centres. The outcome
 // holds the jobs that others have moved away. Compare returns the open jobs of this data
 // centre that are not known.
--- a/ledger/move_test.go
+++ b/ledger/move_test.go
@@ -107,3 +107,77 @@
 	_, unknown, _ := other.Compare(tb.states())
 	is.Equal(len(unknown), jobs)
 }
+
+// TestMove passes a job on to another data centre while answers to the write are lost. The job
+// must have one owner whose row names it, and a cancellation must hold.
+func TestMove(t *testing.T) {
+	const other = ident.DataCentre("coast-b")
+	tests := map[string]struct {
+		move  func(is *is.I, tb *table, s *ledger.Store) ledger.Outcome
+		moved bool
+		state ledger.State
+	}{
+		"the answer comes": {
+			move:  func(is *is.I, tb *table, s *ledger.Store) ledger.Outcome { return writeAll(is, tb, s) },
+			moved: true, state: ledger.Accepted,
+		},
+		"the answer is lost": {
+			move: func(is *is.I, tb *table, s *ledger.Store) ledger.Outcome {
+				tb.commit(next(is, s))
+				s.HandleResult(storage.Result{}, errLost)
+				return writeAll(is, tb, s)
+			},
+			moved: true, state: ledger.Accepted,
+		},
+		"the write is lost": {
+			move: func(is *is.I, tb *table, s *ledger.Store) ledger.Outcome {
+				next(is, s)
+				s.HandleResult(storage.Result{}, errLost)
+				return writeAll(is, tb, s)
+			},
+			moved: true, state: ledger.Accepted,
+		},
+		"the answer is lost, and the job is back meanwhile": {
+			move: func(is *is.I, tb *table, s *ledger.Store) ledger.Outcome {
+				tb.commit(next(is, s))
+				s.HandleResult(storage.Result{}, errLost)
+				is.True(tb.transfer(is, nil, "coast-a"))
+				o := writeAll(is, tb, s)
+				_, unknown, _ := s.Compare(tb.states())
+				is.Equal(len(unknown), 1)
+				is.True(tb.transfer(is, nil, other))
+				return o
+			},
+			moved: true, state: ledger.Accepted,
+		},
+		"it is cancelled before": {
+			move: func(is *is.I, tb *table, s *ledger.Store) ledger.Outcome {
+				w, ok, err := ledger.Cancel(start, "j", tb.rows[ledger.StateKey("j")])
+				is.NoErr(err)
+				is.True(ok && tb.commit(w).Applied)
+				return writeAll(is, tb, s)
+			},
+			state: ledger.Cancelled,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tb := newTable()
+			s := tb.claim()
+			s.Accept(newJob("j"))
+			is.True(!s.Move("j", other)) // It is not stored yet.
+			writeAll(is, tb, s)
+			is.True(s.Move("j", other))
+			o := test.move(is, tb, s)
+			is.Equal(len(o.Moved) == 1, test.moved)
+			e := tb.state(is, "j")
+			is.Equal(e.State, test.state)
+			is.Equal(e.DataCentre == other, test.moved)
+			if test.moved {
+				is.True(tb.rows[ledger.InboxKey(other)].Revision != 0)
+				is.True(!s.IsKnown("j"))
+			}
+		})
+	}
+}
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -219,6 +219,9 @@
 // isUnstored returns true if the latest state of an entry may not be stored yet.
 func (s *Store) isUnstored(e *entry) bool { return e.queued || slices.Contains(s.batch, e) }
 
+// IsKnown returns true if a job is stored by this owner, or is to be.
+func (s *Store) IsKnown(id work.ID) bool { return s.entries[id] != nil }
+
 // HasEnded returns true if a job has ended.
 func (s *Store) HasEnded(id work.ID) bool {
 	e := s.entries[id]
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -96,3 +96,29 @@
 	is.Equal(len(unreadable), 0)
 	is.Equal(len(l.Workers()), 0)
 }
+
+// TestOthers checks that the workers of other data centres are known, and that each change of
+// them is counted.
+func TestOthers(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	w := worker.Worker{ID: "w1", DataCentre: coastB, Labels: []string{"rack-1"}}
+	l := roster.NewList(roster.Config{DataCentre: coastA, Decode: decode})
+	count := uint64(0)
+	update := func(after time.Duration, rows map[string]storage.Row, changed bool) {
+		is.Helper()
+		own, _ := l.Update(now.Add(after), rows)
+		is.True(!own)
+		is.Equal(l.OtherChanges() > count, changed)
+		count = l.OtherChanges()
+	}
+	update(0, map[string]storage.Row{"w1": row(t, 1, w)}, true)
+	is.Equal(l.Others(), map[ident.DataCentre][]worker.Worker{coastB: {w}})
+	update(0, map[string]storage.Row{"w1": row(t, 2, w)}, false)
+	w.Draining = true
+	update(0, map[string]storage.Row{"w1": row(t, 3, w)}, true)
+	is.True(l.Others()[coastB][0].Draining)
+	update(time.Second, nil, false)
+	update(4*time.Second, nil, true)
+	is.Equal(len(l.Others()), 0)
+}
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -14,6 +14,8 @@
 	ID string
 	// Cores is the worker's capacity in thousandths of a core.
 	Cores int
+	// Labels holds the labels of the worker beside "a".
+	Labels []string
 	// Speed divides the run times of tasks.
 	Speed float64
 	// RunTime returns the run time of a task at speed 1, and its cores.
@@ -95,12 +97,17 @@
 // Entry returns the row that the worker writes about itself into the platform's
 // store.
 func (w *Worker) Entry(service, address, zone string) any {
-	return w.entry(service, address, zone, "ready")
+	return w.entry(service, address, zone, "ready", w.config.Cores)
+}
+
+// ShrunkenEntry returns the row that the worker writes while its capacity is cores.
+func (w *Worker) ShrunkenEntry(service, address, zone string, cores int) any {
+	return w.entry(service, address, zone, "ready", cores)
 }
 
 // DrainingEntry returns the row that the worker writes when it starts to drain.
 func (w *Worker) DrainingEntry(service, address, zone string) any {
-	return w.entry(service, address, zone, "draining")
+	return w.entry(service, address, zone, "draining", w.config.Cores)
 }
 
 // LastStart returns when the worker last started a run.
@@ -117,10 +124,10 @@
 	return w.firstOrder
 }
 
-func (w *Worker) entry(service, address, zone, state string) any {
+func (w *Worker) entry(service, address, zone, state string, cores int) any {
 	return map[string]any{
 		"Service": service, "Address": address, "Zone": zone, "State": state, "born": w.Incarnation(),
-		"Capacity": map[string]int{"Cpu": w.config.Cores, "MemMb": 1 << 20, "Gpu": 0}, "Labels": []string{"a"},
+		"Capacity": map[string]int{"Cpu": cores, "MemMb": 1 << 20, "Gpu": 0}, "Labels": append([]string{"a"}, w.config.Labels...),
 	}
 }
 
