Store large specifications in several rows, and split rejected writes

Cause: nothing bounded a row by what the table stores, and a write that the table rejects for its content counted as one without an answer. The job came back into each next batch, which was rejected with all that it held; workers then listed 500 ends that could not be stored, and their owner learned of no further ones.

A rejected write is split into one write a job, and only a job that is rejected alone fails. A job that no transaction can hold is refused at once. Batches count the bytes of whole rows; they counted payloads only.

TestLargeJobLetsOthersEnd failed before, with a stand-in that has the bounds of the table.

--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -32,7 +32,7 @@
 	f.Add(encode(work.Job{ID: "j", Pool: pool, Attempts: -1, Stretch: -1e300, Target: -1, Steps: []work.Step{{Count: 1, PerWorker: 1}}}), encode(ledger.Entry{}))
 	f.Add([]byte("\xc1"), []byte("\x80"))
 	f.Fuzz(func(_ *testing.T, job, state []byte) {
-		j, err := ledger.ReadJob(storage.Row{Value: job})
+		j, err := ledger.DecodeJob(job)
 		if err != nil || j.Check() != nil {
 			return
 		}
--- a/fleet/abandoned.go
+++ b/fleet/abandoned.go
@@ -109,7 +109,7 @@
 // moveJobsOf moves the open jobs of a lost owner to data centres that can run them. The
 // revision is that of its last heartbeat: if it writes another one, nothing is moved.
 func (s *jobStore) moveJobsOf(ctx context.Context, lost ownership.Owner, revision ident.Revision) error {
-	states, err := s.listRows(ctx, ledger.StateGroup)
+	states, err := s.listStates(ctx)
 	if err != nil {
 		return err
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -71,6 +71,8 @@
 	Resend time.Duration
 	// Retention is how long the state of a stored job can be queried after its end.
 	Retention time.Duration
+	// RowBytes is the largest value of a row that the table stores. Zero means a default.
+	RowBytes int
 	// ShutdownTimeout bounds a graceful shutdown.
 	ShutdownTimeout time.Duration
 	// MetricsAddress is the address that serves the metrics. Empty disables them.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -94,7 +94,7 @@
 func newWorld(t *testing.T) *world {
 	w := &world{
 		t: t, network: network.NewMemory(network.MemoryConfig{Delay: delay, DialTimeout: time.Second}), recorder: standin.NewRunRecorder(),
-		store:   standin.NewRowStore(standin.RowStoreConfig{WriteTime: 4 * time.Millisecond}),
+		store:   standin.NewRowStore(standin.RowStoreConfig{WriteTime: 4 * time.Millisecond, RowBytes: 65536}),
 		workers: map[string]*standin.Worker{}, workerServers: map[string]*http.Server{}, random: rand.New(rand.NewPCG(seed, 0)), results: map[dispatch.Result]int{},
 	}
 	w.serve(storeSite+":1", w.store.Handler())
--- a/fleet/guard_test.go
+++ b/fleet/guard_test.go
@@ -57,9 +57,10 @@
 			},
 			machine: dispatch.New(time.Now(), dispatch.Config{MaxLease: time.Second, Token: 5}),
 		}
-		o.jobStore = newJobStore(o, movedTable{}, nil, x, time.Minute)
-		o.jobStore.ledger.Accept(work.Job{ID: "j", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Estimate: time.Second}}})
-		_, _, err := o.jobStore.ledger.Next()
+		o.jobStore = newJobStore(o, movedTable{}, nil, x)
+		_, err := o.jobStore.ledger.Accept(work.Job{ID: "j", Queue: "q", Pool: "p", Steps: []work.Step{{Count: 1, Estimate: time.Second}}})
+		is.NoErr(err)
+		_, _, err = o.jobStore.ledger.Next()
 		is.NoErr(err)
 		o.jobStore.ledger.HandleResult(storage.Result{Applied: true, Revision: 6}, nil)
 		is.Equal(o.jobStore.openJobs(), 1)
--- a/fleet/jobstore.go
+++ b/fleet/jobstore.go
@@ -43,18 +43,19 @@
 	cancelled map[work.ID]bool
 	// loaded is true once the jobs of the previous owner are known.
 	loaded bool
-	// waiting holds a channel for each caller that waits for its job to be stored. It is
-	// closed once the job is.
-	waiting map[work.ID][]chan struct{}
+	// waiting holds a channel for each caller that waits for its job to be stored, for the
+	// reply.
+	waiting map[work.ID][]chan dispatch.Reply
 }
 
-func newJobStore(w *Owner, t storage.Table, f storage.Feed, x ownership.Owner, retention time.Duration) *jobStore {
+func newJobStore(w *Owner, t storage.Table, f storage.Feed, x ownership.Owner) *jobStore {
 	return &jobStore{
 		owner: w, table: t, feed: f, logger: w.logger, wake: make(chan struct{}, 1), reading: make(chan struct{}, 1),
 		ledger: ledger.NewStore(ledger.Config{
-			DataCentre: x.DataCentre, OwnerKey: ownerKey(x.DataCentre), Token: x.Token, Retention: retention,
+			DataCentre: x.DataCentre, OwnerKey: ownerKey(x.DataCentre), Token: x.Token, Retention: w.owners.settings.Retention,
+			RowBytes: w.owners.settings.RowBytes,
 		}),
-		waiting: map[work.ID][]chan struct{}{},
+		waiting: map[work.ID][]chan dispatch.Reply{},
 	}
 }
 
@@ -123,7 +124,7 @@
 	case <-ctx.Done():
 		return 0, ctx.Err()
 	}
-	states, err := s.listRows(ctx, ledger.StateGroup)
+	states, err := s.listStates(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -196,12 +197,11 @@
 		return nil, err
 	}
 	jobs := map[work.ID]work.Job{}
-	for id, r := range rows {
-		e, ok := entries[id]
-		if !ok || e.HasEnded() {
+	for id, e := range entries {
+		if e.HasEnded() {
 			continue
 		}
-		j, err := ledger.ReadJob(r)
+		j, err := ledger.ReadJob(rows, id, e)
 		if err == nil {
 			err = j.Check()
 		}
@@ -214,16 +214,26 @@
 	return jobs, nil
 }
 
-// listRows reads all rows of a group by job.
-func (s *jobStore) listRows(ctx context.Context, group string) (map[work.ID]storage.Row, error) {
-	found := map[work.ID]storage.Row{}
+// listStates reads the state rows of all jobs.
+func (s *jobStore) listStates(ctx context.Context) (map[work.ID]storage.Row, error) {
+	rows, err := s.listRows(ctx, ledger.StateGroup)
+	states := make(map[work.ID]storage.Row, len(rows))
+	for key, r := range rows {
+		states[ledger.ID(key)] = r
+	}
+	return states, err
+}
+
+// listRows reads all rows of a group by key.
+func (s *jobStore) listRows(ctx context.Context, group string) (map[string]storage.Row, error) {
+	found := map[string]storage.Row{}
 	for after := ""; ; {
 		rows, err := s.listPage(ctx, group, after)
 		if err != nil {
 			return nil, err
 		}
 		for _, r := range rows {
-			found[ledger.ID(r.Key)] = r
+			found[r.Key] = r
 			after = r.Key
 		}
 		if len(rows) < pageRows {
@@ -278,10 +288,14 @@
 	s.mutex.Lock()
 	o := s.ledger.HandleResult(r, err)
 	for _, j := range o.Accepted {
-		s.notifyStored(j.ID)
+		s.answer(dispatch.Reply{Job: j.ID, Result: dispatch.Stored})
 	}
 	for _, id := range o.AlreadyStored {
-		s.notifyStored(id)
+		s.answer(dispatch.Reply{Job: id, Result: dispatch.Stored})
+	}
+	for _, id := range o.Rejected {
+		s.logger.WithField("job", string(id)).Error("the table does not take the job")
+		s.answer(dispatch.Reply{Job: id, Result: dispatch.Refused, Reason: "the table does not take the job", RetryAfter: refusalRetryAfter})
 	}
 	s.mutex.Unlock()
 	if o.Fenced {
@@ -335,12 +349,12 @@
 	return s.cancelled[id]
 }
 
-// notifyStored ends the wait of a job's callers. The caller holds the mutex.
-func (s *jobStore) notifyStored(id work.ID) {
-	for _, c := range s.waiting[id] {
-		close(c)
+// answer ends the wait of a job's callers. The caller holds the mutex.
+func (s *jobStore) answer(r dispatch.Reply) {
+	for _, c := range s.waiting[r.Job] {
+		c <- r
 	}
-	delete(s.waiting, id)
+	delete(s.waiting, r.Job)
 }
 
 // noteProgress queues the progress and ends of jobs that the machine reports for writing.
@@ -426,25 +440,30 @@
 		s.mutex.Unlock()
 		return dispatch.Reply{Job: j.ID, Result: dispatch.Moved, Reason: "the owner does not know its jobs yet"}
 	}
-	if s.ledger.Accept(j) {
+	known, err := s.ledger.Accept(j)
+	if err != nil {
+		s.mutex.Unlock()
+		return dispatch.Reply{Job: j.ID, Result: dispatch.Refused, Reason: err.Error(), RetryAfter: refusalRetryAfter}
+	}
+	if known {
 		s.mutex.Unlock()
 		return dispatch.Reply{Job: j.ID, Result: dispatch.Stored}
 	}
-	stored := make(chan struct{})
+	stored := make(chan dispatch.Reply, 1)
 	s.waiting[j.ID] = append(s.waiting[j.ID], stored)
 	s.mutex.Unlock()
 	s.wakeUp()
 	select {
-	case <-stored:
-		return dispatch.Reply{Job: j.ID, Result: dispatch.Stored}
+	case r := <-stored:
+		return r
 	case <-ctx.Done():
 	case <-s.owner.ctx.Done():
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	select {
-	case <-stored:
-		return dispatch.Reply{Job: j.ID, Result: dispatch.Stored}
+	case r := <-stored:
+		return r
 	default:
 	}
 	if len(s.waiting[j.ID]) == 1 && s.ledger.Abandon(j.ID) {
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -114,7 +114,7 @@
 		hosts:   map[ident.Host]string{},
 	}
 	w.ctx, w.cancel = context.WithCancel(ctx)
-	w.jobStore = newJobStore(w, o.directory.table, o.directory.feed, x, o.settings.Retention)
+	w.jobStore = newJobStore(w, o.directory.table, o.directory.feed, x)
 	go w.tickLoop()
 	go w.jobStore.run(w.ctx)
 	go w.heartbeatLoop()
--- a/fleet/storedjobs_test.go
+++ b/fleet/storedjobs_test.go
@@ -445,3 +445,31 @@
 		is.Equal(w.recorder.Restarted(), nil)
 	})
 }
+
+// TestLargeJobLetsOthersEnd submits a job of 1,300 steps beside small ones, more than fits into
+// a row of the table. All of them must be completed.
+func TestLargeJobLetsOthersEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		m := w.owner("coast-a")
+		var accepted []work.ID
+		for n := range 40 {
+			j := storedJob(n, 200, 3)
+			if n == 5 {
+				j = storedJob(n, 1, 1)
+				for i := range 1300 {
+					s := j.Steps[0]
+					s.Label, s.After = "a", []int{max(0, i)}
+					j.Steps = append(j.Steps, s)
+				}
+			}
+			now := time.Now()
+			is.Equal(m.submitter.SubmitStored(m.ctx, j, now, now.Add(time.Second)).Result, dispatch.Stored)
+			accepted = append(accepted, j.ID)
+		}
+		time.Sleep(2 * finishTime)
+		w.checkCompleted(accepted)
+	})
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -63,6 +63,8 @@
 	Queue      work.Queue       `msgpack:"queue"`
 	State      State            `msgpack:"state"`
 	Progress   work.Progress    `msgpack:"progress"`
+	// Rows is the number of rows of the job's specification. Zero means one.
+	Rows int `msgpack:"rows,omitempty"`
 	// Losses holds the losses of workers under the job's tasks.
 	Losses []crash.TaskLosses `msgpack:"losses,omitempty"`
 	// Ended is when the job ended, in milliseconds since 1970, or zero. It only
@@ -86,13 +88,6 @@
 	return e, errors.Wrapf(err, "row %s", r.Key)
 }
 
-// ReadJob returns the specification in a row.
-func ReadJob(r storage.Row) (work.Job, error) {
-	var j work.Job
-	err := msgpack.Unmarshal(r.Value, &j)
-	return j, errors.Wrapf(err, "row %s", r.Key)
-}
-
 // IsTombstone returns true for a tombstone: the state of a job that was cancelled
 // before it was stored.
 func (e *Entry) IsTombstone() bool { return e.State == Cancelled && e.Queue == "" }
@@ -125,6 +120,6 @@
 	return storage.Write{
 		Conditions: []storage.Condition{{Key: r.Key, Revision: r.Revision}},
 		Puts:       []storage.Put{{Key: r.Key, Value: value}, {Key: CancelKey(id), Value: value}},
-		Deletes:    []string{JobKey(id)},
+		Deletes:    specificationKeys(id, e.Rows),
 	}, true, nil
 }
--- a/ledger/move_test.go
+++ b/ledger/move_test.go
@@ -67,7 +67,7 @@
 			is := is.New(t)
 			tb := newTable()
 			s := tb.claim()
-			s.Accept(newJob("j"))
+			accept(is, s, newJob("j"))
 			writeAll(is, tb, s)
 			is.True(tb.transfer(is, nil, "coast-b"))
 			is.True(s.RecordEnd("j", 0, 1, true, end))
@@ -93,7 +93,7 @@
 	tb := newTable()
 	s := tb.claim()
 	for n := range jobs {
-		s.Accept(newJob(work.ID(fmt.Sprint("j", n))))
+		accept(is, s, newJob(work.ID(fmt.Sprint("j", n))))
 	}
 	writeAll(is, tb, s)
 	fence := []storage.Condition{{Key: ownerKey, Revision: tb.rows[ownerKey].Revision}}
@@ -165,7 +165,7 @@
 			is := is.New(t)
 			tb := newTable()
 			s := tb.claim()
-			s.Accept(newJob("j"))
+			accept(is, s, newJob("j"))
 			is.True(!s.Move("j", other)) // It is not stored yet.
 			writeAll(is, tb, s)
 			is.True(s.Move("j", other))
--- a/ledger/property_test.go
+++ b/ledger/property_test.go
@@ -44,7 +44,7 @@
 	id := work.ID(fmt.Sprint("j", rapid.IntRange(0, 4).Draw(t, "job")))
 	switch rapid.IntRange(0, 10).Draw(t, "event") {
 	case 0:
-		if !h.abandoned[id] && h.store.Accept(newJob(id)) {
+		if !h.abandoned[id] && accept(newIs(t), h.store, newJob(id)) {
 			h.accepted[id] = true
 		}
 	case 1:
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/catkingap/catkingap/crash"
 	"github.com/catkingap/catkingap/ident"
@@ -19,10 +18,8 @@
 	// maxItems is the number of conditions, puts and deletes that one
 	// transaction of the platform's table may hold.
 	maxItems = 100
-	// itemsPerJob is the largest number of items that one job needs.
-	itemsPerJob = 4
-	// maxBytes bounds the values of one transaction, well below the megabyte
-	// that the platform's table takes.
+	// maxBytes bounds the values of one transaction. The platform's table takes a
+	// megabyte, in which values are a third larger.
 	maxBytes = 500_000
 	// retryDelay is the time between a failed write and the next one.
 	retryDelay = 100 * time.Millisecond
@@ -36,6 +33,8 @@
 	Token    worker.Token
 	// Retention is how long the state of a job can be asked for after its end.
 	Retention time.Duration
+	// RowBytes bounds the value of a row, in bytes. Zero means a default.
+	RowBytes int
 }
 
 // Outcome is the result of a write.
@@ -49,6 +48,8 @@
 	StoredEnds []worker.EndID
 	// Cancelled holds the jobs that another host has cancelled.
 	Cancelled []work.ID
+	// Rejected holds submitted jobs that the table does not take. They never run.
+	Rejected []work.ID
 	// Moved holds the jobs that belong to another data centre now.
 	Moved []MovedJob
 	// Fenced is true if another owner has taken the workers.
@@ -76,6 +77,8 @@
 	id  work.ID
 	job work.Job
 	row Entry
+	// specification holds the rows of the job's specification until they are stored.
+	specification []storage.Put
 	// revision is the revision of the state row, or zero if it is not stored yet.
 	revision ident.Revision
 	// unconfirmed holds the values of writes without an answer. Each of them may be
@@ -88,8 +91,9 @@
 	// that the next one stores.
 	pendingEnds []worker.EndID
 	nextEnds    []worker.EndID
-	// queued is true while the entry is in dirty.
-	queued bool
+	// queued is true while the entry is in dirty, and alone if it must not share a write,
+	// because the table has rejected one that held it.
+	queued, alone bool
 	// expiryStart is when this owner learned that the job has ended, or last found
 	// that the end was not stored. It is zero until this owner knows either.
 	expiryStart time.Time
@@ -101,6 +105,9 @@
 
 // NewStore returns a Store without jobs.
 func NewStore(c Config) *Store {
+	if c.RowBytes == 0 {
+		c.RowBytes = defaultRowBytes
+	}
 	return &Store{config: c, entries: map[work.ID]*entry{}, moved: map[work.ID]ident.Revision{}}
 }
 
@@ -119,15 +126,23 @@
 	}
 }
 
-// Accept plans to store a job. It returns true if the job is stored already.
-func (s *Store) Accept(job work.Job) bool {
+// Accept plans to store a job. It returns true if the job is stored already, and a
+// *TooLargeError if the table cannot store it.
+func (s *Store) Accept(job work.Job) (bool, error) {
 	if e := s.entries[job.ID]; e != nil {
-		return e.revision != 0
+		return e.revision != 0, nil
+	}
+	specification, err := specificationPuts(&job, s.config.RowBytes)
+	if err != nil {
+		return false, err
+	}
+	e := &entry{id: job.ID, job: job, specification: specification, row: Entry{DataCentre: s.config.DataCentre, Queue: job.Queue, State: Accepted}}
+	if len(specification) > 1 {
+		e.row.Rows = len(specification)
 	}
-	e := &entry{id: job.ID, job: job, row: Entry{DataCentre: s.config.DataCentre, Queue: job.Queue, State: Accepted}}
 	s.entries[job.ID] = e
 	s.markDirty(e)
-	return false
+	return false, nil
 }
 
 // Abandon removes a job whose caller has given up. It returns true if the job is
@@ -255,56 +270,61 @@
 	}
 	w := storage.Write{Conditions: []storage.Condition{{Key: s.config.OwnerKey, Revision: ident.Revision(s.config.Token)}}}
 	items, size := 1, 0
-	for len(s.dirty) > 0 && items+itemsPerJob <= maxItems && size < maxBytes {
+	for len(s.dirty) > 0 {
 		e := s.entries[s.dirty[0]]
-		s.dirty = s.dirty[1:]
 		if e == nil || !e.queued {
+			s.dirty = s.dirty[1:]
 			continue
 		}
-		e.queued = false
-		if err := e.addTo(&w); err != nil {
+		rows, err := e.write()
+		if err != nil {
 			return storage.Write{}, false, err
 		}
+		more := len(rows.Conditions) + len(rows.Puts) + len(rows.Deletes) + 1
+		if len(s.batch) > 0 && (e.alone || s.batch[0].alone || items+more > maxItems || size+rows.Size() > maxBytes) {
+			break
+		}
+		s.dirty = s.dirty[1:]
+		e.queued = false
+		w.Conditions = append(w.Conditions, rows.Conditions...)
+		w.Puts = append(w.Puts, rows.Puts...)
+		w.Deletes = append(w.Deletes, rows.Deletes...)
 		if !e.removing && e.valueCentre != s.config.DataCentre {
 			putInbox(&w, s.config.DataCentre, e.valueCentre)
 		}
 		e.pendingEnds, e.nextEnds = append(e.pendingEnds, e.nextEnds...), nil
 		s.batch = append(s.batch, e)
-		items = len(w.Conditions) + len(w.Puts) + len(w.Deletes)
-		size += len(e.value) + len(e.job.Payload)
+		items += more
+		size += rows.Size()
 	}
 	return w, len(s.batch) > 0, nil
 }
 
-// addTo adds the rows of an entry to a write.
-func (e *entry) addTo(w *storage.Write) error {
-	w.Conditions = append(w.Conditions, storage.Condition{Key: StateKey(e.id), Revision: e.revision})
+// write returns the rows of an entry.
+func (e *entry) write() (storage.Write, error) {
+	w := storage.Write{Conditions: []storage.Condition{{Key: StateKey(e.id), Revision: e.revision}}}
 	if e.removing {
 		e.value = nil
 		w.Deletes = append(w.Deletes, StateKey(e.id))
 		if e.hasCancelRow {
 			w.Deletes = append(w.Deletes, CancelKey(e.id))
 		}
-		return nil
-	}
-	var err error
-	if e.value, err = e.row.Encode(); err != nil {
-		return err
+		return w, nil
 	}
-	e.valueCentre = e.row.DataCentre
-	w.Puts = append(w.Puts, storage.Put{Key: StateKey(e.id), Value: e.value})
 	if e.revision == 0 {
-		spec, err := msgpack.Marshal(&e.job)
-		if err != nil {
-			return err
-		}
-		w.Puts = append(w.Puts, storage.Put{Key: JobKey(e.id), Value: spec})
+		w.Puts = slices.Clone(e.specification)
 	} else if e.row.HasEnded() && e.job.ID != "" {
 		// Only the state of an ended job is needed, and a new owner reads all
 		// specifications in the table.
-		w.Deletes = append(w.Deletes, JobKey(e.id))
+		w.Deletes = specificationKeys(e.id, e.row.Rows)
+	}
+	var err error
+	if e.value, err = e.row.Encode(); err != nil {
+		return w, err
 	}
-	return nil
+	e.valueCentre = e.row.DataCentre
+	w.Puts = append(w.Puts, storage.Put{Key: StateKey(e.id), Value: e.value})
+	return w, nil
 }
 
 // HandleResult handles the answer to the pending write.
@@ -313,6 +333,8 @@
 	s.batch = nil
 	var o Outcome
 	switch {
+	case errors.As(err, new(*storage.RejectedError)):
+		s.rejected(batch, &o)
 	case err != nil:
 		o.Pause = retryDelay
 		uncertain := !errors.As(err, new(*storage.NotSentError))
@@ -332,6 +354,24 @@
 	return o
 }
 
+// rejected handles that the table does not take a write. Its jobs are written one by one,
+// so that only the one at fault fails: a job that is not stored yet is rejected, and a later
+// state of another one waits for its next change.
+func (s *Store) rejected(batch []*entry, o *Outcome) {
+	for _, e := range batch {
+		switch {
+		case len(batch) > 1:
+			e.alone = true
+			s.retry(e)
+		case e.revision == 0 && len(e.unconfirmed) == 0:
+			delete(s.entries, e.id)
+			o.Rejected = append(o.Rejected, e.id)
+		default:
+			e.nextEnds, e.pendingEnds = append(e.pendingEnds, e.nextEnds...), nil
+		}
+	}
+}
+
 // retry plans to repeat the write of an entry.
 func (s *Store) retry(e *entry) {
 	e.nextEnds, e.pendingEnds = append(e.pendingEnds, e.nextEnds...), nil
@@ -348,7 +388,7 @@
 		o.Accepted = append(o.Accepted, e.job)
 	}
 	o.StoredEnds = append(o.StoredEnds, e.pendingEnds...)
-	e.revision, e.unconfirmed, e.pendingEnds = r, nil, nil
+	e.revision, e.unconfirmed, e.pendingEnds, e.alone, e.specification = r, nil, nil, false, nil
 	if e.valueCentre != "" && e.valueCentre != s.config.DataCentre {
 		s.movedAway(e, e.valueCentre, r, e.nextEnds, o)
 		return
--- a/ledger/store_test.go
+++ b/ledger/store_test.go
@@ -89,7 +89,7 @@
 		is.NoErr(err)
 		var j work.Job
 		if !e.HasEnded() {
-			j, err = ledger.ReadJob(t.rows[ledger.JobKey(id)])
+			j, err = ledger.ReadJob(t.rows, id, e)
 			is.NoErr(err)
 		}
 		s.Load(id, j, e, r.Revision)
@@ -100,6 +100,14 @@
 	return work.Job{ID: id, Queue: "q", Payload: "x", Steps: []work.Step{{Count: 2, Size: work.Size{Cores: 500}}}}
 }
 
+// accept plans to store a job, and returns whether it is stored already.
+func accept(is *is.I, s *ledger.Store, j work.Job) bool {
+	is.Helper()
+	known, err := s.Accept(j)
+	is.NoErr(err)
+	return known
+}
+
 // next returns the next write, which must exist.
 func next(is *is.I, s *ledger.Store) storage.Write {
 	is.Helper()
@@ -137,7 +145,7 @@
 	is := is.New(t)
 	table := newTable()
 	s := table.claim()
-	s.Accept(newJob("j"))
+	accept(is, s, newJob("j"))
 	writeAll(is, table, s)
 	lost := func(task string, p crash.Proof) crash.TaskLosses {
 		return crash.TaskLosses{Task: task, Losses: crash.History{{Life: crash.Life{Worker: "w1", Incarnation: 1}, Proof: p, Alone: true}}}
@@ -181,7 +189,7 @@
 			is := is.New(t)
 			table := newTable()
 			s := table.claim()
-			is.True(!s.Accept(newJob("j")))
+			is.True(!accept(is, s, newJob("j")))
 			var delayed storage.Write
 			for i, err := range test.answers {
 				w := next(is, s)
@@ -202,7 +210,7 @@
 			accepted := append(o.Accepted, writeAll(is, table, s).Accepted...)
 			is.Equal(accepted, []work.Job{newJob("j")})
 			is.Equal(table.state(is, "j").State, ledger.Accepted)
-			is.True(s.Accept(newJob("j"))) // It is stored by now.
+			is.True(accept(is, s, newJob("j"))) // It is stored by now.
 			is.Equal(len(writeAll(is, table, s).Accepted), 0)
 		})
 	}
@@ -213,11 +221,11 @@
 	is := is.New(t)
 	table := newTable()
 	first := table.claim()
-	first.Accept(newJob("j"))
+	accept(is, first, newJob("j"))
 	writeAll(is, table, first)
 	other := table.claim()
-	other.Accept(newJob("j"))
-	other.Accept(newJob("k"))
+	accept(is, other, newJob("j"))
+	accept(is, other, newJob("k"))
 	o := writeAll(is, table, other)
 	is.Equal(o.AlreadyStored, []work.ID{"j"})
 	is.Equal(o.Accepted, []work.Job{newJob("k")}) // The other job of the write is not held up.
@@ -241,7 +249,7 @@
 			is := is.New(t)
 			table := newTable()
 			s := table.claim()
-			s.Accept(newJob("j"))
+			accept(is, s, newJob("j"))
 			if test.write != nil {
 				test.write(s, next(is, s), table)
 			}
@@ -261,7 +269,7 @@
 	table := newTable()
 	s := table.claim()
 	for i := range 10 {
-		s.Accept(newJob(work.ID(fmt.Sprint("j", i))))
+		accept(is, s, newJob(work.ID(fmt.Sprint("j", i))))
 	}
 	writeAll(is, table, s)
 	is.True(s.RecordEnd("j0", 0, 1, true, testEnd))
@@ -287,7 +295,7 @@
 	table := newTable()
 	s := table.claim()
 	for i := range 500 {
-		s.Accept(newJob(work.ID(fmt.Sprint("j", i))))
+		accept(is, s, newJob(work.ID(fmt.Sprint("j", i))))
 	}
 	stored := 0
 	for stored < 500 {
@@ -303,11 +311,11 @@
 	is := is.New(t)
 	table := newTable()
 	s := table.claim()
-	s.Accept(newJob("j"))
+	accept(is, s, newJob("j"))
 	writeAll(is, table, s)
 	successor := table.claim()
 	s.RecordEnd("j", 0, 1, true, testEnd)
-	s.Accept(newJob("k"))
+	accept(is, s, newJob("k"))
 	o := writeAll(is, table, s)
 	is.True(o.Fenced)
 	is.Equal(len(o.StoredEnds)+len(o.Accepted), 0)
@@ -332,7 +340,7 @@
 			is := is.New(t)
 			table := newTable()
 			s := table.claim()
-			s.Accept(newJob("j"))
+			accept(is, s, newJob("j"))
 			writeAll(is, table, s)
 			before(s)
 			w, open, err := ledger.Cancel(start, "j", table.rows[ledger.StateKey("j")])
@@ -366,7 +374,7 @@
 	is := is.New(t)
 	table := newTable()
 	s := table.claim()
-	s.Accept(newJob("j"))
+	accept(is, s, newJob("j"))
 	writeAll(is, table, s)
 	s.End(start, "j", ledger.Completed)
 	writeAll(is, table, s)
@@ -415,7 +423,7 @@
 			is := is.New(t)
 			table := newTable()
 			first := table.claim()
-			first.Accept(newJob("j"))
+			accept(is, first, newJob("j"))
 			writeAll(is, table, first)
 			s := end(is, table, first)
 			s.Expire(start.Add(time.Second))
@@ -435,7 +443,7 @@
 	is := is.New(t)
 	table := newTable()
 	s := table.claim()
-	s.Accept(newJob("j"))
+	accept(is, s, newJob("j"))
 	writeAll(is, table, s)
 	s.End(start, "j", ledger.Failed)
 	is.True(s.RecordEnd("j", 0, 1, true, testEnd))
@@ -455,7 +463,7 @@
 	is := is.New(t)
 	table := newTable()
 	s := table.claim()
-	s.Accept(newJob("j"))
+	accept(is, s, newJob("j"))
 	writeAll(is, table, s)
 	s.End(start, "j", ledger.Completed)
 	for after := time.Duration(0); after < outage; after += time.Second {
--- a/standin/rowstore.go
+++ b/standin/rowstore.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -14,6 +15,9 @@
 type RowStoreConfig struct {
 	// WriteTime is the time that a transaction takes.
 	WriteTime time.Duration
+	// RowBytes is the largest value of a row, in base64. Zero means that neither rows nor
+	// transactions are bounded.
+	RowBytes int
 }
 
 // RowStore is a stand-in for the metadata store of the users' platform. It has rows
@@ -132,6 +136,10 @@
 			return
 		}
 	}
+	if s.isTooLarge(x) {
+		http.Error(w, "a row or the call is too large", http.StatusBadRequest)
+		return
+	}
 	time.Sleep(s.config.WriteTime)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -161,6 +169,26 @@
 	writeJSON(w, rowsAnswer{Ver: s.version})
 }
 
+const (
+	// maxItems and maxCallBytes bound the entries and the bytes of one transaction.
+	maxItems     = 100
+	maxCallBytes = 1_000_000
+)
+
+// isTooLarge returns true if a transaction is beyond the bounds of the store.
+func (s *RowStore) isTooLarge(x txRequest) bool {
+	if s.config.RowBytes == 0 {
+		return false
+	}
+	size, large := 0, len(x.ExpectedRevision)+len(x.Writes)+len(x.Remove) > maxItems
+	for _, p := range x.Writes {
+		encoded := base64.StdEncoding.EncodedLen(len(p.Value))
+		large = large || encoded > s.config.RowBytes
+		size += encoded
+	}
+	return large || size > maxCallBytes
+}
+
 func (s *RowStore) serveGet(w http.ResponseWriter, r *http.Request, _ Faults) {
 	q := r.URL.Query()
 	limit, err := strconv.Atoi(q.Get("Limit"))
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/catkingap/catkingap/ident"
 )
@@ -45,6 +46,15 @@
 	Reads []Read
 }
 
+// Size returns the number of bytes of the values.
+func (w *Write) Size() int {
+	size := 0
+	for _, p := range w.Puts {
+		size += len(p.Value)
+	}
+	return size
+}
+
 // Result is the result of one Write.
 type Result struct {
 	// Applied is true if the write took effect.
@@ -127,6 +137,17 @@
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.Cause }
 
+// RejectedError means that the platform does not take a call as it is: repeating it is of
+// no use. It had no effect.
+type RejectedError struct {
+	Status int
+}
+
+// Error implements error.
+func (e *RejectedError) Error() string {
+	return fmt.Sprintf("the table rejects the call with %d", e.Status)
+}
+
 // NotFoundError means that an object does not exist.
 type NotFoundError struct {
 	Key string
