--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -227,6 +227,39 @@
 	is.True(len(f.done) > 30) // The other workers go on.
 }
 
+// TestUnansweredStartIsNoCrashOfAStoredTask crashes a silent worker that never carried out the
+// start of a stored job's task, and then one that runs it. The job must not be given up.
+func TestUnansweredStartIsNoCrashOfAStoredTask(t *testing.T) {
+	for name, second := range map[string]worker.ID{"the same worker": "w0", "another worker": "w1"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newCrashFleet(newMachine(), 1)
+			f.took = func(string) time.Duration { return time.Second }
+			f.orderTimeout = 120 * time.Millisecond
+			f.runUntil(at(100))
+			f.workers["w0"].cut = true
+			f.m.AddStored(f.now, submission("j", 1, 1).Job, work.Progress{}, false)
+			f.runUntil(at(2500))
+			is.Equal(f.starts["j.0.0.0"], 0)
+			if second != "w0" {
+				f.add(testWorker(second))
+			}
+			f.crash(f.workers["w0"])
+			for f.starts["j.0.0.0"] == 0 && f.now.Before(at(20_000)) {
+				f.runUntil(f.now.Add(100 * time.Millisecond))
+			}
+			f.runUntil(f.now.Add(300 * time.Millisecond))
+			for _, w := range f.workers {
+				if len(w.runs) > 0 {
+					f.crash(w)
+				}
+			}
+			f.runUntil(at(40_000))
+			is.Equal(f.ends, []dispatch.JobEnd{{Job: "j", Result: dispatch.Completed}})
+		})
+	}
+}
+
 // TestCutsAndStopsAreNotCrashes cuts off each worker that a task runs on, so that its
 // lease lapses, more often than a task may crash workers.
 func TestCutsAndStopsAreNotCrashes(t *testing.T) {
--- a/dispatch/crashfleet_test.go
+++ b/dispatch/crashfleet_test.go
@@ -69,8 +69,10 @@
 	// orderDelay is how long orders take to their worker. beyond lists the starts that
 	// brought a worker over its capacity.
 	orderDelay time.Duration
-	beyond     []string
-	later      []crashEvent
+	// orderTimeout is after how long an order without an answer is given up.
+	orderTimeout time.Duration
+	beyond       []string
+	later        []crashEvent
 }
 
 type crashEvent struct {
@@ -86,7 +88,7 @@
 	f := &crashFleet{
 		m: m, now: begin, workers: map[worker.ID]*crashWorker{}, crashes: map[string]int{}, starts: map[string]int{}, done: map[string]bool{}, losses: map[string]crash.TaskLosses{},
 		deadly: func(string) bool { return false }, took: func(string) time.Duration { return 60 * time.Millisecond },
-		comesBack: 3 * time.Second,
+		comesBack: 3 * time.Second, orderTimeout: time.Millisecond,
 	}
 	for i := range workers {
 		f.add(testWorker(worker.ID(fmt.Sprint(prefix, i))))
@@ -263,7 +265,7 @@
 	for _, l := range a.Polls {
 		w, sent := f.workers[l.Worker], f.now
 		if v, lost := w.verdict(); lost {
-			f.after(time.Millisecond, func() { f.m.PollAnswered(f.now, sent, l, nil, v) })
+			f.after(f.orderTimeout, func() { f.m.PollAnswered(f.now, sent, l, nil, v) })
 			continue
 		}
 		f.extend(w, l.Until)
