Take a late refusal for no proof that a worker began a task

The log of the owner shows why: the worker that never began the task is killed and started again by the case, and refuses connections for some milliseconds in between. A refusal told that it had crashed in time, with all that was sent to it, even 2.6 s after the lease of those runs had lapsed.

Whether it refused connections now counts as of the lapse of the lease.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -230,7 +230,16 @@
 // TestUnansweredStartIsNoCrashOfAStoredTask crashes a silent worker that never carried out the
 // start of a stored job's task, and then one that runs it. The job must not be given up.
 func TestUnansweredStartIsNoCrashOfAStoredTask(t *testing.T) {
-	for name, second := range map[string]worker.ID{"the same worker": "w0", "another worker": "w1"} {
+	tests := map[string]struct {
+		second worker.ID
+		// refuses is true if the first worker refuses connections before it is back.
+		refuses bool
+	}{
+		"the same worker":                       {second: "w0"},
+		"another worker":                        {second: "w1"},
+		"another worker, the first one refuses": {second: "w1", refuses: true},
+	}
+	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newCrashFleet(newMachine(), 1)
@@ -241,9 +250,10 @@
 			f.m.AddStored(f.now, submission("j", 1, 1).Job, work.Progress{}, false)
 			f.runUntil(at(2500))
 			is.Equal(f.starts["j.0.0.0"], 0)
-			if second != "w0" {
-				f.add(testWorker(second))
+			if test.second != "w0" {
+				f.add(testWorker(test.second))
 			}
+			f.workers["w0"].cut = !test.refuses
 			f.crash(f.workers["w0"])
 			for f.starts["j.0.0.0"] == 0 && f.now.Before(at(20_000)) {
 				f.runUntil(f.now.Add(100 * time.Millisecond))
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -38,8 +38,8 @@
 	// startGivenUp is when the owner stopped waiting for the answer to the start,
 	// or zero.
 	startGivenUp time.Time
-	// confirmedAt is when the worker was known to have the run. It is presumed to have it if
-	// presumed is true: it has not answered the start.
+	// confirmedAt is when the worker was known to have the run. It is only presumed to have it
+	// if presumed is true: its lease has lapsed without an answer to the start.
 	confirmedAt time.Time
 	presumed    bool
 	// stopAccepted is when the worker accepted the stop. From then on the run
@@ -454,7 +454,7 @@
 		if r.task == nil || !r.task.job.stored || !r.task.job.live || !n.listed {
 			lost = append(lost, r)
 		} else if r.state == startSent {
-			r.state, r.confirmedAt, r.presumed = running, r.sent, true
+			r.state, r.confirmedAt, r.presumed = running, r.sent, !n.refusing
 		}
 	}
 	m.loseWorker(now, n, lost, LossSilent)
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -59,7 +59,7 @@
 		if !r.stopAccepted.IsZero() {
 			continue
 		}
-		unconfirmed := (r.confirmedAt.IsZero() || r.presumed) && !n.refusing
+		unconfirmed := r.presumed || (r.confirmedAt.IsZero() && !n.refusing)
 		tasks = append(tasks, crash.TaskLosses{Task: r.key.task, Losses: crash.History{{
 			Life: life, Proof: proof, InTime: inTime, Unconfirmed: unconfirmed,
 		}}})
