Number the runs of each owner of stored jobs apart

Cause: failed runs are told apart by number, and a new owner numbered its runs from 16 above the highest one stored. Two owners in a row that store nothing used the same numbers, so their failures counted once.

Runs are numbered from 16 times the owner's token now. TestOwnersNumberRunsApart failed before.

--- a/dispatch/stored.go
+++ b/dispatch/stored.go
@@ -11,8 +11,16 @@
 // runNumberGap is how far above the highest stored run number the runs of a job
 // continue after a change of owners: runs that were stopped are not stored. A
 // worker that has seen a higher number refuses the start, which is then retried.
+// Each owner has a range of numbers of this size at least, since failed runs are
+// told apart by their numbers.
 const runNumberGap = 16
 
+// firstRun returns the number above which this owner numbers the runs of a job that an
+// earlier one may have started.
+func (m *Machine) firstRun(p *work.Progress) work.Run {
+	return max(p.Highest+runNumberGap, work.Run(m.config.Token)*runNumberGap)
+}
+
 // RunEnd is the end of a run. It must be stored before the worker may forget it.
 type RunEnd struct {
 	Job work.ID
@@ -65,7 +73,7 @@
 	}
 	if resubmitted {
 		for _, t := range k.tasks {
-			t.lastRun = p.Highest + runNumberGap
+			t.lastRun = m.firstRun(&p)
 		}
 	}
 	m.adoptOrphans(now, k)
--- a/dispatch/stored_test.go
+++ b/dispatch/stored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -397,3 +398,18 @@
 	}
 	is.Equal(finishes, 1)
 }
+
+// TestOwnersNumberRunsApart has two owners in a row start a task of a stored job of which no end
+// is stored. Their runs must have different numbers, or the failures of both count once.
+func TestOwnersNumberRunsApart(t *testing.T) {
+	is := is.New(t)
+	numbers := map[work.Run]bool{}
+	for token := worker.Token(7); token < 10; token++ {
+		m := withWorkers(dispatch.New(begin, dispatch.Config{Token: token, MaxLease: time.Second, FarFactor: 2}), "w1")
+		m.AddStored(at(2000), submission("j", 1, 1).Job, work.Progress{}, token > 7)
+		starts := m.TakeActions().Starts
+		is.Equal(len(starts), 1)
+		is.True(!numbers[starts[0].Run])
+		numbers[starts[0].Run] = true
+	}
+}
