Ask other data centres before a job fails for want of a kind of worker

What callers saw: the only worker of a kind in a data centre is lost. A job whose caller waits and that needs this kind is answered failed at hosts there, though others have such workers; one that waits there already is not passed on.

Cause: an owner's "no worker is large enough" was passed on as if it spoke for all data centres, and whether a waiting job can start at once was asked of all workers, not of those with its label.

The owner answers unsuited if it knows that others have workers for all steps, and the host goes on to them. Hosts of an earlier version get the answer of before. TestWaitingCallerOfALostKindOfWorkerIsServedElsewhere and TestJobForALostKindOfWorkerIsYielded failed before.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -100,6 +100,8 @@
 	Final bool `msgpack:"final"`
 	// Pinned is true if an owner has already yielded the job. It is not moved again.
 	Pinned bool `msgpack:"stays,omitempty"`
+	// MayRefer is true if the host submits an unsuited job to another owner.
+	MayRefer bool `msgpack:"mayRefer,omitempty"`
 	// Losses holds the losses of workers under tasks of the job that are known to the host.
 	Losses []crash.TaskLosses `msgpack:"losses,omitempty"`
 }
@@ -111,6 +113,9 @@
 const (
 	// Busy means that nothing was started and that another owner may be asked.
 	Busy Result = "busy"
+	// Unsuited means that nothing was started, and that only other data centres have
+	// workers for the job.
+	Unsuited Result = "unsuited"
 	// Completed means that all tasks are done.
 	Completed Result = "completed"
 	// Failed means that the job cannot be completed.
@@ -248,6 +253,8 @@
 	meanRunTime time.Duration
 	// meanCores is the mean number of cores of recent tasks.
 	meanCores float64
+	// otherWorkers holds the workers of the other data centres.
+	otherWorkers map[ident.DataCentre][]worker.Worker
 	// listRead is true once the list of workers was read.
 	listRead bool
 	// storedLoaded is true once the stored jobs of the previous owner are known.
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/relocation"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
@@ -65,6 +66,28 @@
 	return !m.listRead || relocation.Suits(j, ready, m.AvailableWorkers(now))
 }
 
+// SetOtherWorkers replaces the known workers of the other data centres.
+func (m *Machine) SetOtherWorkers(workers map[ident.DataCentre][]worker.Worker) {
+	m.otherWorkers = workers
+}
+
+// OtherWorkers returns the known workers of the other data centres.
+func (m *Machine) OtherWorkers() map[ident.DataCentre][]worker.Worker { return m.otherWorkers }
+
+// suitsElsewhere returns true if another data centre has workers for all steps of a job.
+func (m *Machine) suitsElsewhere(j *work.Job) bool {
+	_, all := j.OpenSteps(nil)
+	for _, workers := range m.otherWorkers {
+		if relocation.Suits(j, all, workers) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasNoWorkers returns true if the list of workers was read and is empty.
+func (m *Machine) hasNoWorkers() bool { return m.listRead && len(m.ordered) == 0 }
+
 // waitingSteps returns the steps that have tasks which may start.
 func (j *job) waitingSteps() []int {
 	var steps []int
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -339,5 +339,5 @@
 func (m *Machine) canStartAtOnce(now time.Time, j *job) bool {
 	m.refreshChanged(now)
 	first := j.spec.Steps[0]
-	return m.mayStart(now, j) && m.freeIndex.List(j.spec.Pool, "").Count(first.Size, first.Count) >= first.Count
+	return m.mayStart(now, j) && m.freeIndex.List(j.spec.Pool, first.Label).Count(first.Size, first.Count) >= first.Count
 }
--- a/dispatch/yield_test.go
+++ b/dispatch/yield_test.go
@@ -1,6 +1,8 @@
 package dispatch_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -60,3 +62,25 @@
 		})
 	}
 }
+
+// TestJobForALostKindOfWorkerIsYielded loses the worker of a kind for which a job waits, while
+// workers of other kinds are idle. The job must be yielded to owners that have such workers.
+func TestJobForALostKindOfWorkerIsYielded(t *testing.T) {
+	is := is.New(t)
+	m := newMachine()
+	idle, rare := testWorker("w1"), testWorker("w2")
+	rare.Labels = append(slices.Clone(rare.Labels), "rare")
+	m.SetWorkers(begin, []worker.Worker{idle, rare})
+	answerPolls(m, at(1), m.TakeActions(), worker.Report{Incarnation: 1, Clock: 1000})
+	var started int
+	for call := range uint64(4) {
+		s := submission(work.ID(fmt.Sprint("j", call)), call, 1)
+		s.Job.Steps[0].Label = "rare"
+		s.Job.Target = time.Second
+		m.Submit(at(1500), s)
+		started += len(m.TakeActions().Starts)
+	}
+	is.True(started > 0 && started < 4)
+	m.SetWorkers(at(1510), []worker.Worker{idle})
+	is.Equal(m.Yield(at(1600), 4), 4-started) // each has one task
+}
--- a/fleet/abandoned.go
+++ b/fleet/abandoned.go
@@ -164,7 +164,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	centres[w.owner.DataCentre] = w.machine.AvailableWorkers(w.owners.contacts.clock())
-	for d, workers := range w.otherWorkers {
+	for d, workers := range w.machine.OtherWorkers() {
 		if _, ok := heard[d]; ok {
 			centres[d] = slices.DeleteFunc(slices.Clone(workers), func(x worker.Worker) bool { return x.Draining })
 		}
--- a/fleet/lostkind_test.go
+++ b/fleet/lostkind_test.go
@@ -136,3 +136,34 @@
 		w.checkCompleted([]work.ID{j.ID})
 	})
 }
+
+// TestWaitingCallerOfALostKindOfWorkerIsServedElsewhere submits jobs whose callers wait at hosts
+// whose data centre has lost the kind of worker that they need, or all workers. The others must
+// complete them.
+func TestWaitingCallerOfALostKindOfWorkerIsServedElsewhere(t *testing.T) {
+	for name, isLost := range map[string]func(name string) bool{
+		"the only one of its kind": func(name string) bool { return name == rareWorker("coast-a") },
+		"all workers":              func(name string) bool { return zoneOf(name) == "coast-a" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t)
+				for _, z := range zones {
+					w.addWorkerOfKind(z, rareWorker(z), rareLabel)
+				}
+				time.Sleep(startTime)
+				w.loseWorkers(isLost)
+				time.Sleep(rowExpiry + 3*time.Second)
+				m := w.owner("coast-a")
+				for n := range 20 {
+					j, now := rareJob(n, n%2 == 0), time.Now()
+					is.Equal(m.submitter.Submit(m.ctx, j, now, now.Add(2*time.Second)).Result, dispatch.Completed)
+				}
+				hopeless, now := rareJob(99, false), time.Now()
+				hopeless.Steps[0].Label = "nowhere"
+				is.Equal(m.submitter.Submit(m.ctx, hopeless, now, now.Add(2*time.Second)).Result, dispatch.Failed)
+			})
+		})
+	}
+}
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -91,8 +91,6 @@
 	published  []worker.Worker
 	generation uint64
 	versions   uint64
-	// otherWorkers holds the listed workers of the other data centres.
-	otherWorkers map[ident.DataCentre][]worker.Worker
 	// lastEvent is when an event was last handled, and lagLogged when the lag was last
 	// logged.
 	lastEvent, lagLogged time.Time
@@ -223,9 +221,7 @@
 }
 
 func (w *Owner) setOtherWorkers(workers map[ident.DataCentre][]worker.Worker) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.otherWorkers = workers
+	w.handle(eventWorkers, func(_ time.Time, m *dispatch.Machine) { m.SetOtherWorkers(workers) })
 }
 
 // handle passes an event to the machine and carries out the resulting actions. A panic is
--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -103,8 +103,9 @@
 	// startedEarlier is true if an ownership before it may have started a task of the job.
 	token          worker.Token
 	startedEarlier bool
-	// tried holds the data centres that had no free capacity.
-	tried map[ident.DataCentre]bool
+	// tried holds the data centres that had no free capacity, and unsuited those that have
+	// no worker for the job.
+	tried, unsuited map[ident.DataCentre]bool
 	// admitted tells for each data centre that was picked whether its owner gets the job.
 	// It does not if its lag is too high.
 	admitted map[ident.DataCentre]bool
@@ -122,7 +123,8 @@
 
 func newAttempt(j work.Job, arrived, deadline time.Time) *attempt {
 	return &attempt{
-		job: j, arrived: arrived, deadline: deadline, tried: map[ident.DataCentre]bool{}, admitted: map[ident.DataCentre]bool{},
+		job: j, arrived: arrived, deadline: deadline, tried: map[ident.DataCentre]bool{}, unsuited: map[ident.DataCentre]bool{},
+		admitted: map[ident.DataCentre]bool{},
 	}
 }
 
@@ -224,6 +226,9 @@
 		if !ok && a.refusal != nil {
 			return *a.refusal
 		}
+		if !ok && a.bound == "" && len(a.unsuited) > 0 {
+			return a.giveUp("no owner that answers has workers for a task")
+		}
 		if !ok && a.bound == "" && a.isThrottled() {
 			return a.giveUp("the owners of the workers are behind")
 		}
@@ -260,7 +265,7 @@
 	waited, left := a.times(now, s.contacts.clock().Sub(verified))
 	sub := dispatch.Submission{
 		Job: a.job, Host: s.self.Name, Boot: s.self.Boot, Call: a.call, Sequence: s.calls.add(o.DataCentre, a.call),
-		Waited: waited, Remaining: left, Final: final, Resubmitted: a.startedBefore(o), Pinned: a.yielded,
+		Waited: waited, Remaining: left, Final: final, Resubmitted: a.startedBefore(o), Pinned: a.yielded, MayRefer: true,
 		Losses: s.contacts.lossesOf(a.job.ID),
 	}
 	reply, err := s.call(ctx, verified, o, sub)
@@ -295,6 +300,10 @@
 		}
 		a.tried[o.DataCentre] = true
 		return reply, false
+	case dispatch.Unsuited:
+		s.release(a, o.DataCentre)
+		a.unsuited[o.DataCentre] = true
+		return reply, false
 	case dispatch.Moved:
 		s.release(a, o.DataCentre)
 		sleep(ctx, retryPause)
@@ -374,7 +383,7 @@
 	var best, fallback ownership.Owner
 	bestFree, fallbackFree := 0, 0
 	for c, o := range owners {
-		if ok, decided := a.admitted[c]; (decided && !ok) || !s.isHeard(now, o) {
+		if ok, decided := a.admitted[c]; (decided && !ok) || a.unsuited[c] || !s.isHeard(now, o) {
 			continue
 		}
 		load, known := s.contacts.Load(c)
@@ -399,7 +408,7 @@
 			best, bestFree = o, free
 		}
 	}
-	if best.Host != "" && len(a.tried) < len(owners) {
+	if best.Host != "" && len(a.tried)+len(a.unsuited) < len(owners) {
 		return best, false, true
 	}
 	return fallback, true, fallback.Host != "" && a.refusal == nil
