Keep a job that is moved to a data centre while it is submitted there again

Found by reading: a client sends a job once more, at the owner to which it is being moved. The owner has it among those to store, so it is not taken from the rows; then the write tells that the job is stored, and it is forgotten, until the next move or owner. Loading it over the waiting entry, the other order, would leave its callers without an answer.

A job that is being submitted is no longer loaded over, and an owner that learns of a job of its own data centre in this way reads the rows again. TestJobIsMovedHereWhileItIsSubmittedAgain plays the order of events.

--- a/fleet/jobstore.go
+++ b/fleet/jobstore.go
@@ -148,7 +148,10 @@
 	}
 	s.mutex.Lock()
 	for id, e := range entries {
-		s.ledger.Load(id, jobs[id], e, states[id].Revision)
+		if !s.ledger.Load(id, jobs[id], e, states[id].Revision) {
+			// It is submitted again at the same moment; the answer to its write tells more.
+			delete(jobs, id)
+		}
 	}
 	s.loaded = true
 	s.mutex.Unlock()
@@ -329,9 +332,9 @@
 	for _, x := range o.Moved {
 		s.logger.WithFields(log.Fields{"job": string(x.ID), "to": string(x.To), "unstored": len(x.UnstoredEnds)}).Info("stored job moved")
 		m.MoveAway(now, x.ID, x.UnstoredEnds)
-		if x.To == s.owner.owner.DataCentre {
-			s.recheck.Store(true)
-		}
+	}
+	if o.Recheck {
+		s.recheck.Store(true)
 	}
 }
 
--- a/ledger/move_test.go
+++ b/ledger/move_test.go
@@ -85,6 +85,31 @@
 	}
 }
 
+// TestJobIsMovedHereWhileItIsSubmittedAgain submits a job a second time at an owner to which it is
+// being moved. The owner must learn that the job is its own.
+func TestJobIsMovedHereWhileItIsSubmittedAgain(t *testing.T) {
+	is := is.New(t)
+	tb := newTable()
+	accept(is, tb.claim(), newJob("other"))
+	first := ledger.NewStore(ledger.Config{DataCentre: "coast-b", Retention: retention})
+	accept(is, first, newJob("j"))
+	w := next(is, first)
+	w.Conditions = w.Conditions[1:]
+	tb.commit(w)
+	s := tb.claim()
+	accept(is, s, newJob("j"))
+	is.True(tb.transfer(is, nil, "coast-a"))
+	_, unknown, _ := s.Compare(tb.states())
+	is.Equal(len(unknown), 0)
+	o := s.HandleResult(tb.commit(next(is, s)), nil)
+	is.Equal(o.AlreadyStored, []work.ID{"j"})
+	is.True(o.Recheck)
+	_, unknown, _ = s.Compare(tb.states())
+	is.Equal(len(unknown), 1)
+	is.True(s.Load("j", newJob("j"), unknown["j"], tb.states()["j"].Revision))
+	is.True(!s.Load("j", newJob("j"), unknown["j"], tb.states()["j"].Revision))
+}
+
 // TestTransferIsFenced checks that jobs are moved only while the rows of the fence stand, in
 // writes that the table takes.
 func TestTransferIsFenced(t *testing.T) {
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -52,6 +52,8 @@
 	Rejected []work.ID
 	// Moved holds the jobs that belong to another data centre now.
 	Moved []MovedJob
+	// Recheck is true if the table has a job of this data centre that is not known.
+	Recheck bool
 	// Fenced is true if another owner has taken the workers.
 	Fenced bool
 	// Pause is the time to wait before the next write.
@@ -112,9 +114,13 @@
 }
 
 // Load adds a job that another owner has stored. The specification is not used if the
-// job has ended.
-func (s *Store) Load(id work.ID, job work.Job, row Entry, r ident.Revision) {
+// job has ended. It returns false if the job is known.
+func (s *Store) Load(id work.ID, job work.Job, row Entry, r ident.Revision) bool {
+	if s.entries[id] != nil {
+		return false
+	}
 	s.entries[id] = &entry{id: id, job: job, row: row, revision: r, hasCancelRow: row.State == Cancelled}
+	return true
 }
 
 // LoadTombstone adds the job of a cancellation row if the row is a tombstone of this
@@ -457,9 +463,11 @@
 		o.AlreadyStored = append(o.AlreadyStored, e.id)
 		s.retry(e)
 	case e.revision == 0:
-		// Another owner has stored the job, or this one has before.
+		// Another owner has stored the job, or this one has before. It may have been moved
+		// here meanwhile.
 		delete(s.entries, e.id)
 		o.AlreadyStored = append(o.AlreadyStored, e.id)
+		o.Recheck = o.Recheck || (err == nil && row.DataCentre == s.config.DataCentre)
 	case err == nil && row.State == Cancelled:
 		o.Cancelled = append(o.Cancelled, e.id)
 		o.StoredEnds = append(o.StoredEnds, append(e.pendingEnds, e.nextEnds...)...)
@@ -470,6 +478,7 @@
 	case err == nil && e.valueCentre != "" && e.valueCentre != s.config.DataCentre:
 		// The job was moved away, and is back.
 		s.movedAway(e, row.DataCentre, r.Revision-1, append(e.pendingEnds, e.nextEnds...), o)
+		o.Recheck = true
 	default:
 		// The row was written by hand: the state of this owner replaces it.
 		e.revision = r.Revision
