Doubt an ownership only while stored jobs are open, as before

In doubt, ends of unknown runs are held and their workers polled each 20 ms, on hosts of a seventh of a core.

--- a/fleet/guard.go
+++ b/fleet/guard.go
@@ -28,9 +28,9 @@
 	contacts, tenure := s.owner.owners.contacts, &s.owner.tenure
 	// unconfirmed returns for how long neither the table nor all hosts that could take the
 	// stored jobs have confirmed the ownership.
-	unconfirmed := func() time.Duration {
+	unconfirmed := func(open bool) time.Duration {
 		now, age := time.Now(), contacts.clock().Sub(tenure.confirmed())
-		if age > confirmTime {
+		if open && age > confirmTime {
 			contacts.verify(now)
 		}
 		return min(age, contacts.silence(now, s.owner.owner.DataCentre, now.Add(-age)))
@@ -38,15 +38,18 @@
 	taken := contacts.clock()
 	var doubtedAt time.Time
 	for interval := settleInterval; sleep(ctx, interval); {
-		if s.openJobs() > 0 && (!doubtedAt.IsZero() || unconfirmed() > confirmTime) {
+		// Without open jobs nothing can run twice: the write that accepts the next one
+		// confirms the ownership.
+		open := s.openJobs() > 0
+		if open && (!doubtedAt.IsZero() || unconfirmed(open) > confirmTime) {
 			if err := s.owner.beat(ctx, confirmTimeout); err != nil {
 				s.logger.WithError(err).Debug("ownership not confirmed")
 			}
 		}
-		late := unconfirmed() > doubtTime
+		late := unconfirmed(open) > doubtTime
 		tenure.setUnconfirmed(late)
 		switch {
-		case (late || s.owner.inDoubt()) && doubtedAt.IsZero():
+		case ((open && late) || s.owner.inDoubt()) && doubtedAt.IsZero():
 			doubtedAt, loaded = contacts.clock(), false
 			s.logger.WithField("open", s.openJobs()).Warn("another host may own the workers, stored jobs are held back")
 			s.owner.handle(eventStore, func(now time.Time, m *dispatch.Machine) { m.MarkOwnershipUncertain(now) })
