Check lapsed leases of a silent worker also while events come in

Found on the second reading: the timer for this check was set 25 ms after the present event, so a worker with events more often than that was never checked.

The check is due 25 ms after the last check now. The fourth case of TestUnansweredStartIsNoCrashOfAStoredTask, in which orders fail as soon as they are sent, failed before ("failed" in place of "completed") and holds now.

--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -190,7 +190,7 @@
 		at = earliest(at, probe)
 	}
 	if !n.silentSince.IsZero() && len(n.runs) > 0 {
-		at = earliest(at, latest(justAfter(n.leaseEnd), now.Add(lapsedCheckInterval)))
+		at = earliest(at, latest(justAfter(n.leaseEnd), n.lapseChecked.Add(lapsedCheckInterval)))
 	}
 	if len(n.lapsingEnds) > 0 {
 		at = earliest(at, justAfter(latest(n.leaseEnd, now)))
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -232,19 +232,23 @@
 func TestUnansweredStartIsNoCrashOfAStoredTask(t *testing.T) {
 	tests := map[string]struct {
 		second worker.ID
-		// refuses is true if the first worker refuses connections before it is back.
-		refuses bool
+		// refuses is true if the first worker refuses connections before it is back, and
+		// atOnce if an order fails as soon as it is sent.
+		refuses, atOnce bool
 	}{
-		"the same worker":                       {second: "w0"},
-		"another worker":                        {second: "w1"},
-		"another worker, the first one refuses": {second: "w1", refuses: true},
+		"the same worker":                            {second: "w0"},
+		"another worker":                             {second: "w1"},
+		"another worker, the first one refuses":      {second: "w1", refuses: true},
+		"the first one refuses, orders fail at once": {second: "w1", refuses: true, atOnce: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newCrashFleet(newMachine(), 1)
 			f.took = func(string) time.Duration { return time.Second }
-			f.orderTimeout = 120 * time.Millisecond
+			if !test.atOnce {
+				f.orderTimeout = 120 * time.Millisecond
+			}
 			f.runUntil(at(100))
 			f.workers["w0"].cut = true
 			f.m.AddStored(f.now, submission("j", 1, 1).Job, work.Progress{}, false)
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -98,6 +98,8 @@
 	// lapsingEnds holds the ends that the worker may forget once its lease has lapsed. Until
 	// then its lease is not extended.
 	lapsingEnds []worker.EndNumber
+	// lapseChecked is when the runs of the silent worker were last checked for lapsed leases.
+	lapseChecked time.Time
 	// pollOpen is true while a waiting poll is open.
 	pollOpen bool
 	// silentSince is when the worker began to leave orders unanswered, or zero.
@@ -473,6 +475,7 @@
 func (m *Machine) tickNode(now time.Time, n *node) {
 	m.forgetLapsedEnds(now, n)
 	if !n.silentSince.IsZero() && len(n.runs) > 0 && now.After(n.leaseEnd) {
+		n.lapseChecked = now
 		m.loseLapsedRuns(now, n)
 		n.answered = false
 	}
