Ask the other data centre's list what became of a worker lost there

Found by reading: jobs move with the losses of workers under their tasks, and an owner that never had such a worker took it for gone from the list. The same held for jobs whose callers wait and that are passed on.

The row in the other data centre decides now: a later incarnation is a crash, the same one is no loss. TestLossesOfOtherDataCentres failed before in two of three cases: Gone in place of Crashed, and of no loss.

--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -74,6 +74,16 @@
 // OtherWorkers returns the known workers of the other data centres.
 func (m *Machine) OtherWorkers() map[ident.DataCentre][]worker.Worker { return m.otherWorkers }
 
+// otherWorker returns the worker of another data centre with the given id.
+func (m *Machine) otherWorker(id worker.ID) (worker.Worker, bool) {
+	for _, workers := range m.otherWorkers {
+		if i := slices.IndexFunc(workers, func(w worker.Worker) bool { return w.ID == id }); i >= 0 {
+			return workers[i], true
+		}
+	}
+	return worker.Worker{}, false
+}
+
 // suitsElsewhere returns true if another data centre has workers for all steps of a job.
 func (m *Machine) suitsElsewhere(j *work.Job) bool {
 	_, all := j.OpenSteps(nil)
--- a/dispatch/move_test.go
+++ b/dispatch/move_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/catkingap/catkingap/crash"
 	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -114,6 +116,41 @@
 	}
 }
 
+// TestLossesOfOtherDataCentres adds a job with a presumed loss of a worker of the data centre
+// that it was moved from. What became of that worker is told by its row there.
+func TestLossesOfOtherDataCentres(t *testing.T) {
+	lost := crash.Life{Worker: "far", Incarnation: 3}
+	tests := map[string]struct {
+		row  *worker.Worker
+		want []crash.Proof
+	}{
+		"it is listed":                        {row: &worker.Worker{ID: "far", Life: 3}},
+		"it is listed as another incarnation": {row: &worker.Worker{ID: "far", Life: 4}, want: []crash.Proof{crash.Crashed}},
+		"it is not listed":                    {want: []crash.Proof{crash.Gone}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := readyMachine("w1")
+			others := map[ident.DataCentre][]worker.Worker{}
+			if test.row != nil {
+				others["coast-b"] = []worker.Worker{*test.row}
+			}
+			m.SetOtherWorkers(others)
+			const task = "j.0.0.0"
+			m.AddLosses(at(5000), []crash.TaskLosses{{Task: task, Losses: crash.History{{Life: lost, InTime: true}}}})
+			m.Tick(at(5025))
+			var proofs []crash.Proof
+			for _, x := range m.TakeActions().Losses {
+				for _, l := range x.Losses {
+					proofs = append(proofs, l.Proof)
+				}
+			}
+			is.Equal(proofs, test.want)
+		})
+	}
+}
+
 // TestMovedJobIsDropped checks that nothing of a job that was moved away runs or starts.
 func TestMovedJobIsDropped(t *testing.T) {
 	is := is.New(t)
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -179,7 +179,7 @@
 		case n == nil && now.Before(m.began.Add(unknownWorkerTime)):
 			continue
 		case n == nil:
-			tasks = m.crashes.Confirm(now, l, crash.Gone)
+			tasks = m.resolveLossElsewhere(now, l)
 		case n.Life > l.Incarnation, n.replaced:
 			tasks = m.crashes.Confirm(now, l, crash.Crashed)
 		case n.Life == l.Incarnation && n.answered && n.silentSince.IsZero():
@@ -195,6 +195,19 @@
 	}
 }
 
+// resolveLossElsewhere finds out what became of a worker that this owner does not have, by its
+// row in another data centre.
+func (m *Machine) resolveLossElsewhere(now time.Time, l crash.Life) []string {
+	w, listed := m.otherWorker(l.Worker)
+	switch {
+	case !listed:
+		return m.crashes.Confirm(now, l, crash.Gone)
+	case w.Life > l.Incarnation:
+		return m.crashes.Confirm(now, l, crash.Crashed)
+	}
+	return m.crashes.Withdraw(now, l)
+}
+
 // reservation is a worker that gets no other work until a suspect can start on it.
 type reservation struct {
 	node *node
