Store no job while the ownership is not confirmed

Found by reading: an owner without open jobs is not in doubt, since the write of the next job confirms it. That write requires the owner's row, but others take its jobs by the age of its heartbeat. With heartbeats lost, other writes carried out and the other data centres cut off, it accepted and started a job that they could move at any moment.

Such an owner stores no job; the host tries on until the caller's deadline. TestUnconfirmedOwnerStoresNoJob failed before: kept in place of refused.

--- a/fleet/jobstore.go
+++ b/fleet/jobstore.go
@@ -433,6 +433,9 @@
 // store stores a job, and waits until it is stored or ctx ends. If mayRefer is true and only
 // another data centre has workers for the job, the reply names that one.
 func (s *jobStore) store(ctx context.Context, j work.Job, mayRefer bool) dispatch.Reply {
+	if s.owner.tenure.isUnconfirmed() {
+		return dispatch.Reply{Job: j.ID, Result: dispatch.Moved, Reason: "the owner may have been replaced"}
+	}
 	if mayRefer {
 		if c, ok := s.betterCentre(&j); ok {
 			return dispatch.Reply{Job: j.ID, Result: dispatch.Busy, DataCentre: c}
--- a/fleet/lostcentre_test.go
+++ b/fleet/lostcentre_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"bytes"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -175,6 +176,37 @@
 	}
 }
 
+// TestUnconfirmedOwnerStoresNoJob loses the heartbeats of an owner, but not its other writes, and
+// cuts its data centre off from the others. They may move its jobs at any moment by then, so it
+// must store none.
+func TestUnconfirmedOwnerStoresNoJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		time.Sleep(startTime)
+		m := w.owner("coast-a")
+		inside := func(site string) bool { return zoneOf(site) == "coast-a" }
+		w.network.Cut(func(from, to string) bool {
+			from, to = siteOf(from), siteOf(to)
+			return from != storeSite && to != storeSite && inside(from) != inside(to)
+		})
+		w.network.Drop(func(from, _ string, data []byte) bool {
+			return siteOf(from) == m.name && bytes.Contains(data, []byte("catkingapPulse"))
+		})
+		time.Sleep(8 * time.Second)
+		j, now := storedJob(1, 200, 1), time.Now()
+		is.Equal(m.submitter.SubmitStored(m.ctx, j, now, now.Add(time.Second)).Result, dispatch.Refused)
+		starts, _, _ := w.recorder.Summary()
+		is.Equal(starts, 0)
+		w.network.Cut(nil)
+		w.network.Drop(nil)
+		time.Sleep(5 * time.Second)
+		is.True(w.storeJob(j, time.Second))
+		time.Sleep(5 * time.Second)
+		w.checkCompleted([]work.ID{j.ID})
+	})
+}
+
 // storeAt submits long jobs at one host, and returns the accepted ones.
 func (w *world) storeAt(m *member, count int) []work.ID {
 	var accepted []work.ID
