--- a/fleet/abandoned.go
+++ b/fleet/abandoned.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -13,65 +12,28 @@
 	"github.com/catkingap/catkingap/relocation"
 	"github.com/catkingap/catkingap/storage"
 	"github.com/catkingap/catkingap/work"
-	"github.com/catkingap/catkingap/worker"
 )
 
-const (
-	// quietTime is how long an owner must be silent for its heartbeats to be read.
-	quietTime = time.Second
-	// abandonTime is how long an owner must neither write a heartbeat nor contact this host
-	// for its stored jobs to be moved. By then it is in doubt, even if it was confirmed
-	// until doubtTime by another owner that is in doubt itself, or suspended for 2 s without
-	// noticing, and the leases of its workers have lapsed.
-	abandonTime = 7 * time.Second
-	// abandonRankDelay is how much later each further owner moves them.
-	abandonRankDelay = 2 * time.Second
-	// abandonInterval is the time between two reads of the jobs of an abandoned data centre:
-	// an earlier write of its owner may be carried out late, or workers may return.
-	abandonInterval = 10 * time.Second
-)
-
-// quietOwner is an owner that is silent.
-type quietOwner struct {
-	token    worker.Token
-	revision ident.Revision
-	// since is when the heartbeat was first read at this revision.
-	since time.Time
-	// next is when its jobs are next moved.
-	next time.Time
-}
-
 // watchOthers moves the stored jobs of data centres whose owners are lost, until ctx ends.
 func (s *jobStore) watchOthers(ctx context.Context) {
 	contacts, directory := s.owner.owners.contacts, s.owner.owners.directory
-	quiet := map[ident.DataCentre]quietOwner{}
+	watch := ownership.NewWatch()
 	for sleep(ctx, heartbeatReadInterval) {
 		for d, o := range directory.Owners() {
-			now := time.Now()
-			last := contacts.lastSign(d)
-			if contacts.isSelf(o) || now.Sub(last) < quietTime {
-				delete(quiet, d)
+			sent, last := time.Now(), contacts.lastSign(d)
+			if contacts.self.Owns(o) || !watch.IsQuiet(sent, last, o) {
 				continue
 			}
 			revision, err := directory.HeartbeatRevision(ctx, d)
-			if err != nil {
-				continue
-			}
-			x, known := quiet[d]
-			if !known || x.revision != revision || x.token != o.Token {
-				quiet[d] = quietOwner{token: o.Token, revision: revision, since: time.Now()}
-				continue
-			}
-			silence := min(now.Sub(x.since), now.Sub(last))
-			if silence < abandonTime+time.Duration(s.rank(now, d))*abandonRankDelay || now.Before(x.next) {
+			now := time.Now()
+			if err != nil || !watch.IsAbandoned(sent, now, last, o, revision, s.rank(now, d)) {
 				continue
 			}
 			if err := s.moveJobsOf(ctx, o, revision); err != nil {
 				s.logger.WithField("from", string(d)).WithError(err).Warn("stored jobs of a lost data centre not moved")
 				continue
 			}
-			x.next = now.Add(abandonInterval)
-			quiet[d] = x
+			watch.NoteMoved(now, d)
 		}
 	}
 }
@@ -87,11 +49,6 @@
 	return rank
 }
 
-// isSelf returns true if an owner is this process.
-func (c *Contacts) isSelf(o ownership.Owner) bool {
-	return o.Host == c.self.Name && o.Boot == c.self.Boot
-}
-
 // heardOwners returns the owners that have answered lately, and those of this host.
 func (c *Contacts) heardOwners(now time.Time) map[ident.DataCentre]ownership.Owner {
 	owners := c.directory.Owners()
@@ -99,7 +56,7 @@
 	defer c.mutex.Unlock()
 	for d, o := range owners {
 		a := c.ownersHeard[d]
-		if !c.isSelf(o) && (a.token != o.Token || now.Sub(a.heard) >= quietTime) {
+		if !c.self.Owns(o) && (a.Token != o.Token || now.Sub(a.Heard) >= ownership.QuietTime) {
 			delete(owners, d)
 		}
 	}
@@ -155,19 +112,3 @@
 	s.logger.WithFields(fields).Warn("moved the stored jobs of a lost data centre")
 	return nil
 }
-
-// usableWorkers returns the workers that may run moved jobs: those of this owner, and those
-// of the owners that this host hears.
-func (w *Owner) usableWorkers() map[ident.DataCentre][]worker.Worker {
-	heard := w.owners.contacts.heardOwners(time.Now())
-	centres := map[ident.DataCentre][]worker.Worker{}
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	centres[w.owner.DataCentre] = w.machine.AvailableWorkers(w.owners.contacts.clock())
-	for d, workers := range w.machine.OtherWorkers() {
-		if _, ok := heard[d]; ok {
-			centres[d] = slices.DeleteFunc(slices.Clone(workers), func(x worker.Worker) bool { return x.Draining })
-		}
-	}
-	return centres
-}
--- a/fleet/contacts.go
+++ b/fleet/contacts.go
@@ -110,7 +110,7 @@
 	firstMissed map[ident.Host]time.Time
 	loads       map[ident.DataCentre]dispatch.Load
 	// ownersHeard holds the last answer of each owner.
-	ownersHeard map[ident.DataCentre]ownerAnswer
+	ownersHeard map[ident.DataCentre]ownership.Answer
 	// verifyUntil is until when this host contacts all hosts of its data centre often.
 	verifyUntil time.Time
 	// sharedOut holds the data centres whose last known free capacity shareCapacity has
@@ -183,7 +183,7 @@
 		inbound:           map[ident.Host]inboundContact{},
 		firstMissed:       map[ident.Host]time.Time{},
 		loads:             map[ident.DataCentre]dispatch.Load{},
-		ownersHeard:       map[ident.DataCentre]ownerAnswer{},
+		ownersHeard:       map[ident.DataCentre]ownership.Answer{},
 		sharedOut:         map[ident.DataCentre]bool{},
 		gates:             map[ident.DataCentre]*throttle.Gate{},
 		losses:            crash.NewBoard(),
@@ -258,7 +258,7 @@
 	for i, o := range a.Owned {
 		if i < len(a.Loads) {
 			c.setLoad(o.DataCentre, a.Loads[i])
-			c.ownersHeard[o.DataCentre] = ownerAnswer{token: o.Token, heard: sent, unconfirmed: a.Loads[i].Unconfirmed}
+			c.ownersHeard[o.DataCentre] = ownership.Answer{Token: o.Token, Heard: sent, Unconfirmed: a.Loads[i].Unconfirmed}
 		}
 		if o.DataCentre == c.self.DataCentre && o.Token >= c.workers.version.Token {
 			c.workers.update(a, sent)
--- a/fleet/guard.go
+++ b/fleet/guard.go
@@ -5,12 +5,13 @@
 	"time"
 
 	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/ownership"
 )
 
 const (
 	// takeoverTime is how long a new owner waits before it starts tasks that an earlier
 	// one may have started, unless all its workers answer. The earlier owner is in doubt
-	// doubtTime after it was last confirmed, takes up to 0.55 s to notice, and its leases
+	// ownership.DoubtTime after it was last confirmed, takes up to 0.55 s to notice, and its leases
 	// lapse within 1.1 s. It is silent to others for 0.6 s before it is replaced.
 	takeoverTime = 3 * time.Second
 	// guardInterval is the time between two checks of the ownership, and confirmTimeout
@@ -46,7 +47,7 @@
 				s.logger.WithError(err).Debug("ownership not confirmed")
 			}
 		}
-		late := unconfirmed(open) > doubtTime
+		late := unconfirmed(open) > ownership.DoubtTime
 		tenure.setUnconfirmed(late)
 		switch {
 		case ((open && late) || s.owner.inDoubt()) && doubtedAt.IsZero():
--- a/fleet/guard_test.go
+++ b/fleet/guard_test.go
@@ -74,7 +74,7 @@
 		o.handle(eventTick, func(now time.Time, m *dispatch.Machine) { m.StoredJobsLoaded(now) })
 		time.Sleep(contactInterval + time.Millisecond)
 		go o.jobStore.guardOwnership(ctx, true)
-		time.Sleep(2*time.Second + doubtTime)
+		time.Sleep(2*time.Second + ownership.DoubtTime)
 		o.handle(eventTick, func(now time.Time, m *dispatch.Machine) { m.Tick(now) })
 		is.True(o.inDoubt())
 		time.Sleep(time.Second)
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -56,7 +56,7 @@
 		// Absent workers expire with time, even without a change of the rows.
 		f.next(ctx, 0)
 		if !f.lost && (r.update(list, f.view) || !read) {
-			// An empty list is also worth to be known.
+			// The first list counts even if it is empty.
 			read = true
 			u.setWorkers(list.Workers())
 		}
--- a/fleet/tenure.go
+++ b/fleet/tenure.go
@@ -1,25 +1,17 @@
 package fleet
 
 import (
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/catkingap/catkingap/ident"
-	"github.com/catkingap/catkingap/worker"
+	"github.com/catkingap/catkingap/ownership"
 )
 
-const (
-	// confirmTime is the age of the last heartbeat in the table from which on an owner
-	// needs another confirmation that it was not replaced.
-	confirmTime = heartbeatInterval + 100*time.Millisecond
-	// doubtTime is how long an owner continues stored jobs without a confirmation. It
-	// tolerates one lost heartbeat.
-	doubtTime = 1800 * time.Millisecond
-	// goneTime is how long a host of the data centre must have been silent while the table
-	// confirmed the ownership for its answers not to be needed later: it would have claimed
-	// the workers.
-	goneTime = 10 * time.Second
-)
+// confirmTime is the age of the last heartbeat in the table from which on an owner needs another
+// confirmation that it was not replaced.
+const confirmTime = heartbeatInterval + 100*time.Millisecond
 
 // tenure records what confirms an ownership.
 type tenure struct {
@@ -58,48 +50,21 @@
 	return t.unconfirmed
 }
 
-// ownerAnswer is the last answer of an owner.
-type ownerAnswer struct {
-	token worker.Token
-	heard time.Time
-	// unconfirmed is true if that owner did not know whether it was replaced.
-	unconfirmed bool
-}
-
-// silence returns for how long any host that can take the stored jobs of a data centre of
-// this host has not answered: its other hosts, and the owners of the other data centres.
-// Hosts that were silent for goneTime before confirmedAt do not count.
+// silence returns for how long any host that can take the stored jobs of a data centre of this
+// host has not answered.
 func (c *Contacts) silence(now time.Time, d ident.DataCentre, confirmedAt time.Time) time.Duration {
-	hosts, owners := c.directory.Hosts(), c.directory.Owners()
+	v := c.View()
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	oldest := now
-	for _, h := range hosts {
-		heard := c.contacts[h.Name].Heard
-		if h.DataCentre == d && h.Name != c.self.Name && heard.Before(oldest) && confirmedAt.Sub(heard) < goneTime {
-			oldest = heard
-		}
-	}
-	for other, o := range owners {
-		if other == d || c.isSelf(o) {
-			continue
-		}
-		heard := time.Time{}
-		if a := c.ownersHeard[other]; a.token == o.Token && !a.unconfirmed {
-			heard = a.heard
-		}
-		if heard.Before(oldest) {
-			oldest = heard
-		}
-	}
-	return now.Sub(oldest)
+	answers := maps.Clone(c.ownersHeard)
+	c.mutex.Unlock()
+	return v.Silence(now, d, confirmedAt, answers)
 }
 
 // verify has all hosts of this data centre contacted often for a while.
 func (c *Contacts) verify(now time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.verifyUntil = now.Add(doubtTime)
+	c.verifyUntil = now.Add(ownership.DoubtTime)
 }
 
 func (c *Contacts) isVerifying(now time.Time) bool {
--- a/fleet/tenure_test.go
+++ b/ownership/tenure_test.go
@@ -1,4 +1,4 @@
-package fleet
+package ownership_test
 
 import (
 	"testing"
@@ -38,23 +38,21 @@
 			now := time.Unix(1_800_000_000, 0)
 			self := ownership.Host{Name: "here", DataCentre: "coast-a"}
 			near, far := ownership.Host{Name: "near", DataCentre: "coast-a"}, ownership.Host{Name: "far", DataCentre: "coast-b"}
-			c := &Contacts{
-				self: self,
-				contacts: map[ident.Host]ownership.Contact{
+			v := &ownership.View{
+				Self:  self,
+				Hosts: []ownership.Host{self, near, far},
+				Contacts: map[ident.Host]ownership.Contact{
 					near.Name: {Heard: now.Add(-test.neighbour)}, far.Name: {Heard: now},
 				},
-				ownersHeard: map[ident.DataCentre]ownerAnswer{"coast-b": {token: 7, heard: now.Add(-test.owner), unconfirmed: test.unconfirmed}},
-				directory: &Directory{
-					hosts: map[ident.Host]ownership.Host{self.Name: self, near.Name: near, far.Name: far},
-					owners: map[ident.DataCentre]ownership.Owner{
-						"coast-a": {DataCentre: "coast-a", Host: self.Name, Token: 5}, "coast-b": {DataCentre: "coast-b", Host: far.Name, Token: 7},
-					},
+				Owners: map[ident.DataCentre]ownership.Owner{
+					"coast-a": {DataCentre: "coast-a", Host: self.Name, Token: 5}, "coast-b": {DataCentre: "coast-b", Host: far.Name, Token: 7},
 				},
 			}
 			if test.replaced {
-				c.directory.owners["coast-b"] = ownership.Owner{DataCentre: "coast-b", Host: "another", Token: 9}
+				v.Owners["coast-b"] = ownership.Owner{DataCentre: "coast-b", Host: "another", Token: 9}
 			}
-			silent := c.silence(now, "coast-a", now.Add(-test.age))
+			answers := map[ident.DataCentre]ownership.Answer{"coast-b": {Token: 7, Heard: now.Add(-test.owner), Unconfirmed: test.unconfirmed}}
+			silent := v.Silence(now, "coast-a", now.Add(-test.age), answers)
 			is.Equal(min(silent, time.Hour), test.silent)
 		})
 	}
