Forget which jobs were moved away once no earlier read can be under way

The marks that keep a read of rows from bringing a moved job back were kept for the whole ownership. They go after the retention of ended jobs now, far longer than a read may take. TestStaleReadBringsNoMovedJobBack holds what they are for.

--- a/ledger/move.go
+++ b/ledger/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/storage"
@@ -24,6 +25,13 @@
 	UnstoredEnds []worker.EndID
 }
 
+// movedMark is the revision of a job's row at which the job was known to be moved away, and
+// since when that is remembered, or zero.
+type movedMark struct {
+	revision ident.Revision
+	since    time.Time
+}
+
 // Move plans to pass a job on to another data centre. It returns false if the job has
 // ended, or is not stored yet.
 func (s *Store) Move(id work.ID, to ident.DataCentre) bool {
@@ -51,7 +59,7 @@
 		}
 		e := s.entries[id]
 		switch own := row.DataCentre == s.config.DataCentre; {
-		case own && e == nil && s.moved[id] < r.Revision:
+		case own && e == nil && s.moved[id].revision < r.Revision:
 			unknown[id] = row
 		case !own && e != nil && e.revision != 0 && e.revision < r.Revision:
 			s.movedAway(e, row.DataCentre, r.Revision, append(e.pendingEnds, e.nextEnds...), &o)
@@ -64,7 +72,7 @@
 func (s *Store) movedAway(e *entry, to ident.DataCentre, r ident.Revision, unstored []worker.EndID, o *Outcome) {
 	delete(s.entries, e.id)
 	s.batch = slices.DeleteFunc(s.batch, func(x *entry) bool { return x == e })
-	s.moved[e.id] = r
+	s.moved[e.id] = movedMark{revision: r}
 	o.Moved = append(o.Moved, MovedJob{ID: e.id, To: to, UnstoredEnds: unstored})
 }
 
--- a/ledger/move_test.go
+++ b/ledger/move_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -110,6 +111,27 @@
 	is.True(!s.Load("j", newJob("j"), unknown["j"], tb.states()["j"].Revision))
 }
 
+// TestStaleReadBringsNoMovedJobBack compares with rows that were read before a job was moved away.
+// The job must not be taken over again, which only a later row of it allows.
+func TestStaleReadBringsNoMovedJobBack(t *testing.T) {
+	is := is.New(t)
+	tb := newTable()
+	s := tb.claim()
+	accept(is, s, newJob("j"))
+	writeAll(is, tb, s)
+	before := tb.states()
+	is.True(s.Move("j", "coast-b"))
+	is.Equal(len(writeAll(is, tb, s).Moved), 1)
+	for after := time.Duration(0); after < retention; after += retention / 4 {
+		s.Expire(start.Add(after))
+		_, unknown, _ := s.Compare(before)
+		is.Equal(len(unknown), 0)
+	}
+	is.True(tb.transfer(is, nil, "coast-a"))
+	_, unknown, _ := s.Compare(tb.states())
+	is.Equal(len(unknown), 1)
+}
+
 // TestTransferIsFenced checks that jobs are moved only while the rows of the fence stand, in
 // writes that the table takes.
 func TestTransferIsFenced(t *testing.T) {
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -70,8 +70,9 @@
 	batch []*entry
 	// fenced is true once another owner has taken the workers.
 	fenced bool
-	// moved holds the revision at which each job that was moved away was last known.
-	moved map[work.ID]ident.Revision
+	// moved holds the jobs that were moved away, until no earlier read of their rows can be
+	// under way.
+	moved map[work.ID]movedMark
 }
 
 // entry is one job.
@@ -110,7 +111,7 @@
 	if c.RowBytes == 0 {
 		c.RowBytes = defaultRowBytes
 	}
-	return &Store{config: c, entries: map[work.ID]*entry{}, moved: map[work.ID]ident.Revision{}}
+	return &Store{config: c, entries: map[work.ID]*entry{}, moved: map[work.ID]movedMark{}}
 }
 
 // Load adds a job that another owner has stored. The specification is not used if the
@@ -225,6 +226,15 @@
 // monotonic clock: the wall clocks of hosts jump, callers see only what is stored,
 // and a state that is removed too early lets a late request run the job again.
 func (s *Store) Expire(now time.Time) {
+	for id, x := range s.moved {
+		switch {
+		case x.since.IsZero():
+			x.since = now
+			s.moved[id] = x
+		case now.Sub(x.since) > s.config.Retention:
+			delete(s.moved, id)
+		}
+	}
 	for _, e := range s.entries {
 		switch {
 		case !e.row.HasEnded() || e.removing:
