--- a/review/rig2/cut.go
+++ b/review/rig2/cut.go
@@ -92,6 +92,11 @@
 
 func (p *proxy) forward(near net.Conn) {
 	defer near.Close()
+	if p.isCut() {
+		// The opening packet gets no answer until the client gives up.
+		_, _ = io.Copy(io.Discard, near)
+		return
+	}
 	far, err := net.DialTimeout("tcp", p.target, time.Second)
 	if err != nil {
 		return
@@ -100,6 +105,10 @@
 	f := &flow{proxy: p}
 	go func() {
 		f.copy(near, far, false)
+		for p.isCut() {
+			// The end of the connection does not pass either.
+			time.Sleep(10 * time.Millisecond)
+		}
 		near.Close()
 	}()
 	f.copy(far, near, true)
--- a/review/rig2/runner.go
+++ b/review/rig2/runner.go
@@ -90,6 +90,8 @@
 	startTime func() time.Duration
 	// failures is the share of the runs that fail.
 	failures float64
+	// proxied is true if a proxy stands before the runner.
+	proxied bool
 }
 
 // runner is a stand-in for a runner, as the pages describe it. It may crash and start
@@ -98,6 +100,9 @@
 	world   *world
 	config  runnerConfig
 	address string
+	// listen is where the runner listens, if a proxy stands before its address.
+	listen string
+	proxy  *proxy
 
 	mutex  sync.Mutex
 	up     bool
@@ -142,6 +147,14 @@
 // addRunner starts a runner.
 func (w *world) addRunner(c runnerConfig) *runner {
 	x := &runner{world: w, config: c, address: fmt.Sprintf("%s%d:18080", w.network, 100+c.number)}
+	x.listen = x.address
+	if c.proxied {
+		x.listen = fmt.Sprintf("%s%d:18081", w.network, 100+c.number)
+		var err error
+		if x.proxy, err = newProxy(w, x.address, x.listen, ""); err != nil {
+			panic(err)
+		}
+	}
 	w.mutex.Lock()
 	w.runners = append(w.runners, x)
 	w.mutex.Unlock()
@@ -151,7 +164,7 @@
 
 // start begins a new life of the runner, which knows nothing of an earlier one.
 func (x *runner) start(labels []string) {
-	listener, err := net.Listen("tcp", x.address)
+	listener, err := net.Listen("tcp", x.listen)
 	if err != nil {
 		panic(err)
 	}
--- a/review/rig2/world.go
+++ b/review/rig2/world.go
@@ -85,7 +85,9 @@
 		x.crash()
 	}
 	w.server.Close()
-	os.RemoveAll(w.folder)
+	if os.Getenv("RIG_KEEP") == "" {
+		os.RemoveAll(w.folder)
+	}
 }
 
 // configure writes the operator's configuration, with one queue.
@@ -190,6 +192,7 @@
 		return err
 	}
 	defer log.Close()
+
 	c := exec.Command(h.world.program, "serve")
 	if h.advertised != "" {
 		c.Args = append(c.Args, "--advertise", h.advertised)
