--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -63,6 +63,12 @@
 	}
 	results := make(chan result, 1)
 	go func() {
+		// The processes have to be ended also after a panic.
+		defer func() {
+			if cause := recover(); cause != nil {
+				results <- result{err: fmt.Errorf("%v", cause)}
+			}
+		}()
 		breaches, err := play(w, trouble)
 		results <- result{breaches, err}
 	}()
