Leave starts under way to a restarted worker open

Cause: orders name a worker by its id, which a restart keeps. The owner learns of the new incarnation from a report and took all runs that it had started before for runs of the earlier one, also those whose start was still on its way or was carried out after the report was made. They started elsewhere at once.

The report now ends the runs that were confirmed before its poll was sent and that it does not list. Those it lists, at work or ended, belong to the new incarnation. For all others the next polls decide, as they do for a start without an answer; a stop that the earlier incarnation had accepted is sent again. The loss that is charged to a task is kept with the run until it is known that the earlier incarnation had it. A worker with such runs is taken to hold the longest lease: times on the clock of an earlier incarnation are far ahead of that of the next one.

No call was added. Ruled out: waiting after a restart is found (moves the fault), and asking a worker before each start (priced by some sites).

While losses were split from their recording, a queue that becomes known for crashes by a loss no longer excuses the culprit of that same loss.

--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -13,10 +13,10 @@
 // kept for a while so that the host can submit the job again. A run whose task does
 // not need it is stopped.
 func (m *Machine) adopt(now time.Time, n *node, k runKey) {
-	r := &run{key: k, node: n, state: running, sent: now, confirmedAt: now, orphanUntil: now.Add(orphanGracePeriod)}
+	r := &run{key: k, node: n, state: running, sent: now, incarnation: n.Life, confirmedAt: now, orphanUntil: now.Add(orphanGracePeriod)}
 	n.runs[k] = r
 	// The previous owner may have extended the lease until this poll.
-	n.leaseEnd = latest(n.leaseEnd, now.Add(lapseTime(m.config.MaxLease)))
+	m.assumeLongestLease(now, n)
 	t := m.findTask(k.task)
 	switch {
 	case t != nil && !t.done && t.run == nil:
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -331,6 +331,9 @@
 		if r.state == startSent {
 			r.state, r.confirmedAt = running, now
 		}
+		if r.incarnation != n.Life {
+			m.assumeLongestLease(now, n)
+		}
 	case worker.Unanswered:
 		// It may be running: the next poll tells.
 		r.startGivenUp = now
--- a/dispatch/loss.go
+++ b/dispatch/loss.go
@@ -61,14 +61,16 @@
 	m.removeRun(now, r.node, r, worker.Lost)
 }
 
-// loseWorker ends runs of a worker as lost with it.
-func (m *Machine) loseWorker(now time.Time, n *node, runs []*run, c LossCause) {
-	if len(runs) == 0 {
-		return
-	}
+// loseWorker ends runs of a worker as lost with it. Those in open may have been lost with it
+// too.
+func (m *Machine) loseWorker(now time.Time, n *node, runs, open []*run, c LossCause) {
 	if n.Draining {
 		c = LossLeft
 	}
+	m.blame(now, n, c, runs, open)
+	if len(runs) == 0 {
+		return
+	}
 	loss := WorkerLoss{Worker: n.ID, Incarnation: n.Life, Cause: c}
 	if !n.silentSince.IsZero() {
 		loss.Silent = now.Sub(n.silentSince)
@@ -77,7 +79,6 @@
 		loss.Tasks = append(loss.Tasks, r.key.task)
 	}
 	m.actions.WorkerLosses = append(m.actions.WorkerLosses, loss)
-	m.blame(now, n, c, runs)
 	for _, r := range runs {
 		m.loseRun(now, r, c)
 	}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/catkingap/catkingap/crash"
 	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
@@ -35,6 +36,11 @@
 	size  work.Size
 	state runState
 	sent  time.Time
+	// incarnation is that of the worker when the start was sent, or when it last listed the
+	// run. If the worker has a later one, it is not known which of them got the start.
+	incarnation worker.Incarnation
+	// earlierLoss is the loss that is recorded if an earlier incarnation got the start.
+	earlierLoss *crash.Loss
 	// startGivenUp is when the owner stopped waiting for the answer to the start,
 	// or zero.
 	startGivenUp time.Time
@@ -150,6 +156,7 @@
 	if clock > 0 && v != worker.Replaced {
 		if clock+incarnationClockGap < n.clock {
 			n.forgetEnds()
+			m.assumeLongestLease(now, n)
 		}
 		n.clock, n.clockAt = clock, now
 	}
@@ -242,9 +249,7 @@
 		return
 	}
 	if report.Incarnation != n.Life {
-		m.handleNewIncarnation(now, n)
-		n.Life = report.Incarnation
-		m.generation++
+		m.handleNewIncarnation(now, sent, n, report)
 	}
 	n.known = true
 	m.handleAnswer(now, n, worker.Accepted, report.Clock)
@@ -308,7 +313,7 @@
 			m.adopt(now, n, k)
 			continue
 		}
-		r.presumed = false
+		r.presumed, r.incarnation, r.earlierLoss = false, n.Life, nil
 		if r.state == startSent {
 			r.state, r.confirmedAt = running, now
 		}
@@ -333,7 +338,7 @@
 		known := r.state == running && r.confirmedAt.Before(sent)
 		stopped := r.state == stopping && !r.stopAccepted.IsZero() && r.stopAccepted.Before(sent)
 		if known || stopped {
-			m.loseRun(now, r, LossUnlisted)
+			m.loseUnlistedRun(now, r)
 		}
 	}
 }
@@ -432,21 +437,11 @@
 
 // handleReplaced ends all runs of a worker at whose address another one answers.
 func (m *Machine) handleReplaced(now time.Time, n *node) {
-	m.loseWorker(now, n, n.sortedRuns(), LossCrashed)
+	m.loseWorker(now, n, n.sortedRuns(), nil, LossCrashed)
 	n.answered, n.replaced, n.Address = false, true, n.rowAddress
 	n.nextPoll = now.Add(maxPollRetryDelay)
 }
 
-// handleNewIncarnation ends all runs of an earlier incarnation of a worker.
-func (m *Machine) handleNewIncarnation(now time.Time, n *node) {
-	m.loseWorker(now, n, n.sortedRuns(), LossCrashed)
-	n.forgetEnds()
-	n.pollOpen, n.clock = false, 0
-	n.leaseEnd, n.acknowledgeAt = time.Time{}, time.Time{}
-	n.slowdown = room.Slowdown{}
-	m.markChanged(n)
-}
-
 // loseLapsedRuns ends the runs of a silent worker whose lease must have lapsed.
 // Runs of stored jobs may have been done before that: as long as the worker is
 // listed, they wait for its report.
@@ -459,7 +454,7 @@
 			r.state, r.confirmedAt, r.presumed = running, r.sent, !n.refusing
 		}
 	}
-	m.loseWorker(now, n, lost, LossSilent)
+	m.loseWorker(now, n, lost, nil, LossSilent)
 }
 
 // sortedRuns returns the runs in a fixed order.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -272,7 +272,7 @@
 func (m *Machine) start(now time.Time, t *task, n *node) {
 	lease := m.maxLease(now, n, t.job)
 	t.lastRun = max(t.lastRun, m.highestPreviousRun(t)) + 1
-	r := &run{key: runKey{task: t.id, run: t.lastRun}, node: n, task: t, size: t.step().Size, state: startSent, sent: now}
+	r := &run{key: runKey{task: t.id, run: t.lastRun}, node: n, task: t, size: t.step().Size, state: startSent, sent: now, incarnation: n.Life}
 	if m.standing(now, t) != crash.Clear {
 		r.suspect, r.exclusive = true, len(n.runs) == 0
 		m.actions.SuspectStarts++
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/catkingap/catkingap/crash"
@@ -40,11 +41,11 @@
 	Cause   GiveUpCause
 }
 
-// blame records the loss of a worker for the tasks that it ran. A worker that was draining
-// is not lost under its tasks. If a worker was silent and did not refuse connections, its
-// runs may have lapsed before it crashed, and starts without an answer may never have
-// reached it.
-func (m *Machine) blame(now time.Time, n *node, c LossCause, runs []*run) {
+// blame records the loss of a worker for the tasks that it ran. For runs in open, which may
+// have been lost with it, the loss is kept until that is known. A worker that was draining is
+// not lost under its tasks. If a worker was silent and did not refuse connections, its runs
+// may have lapsed before it crashed, and starts without an answer may never have reached it.
+func (m *Machine) blame(now time.Time, n *node, c LossCause, runs, open []*run) {
 	if c == LossLeft {
 		return
 	}
@@ -52,29 +53,33 @@
 	if c == LossCrashed {
 		proof, inTime = crash.Crashed, true
 	}
-	life := crash.Life{Worker: n.ID, Incarnation: n.Life}
-	var tasks []crash.TaskLosses
-	crashing := map[string]bool{}
-	for _, r := range runs {
-		if !r.stopAccepted.IsZero() {
-			continue
-		}
-		unconfirmed := r.presumed || (r.confirmedAt.IsZero() && !n.refusing)
-		tasks = append(tasks, crash.TaskLosses{Task: r.key.task, Losses: crash.History{{
-			Life: life, Proof: proof, InTime: inTime, Unconfirmed: unconfirmed,
-		}}})
+	blamed := slices.DeleteFunc(slices.Concat(runs, open), func(r *run) bool { return !r.stopAccepted.IsZero() })
+	crashing := map[*run]bool{}
+	for _, r := range blamed {
 		if r.task != nil && m.crashingQueues.Crash(now, r.task.job.spec.Queue) {
-			crashing[r.key.task] = true
+			crashing[r] = true
 		}
-		if r.suspect && inTime && !unconfirmed {
-			m.noteCulprit(now, r)
+	}
+	for _, r := range blamed {
+		l := crash.Loss{
+			Life: crash.Life{Worker: n.ID, Incarnation: n.Life}, Proof: proof, InTime: inTime,
+			Unconfirmed: r.presumed || (r.confirmedAt.IsZero() && !n.refusing),
+			Alone:       len(blamed) == 1, Excused: len(crashing) > 0 && !crashing[r],
 		}
+		if slices.Contains(open, r) {
+			r.earlierLoss = &l
+			continue
+		}
+		m.recordLoss(now, r, l)
 	}
-	for _, x := range tasks {
-		x.Losses[0].Alone = len(tasks) == 1
-		x.Losses[0].Excused = len(crashing) > 0 && !crashing[x.Task]
-		m.crashes.Add(now, x)
+}
+
+// recordLoss records the loss of a worker for the task of a run.
+func (m *Machine) recordLoss(now time.Time, r *run, l crash.Loss) {
+	if r.suspect && l.InTime && !l.Unconfirmed {
+		m.noteCulprit(now, r)
 	}
+	m.crashes.Add(now, crash.TaskLosses{Task: r.key.task, Losses: crash.History{l}})
 }
 
 // noteCulprit records that a suspect, of which a worker runs only one, has probably
