Withdraw crashes that a later incarnation disproves

The worker had crashed before while it was idle, and the owner sent the task before it knew of the new incarnation. The first report then recorded a crash for the task and took its run over; the next crash was the second on record.

The same record came into being in a second way: a worker that falls silent with such a start is presumed lost in the earlier incarnation, and its next report, of the new one, counted as proof. A loss now names its run, and a report that lists this run in a later incarnation disproves the loss, also one that came from another owner or from the table.

--- a/crash/crash.go
+++ b/crash/crash.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
 
@@ -34,6 +35,8 @@
 type Loss struct {
 	Life  Life  `msgpack:"life"`
 	Proof Proof `msgpack:"proof"`
+	// Run is the run of the task that the worker was lost under.
+	Run work.Run `msgpack:"run,omitempty"`
 	// InTime is true if the worker had ended, as far as is known, before the lease of its
 	// runs. Otherwise they may have lapsed before it crashed.
 	InTime bool `msgpack:"inTime,omitempty"`
@@ -144,6 +147,7 @@
 			continue
 		}
 		merged[i].Proof = max(merged[i].Proof, l.Proof)
+		merged[i].Run = max(merged[i].Run, l.Run)
 		merged[i].InTime = merged[i].InTime || l.InTime
 		merged[i].Unconfirmed = merged[i].Unconfirmed && l.Unconfirmed
 		merged[i].Alone = merged[i].Alone || l.Alone
--- a/crash/crash_test.go
+++ b/crash/crash_test.go
@@ -67,7 +67,7 @@
 // lose records the presumed loss of a worker that ran the given tasks.
 func lose(k *crash.Tracker, l crash.Life, tasks ...string) {
 	for _, task := range tasks {
-		k.Add(begin, crash.TaskLosses{Task: task, Losses: crash.History{{Life: l, InTime: true, Alone: len(tasks) == 1}}})
+		k.Add(begin, crash.TaskLosses{Task: task, Losses: crash.History{{Life: l, Run: 1, InTime: true, Alone: len(tasks) == 1}}})
 	}
 }
 
@@ -85,6 +85,17 @@
 			do:       func(k *crash.Tracker) { k.Withdraw(begin, crash.Life{Worker: "a", Incarnation: 2}) },
 			standing: crash.Suspect,
 		},
+		"the next incarnation lists the run": {
+			do: func(k *crash.Tracker) {
+				k.Confirm(begin, first, crash.Crashed)
+				k.Refute(begin, "j.0.0.0", 1, crash.Life{Worker: "a", Incarnation: 2})
+			},
+			standing: crash.Clear,
+		},
+		"the next incarnation lists a later run": {
+			do:       func(k *crash.Tracker) { k.Refute(begin, "j.0.0.0", 2, crash.Life{Worker: "a", Incarnation: 2}) },
+			standing: crash.Suspect,
+		},
 		"lost alone, and both crashed": {
 			do: func(k *crash.Tracker) {
 				lose(k, second, "j.0.0.0")
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/catkingap/catkingap/work"
 )
 
 // Retention is how long the losses under a task are kept after the last one. Callers
@@ -96,6 +98,19 @@
 	return tasks
 }
 
+// Refute drops the loss of an earlier incarnation of a worker under a run of a task, which the
+// incarnation l has listed as its own. It returns true if there is such a loss.
+func (t *Tracker) Refute(now time.Time, task string, run work.Run, l Life) bool {
+	refuted := func(x Loss) bool {
+		return x.Life.Worker == l.Worker && x.Life.Incarnation < l.Incarnation && x.Run == run
+	}
+	if !slices.ContainsFunc(t.Losses(task), refuted) {
+		return false
+	}
+	t.set(now, task, slices.DeleteFunc(slices.Clone(t.Losses(task)), refuted))
+	return true
+}
+
 // Presumed returns the workers of which it is not known whether they have crashed, in a
 // fixed order.
 func (t *Tracker) Presumed() []Life {
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -252,6 +252,7 @@
 		m.handleNewIncarnation(now, sent, n, report)
 	}
 	n.known = true
+	m.refuteLosses(now, n, report)
 	m.handleAnswer(now, n, worker.Accepted, report.Clock)
 	n.acknowledged = max(n.acknowledged, min(l.AcknowledgedEnds, n.seen))
 	if !m.handleEnds(now, n, report.Ended) && n.highestForgettable() < n.seen && !l.Extra {
--- a/dispatch/restart.go
+++ b/dispatch/restart.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/catkingap/catkingap/room"
@@ -13,17 +14,11 @@
 // was sent and that are not listed have ended with an earlier incarnation. Of the others it
 // is not known yet which incarnation got their start, if any: the next polls tell.
 func (m *Machine) handleNewIncarnation(now, sent time.Time, n *node, report *worker.Report) {
-	listed := map[runKey]bool{}
-	for _, x := range report.Running {
-		listed[runKey{task: x.Task, run: x.Run}] = true
-	}
-	for _, e := range report.Ended {
-		listed[runKey{task: e.Task, run: e.Run}] = true
-	}
+	listed := listedRuns(report)
 	var ended, open []*run
 	for _, r := range n.sortedRuns() {
 		switch {
-		case listed[r.key]:
+		case slices.Contains(listed, r.key):
 		case r.wasConfirmed(sent):
 			ended = append(ended, r)
 		default:
@@ -44,6 +39,18 @@
 	m.markChanged(n)
 }
 
+// listedRuns returns the runs that a report lists, at work or ended.
+func listedRuns(report *worker.Report) []runKey {
+	listed := make([]runKey, 0, len(report.Running)+len(report.Ended))
+	for _, x := range report.Running {
+		listed = append(listed, runKey{task: x.Task, run: x.Run})
+	}
+	for _, e := range report.Ended {
+		listed = append(listed, runKey{task: e.Task, run: e.Run})
+	}
+	return listed
+}
+
 // wasConfirmed returns true if a worker was known to have the run before t.
 func (r *run) wasConfirmed(t time.Time) bool {
 	return !r.confirmedAt.IsZero() && !r.presumed && r.confirmedAt.Before(t)
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
 
@@ -134,3 +136,63 @@
 		})
 	}
 }
+
+// TestRestartOfAnIdleWorkerIsNoCrashOfItsNextTask crashes a worker under a task that was started
+// there after an idle restart (LOST: the job was shown as failed after one crash under it).
+func TestRestartOfAnIdleWorkerIsNoCrashOfItsNextTask(t *testing.T) {
+	tests := map[string]func(x *restartedWorker){
+		"listed by the first report": func(x *restartedWorker) {
+			x.accept(12)
+			x.report(14, 13, true)
+		},
+		"answered after the first report": func(x *restartedWorker) {
+			x.report(13, 11, false)
+			x.accept(14)
+			x.report(16, 15, true)
+		},
+		"answered before the first report, which does not list it": func(x *restartedWorker) {
+			x.accept(13)
+			x.report(14, 12, false)
+			x.report(16, 15, true)
+		},
+		"lapsed while the worker was silent": func(x *restartedWorker) {
+			x.m.Started(at(70), x.start, worker.Answer{Verdict: worker.Unanswered})
+			x.m.PollAnswered(at(190), at(70), worker.Poll{Order: x.start.Order}, nil, worker.Unanswered)
+			for ms := 200; ms <= 1300; ms += 25 {
+				x.m.Tick(at(ms))
+			}
+			x.report(1310, 1305, false, x.end(worker.Lost))
+			x.m.Tick(at(1325))
+		},
+	}
+	for name, play := range tests {
+		for kind, submit := range map[string]func(m *dispatch.Machine, s dispatch.Submission){
+			"caller waits": func(m *dispatch.Machine, s dispatch.Submission) { m.Submit(at(10), s) },
+			"stored":       func(m *dispatch.Machine, s dispatch.Submission) { m.AddStored(at(10), s.Job, work.Progress{}, false) },
+		} {
+			t.Run(kind+", "+name, func(t *testing.T) {
+				is := is.New(t)
+				m := readyMachine("w1", "w2")
+				s := submission("j", 1, 1)
+				s.Remaining, s.Job.Target = time.Minute, 20*time.Second
+				submit(m, s)
+				a := m.TakeActions()
+				is.Equal(len(a.Starts), 1)
+				x := &restartedWorker{m: m, start: a.Starts[0]}
+				play(x)
+				a = m.TakeActions()
+				for _, l := range a.Losses {
+					is.Equal(len(l.Losses), 0) // No worker has crashed under the task yet.
+				}
+				if len(a.Starts) > 0 {
+					x.start = a.Starts[0]
+				}
+				m.Started(at(1330), x.start, worker.Answer{Verdict: worker.Accepted, Clock: 1330})
+				m.PollAnswered(at(1400), at(1390), worker.Poll{Order: x.start.Order}, &worker.Report{Incarnation: 3, Clock: 20}, worker.Accepted)
+				a = m.TakeActions()
+				is.Equal(len(a.JobEnds)+len(a.Replies), 0)
+				is.Equal(len(a.Starts), 1)
+			})
+		}
+	}
+}
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -62,7 +62,7 @@
 	}
 	for _, r := range blamed {
 		l := crash.Loss{
-			Life: crash.Life{Worker: n.ID, Incarnation: n.Life}, Proof: proof, InTime: inTime,
+			Life: crash.Life{Worker: n.ID, Incarnation: n.Life}, Proof: proof, Run: r.key.run, InTime: inTime,
 			Unconfirmed: r.presumed || (r.confirmedAt.IsZero() && !n.refusing),
 			Alone:       len(blamed) == 1, Excused: len(crashing) > 0 && !crashing[r],
 		}
@@ -193,9 +193,27 @@
 			continue
 		}
 		for _, name := range tasks {
-			if t := m.findTask(name); t != nil && !t.done && t.run == nil && !m.tryGiveUp(now, t) {
-				m.markUntried(t.job)
-			}
+			m.applyStanding(now, name)
+		}
+	}
+}
+
+// applyStanding acts on a change of the losses under a task that waits.
+func (m *Machine) applyStanding(now time.Time, name string) {
+	if t := m.findTask(name); t != nil && !t.done && t.run == nil && !m.tryGiveUp(now, t) {
+		m.markUntried(t.job)
+	}
+}
+
+// refuteLosses drops the losses that a report disproves: a worker that lists a run was not lost
+// under it in an earlier incarnation.
+func (m *Machine) refuteLosses(now time.Time, n *node, report *worker.Report) {
+	if m.crashes.IsEmpty() {
+		return
+	}
+	for _, k := range listedRuns(report) {
+		if m.crashes.Refute(now, k.task, k.run, crash.Life{Worker: n.ID, Incarnation: n.Life}) {
+			m.applyStanding(now, k.task)
 		}
 	}
 }
