Hold starts that a later incarnation of a silent worker may have

If the worker's row or report names a later incarnation than the one that the start was meant for, the task waits until the worker answers or its row is gone. Nothing changes for other silent workers. Whether the row comes before the lease has lapsed depends on the list, which is read every 0.5 s; without the row nothing tells.

TestStartThatALaterIncarnationMayHaveIsHeld failed before (1 start, wanted 0).

--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -445,13 +445,16 @@
 
 // loseLapsedRuns ends the runs of a silent worker whose lease must have lapsed.
 // Runs of stored jobs may have been done before that: as long as the worker is
-// listed, they wait for its report.
+// listed, they wait for its report. So do starts that a later incarnation may have got: on its
+// clock they are not too late yet.
 func (m *Machine) loseLapsedRuns(now time.Time, n *node) {
 	var lost []*run
 	for _, r := range n.sortedRuns() {
-		if r.task == nil || !r.task.job.stored || !r.task.job.live || !n.listed {
+		switch {
+		case r.state == startSent && n.listed && r.incarnation < max(n.Life, n.rowLife):
+		case r.task == nil || !r.task.job.stored || !r.task.job.live || !n.listed:
 			lost = append(lost, r)
-		} else if r.state == startSent {
+		case r.state == startSent:
 			r.state, r.confirmedAt, r.presumed = running, r.sent, !n.refusing
 		}
 	}
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -196,3 +196,40 @@
 		}
 	}
 }
+
+// TestStartThatALaterIncarnationMayHaveIsHeld leaves a start to a restarted worker without an
+// answer for longer than a lease (TWICE: on the clock of the new incarnation it is not too late).
+func TestStartThatALaterIncarnationMayHaveIsHeld(t *testing.T) {
+	is := is.New(t)
+	m := readyMachine("w1", "w2")
+	s := submission("j", 1, 1)
+	s.Remaining, s.Job.Target = 10*time.Second, 5*time.Second
+	m.Submit(at(10), s)
+	x := &restartedWorker{m: m, start: m.TakeActions().Starts[0]}
+	m.Started(at(70), x.start, worker.Answer{Verdict: worker.Unanswered})
+	row, other := testWorker("w1"), testWorker("w2")
+	if x.start.Worker == other.ID {
+		row, other = other, row
+	}
+	row.Life = 2
+	m.SetWorkers(at(300), []worker.Worker{row, other})
+	for ms := 325; ms < 1400; ms += 25 {
+		m.Tick(at(ms))
+		a := m.TakeActions()
+		is.Equal(len(a.Starts), 0)
+		for _, l := range a.Polls {
+			if l.Worker == row.ID {
+				m.PollAnswered(at(ms+1), at(ms), l, nil, worker.Unanswered)
+			}
+		}
+	}
+	is.Equal(len(m.TakeActions().Starts), 0)
+	x.report(1410, 1405, true)
+	a := m.TakeActions()
+	is.Equal(len(a.Starts), 0)
+	x.report(1460, 1455, false, x.end(worker.Done))
+	a = m.TakeActions()
+	is.Equal(len(a.Starts), 0)
+	is.Equal(len(a.Replies), 1)
+	is.Equal(a.Replies[0].Result, dispatch.Completed)
+}
