Acknowledge the ends of a worker once

Ends are numbered from 1 in each incarnation, so the new one forgets its own: the owner takes the run for one that ended with the earlier incarnation, and the task starts again.

Polls acknowledge ends only until an answer has shown that the worker got the acknowledgement, and only while it answers; an idle worker is asked without any. What remains is an acknowledgement that is on its way when the worker restarts.

TestEndsOfANewIncarnationAreNotForgotten failed before (acknowledged three times in 25 s, wanted once).

--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -199,7 +199,11 @@
 
 // sendPoll completes and sends a poll.
 func (m *Machine) sendPoll(now time.Time, n *node, l worker.Poll) {
-	l.Order, l.AcknowledgedEnds = m.order(n), n.highestForgettable()
+	l.Order = m.order(n)
+	if highest := n.highestForgettable(); highest > n.acknowledged && n.answered && n.silentSince.IsZero() {
+		// A new incarnation would forget ends of its own that the owner does not know.
+		l.AcknowledgedEnds = highest
+	}
 	if len(n.runs) > 0 && n.silentSince.IsZero() && len(n.lapsingEnds) == 0 {
 		// The lease is not extended for a worker whose answers get lost, or its
 		// runs would never end.
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -233,3 +233,28 @@
 	is.Equal(len(a.Replies), 1)
 	is.Equal(a.Replies[0].Result, dispatch.Completed)
 }
+
+// TestEndsOfANewIncarnationAreNotForgotten has a worker restart after its ends were acknowledged
+// (TWICE: a poll that acknowledged them again made the new incarnation forget its own).
+func TestEndsOfANewIncarnationAreNotForgotten(t *testing.T) {
+	is := is.New(t)
+	m := readyMachine("w1")
+	x := &restartedWorker{m: m, start: startOne(is, m, at(10))}
+	m.Started(at(11), x.start, worker.Answer{Verdict: worker.Accepted, Clock: 1010})
+	var acknowledged []worker.EndNumber
+	end := x.end(worker.Done)
+	for ms := 60; ms < 25_000; ms += 20 {
+		m.Tick(at(ms))
+		for _, l := range m.TakeActions().Polls {
+			if l.AcknowledgedEnds > 0 {
+				acknowledged = append(acknowledged, l.AcknowledgedEnds)
+			}
+			r := &worker.Report{Incarnation: 1, Clock: worker.Clock(1000 + ms)}
+			if len(acknowledged) == 0 {
+				r.Ended = []worker.Ended{end}
+			}
+			m.PollAnswered(at(ms+1), at(ms), l, r, worker.Accepted)
+		}
+	}
+	is.Equal(acknowledged, []worker.EndNumber{1})
+}
