Charge no crash to runs of a worker that was silent before

Cause: runs of stored jobs stay with a silent worker until it answers. The new incarnation that answered counted as a crash in time, however long the silence, and so did a refused connection at its end. Runs of other jobs are taken away with the lease, and were charged correctly.

A crash now counts as one in time only if it shows within 0.15 s of the first order without an answer, by a refused connection or by a new incarnation: the owner polls at once after such an order. A start without an answer to a worker that was silent for a lease is a presumed run in any case.

Price: a deadly task whose worker falls silent first and refuses nothing needs four crashes in place of two where its job is stored.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -207,6 +207,39 @@
 	}
 }
 
+// TestLapsedRunOfAStoredTaskIsNoCrash cuts off the worker of a stored task, again and again. It
+// ends the run when its lease lapses, crashes behind the cut and returns (LOST: the job was shown
+// as failed after the second time, with no crash under it).
+func TestLapsedRunOfAStoredTaskIsNoCrash(t *testing.T) {
+	for name, refuses := range map[string]bool{"the cut gets no answers": false, "the worker refuses connections at the end": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newCrashFleet(newMachine(), 3)
+			f.took = func(string) time.Duration { return 3 * time.Second }
+			f.orderTimeout, f.comesBack = 60*time.Millisecond, 500*time.Millisecond
+			f.runUntil(at(100))
+			f.m.AddStored(f.now, submission("j", 1, 1).Job, work.Progress{}, false)
+			for range 3 {
+				f.runUntil(f.now.Add(time.Second))
+				for _, w := range f.workers {
+					if len(w.runs) == 0 {
+						continue
+					}
+					w.cut = true
+					f.runUntil(f.now.Add(2500 * time.Millisecond))
+					is.Equal(len(w.runs), 0)
+					w.cut = !refuses
+					f.crash(w)
+					break
+				}
+			}
+			f.runUntil(f.now.Add(10 * time.Second))
+			is.Equal(f.starts["j.0.0.0"], 4)
+			is.Equal(f.ends, []dispatch.JobEnd{{Job: "j", Result: dispatch.Completed}})
+		})
+	}
+}
+
 // TestSuspectStartsUnderFullLoad has a task that must be isolated wait for workers that have
 // more work than they can do.
 func TestSuspectStartsUnderFullLoad(t *testing.T) {
@@ -232,9 +265,10 @@
 func TestUnansweredStartIsNoCrashOfAStoredTask(t *testing.T) {
 	tests := map[string]struct {
 		second worker.ID
-		// refuses is true if the first worker refuses connections before it is back, and
-		// atOnce if an order fails as soon as it is sent.
-		refuses, atOnce bool
+		// refuses is true if the first worker refuses connections before it is back, soon if
+		// it crashes before the lease lapses, and atOnce if an order fails as soon as it is
+		// sent.
+		refuses, soon, atOnce bool
 	}{
 		"the same worker":                            {second: "w0"},
 		"another worker":                             {second: "w1"},
@@ -252,7 +286,11 @@
 			f.runUntil(at(100))
 			f.workers["w0"].cut = true
 			f.m.AddStored(f.now, submission("j", 1, 1).Job, work.Progress{}, false)
-			f.runUntil(at(2500))
+			if test.soon {
+				f.runUntil(at(230))
+			} else {
+				f.runUntil(at(2500))
+			}
 			is.Equal(f.starts["j.0.0.0"], 0)
 			if test.second != "w0" {
 				f.add(testWorker(test.second))
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -83,7 +83,8 @@
 	askedAt time.Time
 	// known is true once a report has told the incarnation.
 	known bool
-	// refusing is true if the address has refused a connection since silentSince.
+	// refusing is true if the address has refused a connection within refusalTime of
+	// silentSince.
 	refusing bool
 	// replaced is true while another worker uses the address.
 	replaced bool
@@ -142,7 +143,7 @@
 		if v != worker.Unanswered {
 			n.Address = n.rowAddress
 		}
-		if v == worker.Refusing {
+		if v == worker.Refusing && n.failedWithin(now, refusalTime) {
 			n.refusing = true
 			m.noteRefusing(now, n)
 		}
@@ -459,7 +460,7 @@
 		case r.task == nil || !r.task.job.stored || !r.task.job.live || !n.listed:
 			lost = append(lost, r)
 		case r.state == startSent:
-			r.state, r.confirmedAt, r.presumed = running, r.sent, !n.refusing
+			r.state, r.confirmedAt, r.presumed = running, r.sent, true
 		}
 	}
 	m.loseWorker(now, n, lost, nil, LossSilent)
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -41,17 +41,27 @@
 	Cause   GiveUpCause
 }
 
+// refusalTime is how long after the first order without an answer a worker that has crashed
+// refuses connections. It is polled at once after such an order.
+const refusalTime = 150 * time.Millisecond
+
+// failedWithin returns true if a worker has left no order unanswered for longer than d.
+func (n *node) failedWithin(now time.Time, d time.Duration) bool {
+	return n.silentSince.IsZero() || now.Sub(n.silentSince) <= d
+}
+
 // blame records the loss of a worker for the tasks that it ran. For runs in open, which may
 // have been lost with it, the loss is kept until that is known. A worker that was draining is
-// not lost under its tasks. If a worker was silent and did not refuse connections, its runs
-// may have lapsed before it crashed, and starts without an answer may never have reached it.
+// not lost under its tasks. If a worker was silent before it refused connections, or refused
+// none, its runs may have ended before it crashed, and starts without an answer may never have
+// reached it.
 func (m *Machine) blame(now time.Time, n *node, c LossCause, runs, open []*run) {
 	if c == LossLeft {
 		return
 	}
-	proof, inTime := crash.Presumed, n.refusing
+	proof, inTime := crash.Presumed, n.refusing || n.failedWithin(now, refusalTime)
 	if c == LossCrashed {
-		proof, inTime = crash.Crashed, true
+		proof = crash.Crashed
 	}
 	blamed := slices.DeleteFunc(slices.Concat(runs, open), func(r *run) bool { return !r.stopAccepted.IsZero() })
 	crashing := map[*run]bool{}
