Take no start without an answer for proof of a crash

Another worker had crashed shortly before with a start that it never began; since its address refused connections, the start was taken to have reached it. A refused connection tells when a worker ended, and not that it had begun the task.

Price: a task that crashes its workers before they answer the start is given up after five of them in any case, in place of two where the address refuses.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -274,6 +274,7 @@
 		"another worker":                             {second: "w1"},
 		"another worker, the first one refuses":      {second: "w1", refuses: true},
 		"the first one refuses, orders fail at once": {second: "w1", refuses: true, atOnce: true},
+		"the first one crashes soon, and refuses":    {second: "w1", refuses: true, soon: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -73,7 +73,7 @@
 	for _, r := range blamed {
 		l := crash.Loss{
 			Life: crash.Life{Worker: n.ID, Incarnation: n.Life}, Proof: proof, Run: r.key.run, InTime: inTime,
-			Unconfirmed: r.presumed || (r.confirmedAt.IsZero() && !n.refusing),
+			Unconfirmed: r.presumed || r.confirmedAt.IsZero(),
 			Alone:       len(blamed) == 1, Excused: len(crashing) > 0 && !crashing[r],
 		}
 		if slices.Contains(open, r) {
