Have a new incarnation refuse late starts of an earlier one

A start without an answer is stopped before its task starts elsewhere: the worker then refuses the start should it still come. A restart forgets the stop, and the clock of the new incarnation accepts the start's lease.

When an owner finds a new incarnation, it stops there each start that was left without an answer within the last ten seconds, by whose run it no longer goes. This costs one order for each, at a restart only.

What remains: starts that come before the owner knows of the new incarnation, or whose stop is lost as well.

TestLateStartOfAnEarlierIncarnationIsRefused failed before (0 stops, wanted 1).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -321,7 +321,11 @@
 	}
 	m.markChanged(n)
 	m.handleAnswer(now, n, a.Verdict, a.Clock)
-	r := n.runs[runKey{task: s.Task.String(), run: s.Run}]
+	k := runKey{task: s.Task.String(), run: s.Run}
+	if a.Verdict == worker.Unanswered {
+		n.noteUnanswered(now, k)
+	}
+	r := n.runs[k]
 	if r == nil || r.state == stopping {
 		m.advance(now)
 		return
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -117,6 +117,8 @@
 	// holdUntil is the time until which no work is started on the worker.
 	holdUntil time.Time
 	runs      map[runKey]*run
+	// unanswered holds the starts that got no answer, by the time at which they were given up.
+	unanswered map[runKey]time.Time
 	used      work.Size
 	slowdown  room.Slowdown
 	// changed is true if the worker has changed during this event. stale is true if
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -294,12 +294,11 @@
 }
 
 func sortRuns(runs []*run) {
-	slices.SortFunc(runs, func(a, b *run) int {
-		if c := cmp.Compare(a.key.task, b.key.task); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.key.run, b.key.run)
-	})
+	slices.SortFunc(runs, func(a, b *run) int { return compareRunKeys(a.key, b.key) })
+}
+
+func compareRunKeys(a, b runKey) int {
+	return cmp.Or(cmp.Compare(a.task, b.task), cmp.Compare(a.run, b.run))
 }
 
 // refusalReason returns why a job is not accepted and when its caller should come
--- a/dispatch/restart.go
+++ b/dispatch/restart.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -35,10 +36,33 @@
 	n.pollOpen, n.clock = false, 0
 	n.leaseEnd, n.acknowledgeAt = time.Time{}, time.Time{}
 	m.assumeLongestLease(now, n)
+	m.stopLateStarts(now, n, listed)
 	n.slowdown = room.Slowdown{}
 	m.markChanged(n)
 }
 
+// lateOrderTime is for how long an order without an answer may still be carried out.
+const lateOrderTime = 10 * time.Second
+
+// noteUnanswered records a start that got no answer.
+func (n *node) noteUnanswered(now time.Time, k runKey) {
+	maps.DeleteFunc(n.unanswered, func(_ runKey, at time.Time) bool { return now.Sub(at) > lateOrderTime })
+	if n.unanswered == nil {
+		n.unanswered = map[runKey]time.Time{}
+	}
+	n.unanswered[k] = now
+}
+
+// stopLateStarts has a new incarnation refuse the starts that an earlier one left without an
+// answer, whose tasks may have started elsewhere since. It does not know of earlier stops.
+func (m *Machine) stopLateStarts(now time.Time, n *node, listed []runKey) {
+	for _, k := range slices.SortedFunc(maps.Keys(n.unanswered), compareRunKeys) {
+		if n.runs[k] == nil && !slices.Contains(listed, k) && now.Sub(n.unanswered[k]) <= lateOrderTime {
+			m.actions.Stops = append(m.actions.Stops, worker.Stop{Order: m.order(n), Task: k.task, Run: k.run})
+		}
+	}
+}
+
 // listedRuns returns the runs that a report lists, at work or ended.
 func listedRuns(report *worker.Report) []runKey {
 	listed := make([]runKey, 0, len(report.Running)+len(report.Ended))
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -258,3 +258,37 @@
 	}
 	is.Equal(acknowledged, []worker.EndNumber{1})
 }
+
+// TestLateStartOfAnEarlierIncarnationIsRefused restarts a worker after a start to it was given up
+// and stopped (TWICE: the new incarnation does not know of the stop, and may get the start late).
+func TestLateStartOfAnEarlierIncarnationIsRefused(t *testing.T) {
+	for name, test := range map[string]struct {
+		restart, stops int
+	}{
+		"soon":          {restart: 1000, stops: 1},
+		"after minutes": {restart: 120_000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := readyMachine("w1", "w2")
+			x := &restartedWorker{m: m, start: startOne(is, m, at(10))}
+			m.Started(at(70), x.start, worker.Answer{Verdict: worker.Unanswered})
+			report := &worker.Report{Incarnation: 1, Clock: 1075}
+			m.PollAnswered(at(75), at(71), worker.Poll{Order: x.start.Order}, report, worker.Accepted)
+			for _, s := range m.TakeActions().Stops {
+				m.Stopped(at(77), s, worker.Answer{Verdict: worker.Accepted, Clock: 1077})
+			}
+			m.PollAnswered(at(80), at(78), worker.Poll{Order: x.start.Order}, report, worker.Accepted)
+			m.TakeActions()
+			x.report(test.restart, test.restart-1, false)
+			var stopped []string
+			for _, s := range m.TakeActions().Stops {
+				stopped = append(stopped, s.Task)
+			}
+			is.Equal(len(stopped), test.stops)
+			if test.stops > 0 {
+				is.Equal(stopped[0], "j.0.0.0")
+			}
+		})
+	}
+}
