Notice the restart of a worker that had just started

A worker that had been up for a second was not noticed, and the next polls acknowledged the ends of its earlier incarnation to the new one, which forgot its own.

The owner knows when it sent a start: if the last reading of the clock is older than that, the answer can not show less than that reading and the time since, on a clock that is 2 % slow. For answers that may have overtaken each other the two seconds remain.

TestFailingWorkers had its workers' clocks go back by a second at the first start, which no worker does: they go on from the first reading now; its bounds are as they were.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -320,12 +320,16 @@
 		return
 	}
 	m.markChanged(n)
-	m.handleAnswer(now, n, a.Verdict, a.Clock)
 	k := runKey{task: s.Task.String(), run: s.Run}
 	if a.Verdict == worker.Unanswered {
 		n.noteUnanswered(now, k)
 	}
 	r := n.runs[k]
+	var sent time.Time
+	if r != nil {
+		sent = r.sent
+	}
+	m.handleAnswer(now, sent, n, a.Verdict, a.Clock)
 	if r == nil || r.state == stopping {
 		m.advance(now)
 		return
@@ -381,7 +385,7 @@
 		return
 	}
 	m.markChanged(n)
-	m.handleAnswer(now, n, a.Verdict, a.Clock)
+	m.handleAnswer(now, time.Time{}, n, a.Verdict, a.Clock)
 	if r := n.runs[runKey{task: s.Task, run: s.Run}]; r != nil && r.state == stopping && r.stopAccepted.IsZero() {
 		switch a.Verdict {
 		case worker.Accepted, worker.Superseded:
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -380,7 +380,7 @@
 			}
 			ends := map[worker.ID][]worker.Ended{}
 			for _, s := range a.Starts {
-				m.Started(now, s, worker.Answer{Verdict: worker.Accepted, Clock: worker.Clock(now.Sub(begin).Milliseconds())})
+				m.Started(now, s, worker.Answer{Verdict: worker.Accepted, Clock: worker.Clock(1000 + now.Sub(begin).Milliseconds())})
 				how := worker.Done
 				if bad[s.Worker] {
 					how = worker.Failed
@@ -390,7 +390,7 @@
 			}
 			polls := append(a.Polls, m.TakeActions().Polls...)
 			for _, l := range polls {
-				m.PollAnswered(now, now, l, &worker.Report{Incarnation: 1, Clock: worker.Clock(now.Sub(begin).Milliseconds()), Ended: ends[l.Worker]}, worker.Accepted)
+				m.PollAnswered(now, now, l, &worker.Report{Incarnation: 1, Clock: worker.Clock(1000 + now.Sub(begin).Milliseconds()), Ended: ends[l.Worker]}, worker.Accepted)
 				delete(ends, l.Worker)
 			}
 			m.Tick(now)
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -119,8 +119,8 @@
 	runs      map[runKey]*run
 	// unanswered holds the starts that got no answer, by the time at which they were given up.
 	unanswered map[runKey]time.Time
-	used      work.Size
-	slowdown  room.Slowdown
+	used       work.Size
+	slowdown   room.Slowdown
 	// changed is true if the worker has changed during this event. stale is true if
 	// that is not yet reflected in contribution, which is what the worker adds to
 	// the counts.
@@ -131,9 +131,10 @@
 	lastFailedJob work.ID
 }
 
-// handleAnswer records whether a worker has answered. A worker that leaves an order
-// unanswered gets no work until it has answered a poll.
-func (m *Machine) handleAnswer(now time.Time, n *node, v worker.Verdict, clock worker.Clock) {
+// handleAnswer records whether a worker has answered an order that was sent at the time sent,
+// which is zero if it is not known. A worker that leaves an order unanswered gets no work until
+// it has answered a poll.
+func (m *Machine) handleAnswer(now, sent time.Time, n *node, v worker.Verdict, clock worker.Clock) {
 	if v == worker.Unanswered || v == worker.Unsent || v == worker.Refusing {
 		if !now.Before(m.lossyUntil) {
 			// From now on the runs of all workers are checked sooner.
@@ -157,7 +158,7 @@
 	}
 	n.silentSince, n.pollDelay, n.refusing = time.Time{}, 0, false
 	if clock > 0 && v != worker.Replaced {
-		if clock+incarnationClockGap < n.clock {
+		if clock < n.earliestClock(sent) {
 			n.forgetEnds()
 			m.assumeLongestLease(now, n)
 		}
@@ -170,6 +171,15 @@
 // apart.
 const incarnationClockGap = worker.Clock(2000)
 
+// earliestClock returns the earliest time that the clock of a worker can show in the answer to
+// an order that was sent at the time sent, unless the worker has restarted.
+func (n *node) earliestClock(sent time.Time) worker.Clock {
+	if sent.Before(n.clockAt) {
+		return n.clock - incarnationClockGap
+	}
+	return n.clock + worker.Clock(scaled(sent.Sub(n.clockAt), 1-clockDrift).Milliseconds())
+}
+
 // forgetEnds drops what is known of a worker's ends, since a new incarnation
 // numbers them anew. The next poll tells which incarnation it is.
 func (n *node) forgetEnds() {
@@ -231,7 +241,7 @@
 		n.pollOpen = false
 	}
 	if report == nil {
-		m.handleAnswer(now, n, v, 0)
+		m.handleAnswer(now, time.Time{}, n, v, 0)
 		if v == worker.Replaced {
 			m.handleReplaced(now, n)
 		}
@@ -260,7 +270,7 @@
 	}
 	n.known = true
 	m.refuteLosses(now, n, report)
-	m.handleAnswer(now, n, worker.Accepted, report.Clock)
+	m.handleAnswer(now, time.Time{}, n, worker.Accepted, report.Clock)
 	n.acknowledged = max(n.acknowledged, min(l.AcknowledgedEnds, n.seen))
 	if !m.handleEnds(now, n, report.Ended) && n.highestForgettable() < n.seen && !l.Extra {
 		// The worker repeats ends that are not stored yet, without waiting for a
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -292,3 +292,28 @@
 		})
 	}
 }
+
+// TestRestartOfAYoungWorkerIsNoticed answers a start in a new incarnation of a worker whose
+// earlier one lived for a second (TWICE: the owner went on with acknowledgements of earlier ends).
+func TestRestartOfAYoungWorkerIsNoticed(t *testing.T) {
+	for name, test := range map[string]struct {
+		clock   worker.Clock
+		noticed bool
+	}{
+		"same incarnation":                  {clock: 1505},
+		"same incarnation, its clock slow":  {clock: 1495},
+		"new incarnation":                   {clock: 60, noticed: true},
+		"new incarnation, after a moment":   {clock: 480, noticed: true},
+		"the answer does not tell the time": {clock: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := readyMachine("w1") // Its clock shows 1000 at 1 ms.
+			s := startOne(is, m, at(500))
+			m.Started(at(505), s, worker.Answer{Verdict: worker.Accepted, Clock: test.clock})
+			m.TakeActions()
+			m.Submit(at(506), submission("next", 2, 1))
+			is.Equal(len(m.TakeActions().Starts) == 0, test.noticed)
+		})
+	}
+}
