Give a restarted worker no work before its row was read

Cause: the answer of a new incarnation made the worker usable with the row of the earlier one, that is with its kind, pool and capacity.

A worker is usable only if its row is not of an earlier incarnation than the one that has answered. Until then the list is read as often as while workers are missing. Rows with a later incarnation were handled before: the worker is asked.

Ruled out: taking labels from the report, which has none. Price: while the table is away, workers that restart get no work.

--- a/dispatch/loss.go
+++ b/dispatch/loss.go
@@ -39,10 +39,11 @@
 // missingTime is for how long a silent worker is expected back at any time.
 const missingTime = 10 * time.Second
 
-// MissesWorkers returns true if a worker has fallen silent within missingTime.
+// MissesWorkers returns true if a worker has fallen silent within missingTime, or if the row of
+// one that has restarted was not read yet.
 func (m *Machine) MissesWorkers(now time.Time) bool {
 	return slices.ContainsFunc(m.ordered, func(n *node) bool {
-		return !n.silentSince.IsZero() && now.Sub(n.silentSince) < missingTime
+		return n.isRowBehind() || (!n.silentSince.IsZero() && now.Sub(n.silentSince) < missingTime)
 	})
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -24,10 +24,14 @@
 
 // isUsable returns true if a worker may get work.
 func (m *Machine) isUsable(now time.Time, n *node) bool {
-	return n.listed && n.answered && !n.Draining && n.silentSince.IsZero() && !now.Before(n.holdUntil) &&
+	return n.listed && n.answered && !n.isRowBehind() && !n.Draining && n.silentSince.IsZero() && !now.Before(n.holdUntil) &&
 		m.detector.Allowed(now, n.ID, true) && !n.hasOrphans() && len(n.lapsingEnds) == 0
 }
 
+// isRowBehind returns true if the worker's row is one of an earlier incarnation. The present one
+// may be of another kind and have another capacity.
+func (n *node) isRowBehind() bool { return n.rowLife < n.Life }
+
 func (n *node) hasOrphans() bool {
 	for _, r := range n.runs {
 		if r.task == nil {
--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -36,6 +36,17 @@
 	return worker.Ended{Number: 1, Task: "j.0.0.0", Run: x.start.Run, Result: result, Reason: string(result)}
 }
 
+// writeRow has the worker write its row in the new incarnation.
+func (x *restartedWorker) writeRow(ms int) {
+	rows := []worker.Worker{testWorker("w1"), testWorker("w2")}
+	for i := range rows {
+		if rows[i].ID == x.start.Worker {
+			rows[i].Life = 2
+		}
+	}
+	x.m.SetWorkers(at(ms), rows)
+}
+
 // stop carries out the stops among some actions.
 func (x *restartedWorker) stop(ms int, a dispatch.Actions) {
 	for _, s := range a.Stops {
@@ -162,6 +173,7 @@
 				x.m.Tick(at(ms))
 			}
 			x.report(1310, 1305, false, x.end(worker.Lost))
+			x.writeRow(1320)
 			x.m.Tick(at(1325))
 		},
 	}
@@ -317,3 +329,45 @@
 		})
 	}
 }
+
+// TestRestartedWorkerOfAnotherKind restarts a worker under its id (ROUTE: it got a task for the
+// kind that it had been, until its owner read its next row).
+func TestRestartedWorkerOfAnotherKind(t *testing.T) {
+	large := testWorker("w1").Capacity
+	tests := map[string]struct {
+		change func(w *worker.Worker)
+		starts int
+	}{
+		"same kind":     {change: func(*worker.Worker) {}, starts: 1},
+		"other label":   {change: func(w *worker.Worker) { w.Labels = []string{"a"} }},
+		"other pool":    {change: func(w *worker.Worker) { w.Pool = "other" }},
+		"less capacity": {change: func(w *worker.Worker) { w.Capacity.Cores = 1000 }},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := newMachine()
+			m.StoredJobsLoaded(begin)
+			w := testWorker("w1")
+			w.Labels, w.Capacity = []string{"b"}, large
+			m.SetWorkers(begin, []worker.Worker{w})
+			answerPolls(m, at(1), m.TakeActions(), worker.Report{Incarnation: 1, Clock: 1000})
+			job := submission("j", 1, 1).Job
+			job.Steps[0].Label = "b"
+			m.AddStored(at(10), job, work.Progress{}, false)
+			s := m.TakeActions().Starts[0]
+			m.Started(at(11), s, worker.Answer{Verdict: worker.Accepted, Clock: 1010})
+			poll := worker.Poll{Order: s.Order}
+			m.PollAnswered(at(300), at(290), poll, &worker.Report{Incarnation: 2, Clock: 20}, worker.Accepted)
+			m.Tick(at(325))
+			is.Equal(len(m.TakeActions().Starts), 0)
+			is.True(m.MissesWorkers(at(325)))
+			w.Life = 2
+			test.change(&w)
+			m.SetWorkers(at(400), []worker.Worker{w})
+			m.Tick(at(425))
+			is.Equal(len(m.TakeActions().Starts), test.starts)
+			is.True(!m.MissesWorkers(at(425)))
+		})
+	}
+}
