Count jobs whose starts were rejected as pending

Cause: a job counted as begun once a start was sent for it. That must stay so for the answer "not run", and was used for the count as well.

A job now has a second mark, set once a worker is known to have carried out a start: by its answer, a report or an end. Jobs without it are pending, also those whose starts were refused, got no answer or are on their way.

--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -35,7 +35,7 @@
 	r.node.used = r.node.used.Plus(r.size)
 	m.markChanged(r.node)
 	t.run, t.lastRun = r, max(t.lastRun, r.key.run)
-	m.markBegun(t.job)
+	m.markRan(t.job)
 	t.job.recordStart(now, r)
 }
 
@@ -54,7 +54,7 @@
 		t.run = nil
 		m.stop(now, r, "an earlier run has done the task")
 	}
-	m.markBegun(t.job)
+	m.markRan(t.job)
 	m.dequeueTask(now, t)
 	m.completeTask(now, t)
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -336,9 +336,7 @@
 	}
 	switch a.Verdict {
 	case worker.Accepted:
-		if r.state == startSent {
-			r.state, r.confirmedAt = running, now
-		}
+		m.confirm(now, r)
 		if r.incarnation != n.Life {
 			m.assumeLongestLease(now, n)
 		}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -27,9 +27,10 @@
 	// left is the number of tasks that are not done, stepLeft that of each step.
 	left     int
 	stepLeft []int
-	// begun is true once a start was sent for any task.
-	begun     bool
-	submitted time.Time
+	// begun is true once a start was sent for any task, and ran once a worker is known to have
+	// carried one out.
+	begun, ran bool
+	submitted  time.Time
 	// doneRuns counts the completed runs, and runTimeRatios is the sum of their run
 	// times as multiples of the expected ones.
 	doneRuns      int
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -332,9 +332,7 @@
 			continue
 		}
 		r.presumed, r.incarnation, r.earlierLoss = false, n.Life, nil
-		if r.state == startSent {
-			r.state, r.confirmedAt = running, now
-		}
+		m.confirm(now, r)
 		if r.state == running && r.task != nil {
 			m.checkProgress(now, n, r, x.Percent)
 		}
@@ -393,6 +391,9 @@
 		return
 	}
 	r.recordEnd(now, string(result))
+	if result != worker.Lost {
+		m.markRan(t.job)
+	}
 	if result == worker.Done {
 		if expected := m.expectedRunTime(n, t); expected > 0 {
 			t.job.doneRuns++
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -285,7 +285,7 @@
 	n.used = n.used.Plus(r.size)
 	m.markChanged(n)
 	t.run = r
-	m.markBegun(t.job)
+	t.job.begun = true
 	t.job.recordStart(now, r)
 	m.detector.Started(now, n.ID)
 	if m.meanCores == 0 {
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -271,10 +271,21 @@
 	return j.stored || (j.meetsDeadline(now, d) && (j.begun || j.class == useless || !now.Add(d).After(j.uselessAt)))
 }
 
-// markBegun records that part of a job has started.
-func (m *Machine) markBegun(j *job) {
-	j.begun = true
-	m.pendingValid = m.pendingValid && !j.stored
+// markRan records that a worker has carried out a start of a job.
+func (m *Machine) markRan(j *job) {
+	m.pendingValid = m.pendingValid && (j.ran || !j.stored)
+	j.begun, j.ran = true, true
+}
+
+// confirm records that a worker has the run whose start was sent to it.
+func (m *Machine) confirm(now time.Time, r *run) {
+	if r.state != startSent {
+		return
+	}
+	r.state, r.confirmedAt = running, now
+	if r.task != nil {
+		m.markRan(r.task.job)
+	}
 }
 
 // startQueued starts the tasks that can start. After an event that freed capacity,
--- a/dispatch/stored.go
+++ b/dispatch/stored.go
@@ -77,7 +77,8 @@
 		}
 	}
 	m.adoptOrphans(now, k)
-	k.begun = k.begun || p.HasEndedRuns()
+	k.ran = k.begun || p.HasEndedRuns()
+	k.begun = k.ran
 	m.jobs[j.ID] = k
 	m.pendingValid = false
 	m.queueReadyTasks(now, k)
@@ -197,7 +198,7 @@
 	}
 	var counts map[work.Queue]int
 	for _, j := range m.jobs {
-		if !j.stored || j.begun {
+		if !j.stored || j.ran {
 			continue
 		}
 		if counts == nil {
--- a/dispatch/stored_test.go
+++ b/dispatch/stored_test.go
@@ -413,3 +413,43 @@
 		numbers[starts[0].Run] = true
 	}
 }
+
+// TestRefusedStartsLeaveAJobPending refuses the starts of an accepted job (MIXED: it was no longer
+// counted as pending, though none of its tasks had begun).
+func TestRefusedStartsLeaveAJobPending(t *testing.T) {
+	answered := func(v worker.Verdict) func(m *dispatch.Machine, s worker.Start) {
+		return func(m *dispatch.Machine, s worker.Start) {
+			m.Started(at(12), s, worker.Answer{Verdict: v, Clock: 1012})
+		}
+	}
+	reported := func(r worker.Report) func(m *dispatch.Machine, s worker.Start) {
+		return func(m *dispatch.Machine, s worker.Start) {
+			r.Incarnation, r.Clock = 1, 1013
+			m.PollAnswered(at(13), at(12), worker.Poll{Order: s.Order}, &r, worker.Accepted)
+		}
+	}
+	tests := map[string]struct {
+		play    func(m *dispatch.Machine, s worker.Start)
+		pending int
+	}{
+		"no answer yet": {play: func(*dispatch.Machine, worker.Start) {}, pending: 1},
+		"no room":       {play: answered(worker.Full), pending: 1},
+		"unhealthy":     {play: answered(worker.Unhealthy), pending: 1},
+		"no answer":     {play: answered(worker.Unanswered), pending: 1},
+		"accepted":      {play: answered(worker.Accepted)},
+		"at work":       {play: reported(worker.Report{Running: []worker.Running{{Task: "j.0.0.0", Run: 1, Percent: 1}}})},
+		"failed":        {play: reported(worker.Report{Ended: []worker.Ended{{Number: 1, Task: "j.0.0.0", Run: 1, Result: worker.Failed}}})},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := readyMachine("w1")
+			j := submission("j", 1, 1).Job
+			j.Queue = "logs"
+			m.AddStored(at(10), j, work.Progress{}, false)
+			is.Equal(m.Load(at(10)).Pending["logs"], 1)
+			test.play(m, m.TakeActions().Starts[0])
+			is.Equal(m.Load(at(20)).Pending["logs"], test.pending)
+		})
+	}
+}
