Say why an owner without open jobs is not in doubt

The comment spoke of the write of the next job, which confirmed the ownership until; since then an owner that is not confirmed stores no job. Comments only.

--- a/fleet/guard.go
+++ b/fleet/guard.go
@@ -11,8 +11,8 @@
 const (
 	// takeoverTime is how long a new owner waits before it starts tasks that an earlier
 	// one may have started, unless all its workers answer. The earlier owner is in doubt
-	// ownership.DoubtTime after it was last confirmed, takes up to 0.55 s to notice, and its leases
-	// lapse within 1.1 s. It is silent to others for 0.6 s before it is replaced.
+	// ownership.DoubtTime after it was last confirmed, takes up to 0.55 s to notice, and
+	// its leases lapse within 1.1 s. It is silent to others for 0.6 s before it is replaced.
 	takeoverTime = 3 * time.Second
 	// guardInterval is the time between two checks of the ownership, and confirmTimeout
 	// bounds an additional heartbeat, which the table stores within a few milliseconds.
@@ -39,8 +39,8 @@
 	taken := contacts.clock()
 	var doubtedAt time.Time
 	for interval := settleInterval; sleep(ctx, interval); {
-		// Without open jobs nothing can run twice: the write that accepts the next one
-		// confirms the ownership.
+		// Without open jobs nothing can run twice, and an owner that is not confirmed stores
+		// no new one.
 		open := s.openJobs() > 0
 		if open && (!doubtedAt.IsZero() || unconfirmed(open) > confirmTime) {
 			if err := s.owner.beat(ctx, confirmTimeout); err != nil {
