Mark no queue for a task that its worker never got

Found by asking what a crash that was none leaves behind: a task under which a worker had been lost was sent to another worker that had crashed while idle. Its connection was refused, and the queue of the task was marked as one whose tasks crash workers, for 30 s: tasks with losses then start on idle workers only, and callers whose answer would be late are turned away.

The mark is set when a worker that refuses connections has such a task. Runs whose start had not been answered counted, among them the one whose start was refused. Now the worker must be known to have the run, as for the record of a crash.

TestRefusedStartMarksNoQueue failed before (0 starts, wanted 1).

--- a/dispatch/restart_test.go
+++ b/dispatch/restart_test.go
@@ -371,3 +371,30 @@
 		})
 	}
 }
+
+// TestRefusedStartMarksNoQueue has a worker refuse the connection for the start of a task that has
+// been lost with another one before. The task never began there, so its queue must not count as
+// one that crashes workers: the task could then not start beside another one.
+func TestRefusedStartMarksNoQueue(t *testing.T) {
+	is := is.New(t)
+	m := readyMachine("w1", "w2", "w3")
+	submit := func(ms int, id work.ID, call uint64) worker.Start {
+		s := submission(id, call, 1)
+		s.Remaining, s.Job.Target = time.Minute, 20*time.Second
+		m.Submit(at(ms), s)
+		a := m.TakeActions()
+		is.Equal(len(a.Starts), 1)
+		return a.Starts[0]
+	}
+	first := submit(10, "j", 1)
+	m.Started(at(11), first, worker.Answer{Verdict: worker.Accepted, Clock: 1010})
+	m.PollAnswered(at(20), at(15), worker.Poll{Order: first.Order}, &worker.Report{Incarnation: 2, Clock: 3}, worker.Accepted)
+	second := m.TakeActions().Starts[0]
+	other := submit(21, "k", 2)
+	is.True(other.Worker != first.Worker && other.Worker != second.Worker)
+	m.Started(at(22), other, worker.Answer{Verdict: worker.Accepted, Clock: 1022})
+	m.Started(at(22), second, worker.Answer{Verdict: worker.Refusing})
+	a := m.TakeActions()
+	is.Equal(len(a.Starts), 1)
+	is.Equal(a.Starts[0].Worker, other.Worker)
+}
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -104,7 +104,7 @@
 // probably crashed it. This is no proof.
 func (m *Machine) noteRefusing(now time.Time, n *node) {
 	for _, r := range n.runs {
-		if r.suspect && r.state != stopping {
+		if r.suspect && r.state == running && !r.presumed {
 			m.noteCulprit(now, r)
 		}
 	}
