Cancel jobs whose callers wait at their owners

Cause: cancelling knew the rows of stored jobs only.

The host that is asked now has all owners that it hears end the job, also its own, and answers when they have. They remember it with the other outcomes, so that a job which comes, or comes again, within five seconds is answered as cancelled. One call for each host that owns workers, only for jobs without a row.

TestCancelOfAJobWhoseCallerWaits failed before (the job was not known). The waiting caller gets 200 and the state "cancelled" in place of 502, after which it would have sent the job again.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -131,7 +131,7 @@
 	Moved Result = "moved"
 	// Refused means that nothing was or will be started.
 	Refused Result = "refused"
-	// Cancelled means that the caller of a stored job has cancelled it.
+	// Cancelled means that a job was cancelled.
 	Cancelled Result = "cancelled"
 	// Superseded means that the caller has sent the job again through another host.
 	Superseded Result = "superseded"
--- a/dispatch/stored.go
+++ b/dispatch/stored.go
@@ -190,6 +190,24 @@
 	}
 }
 
+// CancelWaiting ends a job whose caller waits. If it comes later, its caller is told that it was
+// cancelled. It returns false if there is no such job.
+func (m *Machine) CancelWaiting(now time.Time, id work.ID) bool {
+	j := m.jobs[id]
+	if m.stopped || (j != nil && j.stored) {
+		return false
+	}
+	if j == nil {
+		if _, ended := m.outcomes.Get(id); !ended {
+			m.outcomes.Put(now, id, Cancelled)
+		}
+		return false
+	}
+	m.finish(now, j, Cancelled, "the job was cancelled")
+	m.advance(now)
+	return true
+}
+
 // pendingCounts returns the number of stored jobs of each queue that have not
 // begun.
 func (m *Machine) pendingCounts() map[work.Queue]int {
--- a/fleet/owners.go
+++ b/fleet/owners.go
@@ -133,6 +133,9 @@
 		o.Withdraw(r.DataCentre, r.Host, r.Call, r.Job)
 		return struct{}{}, nil
 	})
+	peer.Handle(l, kindCancel, func(_ context.Context, r cancelRequest) (cancelReply, error) {
+		return cancelReply{Known: o.Cancel(r.Job)}, nil
+	})
 	return o
 }
 
--- a/fleet/storedjobs.go
+++ b/fleet/storedjobs.go
@@ -133,17 +133,20 @@
 	return row, nil
 }
 
-// Cancel ends a stored job. It returns false if there is no such job, which then never
-// runs if it is submitted later. It returns an *UnavailableError if the cancellation may
-// not be stored.
+// Cancel ends a job, whether it is stored or its caller waits. It returns false if there is no
+// such job, which then never runs if it is submitted later. It returns an *UnavailableError if
+// the cancellation may not be stored, or may not have reached an owner.
 func (s *Submitter) Cancel(ctx context.Context, id work.ID) (bool, error) {
 	defer s.trackCall()()
 	for {
 		row, err := s.stateRow(ctx, id)
 		if err == nil {
 			var done bool
-			if done, err = s.cancelRow(ctx, id, row); done {
-				known := isSubmitted(row)
+			known := isSubmitted(row)
+			if done, err = s.cancelRow(ctx, id, row); done && !known {
+				known, err = s.cancelWaiting(ctx, id)
+			}
+			if done && err == nil {
 				s.logger.WithFields(log.Fields{"job": string(id), "known": known}).Info("job cancelled")
 				return known, nil
 			}
