Take the silence of a worker for no crash in time

Read again: since a loss by silence counted as a crash in time if the lease lapsed within 0.15 s of the first order without an answer, which can be where the lease was short. Silence alone is never a crash in time, as before; only a new incarnation or a refused connection soon after the first such order is.

--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -59,9 +59,9 @@
 	if c == LossLeft {
 		return
 	}
-	proof, inTime := crash.Presumed, n.refusing || n.failedWithin(now, refusalTime)
+	proof, inTime := crash.Presumed, n.refusing
 	if c == LossCrashed {
-		proof = crash.Crashed
+		proof, inTime = crash.Crashed, n.refusing || n.failedWithin(now, refusalTime)
 	}
 	blamed := slices.DeleteFunc(slices.Concat(runs, open), func(r *run) bool { return !r.stopAccepted.IsZero() })
 	crashing := map[*run]bool{}
