--- a/crash/crash.go
+++ b/crash/crash.go
@@ -37,8 +37,8 @@
 	Proof Proof `msgpack:"proof"`
 	// Run is the run of the task that the worker was lost under.
 	Run work.Run `msgpack:"run,omitempty"`
-	// InTime is true if the worker had ended, as far as is known, before the lease of its
-	// runs. Otherwise they may have lapsed before it crashed.
+	// InTime is true if the worker is known to have crashed soon after it last answered.
+	// Otherwise its runs may have ended before that.
 	InTime bool `msgpack:"inTime,omitempty"`
 	// Unconfirmed is true if the worker had not answered the start. It may not have reached
 	// it.
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -144,7 +144,8 @@
 func (m *Machine) sendPoll(now time.Time, n *node, l worker.Poll) {
 	l.Order = m.order(n)
 	if highest := n.highestForgettable(); highest > n.acknowledged && n.answered && n.silentSince.IsZero() {
-		// A new incarnation would forget ends of its own that the owner does not know.
+		// Each end is acknowledged once, and to a worker that answers: an incarnation that the
+		// owner does not know would forget its own ends.
 		l.AcknowledgedEnds = highest
 	}
 	if len(n.runs) > 0 && n.silentSince.IsZero() && len(n.lapsingEnds) == 0 {
