Reserve workers for large tasks that wait

Cause: any smaller task that comes first takes the capacity that a task of 40 to 48 cores waits for.

Change: package lookahead, used by dispatch. With each tick, the first waiting tasks that are larger than the mean get a worker on which they are expected to end first, judged by the expected ends of its runs. Others get there what the task will leave, or start if they are expected to end before it also if their estimate is off by 1.6.

--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -78,6 +78,10 @@
 		if m.meanCores > 0 {
 			s.tasks = int(float64(free.Cores) / m.meanCores)
 		}
+		if r := m.plan.Of(n); r != nil {
+			m.updateReservation(now, r)
+			free = r.Spare
+		}
 		s.entry = &room.Worker[*node]{Item: n, ID: n.ID, Pool: n.Pool, Labels: n.Labels, Free: free, LogSlowdown: n.slowdown.Log()}
 	}
 	m.setContribution(n, s)
@@ -140,6 +144,7 @@
 		m.markChanged(n)
 		m.tickNode(now, n)
 	}
+	m.followPlan(now)
 	m.refreshChanged(now)
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/catkingap/catkingap/ejection"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/index"
+	"github.com/catkingap/catkingap/lookahead"
 	"github.com/catkingap/catkingap/patience"
 	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/work"
@@ -221,6 +222,8 @@
 	crashes        *crash.Tracker
 	crashingQueues *crash.Queues
 	reserved       reservation
+	// plan holds the workers that are reserved for large waiting tasks.
+	plan *lookahead.Plan[*node, holder]
 	// patience recognizes callers that come again.
 	patience *patience.Tracker
 	// timers holds the workers by the time at which they next need attention.
@@ -285,6 +288,7 @@
 		lateRates:  map[ident.Pool]*lateRate{},
 		patience:   patience.NewTracker(c.ResendDelay),
 		began:      now, crashes: crash.NewTracker(), crashingQueues: crash.NewQueues(),
+		plan:         lookahead.NewPlan[*node, holder](),
 		timers:       index.NewTimers[*node](),
 		outcomes:     index.NewRecent[work.ID, Result](outcomeRetention),
 		orphans:      map[string]*run{},
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -22,6 +22,9 @@
 	tasks    float64
 	runTime  time.Duration
 	priority work.Priority
+	// cores returns the cores of a job's tasks. If it is nil, they are 32 with a spread of
+	// 0.2, and at most 48.
+	cores func(l *loadSim) int
 }
 
 // jobKinds make up the load of one data centre of a fleet of 350 workers: 68 % of
@@ -101,6 +104,10 @@
 	submitted       time.Time
 	objective, took time.Duration
 	result          Result
+	// cores is the size of a task. firstStart and lastStart are when the first and the last
+	// of the tasks were ordered to start, and starts counts the orders.
+	tasks, cores, starts  int
+	firstStart, lastStart time.Time
 }
 
 // loadSim simulates jobs on the workers of one owner in virtual time.
@@ -114,7 +121,9 @@
 	order   int
 	workers map[worker.ID]*simulatedWorker
 	// factor returns the load at a second as a multiple of the usual load.
-	factor  func(second float64) float64
+	factor func(second float64) float64
+	// kinds are the kinds of jobs that are submitted.
+	kinds   []jobKind
 	jobs    map[work.ID]*simulatedJob
 	answers []callerAnswer
 	// open holds the submissions that are not answered, and sequence numbers them.
@@ -134,6 +143,8 @@
 	// unanswered counts the starts that were given up because the owner lagged
 	// behind.
 	unanswered int
+	// burstUse is the use of cores during the burst, in core-seconds.
+	burstUse float64
 }
 
 // simulatedJob is a job of a simulated load, with the true run times of its tasks
@@ -144,7 +155,13 @@
 }
 
 func newLoadSim(seed uint64, factor func(second float64) float64) *loadSim {
+	return newLoadSimOf(jobKinds, seed, factor)
+}
+
+// newLoadSimOf returns the simulation of a load that some kinds of jobs make up.
+func newLoadSimOf(kinds []jobKind, seed uint64, factor func(second float64) float64) *loadSim {
 	l := &loadSim{
+		kinds:  kinds,
 		random: rand.New(rand.NewPCG(seed, 7)), now: origin, workers: map[worker.ID]*simulatedWorker{}, jobs: map[work.ID]*simulatedJob{}, open: map[work.ID]Submission{},
 		factor: factor, cost: func(int, int) time.Duration { return 0 },
 	}
@@ -168,7 +185,7 @@
 	}
 	l.deliver(func() { l.m.SetWorkers(l.now, l.list) })
 	l.tick()
-	for _, k := range jobKinds {
+	for _, k := range l.kinds {
 		l.submitRepeatedly(k)
 	}
 	return l
@@ -234,11 +251,17 @@
 
 func (l *loadSim) submit(k jobKind) {
 	runTime := time.Duration(min(l.logNormal(spread), 4) * float64(k.runTime))
-	size := work.Size{Cores: int(min(l.logNormal(0.2)*32_000, 48_000)), Memory: 64}
+	size := work.Size{Memory: 64}
+	if k.cores != nil {
+		size.Cores = k.cores(l)
+	} else {
+		size.Cores = int(min(l.logNormal(0.2)*32_000, 48_000))
+	}
 	j := &simulatedJob{callerAnswer: callerAnswer{
 		kind: k.name, submitted: l.now, objective: time.Duration(1.6*float64(runTime)) + 60*time.Millisecond,
 	}}
 	count := max(1, int(math.Round(min(l.logNormal(spread), 4)*k.tasks)))
+	j.tasks, j.cores = count, size.Cores
 	for range count {
 		j.runTimes = append(j.runTimes, time.Duration(l.logNormal(0.15)*float64(runTime)))
 	}
@@ -288,6 +311,11 @@
 		})
 	}
 	for _, s := range a.Starts {
+		j := l.jobs[s.Task.Job]
+		if j.starts++; j.starts == 1 {
+			j.firstStart = l.now
+		}
+		j.lastStart = l.now
 		l.after(messageDelay, func() { l.start(s) })
 	}
 	for _, s := range a.Stops {
@@ -325,6 +353,7 @@
 	took := time.Duration(float64(l.jobs[s.Task.Job].runTimes[s.Task.Index]) / w.speed)
 	key := runKey{task: s.Task.String(), run: s.Run}
 	w.runs[key] = &simulatedRun{took: took, ends: l.now.Add(took)}
+	l.burstUse += float64(l.jobs[s.Task.Job].cores) / 1000 * overlap(l.now, l.now.Add(took)).Seconds()
 	l.after(took, func() { l.end(w, key, worker.Done) })
 	handled := false
 	respond := func(v worker.Verdict) {
@@ -463,3 +492,9 @@
 		return 1
 	}
 }
+
+// overlap returns how much of the time between two times is during the burst.
+func overlap(from, to time.Time) time.Duration {
+	start, end := origin.Add(burstFrom*time.Second), origin.Add(burstTo*time.Second)
+	return max(0, earliest(to, end).Sub(latest(from, start)))
+}
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -63,6 +63,9 @@
 	// recordIndex is the position of the run in the record of its job, counted from
 	// 1, or zero.
 	recordIndex int
+	// percent is the progress that the worker reported last, at percentAt.
+	percent   int
+	percentAt time.Time
 }
 
 // node is a worker and its runs.
@@ -264,6 +267,7 @@
 		}
 		r.presumed, r.incarnation, r.earlierLoss = false, n.Life, nil
 		m.confirm(now, r)
+		r.percent, r.percentAt = x.Percent, now
 		if r.state == running && r.task != nil {
 			m.checkProgress(now, n, r, x.Percent)
 		}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -218,7 +218,7 @@
 			}
 		}
 	}
-	return nil
+	return m.chooseReserved(now, t, tardy)
 }
 
 // searchList searches a list for a worker. On its workers a task takes at least
@@ -281,6 +281,7 @@
 		r.suspect, r.exclusive = true, len(n.runs) == 0
 		m.actions.SuspectStarts++
 	}
+	m.noteStart(t, n)
 	n.runs[r.key] = r
 	n.used = n.used.Plus(r.size)
 	m.markChanged(n)
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -296,6 +296,8 @@
 	seen, limit := maxSeenJobs, maxTriedJobs
 	if q.tryAll {
 		seen, limit = q.tasks, q.tasks
+		m.planAhead(now)
+		m.refreshChanged(now)
 	}
 	if !q.isEmpty() && (q.tryAll || m.capacityGrew) {
 		for _, j := range q.firstMatching(m.fits, seen, limit) {
@@ -322,7 +324,7 @@
 // fits returns true if a worker has enough free cores for the smallest waiting task
 // of a job.
 func (m *Machine) fits(j *job) bool {
-	return j.minCores <= m.freeIndex.List(j.spec.Pool, "").Largest()
+	return j.minCores <= m.freeIndex.List(j.spec.Pool, "").Largest() || m.fitsReserved(j)
 }
 
 // startWaiting starts the tasks of a job for which there is a worker, or refuses
@@ -339,6 +341,7 @@
 		return
 	}
 	if m.startJob(now, j) {
+		m.endUnneeded(j)
 		m.queue.put(j, m.classOf(now, j))
 	}
 }
--- a/dispatch/scan_test.go
+++ b/dispatch/scan_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/catkingap/catkingap/ejection"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/lookahead"
 	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
@@ -60,7 +61,11 @@
 	size := t.step().Size
 	left := t.job.objective.Sub(now) - answerMargin
 	for _, n := range m.ordered {
-		if !n.suits(t) || !size.Fits(n.Capacity.Minus(n.used)) || !m.isUsable(now, n) || !m.withinWorkerLimit(n, t) {
+		free := n.Capacity.Minus(n.used)
+		if r := m.plan.Of(n); r != nil {
+			free = r.Spare
+		}
+		if !n.suits(t) || !size.Fits(free) || !m.isUsable(now, n) || !m.withinWorkerLimit(n, t) {
 			continue
 		}
 		expected := m.expectedRunTime(n, t)
@@ -74,13 +79,52 @@
 		s := candidate{
 			failed: t.hasFailedOn(n),
 			far:    t.step().Rack != "" && !slices.Contains(n.Labels, t.step().Rack),
-			class:  room.ClassOf(n.slowdown.Log()), free: n.Capacity.Cores - n.used.Cores, id: n.ID,
+			class:  room.ClassOf(n.slowdown.Log()), free: free.Cores, id: n.ID,
 		}
 		if best == nil || s.compare(bestRank) < 0 {
 			best, bestRank = n, s
 		}
 	}
-	return best
+	if best != nil {
+		return best
+	}
+	return m.scanReserved(now, t, tardy)
+}
+
+// scanReserved chooses among the workers that are reserved for other tasks: the first one that
+// a task leaves in time, also if it takes 1.6 times as long as expected.
+func (m *Machine) scanReserved(now time.Time, t *task, tardy bool) *node {
+	size := t.step().Size
+	for _, r := range m.plan.All() {
+		n := r.Worker
+		expected := m.expectedRunTime(n, t)
+		inTime := expected <= t.job.objective.Sub(now)-answerMargin
+		if tardy {
+			inTime = t.job.isWorthwhile(now, expected+answerMargin)
+		}
+		if inTime && n.suits(t) && size.Fits(n.Capacity.Minus(n.used)) && m.isUsable(now, n) && m.withinWorkerLimit(n, t) &&
+			m.maxLease(now, n, t.job) >= minLease && !m.leaseOutlives(n, t.job) && !t.hasFailedOn(n) &&
+			(r.Holder.job == t.job || !now.Add(scaled(expected, 1.6)).After(r.At)) {
+			return n
+		}
+	}
+	return nil
+}
+
+// checkReservations checks that each reserved worker has the capacity for the task that it is
+// reserved for, and offers others nothing that the task needs.
+func checkReservations(is *is.I, m *Machine, now time.Time) {
+	is.Helper()
+	is.True(len(m.plan.All()) <= lookahead.MaxReservations(len(m.ordered)))
+	for _, r := range m.plan.All() {
+		n := r.Worker
+		_, waiting := r.Holder.waiting()
+		is.True(r.Holder.job.live && waiting >= m.plan.Count(r.Holder))
+		is.True(m.isUsable(now, n))
+		is.True(r.Spare.Fits(n.Capacity.Minus(n.used)))
+		is.True(r.Spare.Plus(r.Size).Fits(n.Capacity))
+		is.Equal(n.contribution.entry.Free, r.Spare)
+	}
 }
 
 // checkAgainstScan compares the incrementally updated counts with those of a full
@@ -297,7 +341,7 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			is := is.New(t)
 			s := newSimulation(seed, 30)
-			chosen := 0
+			chosen, reserved := 0, 0
 			for range 4000 {
 				s.step()
 				if !s.m.lastEvent.Equal(s.now) {
@@ -305,6 +349,8 @@
 					continue
 				}
 				checkAgainstScan(is, s.m, s.now)
+				checkReservations(is, s.m, s.now)
+				reserved += len(s.m.plan.All())
 				j := newJob(s.now, s.submission())
 				tardy := s.random.IntN(2) == 0
 				n, want := s.m.chooseWorker(s.now, j.tasks[0], tardy), s.m.scanWorkers(s.now, j.tasks[0], tardy)
@@ -314,6 +360,7 @@
 				}
 			}
 			is.True(chosen > 100)
+			is.True(reserved > 100)
 			s.m.Tick(s.now)
 			for c := range s.m.queue.jobs {
 				for _, j := range s.m.queue.jobs[c].Items() {
