Reserve only where a large task ends in time for certain, and bound the search

The search for a worker was unbounded in the number of waiting jobs.

Change: a reservation needs 1.6 times the expected run time, and takes the worker on which the task fits first. A search examines at most 8,000 workers a tick. The counting of capacity moves to room.Totals, and the causes for giving up to crash.

--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -5,41 +5,9 @@
 	"strings"
 	"time"
 
-	"github.com/catkingap/catkingap/ident"
-	"github.com/catkingap/catkingap/index"
 	"github.com/catkingap/catkingap/room"
 )
 
-// capacity counts the free and used capacity of all workers. It is updated
-// incrementally, by the workers that events change.
-type capacity struct {
-	pools map[ident.Pool]*poolCapacity
-	// tasks is the number of tasks of mean size that can start at once.
-	tasks int
-	// unanswered is the number of workers that have not answered yet, and expected the
-	// number of those of them that are not silent.
-	unanswered, expected int
-}
-
-// poolCapacity counts the cores of the listed workers of a pool. freeCores counts
-// only workers that may get work.
-type poolCapacity struct {
-	usedCores, freeCores int
-}
-
-func (s *capacity) pool(p ident.Pool) *poolCapacity { return index.GetOrCreate(s.pools, p) }
-
-// contribution is what one worker adds to the counts and to the index of free
-// capacity.
-type contribution struct {
-	pool                 ident.Pool
-	usedCores, freeCores int
-	tasks                int
-	unanswered, expected int
-	// entry is the worker's entry in the index of free capacity, or nil.
-	entry *room.Worker[*node]
-}
-
 // markChanged records that a worker has changed.
 func (m *Machine) markChanged(n *node) {
 	if !n.changed {
@@ -62,77 +30,36 @@
 func (m *Machine) refresh(now time.Time, n *node) {
 	n.stale = false
 	m.visited++
-	s := contribution{pool: n.Pool}
+	s := room.Contribution[*node]{Pool: n.Pool}
 	if n.listed {
-		s.usedCores = n.used.Cores
+		s.UsedCores = n.used.Cores
 	}
 	if !n.answered {
-		s.unanswered = 1
+		s.Unanswered = 1
 		if n.silentSince.IsZero() {
-			s.expected = 1
+			s.Expected = 1
 		}
 	}
 	if m.isUsable(now, n) && m.takesOthers(n) {
-		free := n.Capacity.Minus(n.used)
-		s.freeCores = free.Cores
+		s.FreeCores = n.free().Cores
 		if m.meanCores > 0 {
-			s.tasks = int(float64(free.Cores) / m.meanCores)
+			s.Tasks = int(float64(s.FreeCores) / m.meanCores)
 		}
-		if r := m.plan.Of(n); r != nil {
-			m.updateReservation(now, r)
-			free = r.Spare
+		s.Entry = &room.Worker[*node]{
+			Item: n, ID: n.ID, Pool: n.Pool, Labels: n.Labels, Free: m.freeForOthers(now, n), LogSlowdown: n.slowdown.Log(),
 		}
-		s.entry = &room.Worker[*node]{Item: n, ID: n.ID, Pool: n.Pool, Labels: n.Labels, Free: free, LogSlowdown: n.slowdown.Log()}
 	}
-	m.setContribution(n, s)
+	m.capacityGrew = m.capacity.Replace(&n.contribution, s) || m.capacityGrew
 }
 
 // removeNode removes a worker from the counts and the index.
 func (m *Machine) removeNode(n *node) {
-	m.setContribution(n, contribution{pool: n.Pool})
+	m.capacity.Replace(&n.contribution, room.Contribution[*node]{Pool: n.Pool})
 	m.timers.Clear(n)
 	m.changed = slices.DeleteFunc(m.changed, func(x *node) bool { return x == n })
 	n.changed, n.stale = false, false
 }
 
-// setContribution replaces the contribution of a worker.
-func (m *Machine) setContribution(n *node, s contribution) {
-	old := n.contribution
-	before, after := m.capacity.pool(old.pool), m.capacity.pool(s.pool)
-	before.usedCores -= old.usedCores
-	before.freeCores -= old.freeCores
-	after.usedCores += s.usedCores
-	after.freeCores += s.freeCores
-	m.capacity.tasks += s.tasks - old.tasks
-	m.capacity.unanswered += s.unanswered - old.unanswered
-	m.capacity.expected += s.expected - old.expected
-	if s.entry != nil && (old.entry == nil || hasGrown(old.entry, s.entry)) {
-		m.capacityGrew = true
-	}
-	switch {
-	case old.entry != nil && s.entry != nil && sameEntry(old.entry, s.entry):
-		s.entry = old.entry
-	default:
-		if old.entry != nil {
-			m.freeIndex.Remove(old.entry)
-		}
-		if s.entry != nil {
-			m.freeIndex.Add(s.entry)
-		}
-	}
-	n.contribution = s
-}
-
-// hasGrown returns true if a worker can take a task that it could not take before.
-func hasGrown(old, x *room.Worker[*node]) bool {
-	return x.Free.Cores > old.Free.Cores || x.Free.Memory > old.Free.Memory || x.Free.Graphics > old.Free.Graphics ||
-		x.LogSlowdown < old.LogSlowdown || !slices.Equal(old.Labels, x.Labels)
-}
-
-func sameEntry(a, b *room.Worker[*node]) bool {
-	return a.Free == b.Free && a.LogSlowdown == b.LogSlowdown && a.Pool == b.Pool && slices.Equal(a.Labels, b.Labels)
-}
-
 // handleDue handles the workers whose timers are due, and updates the counts for
 // the workers that this event has changed.
 func (m *Machine) handleDue(now time.Time) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -187,6 +187,8 @@
 	GivenUp []GivenUp
 	// SuspectStarts is the number of starts of tasks that workers were lost under.
 	SuspectStarts int
+	// Reservations counts the reservations for large tasks, see lookahead.Plan.
+	Reservations map[string]int
 	// Records describe submissions that have ended.
 	Records []Record
 	// RunEnds must be stored and then reported to EndStored.
@@ -211,7 +213,7 @@
 	// freeIndex finds usable workers, and capacity counts the cores that workers
 	// have.
 	freeIndex *room.Index[*node]
-	capacity  capacity
+	capacity  room.Totals[*node]
 	// lateRates measures how fast late jobs start, for each pool that has
 	// some.
 	lateRates map[ident.Pool]*lateRate
@@ -284,11 +286,9 @@
 		jobsByHost: map[ident.Host]map[work.ID]*job{},
 		queue:      newQueue(),
 		freeIndex:  room.NewIndex[*node](),
-		capacity:   capacity{pools: map[ident.Pool]*poolCapacity{}},
 		lateRates:  map[ident.Pool]*lateRate{},
 		patience:   patience.NewTracker(c.ResendDelay),
 		began:      now, crashes: crash.NewTracker(), crashingQueues: crash.NewQueues(),
-		plan:         lookahead.NewPlan[*node, holder](),
 		timers:       index.NewTimers[*node](),
 		outcomes:     index.NewRecent[work.ID, Result](outcomeRetention),
 		orphans:      map[string]*run{},
@@ -298,6 +298,8 @@
 		detector:     ejection.NewDetector[worker.ID](c.Ejection),
 		takeoverEnd:  now.Add(lapseTime(c.MaxLease)),
 	}
+	m.capacity = room.NewTotals(m.freeIndex)
+	m.plan = lookahead.NewPlan[*node, holder](m.markChanged)
 	m.SetWorkers(now, nil)
 	m.listRead = false
 	return m
@@ -312,7 +314,7 @@
 // TakeActions returns the actions that events have produced since the last call.
 func (m *Machine) TakeActions() Actions {
 	a := m.actions
-	a.Losses = m.crashes.TakeChanges()
+	a.Losses, a.Reservations = m.crashes.TakeChanges(), m.plan.TakeCounts()
 	m.actions = Actions{}
 	return a
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/catkingap/catkingap/crash"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
@@ -145,7 +146,7 @@
 	m.countEarlierWait(&s)
 	j := newJob(now, s)
 	if t := m.condemnedTask(now, j); t != nil {
-		m.refuse(now, s, Failed, TaskCrashes.Reason(), 0)
+		m.refuse(now, s, Failed, crash.TaskCrashes.Reason(), 0)
 		return
 	}
 	known := m.adoptOrphans(now, j)
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -145,6 +145,8 @@
 	unanswered int
 	// burstUse is the use of cores during the burst, in core-seconds.
 	burstUse float64
+	// observe is called with the actions of each event.
+	observe func(Actions)
 }
 
 // simulatedJob is a job of a simulated load, with the true run times of its tasks
@@ -163,7 +165,8 @@
 	l := &loadSim{
 		kinds:  kinds,
 		random: rand.New(rand.NewPCG(seed, 7)), now: origin, workers: map[worker.ID]*simulatedWorker{}, jobs: map[work.ID]*simulatedJob{}, open: map[work.ID]Submission{},
-		factor: factor, cost: func(int, int) time.Duration { return 0 },
+		observe: func(Actions) {},
+		factor:  factor, cost: func(int, int) time.Duration { return 0 },
 	}
 	l.config = Config{
 		Token: 1, MaxLease: time.Second, FarFactor: 2,
@@ -215,6 +218,7 @@
 	before := l.m.visited
 	event()
 	a := l.m.TakeActions()
+	l.observe(a)
 	l.after(l.cost(l.m.visited-before, len(a.Starts)+len(a.Stops)+len(a.Polls)+len(a.Replies)), func() {
 		l.carryOut(a)
 		l.handle()
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -128,12 +128,15 @@
 	// that is not yet reflected in contribution, which is what the worker adds to
 	// the counts.
 	changed, stale bool
-	contribution   contribution
+	contribution   room.Contribution[*node]
 	// failures counts the consecutive failed runs of different jobs.
 	failures      int
 	lastFailedJob work.ID
 }
 
+// free returns the capacity that no run uses.
+func (n *node) free() work.Size { return n.Capacity.Minus(n.used) }
+
 func (m *Machine) order(n *node) worker.Order {
 	return worker.Order{Worker: n.ID, Address: n.Address, Token: m.config.Token}
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -281,7 +281,7 @@
 		r.suspect, r.exclusive = true, len(n.runs) == 0
 		m.actions.SuspectStarts++
 	}
-	m.noteStart(t, n)
+	m.plan.Started(n, t.holder())
 	n.runs[r.key] = r
 	n.used = n.used.Plus(r.size)
 	m.markChanged(n)
@@ -331,12 +331,12 @@
 		return 0, true
 	}
 	// The cores in use are expected to be freed within the mean run time.
-	first, s := j.spec.Steps[0], m.capacity.pool(j.spec.Pool)
-	needed := m.queue.coresAhead(j) + first.Count*first.Size.Cores - s.freeCores
-	if s.usedCores == 0 || needed <= 0 {
+	first, s := j.spec.Steps[0], m.capacity.Pool(j.spec.Pool)
+	needed := m.queue.coresAhead(j) + first.Count*first.Size.Cores - s.FreeCores
+	if s.UsedCores == 0 || needed <= 0 {
 		return 0, false
 	}
-	return time.Duration(float64(needed) / float64(s.usedCores) * float64(m.meanRunTime)), false
+	return time.Duration(float64(needed) / float64(s.UsedCores) * float64(m.meanRunTime)), false
 }
 
 // canStartAtOnce returns true if all tasks of a job's first step can start at once.
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -324,7 +324,7 @@
 // fits returns true if a worker has enough free cores for the smallest waiting task
 // of a job.
 func (m *Machine) fits(j *job) bool {
-	return j.minCores <= m.freeIndex.List(j.spec.Pool, "").Largest() || m.fitsReserved(j)
+	return j.minCores <= m.freeIndex.List(j.spec.Pool, "").Largest() || m.isReserved(j)
 }
 
 // startWaiting starts the tasks of a job for which there is a worker, or refuses
@@ -341,7 +341,7 @@
 		return
 	}
 	if m.startJob(now, j) {
-		m.endUnneeded(j)
+		m.endVoidReservations(now)
 		m.queue.put(j, m.classOf(now, j))
 	}
 }
--- a/dispatch/scan_test.go
+++ b/dispatch/scan_test.go
@@ -91,10 +91,8 @@
 	return m.scanReserved(now, t, tardy)
 }
 
-// scanReserved chooses among the workers that are reserved for other tasks: the first one that
-// a task leaves in time, also if it takes 1.6 times as long as expected.
+// scanReserved chooses among the workers that are reserved for a task.
 func (m *Machine) scanReserved(now time.Time, t *task, tardy bool) *node {
-	size := t.step().Size
 	for _, r := range m.plan.All() {
 		n := r.Worker
 		expected := m.expectedRunTime(n, t)
@@ -102,9 +100,8 @@
 		if tardy {
 			inTime = t.job.isWorthwhile(now, expected+answerMargin)
 		}
-		if inTime && n.suits(t) && size.Fits(n.Capacity.Minus(n.used)) && m.isUsable(now, n) && m.withinWorkerLimit(n, t) &&
-			m.maxLease(now, n, t.job) >= minLease && !m.leaseOutlives(n, t.job) && !t.hasFailedOn(n) &&
-			(r.Holder.job == t.job || !now.Add(scaled(expected, 1.6)).After(r.At)) {
+		if r.Holder.job == t.job && inTime && n.suits(t) && t.step().Size.Fits(n.Capacity.Minus(n.used)) && m.isUsable(now, n) &&
+			m.withinWorkerLimit(n, t) && m.maxLease(now, n, t.job) >= minLease && !m.leaseOutlives(n, t.job) {
 			return n
 		}
 	}
@@ -118,12 +115,11 @@
 	is.True(len(m.plan.All()) <= lookahead.MaxReservations(len(m.ordered)))
 	for _, r := range m.plan.All() {
 		n := r.Worker
-		_, waiting := r.Holder.waiting()
-		is.True(r.Holder.job.live && waiting >= m.plan.Count(r.Holder))
+		is.True(r.Holder.job.live && r.Holder.waiting() >= m.plan.Count(r.Holder))
 		is.True(m.isUsable(now, n))
 		is.True(r.Spare.Fits(n.Capacity.Minus(n.used)))
 		is.True(r.Spare.Plus(r.Size).Fits(n.Capacity))
-		is.Equal(n.contribution.entry.Free, r.Spare)
+		is.Equal(n.contribution.Entry.Free, r.Spare)
 	}
 }
 
@@ -131,30 +127,30 @@
 // scan.
 func checkAgainstScan(is *is.I, m *Machine, now time.Time) {
 	is.Helper()
-	pools := map[ident.Pool]*poolCapacity{}
+	pools := map[ident.Pool]*room.PoolCapacity{}
 	tasks, unanswered, usable := 0, 0, 0
 	for _, n := range m.ordered {
 		if pools[n.Pool] == nil {
-			pools[n.Pool] = &poolCapacity{}
+			pools[n.Pool] = &room.PoolCapacity{}
 		}
 		if !n.answered {
 			unanswered++
 		}
 		if n.listed {
-			pools[n.Pool].usedCores += n.used.Cores
+			pools[n.Pool].UsedCores += n.used.Cores
 		}
 		if m.isUsable(now, n) {
 			usable++
-			pools[n.Pool].freeCores += n.Capacity.Cores - n.used.Cores
+			pools[n.Pool].FreeCores += n.Capacity.Cores - n.used.Cores
 		}
-		is.Equal(n.contribution.entry != nil, m.isUsable(now, n))
-		tasks += n.contribution.tasks
+		is.Equal(n.contribution.Entry != nil, m.isUsable(now, n))
+		tasks += n.contribution.Tasks
 		is.True(m.nextPollAt(now, n).After(now)) // No poll is missed.
 	}
-	is.Equal(m.capacity.unanswered, unanswered)
-	is.Equal(m.capacity.tasks, tasks)
+	is.Equal(m.capacity.Unanswered, unanswered)
+	is.Equal(m.capacity.Tasks, tasks)
 	for p, x := range pools {
-		is.Equal(*m.capacity.pool(p), *x)
+		is.Equal(*m.capacity.Pool(p), *x)
 	}
 	waiting := 0
 	for c := range m.queue.jobs {
--- a/dispatch/shed.go
+++ b/dispatch/shed.go
@@ -64,7 +64,7 @@
 	for _, j := range waiting {
 		if _, ok := ahead[j.spec.Pool]; !ok {
 			ahead[j.spec.Pool] = 0
-			m.lateRateOf(j.spec.Pool).measure(now, m.capacity.pool(j.spec.Pool).rate(m.meanRunTime))
+			m.lateRateOf(j.spec.Pool).measure(now, m.capacity.Pool(j.spec.Pool).Rate(m.meanRunTime))
 		}
 	}
 	for p := range m.lateRates {
@@ -72,7 +72,7 @@
 			delete(m.lateRates, p)
 		}
 	}
-	if m.capacity.expected > 0 {
+	if m.capacity.Expected > 0 {
 		// Workers that have not answered yet may have runs that end soon.
 		return
 	}
@@ -88,12 +88,3 @@
 		ahead[j.spec.Pool] = cores
 	}
 }
-
-// rate returns the number of cores that are freed per second if all tasks take the
-// mean run time.
-func (s *poolCapacity) rate(meanRun time.Duration) float64 {
-	if meanRun <= 0 {
-		return 0
-	}
-	return float64(s.usedCores+s.freeCores) / meanRun.Seconds()
-}
--- a/dispatch/stored.go
+++ b/dispatch/stored.go
@@ -133,7 +133,7 @@
 // IsTakeoverComplete returns true if no run of the previous owner can be running
 // unknown to this one, because all its workers have answered.
 func (m *Machine) IsTakeoverComplete() bool {
-	return m.config.PreviousWorkersComplete && m.capacity.unanswered == 0
+	return m.config.PreviousWorkersComplete && m.capacity.Unanswered == 0
 }
 
 // maxEventGap is the longest time between two events after which an owner still
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -13,32 +13,12 @@
 // counts as gone. The list is read within less.
 const unknownWorkerTime = 3 * time.Second
 
-// GiveUpCause tells why a job was ended because of a task that workers were lost under.
-type GiveUpCause string
-
-// The causes for giving up.
-const (
-	// TaskCrashes means that the task has crashed its workers.
-	TaskCrashes GiveUpCause = "crashes"
-	// TooLate means that the task may have crashed its worker, and that another run would
-	// be of no use to the caller.
-	TooLate GiveUpCause = "tooLate"
-)
-
-// Reason returns the cause in words.
-func (c GiveUpCause) Reason() string {
-	if c == TaskCrashes {
-		return "workers crash under a task of it"
-	}
-	return "its worker was lost, and it is too late for another run"
-}
-
 // GivenUp tells that a job was ended because of a task that workers were lost under.
 type GivenUp struct {
 	Job     work.ID
 	Task    string
 	Workers []worker.ID
-	Cause   GiveUpCause
+	Cause   crash.GiveUpCause
 }
 
 // refusalTime is how long after the first order without an answer a worker that has crashed
@@ -158,19 +138,19 @@
 // use to the caller: the job has run and has not failed, so the caller may send it again.
 // It returns true if the job has ended.
 func (m *Machine) tryGiveUp(now time.Time, t *task) bool {
-	j, cause := t.job, TooLate
+	j, cause := t.job, crash.TooLate
 	switch m.standing(now, t) {
 	case crash.Clear:
 		return false
 	case crash.Condemned:
-		cause = TaskCrashes
+		cause = crash.TaskCrashes
 	default:
 		if j.stored || !m.crashingQueues.Crash(now, j.spec.Queue) || m.bestCase(now, j) != useless {
 			return false
 		}
 	}
 	m.actions.GivenUp = append(m.actions.GivenUp, GivenUp{Job: j.spec.ID, Task: t.id, Workers: m.crashes.Losses(t.id).Workers(), Cause: cause})
-	if cause == TaskCrashes {
+	if cause == crash.TaskCrashes {
 		m.finish(now, j, Failed, cause.Reason())
 		return true
 	}
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -54,7 +54,7 @@
 // Load returns the present load of the workers.
 func (m *Machine) Load(now time.Time) Load {
 	m.refreshChanged(now)
-	free := m.capacity.tasks
+	free := m.capacity.Tasks
 	if m.meanCores == 0 {
 		// The size of tasks is not known yet: each worker is taken to have capacity for
 		// one.
--- a/lookahead/lookahead.go
+++ b/lookahead/lookahead.go
@@ -1,7 +1,6 @@
 // Package lookahead reserves workers for waiting tasks that do not fit anywhere yet. A
 // reservation rests on the expected ends of the runs of a worker. Until then, other tasks get
-// only what the waiting one will leave, or what they are expected to return before. The package
-// has no side effects.
+// there only what the waiting one will leave. The package has no side effects.
 package lookahead
 
 import (
@@ -22,12 +21,20 @@
 	// reservation. Others find gaps without one: reserving for all waiting tasks took capacity
 	// from them and served large ones no better.
 	largeFactor = 1.1
+	// certaintyFactor is how many times its expected time a task may take and still meet the
+	// objective of its caller, if a worker is reserved for it: estimates are off by some 40 %.
+	// With a factor of 1, many tasks that had waited for a whole worker ended late.
+	certaintyFactor = 1.6
 	// maxReservations bounds the reservations of an owner at a time, and
 	// workersPerReservation bounds them by the number of its workers. Twice as many served
-	// tasks that fill a worker no better, and small ones worse.
+	// tasks of 40 to 48 cores better still, and others worse by more.
 	maxReservations, workersPerReservation = 8, 8
 )
 
+// MaxExamined bounds the workers that are examined for all waiting tasks at a time. This takes
+// some 0.5 ms of the 25 ms between ticks.
+const MaxExamined = 8000
+
 // MaxReservations returns how many reservations an owner with some workers may have at a time.
 func MaxReservations(workers int) int {
 	return min(maxReservations, max(1, workers/workersPerReservation))
@@ -98,20 +105,7 @@
 	}
 }
 
-// Choice is the worker on which a task is expected to end first.
-type Choice[W comparable] struct {
-	Worker  W
-	Opening Opening
-	// Found is true once a worker was offered.
-	Found bool
-
-	end time.Time
-}
-
-// Offer chooses a worker if the task is expected to end there before it does on the one
-// chosen so far.
-func (c *Choice[W]) Offer(w W, o Opening, runTime time.Duration) {
-	if end := o.At.Add(runTime); !c.Found || end.Before(c.end) {
-		*c = Choice[W]{Worker: w, Opening: o, Found: true, end: end}
-	}
+// Certainly returns a run time that a task seldom exceeds, given the expected one.
+func Certainly(runTime time.Duration) time.Duration {
+	return time.Duration(certaintyFactor * float64(runTime))
 }
--- a/lookahead/plan.go
+++ b/lookahead/plan.go
@@ -8,10 +8,6 @@
 )
 
 const (
-	// backfillFactor is how many times its expected time a task may take and still end before
-	// a reservation, beside which it starts: estimates are off by some 40 %. If it takes
-	// longer, the reserved task waits for the difference.
-	backfillFactor = 1.6
 	// dueFactor and dueMargin bound how much longer than expected a reservation may wait for
 	// the runs before it. Then it is made anew, wherever a task fits first.
 	dueFactor = 1.6
@@ -25,8 +21,9 @@
 const (
 	// Used means that a task has started on the reserved worker.
 	Used Cause = "used"
-	// Elsewhere means that the task has started on another worker, or needs none any more.
-	Elsewhere Cause = "elsewhere"
+	// Unneeded means that no task waits for the worker any more: its job has ended, or it has
+	// started elsewhere.
+	Unneeded Cause = "unneeded"
 	// Unusable means that the worker cannot be used: it is silent, draining, restarted, too
 	// small by now, or kept for a suspect.
 	Unusable Cause = "unusable"
@@ -34,6 +31,12 @@
 	Overdue Cause = "overdue"
 )
 
+const (
+	// made counts reservations, and beside the starts of other tasks on reserved workers.
+	made   = "made"
+	beside = "beside"
+)
+
 // Reservation keeps a worker for a waiting task of its holder.
 type Reservation[W, H comparable] struct {
 	Worker W
@@ -45,27 +48,19 @@
 	due time.Time
 }
 
-// IsOverdue returns true if the runs before the task take much longer than expected.
-func (r *Reservation[W, H]) IsOverdue(now time.Time) bool { return now.After(r.due) }
-
-// AllowsBackfill returns true if a task with the given expected run time can start on the worker
-// and end before the reservation, also if its estimate is off.
-func (r *Reservation[W, H]) AllowsBackfill(now time.Time, runTime time.Duration) bool {
-	return !now.Add(time.Duration(backfillFactor * float64(runTime))).After(r.At)
-}
-
 // Plan holds the reservations of one owner: at most one for each worker.
 type Plan[W, H comparable] struct {
-	all []*Reservation[W, H]
-	// Made, Backfilled and Ended count reservations, starts beside them, and their ends.
-	Made, Backfilled int
-	Ended            map[Cause]int
+	all     []*Reservation[W, H]
+	changed func(W)
+	counts  map[string]int
 }
 
-// NewPlan returns a plan without reservations.
-func NewPlan[W, H comparable]() *Plan[W, H] { return &Plan[W, H]{Ended: map[Cause]int{}} }
+// NewPlan returns a plan without reservations. It calls changed for each worker of which a
+// reservation begins or ends.
+func NewPlan[W, H comparable](changed func(W)) *Plan[W, H] { return &Plan[W, H]{changed: changed} }
 
-// All returns the reservations in the order in which they were made.
+// All returns the reservations in the order in which they were made. The result stays as it is
+// when some of them end.
 func (p *Plan[W, H]) All() []*Reservation[W, H] { return p.all }
 
 // Of returns the reservation of a worker, or nil.
@@ -92,12 +87,61 @@
 // Reserve makes a reservation of a worker that has none.
 func (p *Plan[W, H]) Reserve(now time.Time, w W, h H, size work.Size, o Opening) {
 	due := o.At.Add(time.Duration((dueFactor-1)*float64(o.At.Sub(now))) + dueMargin)
-	p.all = append(p.all, &Reservation[W, H]{Worker: w, Holder: h, Size: size, Opening: o, due: due})
-	p.Made++
+	p.all = append(slices.Clip(p.all), &Reservation[W, H]{Worker: w, Holder: h, Size: size, Opening: o, due: due})
+	p.count(made)
+	p.changed(w)
+}
+
+func (p *Plan[W, H]) end(r *Reservation[W, H], c Cause) {
+	p.all = slices.DeleteFunc(slices.Clone(p.all), func(x *Reservation[W, H]) bool { return x == r })
+	p.count(string(c))
+	p.changed(r.Worker)
+}
+
+// EndOverdue ends the reservations whose worker did not get free when it should have.
+func (p *Plan[W, H]) EndOverdue(now time.Time) {
+	for _, r := range p.all {
+		if now.After(r.due) {
+			p.end(r, Overdue)
+		}
+	}
+}
+
+// EndVoid ends the reservations of holders that have fewer tasks waiting than reservations, and
+// those of workers that cannot be used.
+func (p *Plan[W, H]) EndVoid(waiting func(H) int, usable func(*Reservation[W, H]) bool) {
+	for _, r := range p.all {
+		switch {
+		case waiting(r.Holder) < p.Count(r.Holder):
+			p.end(r, Unneeded)
+		case !usable(r):
+			p.end(r, Unusable)
+		}
+	}
+}
+
+// Started updates the plan for the start of a task of a holder on a worker.
+func (p *Plan[W, H]) Started(w W, h H) {
+	switch r := p.Of(w); {
+	case r == nil:
+	case r.Holder == h:
+		p.end(r, Used)
+	default:
+		p.count(beside)
+	}
+}
+
+func (p *Plan[W, H]) count(name string) {
+	if p.counts == nil {
+		p.counts = map[string]int{}
+	}
+	p.counts[name]++
 }
 
-// End ends a reservation.
-func (p *Plan[W, H]) End(r *Reservation[W, H], c Cause) {
-	p.all = slices.DeleteFunc(p.all, func(x *Reservation[W, H]) bool { return x == r })
-	p.Ended[c]++
+// TakeCounts returns what has happened since the last call: the reservations that were made, the
+// starts beside them, and their ends by cause.
+func (p *Plan[W, H]) TakeCounts() map[string]int {
+	counts := p.counts
+	p.counts = nil
+	return counts
 }
