--- a/crash/giveup.go
+++ b/crash/giveup.go
@@ -1,5 +1,10 @@
 package crash
 
+import (
+	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/worker"
+)
+
 // GiveUpCause tells why a job was ended because of a task that workers were lost under.
 type GiveUpCause string
 
@@ -19,3 +24,11 @@
 	}
 	return "its worker was lost, and it is too late for another run"
 }
+
+// GivenUp tells that a job was ended because of a task that workers were lost under.
+type GivenUp struct {
+	Job     work.ID
+	Task    string
+	Workers []worker.ID
+	Cause   GiveUpCause
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -179,12 +179,12 @@
 	Replies []Reply
 	// WorkerLosses describe workers that were lost with their runs, and LostRuns counts
 	// the runs that ended for another reason than their task, by cause.
-	WorkerLosses []WorkerLoss
+	WorkerLosses []crash.WorkerLoss
 	LostRuns     map[string]int
 	// Losses holds the losses under the tasks for which they have changed, and GivenUp
 	// the jobs that were ended because of such a task.
 	Losses  []crash.TaskLosses
-	GivenUp []GivenUp
+	GivenUp []crash.GivenUp
 	// SuspectStarts is the number of starts of tasks that workers were lost under.
 	SuspectStarts int
 	// Reservations counts the reservations for large tasks, see lookahead.Plan.
@@ -370,7 +370,7 @@
 		n.holdUntil = now.Add(pollRetryDelay)
 		m.pollAtOnce(now, n)
 	case worker.Replaced:
-		m.loseRun(now, r, LossRefused)
+		m.loseRun(now, r, crash.LossRefused)
 		m.handleReplaced(now, n)
 		return
 	case worker.Rejected:
@@ -379,7 +379,7 @@
 		}
 	}
 	r.recordEnd(now, "start refused: "+string(v))
-	m.loseRun(now, r, LossRefused)
+	m.loseRun(now, r, crash.LossRefused)
 }
 
 // Stopped handles the answer to a stop.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -6,6 +6,7 @@
 
 	"github.com/catkingap/catkingap/crash"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -165,10 +166,10 @@
 				return
 			}
 			switch m.suitabilityFor(j) {
-			case unsuitable:
+			case room.Unsuitable:
 				m.refuse(now, s, Failed, "no worker is large enough for a task", 0)
 				return
-			case shrunken:
+			case room.Shrunken:
 				m.refuse(now, s, refusal, "no worker has the capacity for a task at present", shrunkenRetryAfter)
 				return
 			}
--- a/dispatch/loss_test.go
+++ b/dispatch/loss_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/catkingap/catkingap/crash"
 	"github.com/catkingap/catkingap/dispatch"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -14,46 +15,46 @@
 	tests := map[string]struct {
 		draining bool
 		lose     func(m *dispatch.Machine, s worker.Start, poll worker.Poll)
-		cause    dispatch.LossCause
+		cause    crash.LossCause
 		ofWorker bool
 	}{
 		"another process at its address": {
 			lose: func(m *dispatch.Machine, _ worker.Start, poll worker.Poll) {
 				m.PollAnswered(at(20), at(12), poll, nil, worker.Replaced)
 			},
-			cause: dispatch.LossCrashed, ofWorker: true,
+			cause: crash.LossCrashed, ofWorker: true,
 		},
 		"another incarnation": {
 			lose: func(m *dispatch.Machine, _ worker.Start, poll worker.Poll) {
 				m.PollAnswered(at(20), at(12), poll, &worker.Report{Incarnation: 2, Clock: 5}, worker.Accepted)
 			},
-			cause: dispatch.LossCrashed, ofWorker: true,
+			cause: crash.LossCrashed, ofWorker: true,
 		},
 		"silence": {
 			lose: func(m *dispatch.Machine, _ worker.Start, poll worker.Poll) {
 				m.PollAnswered(at(20), at(12), poll, nil, worker.Unsent)
 				m.Tick(at(1300))
 			},
-			cause: dispatch.LossSilent, ofWorker: true,
+			cause: crash.LossSilent, ofWorker: true,
 		},
 		"left after draining": {
 			draining: true,
 			lose: func(m *dispatch.Machine, _ worker.Start, poll worker.Poll) {
 				m.PollAnswered(at(20), at(12), poll, nil, worker.Replaced)
 			},
-			cause: dispatch.LossLeft, ofWorker: true,
+			cause: crash.LossLeft, ofWorker: true,
 		},
 		"not listed": {
 			lose: func(m *dispatch.Machine, _ worker.Start, poll worker.Poll) {
 				m.PollAnswered(at(20), at(12), poll, &worker.Report{Incarnation: 1, Clock: 1020}, worker.Accepted)
 			},
-			cause: dispatch.LossUnlisted,
+			cause: crash.LossUnlisted,
 		},
 		"refused": {
 			lose: func(m *dispatch.Machine, s worker.Start, _ worker.Poll) {
 				m.Started(at(20), s, worker.Answer{Verdict: worker.Full, Clock: 1020})
 			},
-			cause: dispatch.LossRefused,
+			cause: crash.LossRefused,
 		},
 		"lapsed": {
 			lose: func(m *dispatch.Machine, s worker.Start, poll worker.Poll) {
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -394,7 +394,7 @@
 
 // handleReplaced ends all runs of a worker at whose address another one answers.
 func (m *Machine) handleReplaced(now time.Time, n *node) {
-	m.loseWorker(now, n, n.sortedRuns(), nil, LossCrashed)
+	m.loseWorker(now, n, n.sortedRuns(), nil, crash.LossCrashed)
 	n.answered, n.replaced, n.Address = false, true, n.rowAddress
 	n.nextPoll = now.Add(maxPollRetryDelay)
 }
@@ -414,7 +414,7 @@
 			r.state, r.confirmedAt, r.presumed = running, r.sent, true
 		}
 	}
-	m.loseWorker(now, n, lost, nil, LossSilent)
+	m.loseWorker(now, n, lost, nil, crash.LossSilent)
 }
 
 // sortedRuns returns the runs in a fixed order.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -49,41 +49,9 @@
 	return n.IsOfKind(t.job.spec.Pool, t.step().Label)
 }
 
-// suitability tells whether there are workers that suit all tasks of a job.
-type suitability int
-
-const (
-	// unsuitable means that a task has no worker that ever had the capacity for it.
-	unsuitable suitability = iota
-	// shrunken means that a task has a worker whose capacity has become too small for it.
-	shrunken
-	// suitable means that each task has a worker, or that no workers are known yet.
-	suitable
-)
-
 // suitabilityFor returns whether there are workers that suit all tasks of a job.
-func (m *Machine) suitabilityFor(j *job) suitability {
-	lowest := suitable
-	if len(m.ordered) == 0 {
-		return lowest
-	}
-	for i, s := range j.spec.Steps {
-		t := &task{job: j, name: work.Task{Step: i}}
-		best := unsuitable
-		for _, n := range m.ordered {
-			switch {
-			case best == suitable || !n.isOfKind(t):
-			case s.Size.Fits(n.Capacity):
-				best = suitable
-			case s.Size.Fits(n.largest):
-				best = shrunken
-			}
-		}
-		if s.Count > 0 {
-			lowest = min(lowest, best)
-		}
-	}
-	return lowest
+func (m *Machine) suitabilityFor(j *job) room.Suitability {
+	return room.SuitabilityFor(&j.spec, len(m.ordered), func(i int) (*worker.Worker, work.Size) { return &m.ordered[i].Worker, m.ordered[i].largest })
 }
 
 // expectedRunTime returns the expected run time of a task on a worker.
@@ -211,7 +179,9 @@
 				break
 			}
 			for _, x := range searches {
-				mayShare := func(n *node) bool { return n.mayShare(standing, idle) }
+				mayShare := func(n *node) bool {
+					return standing == crash.Clear || standing.MayShare(idle, len(n.runs), n.suspects())
+				}
 				if n := m.searchList(now, t, x.list, x.factor, tardy, failed, mayShare); n != nil {
 					return n
 				}
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -26,22 +26,11 @@
 	Objective time.Duration
 	// Waiting is the number of tasks that had not started at the end.
 	Waiting int
-	Runs    []RunRecord
+	Runs    []worker.RunRecord
 	// Omitted is the number of runs that are left out of Runs.
 	Omitted int
 }
 
-// RunRecord describes how one run went.
-type RunRecord struct {
-	Step, Index int
-	Run         work.Run
-	Worker      worker.ID
-	// Started and Ended are times after the submission. Ended is zero if the run
-	// had not ended when the job did.
-	Started, Ended time.Duration
-	How            string
-}
-
 // recordStart adds a run to the record of its job.
 func (j *job) recordStart(now time.Time, r *run) {
 	if len(j.record.Runs) == maxRecordedRuns {
@@ -49,7 +38,7 @@
 		return
 	}
 	r.recordIndex = len(j.record.Runs) + 1
-	j.record.Runs = append(j.record.Runs, RunRecord{
+	j.record.Runs = append(j.record.Runs, worker.RunRecord{
 		Step: r.task.name.Step, Index: r.task.name.Index, Run: r.key.run, Worker: r.node.ID, Started: now.Sub(j.submitted),
 	})
 }
--- a/dispatch/restart.go
+++ b/dispatch/restart.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/catkingap/catkingap/crash"
 	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -26,7 +27,7 @@
 			open = append(open, r)
 		}
 	}
-	m.loseWorker(now, n, ended, open, LossCrashed)
+	m.loseWorker(now, n, ended, open, crash.LossCrashed)
 	for _, r := range open {
 		m.reopen(now, r)
 	}
@@ -103,14 +104,14 @@
 // since the start was sent, the run was one of an earlier incarnation.
 func (m *Machine) loseUnlistedRun(now time.Time, r *run) {
 	if r.earlierLoss == nil {
-		m.loseRun(now, r, LossUnlisted)
+		m.loseRun(now, r, crash.LossUnlisted)
 		return
 	}
 	l := *r.earlierLoss
 	l.Unconfirmed = l.Unconfirmed && r.confirmedAt.IsZero()
-	m.actions.WorkerLosses = append(m.actions.WorkerLosses, WorkerLoss{
-		Worker: l.Life.Worker, Incarnation: l.Life.Incarnation, Cause: LossCrashed, Tasks: []string{r.key.task},
+	m.actions.WorkerLosses = append(m.actions.WorkerLosses, crash.WorkerLoss{
+		Worker: l.Life.Worker, Incarnation: l.Life.Incarnation, Cause: crash.LossCrashed, Tasks: []string{r.key.task},
 	})
 	m.recordLoss(now, r, l)
-	m.loseRun(now, r, LossCrashed)
+	m.loseRun(now, r, crash.LossCrashed)
 }
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/catkingap/catkingap/crash"
-	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
 
@@ -13,14 +12,6 @@
 // counts as gone. The list is read within less.
 const unknownWorkerTime = 3 * time.Second
 
-// GivenUp tells that a job was ended because of a task that workers were lost under.
-type GivenUp struct {
-	Job     work.ID
-	Task    string
-	Workers []worker.ID
-	Cause   crash.GiveUpCause
-}
-
 // refusalTime is how long after the first order without an answer a worker that has crashed
 // refuses connections. It is polled at once after such an order.
 const refusalTime = 150 * time.Millisecond
@@ -35,12 +26,12 @@
 // not lost under its tasks. If a worker was silent before it refused connections, or refused
 // none, its runs may have ended before it crashed, and starts without an answer may never have
 // reached it.
-func (m *Machine) blame(now time.Time, n *node, c LossCause, runs, open []*run) {
-	if c == LossLeft {
+func (m *Machine) blame(now time.Time, n *node, c crash.LossCause, runs, open []*run) {
+	if c == crash.LossLeft {
 		return
 	}
 	proof, inTime := crash.Presumed, n.refusing
-	if c == LossCrashed {
+	if c == crash.LossCrashed {
 		proof, inTime = crash.Crashed, n.refusing || n.failedWithin(now, refusalTime)
 	}
 	blamed := slices.DeleteFunc(slices.Concat(runs, open), func(r *run) bool { return !r.stopAccepted.IsZero() })
@@ -103,21 +94,15 @@
 	return s
 }
 
-// mayShare returns true if a task with the given standing may start beside what a worker
-// runs. Parameter idle is true for workers that run nothing.
-func (n *node) mayShare(s crash.Standing, idle bool) bool {
-	switch {
-	case s == crash.Clear:
-		return true
-	case idle || s == crash.Isolated:
-		return len(n.runs) == 0
-	}
+// suspects returns the number of suspects that a worker runs.
+func (n *node) suspects() int {
+	count := 0
 	for _, r := range n.runs {
 		if r.suspect {
-			return false
+			count++
 		}
 	}
-	return true
+	return count
 }
 
 // condemnedTask returns a task of a job that has crashed its workers, or nil.
@@ -149,7 +134,7 @@
 			return false
 		}
 	}
-	m.actions.GivenUp = append(m.actions.GivenUp, GivenUp{Job: j.spec.ID, Task: t.id, Workers: m.crashes.Losses(t.id).Workers(), Cause: cause})
+	m.actions.GivenUp = append(m.actions.GivenUp, crash.GivenUp{Job: j.spec.ID, Task: t.id, Workers: m.crashes.Losses(t.id).Workers(), Cause: cause})
 	if cause == crash.TaskCrashes {
 		m.finish(now, j, Failed, cause.Reason())
 		return true
--- a/fleet/log.go
+++ b/fleet/log.go
@@ -45,8 +45,8 @@
 	// owner counts the events of this host's owners.
 	owner ownerCounters
 	// workersLost counts the workers that were lost with their runs, and runsLost the runs
-	// that ended for another reason than their task, by cause.
-	workersLost, runsLost *expvar.Map
+	// that ended for another reason than their task, by cause; reservations counts those for large tasks.
+	workersLost, runsLost, reservations *expvar.Map
 	// suspectStarts counts the starts of tasks that workers were lost under, and
 	// tasksGivenUp the jobs that were ended because of such a task, by cause.
 	suspectStarts *expvar.Int
@@ -72,7 +72,7 @@
 		owner:  ownerCounters{events: s.Counters("ownerEvents"), busy: s.Counters("ownerBusyUs"), lag: s.Histogram("ownerLag")},
 		orders: s.Counters("orders"), panics: s.Counter("ownerPanics"), pauses: s.Counter("pauses"), results: s.Counters("results"),
 		response: s.Histogram("response"), withdrawals: s.Counters("withdrawals"),
-		workersLost: s.Counters("workersLost"), runsLost: s.Counters("runsLost"),
+		workersLost: s.Counters("workersLost"), runsLost: s.Counters("runsLost"), reservations: s.Counters("reservations"),
 		suspectStarts: s.Counter("suspectStarts"), tasksGivenUp: s.Counters("tasksGivenUp"),
 	}
 }
--- a/fleet/losses.go
+++ b/fleet/losses.go
@@ -8,15 +8,15 @@
 	"github.com/apex/log"
 
 	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/metrics"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
 
 // noteLosses counts and logs the workers and runs that an event has lost.
 func (w *Owner) noteLosses(a *dispatch.Actions) {
-	for cause, n := range a.LostRuns {
-		w.owners.counters.runsLost.Add(cause, int64(n))
-	}
+	metrics.AddAll(w.owners.counters.runsLost, a.LostRuns)
+	metrics.AddAll(w.owners.counters.reservations, a.Reservations)
 	for _, l := range a.WorkerLosses {
 		w.owners.counters.workersLost.Add(string(l.Cause), 1)
 		w.logger.WithFields(log.Fields{
