Reserve for tasks that wait although cores are free

Cause: a task that needs much memory and few cores was not taken for a large one, and waited for as long as small ones came.

Change: jobs that have waited for 30 ms although a worker has enough free cores get reservations too. TestWholeWorkerIsFreedForATask has the case (all memory) and fails without the change.

--- a/dispatch/ahead.go
+++ b/dispatch/ahead.go
@@ -81,12 +81,12 @@
 // is called once a tick.
 func (m *Machine) planAhead(now time.Time) {
 	m.plan.EndOverdue(now)
-	limit := lookahead.MaxReservations(len(m.ordered))
-	examined := 0
+	limit, examined := lookahead.MaxReservations(len(m.ordered)), 0
 	ends := map[*node][]lookahead.End{}
 	for c := range useless {
 		for _, j := range m.queue.jobs[c].Items() {
-			if !lookahead.IsLarge(j.minCores, m.meanCores) || m.hasPreviousRuns(j.spec.ID) || !m.mayStart(now, j) {
+			large := lookahead.IsLarge(j.minCores, m.meanCores) || (m.fits(j) && lookahead.IsPassedOver(now, j.submitted))
+			if !large || m.hasPreviousRuns(j.spec.ID) || !m.mayStart(now, j) {
 				continue
 			}
 			seen := map[holder]int{}
--- a/dispatch/ahead_test.go
+++ b/dispatch/ahead_test.go
@@ -25,34 +25,41 @@
 }
 
 // TestWholeWorkerIsFreedForATask keeps all workers busy with small tasks, more of which always
-// wait, and adds a stored job whose task fills a worker. It must start within passedOverTime.
-// Without reservations it waits until the small ones end.
+// wait, and adds a stored job whose task fills a worker, in cores or in memory. It must start
+// within passedOverTime. Without reservations it waits for as long as small ones come.
 func TestWholeWorkerIsFreedForATask(t *testing.T) {
 	const (
 		workers, waiting = 16, 40
-		// Runs of small tasks take as long as those before them, 3.2 ms at 32 of them, each
-		// of which ends after 100 us.
+		// The small runs before it end within 3.2 ms: 32 run at a time, and one of them ends
+		// each 100 us. A reservation is made within two ticks of 25 ms.
 		passedOverTime = 60 * time.Millisecond
 	)
-	is := is.New(t)
-	s := newSaturated(workers, waiting)
-	s.m.AddStored(s.now, work.Job{
-		ID: "whole", Pool: "pool-0", Attempts: 2, Stretch: 1000, Target: time.Hour,
-		Steps: []work.Step{{Count: 1, Size: work.Size{Cores: 64_000, Memory: 64}, Estimate: 100 * time.Millisecond}},
-	}, work.Progress{}, false)
-	j, begin := s.m.jobs["whole"], s.now
-	for i := 0; !j.begun; i++ {
-		if i%250 == 0 {
-			s.m.Tick(s.now)
-			s.accept()
-		}
-		if s.now.Sub(begin) > passedOverTime {
-			t.Fatal("the task has not started")
-		}
-		s.cycle()
+	for name, size := range map[string]work.Size{
+		"all cores":  {Cores: 64_000, Memory: 64},
+		"all memory": {Cores: 1_000, Memory: 1000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSaturated(workers, waiting)
+			s.m.AddStored(s.now, work.Job{
+				ID: "whole", Pool: "pool-0", Attempts: 2, Stretch: 1000, Target: time.Hour,
+				Steps: []work.Step{{Count: 1, Size: size, Estimate: 100 * time.Millisecond}},
+			}, work.Progress{}, false)
+			j, begin := s.m.jobs["whole"], s.now
+			for i := 0; !j.begun; i++ {
+				if i%250 == 0 {
+					s.m.Tick(s.now)
+					s.accept()
+				}
+				if s.now.Sub(begin) > passedOverTime {
+					t.Fatal("the task has not started")
+				}
+				s.cycle()
+			}
+			t.Logf("started after %s", s.now.Sub(begin))
+			is.True(s.m.queue.tasks >= waiting)
+		})
 	}
-	t.Logf("started after %s", s.now.Sub(begin))
-	is.True(s.m.queue.tasks >= waiting)
 }
 
 // reservedMachine returns a machine of two workers, each of which runs a task of 40 cores, and a
@@ -149,20 +156,49 @@
 	}
 }
 
+// addLargeJobs adds stored jobs with a task each that nearly fills a worker.
+func (s *saturated) addLargeJobs(count int) {
+	for i := range count {
+		s.m.AddStored(s.now, work.Job{
+			ID: work.ID(fmt.Sprint("large-", i)), Pool: "pool-0", Attempts: 2, Stretch: 1, Target: time.Millisecond,
+			Steps: []work.Step{{Count: 1, Size: work.Size{Cores: 60_000, Memory: 64}, Estimate: 100 * time.Millisecond}},
+		}, work.Progress{}, false)
+	}
+}
+
 // BenchmarkTickWithLargeTasks measures the cost of a tick while many large tasks wait.
 func BenchmarkTickWithLargeTasks(b *testing.B) {
 	for _, size := range []struct{ workers, waiting int }{{117, 300}, {890, 1000}} {
 		b.Run(fmt.Sprintf("workers=%d/jobs=%d", size.workers, size.waiting), func(b *testing.B) {
 			s := newSaturated(size.workers, size.waiting)
-			for i := range 100 {
-				s.m.AddStored(s.now, work.Job{
-					ID: work.ID(fmt.Sprint("large-", i)), Pool: "pool-0", Attempts: 2, Stretch: 1, Target: time.Millisecond,
-					Steps: []work.Step{{Count: 1, Size: work.Size{Cores: 60_000, Memory: 64}, Estimate: 100 * time.Millisecond}},
-				}, work.Progress{}, false)
-			}
+			s.addLargeJobs(100)
 			for b.Loop() {
 				s.m.Tick(s.now)
 			}
 		})
 	}
 }
+
+// BenchmarkEventWithReservations measures the cost of a cycle of events while large tasks wait,
+// with a tick each 25 ms.
+func BenchmarkEventWithReservations(b *testing.B) {
+	for _, size := range []struct{ workers, waiting int }{{117, 300}, {890, 1000}} {
+		b.Run(fmt.Sprintf("workers=%d/jobs=%d", size.workers, size.waiting), func(b *testing.B) {
+			s := newSaturated(size.workers, size.waiting)
+			cycles, reserved := 0, 0
+			for b.Loop() {
+				if cycles++; cycles%250 == 1 {
+					b.StopTimer()
+					s.addLargeJobs(100)
+					s.m.Tick(s.now)
+					s.accept()
+					b.StartTimer()
+				}
+				reserved += len(s.m.plan.All())
+				s.cycle()
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/eventsPerCycle, "ns/event")
+			b.ReportMetric(float64(reserved)/float64(b.N), "reservations")
+		})
+	}
+}
--- a/lookahead/lookahead.go
+++ b/lookahead/lookahead.go
@@ -21,6 +21,8 @@
 	// reservation. Others find gaps without one: reserving for all waiting tasks took capacity
 	// from them and served large ones no better.
 	largeFactor = 1.1
+	// passedOverTime is longer than one tick, in which all waiting jobs are tried.
+	passedOverTime = 30 * time.Millisecond
 	// certaintyFactor is how many times its expected time a task may take and still meet the
 	// objective of its caller, if a worker is reserved for it: estimates are off by some 40 %.
 	// With a factor of 1, many tasks that had waited for a whole worker ended late.
@@ -43,6 +45,10 @@
 // IsLarge returns true if a task needs clearly more cores than the mean.
 func IsLarge(cores int, mean float64) bool { return float64(cores) > largeFactor*mean }
 
+// IsPassedOver returns true if a job has waited since a time although enough cores are free for
+// one of its tasks: it needs memory, graphics, a label or a faster worker.
+func IsPassedOver(now, since time.Time) bool { return now.Sub(since) > passedOverTime }
+
 // Run is what is known about a run.
 type Run struct {
 	Sent time.Time
