Give no reservation to suspects and to jobs that leave

A task under which a worker was lost could start beside other runs on a worker that was reserved for its step before. TestSuspectTakesNoReservation fails without the change. A job that is about to move to another data centre lets its reservations go.

--- a/dispatch/ahead.go
+++ b/dispatch/ahead.go
@@ -20,7 +20,7 @@
 func (h holder) waiting() int {
 	count := 0
 	for _, t := range h.job.waiting {
-		if h.job.live && t.name.Step == h.step {
+		if h.job.live && !h.job.leaving && t.name.Step == h.step {
 			count++
 		}
 	}
@@ -142,7 +142,7 @@
 // nil.
 func (m *Machine) chooseReserved(now time.Time, t *task, tardy bool) *node {
 	for _, r := range m.plan.All() {
-		if n := r.Worker; r.Holder == t.holder() && t.step().Size.Fits(n.free()) && m.mayBeReserved(now, n) &&
+		if n := r.Worker; r.Holder == t.holder() && m.standing(now, t) == crash.Clear && t.step().Size.Fits(n.free()) && m.mayBeReserved(now, n) &&
 			m.accepts(now, n, t) && t.isInTime(now, m.expectedRunTime(n, t), tardy) {
 			return n
 		}
--- a/dispatch/ahead_test.go
+++ b/dispatch/ahead_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/catkingap/catkingap/crash"
 	"github.com/catkingap/catkingap/lookahead"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
@@ -202,3 +203,18 @@
 		})
 	}
 }
+
+// TestSuspectTakesNoReservation checks that a task under which a worker was lost does not start
+// beside other runs on a worker that was reserved for its step before.
+func TestSuspectTakesNoReservation(t *testing.T) {
+	is := is.New(t)
+	s, n := reservedMachine(t)
+	r := s.m.plan.All()[0]
+	x := r.Holder.job.tasks[0]
+	r.Holder.job.spec.Steps[0].Size.Cores = 1000
+	is.Equal(s.m.chooseReserved(s.now, x, true), n)
+	loss := crash.Loss{Life: crash.Life{Worker: "w9", Incarnation: 1}, Proof: crash.Crashed, Run: 1, InTime: true}
+	s.m.crashes.Add(s.now, crash.TaskLosses{Task: x.id, Losses: crash.History{loss}})
+	is.True(s.m.standing(s.now, x) != crash.Clear)
+	is.Equal(s.m.chooseReserved(s.now, x, true), nil)
+}
