Explain where a job would go, without sending it

catkingap explain QUEUE asks /explain at the metrics address of a running host: the owner that would get the job and those that are ruled out, the worker and why each other one cannot take the task, reservations, the wait, or the refusal with its Retry-After. dispatch.Machine.Explain uses the decisions of a submission and changes nothing. The checks of the host before a submission (limits, throttling, advice) are not in the answer, and workers are known to the owner's host only.

--- a/cmd/config.go
+++ b/cmd/config.go
@@ -82,6 +82,7 @@
 		c.newDrainCmd(),
 		c.newEntryCmd(),
 		c.newGetCmd(),
+		c.newExplainCmd(),
 		c.newLossesCmd(),
 		c.newServeCmd(),
 		c.newSettingsCmd(),
--- a/crash/standing.go
+++ b/crash/standing.go
@@ -1,13 +1,13 @@
 package crash
 
-// MayShare returns true if a task may start on a worker that has the given numbers of runs and
-// of suspects among them. Parameter idle is true if it is to start on an idle worker.
-func (s Standing) MayShare(idle bool, runs, suspects int) bool {
+// MayShare returns true if a task may start on a worker, which may be idle or run a suspect.
+// Parameter onIdle is true if the task is to start on an idle worker.
+func (s Standing) MayShare(onIdle, isIdle, hasSuspect bool) bool {
 	switch {
 	case s == Clear:
 		return true
-	case idle || s == Isolated:
-		return runs == 0
+	case onIdle || s == Isolated:
+		return isIdle
 	}
-	return suspects == 0
+	return !hasSuspect
 }
--- a/dispatch/ahead.go
+++ b/dispatch/ahead.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/catkingap/catkingap/crash"
@@ -152,10 +153,7 @@
 
 // isReserved returns true if a worker with enough free cores is reserved for a job.
 func (m *Machine) isReserved(j *job) bool {
-	for _, r := range m.plan.All() {
-		if r.Holder.job == j && r.Size.Fits(r.Worker.free()) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(m.plan.All(), func(r *lookahead.Reservation[*node, holder]) bool {
+		return r.Holder.job == j && r.Size.Fits(r.Worker.free())
+	})
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -190,9 +190,9 @@
 	// Reservations counts the reservations for large tasks, see lookahead.Plan.
 	Reservations map[string]int
 	// Records describe submissions that have ended.
-	Records []Record
+	Records []worker.Record
 	// RunEnds must be stored and then reported to EndStored.
-	RunEnds []RunEnd
+	RunEnds []worker.RunEnd
 	// JobEnds must be stored after all earlier RunEnds.
 	JobEnds []JobEnd
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -37,7 +37,7 @@
 	// times as multiples of the expected ones.
 	doneRuns      int
 	runTimeRatios float64
-	record        Record
+	record        worker.Record
 	// chainEstimate is the estimate of the longest chain of tasks, latestStart is
 	// when the job must start to meet its objective, and uselessAt is when the
 	// answer is of no more use to the caller.
@@ -99,7 +99,7 @@
 		resubmitted: s.Resubmitted,
 		pinned:      s.Pinned,
 		submitted:   now,
-		record: Record{
+		record: worker.Record{
 			Job: s.Job.ID, Host: s.Host, Call: s.Call, Waited: s.Waited, Objective: s.Job.Objective(),
 		},
 		live: true,
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -32,9 +32,12 @@
 // may be of another kind and have another capacity.
 func (n *node) isRowBehind() bool { return n.rowLife < n.Life }
 
-func (n *node) hasOrphans() bool {
+func (n *node) hasOrphans() bool { return n.hasRun(func(r *run) bool { return r.task == nil }) }
+
+// hasRun returns true if a worker has a run for which is returns true.
+func (n *node) hasRun(is func(*run) bool) bool {
 	for _, r := range n.runs {
-		if r.task == nil {
+		if is(r) {
 			return true
 		}
 	}
@@ -165,10 +168,7 @@
 	}
 	searches := []search{{list: m.freeIndex.List(t.job.spec.Pool, s.Label), factor: 1}}
 	if s.Rack != "" {
-		searches = []search{
-			{list: m.freeIndex.List(t.job.spec.Pool, s.Rack), factor: 1},
-			{list: searches[0].list, factor: m.config.FarFactor},
-		}
+		searches = []search{{list: m.freeIndex.List(t.job.spec.Pool, s.Rack), factor: 1}, {list: searches[0].list, factor: m.config.FarFactor}}
 	}
 	for _, idle := range [...]bool{true, false} {
 		if idle && standing != crash.Suspect {
@@ -180,7 +180,7 @@
 			}
 			for _, x := range searches {
 				mayShare := func(n *node) bool {
-					return standing == crash.Clear || standing.MayShare(idle, len(n.runs), n.suspects())
+					return standing == crash.Clear || standing.MayShare(idle, len(n.runs) == 0, n.hasSuspect())
 				}
 				if n := m.searchList(now, t, x.list, x.factor, tardy, failed, mayShare); n != nil {
 					return n
--- a/dispatch/stored.go
+++ b/dispatch/stored.go
@@ -21,16 +21,6 @@
 	return max(p.Highest+runNumberGap, work.Run(m.config.Token)*runNumberGap)
 }
 
-// RunEnd is the end of a run. It must be stored before the worker may forget it.
-type RunEnd struct {
-	Job work.ID
-	// Task is the index of the task over all steps of the job.
-	Task int
-	Run  work.Run
-	Done bool
-	End  worker.EndID
-}
-
 // JobEnd is the end of a stored job.
 type JobEnd struct {
 	Job    work.ID
@@ -251,7 +241,7 @@
 	if e.Result == worker.Failed {
 		t.countFailure(e.Run)
 	}
-	m.actions.RunEnds = append(m.actions.RunEnds, RunEnd{
+	m.actions.RunEnds = append(m.actions.RunEnds, worker.RunEnd{
 		Job: t.job.spec.ID, Task: slices.Index(t.job.tasks, t), Run: e.Run, Done: e.Result == worker.Done,
 		End: worker.EndID{Worker: n.ID, Incarnation: n.Life, Number: e.Number},
 	})
--- a/dispatch/stored_test.go
+++ b/dispatch/stored_test.go
@@ -49,7 +49,7 @@
 	done := worker.Report{Incarnation: 1, Clock: 1100, Ended: []worker.Ended{{Number: 1, Task: "j.0.0.0", Run: starts[0].Run, Result: worker.Done}}}
 	answerPolls(m, at(100), m.TakeActions(), done)
 	a := m.TakeActions()
-	is.Equal(a.RunEnds, []dispatch.RunEnd{{Job: "j", Run: starts[0].Run, Done: true, End: firstEnd}})
+	is.Equal(a.RunEnds, []worker.RunEnd{{Job: "j", Run: starts[0].Run, Done: true, End: firstEnd}})
 	is.Equal(a.JobEnds, []dispatch.JobEnd{{Job: "j", Result: dispatch.Completed}})
 	answerPolls(m, at(101), a, done)
 	is.Equal(highestAcknowledged(m, 110, 2000, done), worker.EndNumber(0))
@@ -274,7 +274,7 @@
 	third := worker.EndID{Worker: "w1", Incarnation: 1, Number: 3}
 	report := worker.Report{Incarnation: 1, Clock: 1050, Ended: ends}
 	answerPolls(m, at(50), actions, report)
-	is.Equal(m.TakeActions().RunEnds, []dispatch.RunEnd{{Job: "j", Task: 1, Run: 1, Done: true, End: third}})
+	is.Equal(m.TakeActions().RunEnds, []worker.RunEnd{{Job: "j", Task: 1, Run: 1, Done: true, End: third}})
 	is.Equal(highestAcknowledged(m, 60, 2000, report), worker.EndNumber(2))
 	m.EndStored(at(2000), third)
 	is.Equal(highestAcknowledged(m, 2000, 3000, report), worker.EndNumber(3))
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -94,16 +94,8 @@
 	return s
 }
 
-// suspects returns the number of suspects that a worker runs.
-func (n *node) suspects() int {
-	count := 0
-	for _, r := range n.runs {
-		if r.suspect {
-			count++
-		}
-	}
-	return count
-}
+// hasSuspect returns true if a worker runs a suspect.
+func (n *node) hasSuspect() bool { return n.hasRun(func(r *run) bool { return r.suspect }) }
 
 // condemnedTask returns a task of a job that has crashed its workers, or nil.
 func (m *Machine) condemnedTask(now time.Time, j *job) *task {
@@ -245,14 +237,7 @@
 }
 
 // isExclusive returns true if a worker runs a suspect, beside which nothing is started.
-func (n *node) isExclusive() bool {
-	for _, r := range n.runs {
-		if r.exclusive {
-			return true
-		}
-	}
-	return false
-}
+func (n *node) isExclusive() bool { return n.hasRun(func(r *run) bool { return r.exclusive }) }
 
 // takesOthers returns true if tasks without reservation may start on a worker.
 func (m *Machine) takesOthers(n *node) bool { return n != m.reserved.node && !n.isExclusive() }
--- a/fleet/log.go
+++ b/fleet/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -11,20 +12,25 @@
 	"github.com/apex/log/handlers/json"
 	"go.uber.org/fx"
 
+	"github.com/catkingap/catkingap/explain"
+	"github.com/catkingap/catkingap/linewriter"
 	"github.com/catkingap/catkingap/metrics"
 	"github.com/catkingap/catkingap/network"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/peer"
 )
 
+// logOutput is the destination of the log.
+type logOutput io.Writer
+
 // newLogger returns a logger that writes JSON lines and never blocks on its output.
 func newLogger(life fx.Lifecycle, o logOutput, s Settings) (log.Interface, error) {
 	level, err := log.ParseLevel(s.LogLevel)
 	if err != nil {
 		return nil, err
 	}
-	lines := newLineWriter(o)
-	runLoops(life, lines.run)
+	lines := linewriter.New(o)
+	runLoops(life, lines.Run)
 	logger := &log.Logger{Handler: json.New(lines), Level: level}
 	return logger.WithField("host", string(s.Host)), nil
 }
@@ -77,13 +83,14 @@
 	}
 }
 
-// runMetrics serves the metrics.
-func runMetrics(life fx.Lifecycle, s Settings, n network.Network, set *metrics.Set, self ownership.Host, logger log.Interface) {
+// runMetrics serves the metrics, and explains where a job would go.
+func runMetrics(life fx.Lifecycle, s Settings, n network.Network, set *metrics.Set, self ownership.Host, logger log.Interface, x *Submitter, c *Configuration) {
 	if s.MetricsAddress == "" {
 		return
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", set.Handler())
+	mux.Handle(explain.Path, explain.Handler(func(r explain.Request) (*explain.Answer, error) { return x.explain(c.Table(), r) }))
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	var listener net.Listener
 	life.Append(fx.Hook{
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -311,14 +311,14 @@
 }
 
 // logRecord logs the course of a submission: each run with its task, worker and times.
-func (w *Owner) logRecord(r *dispatch.Record) {
+func (w *Owner) logRecord(r *worker.Record) {
 	runs := make([]string, 0, len(r.Runs))
 	for _, x := range r.Runs {
 		runs = append(runs, fmt.Sprintf("%d.%d#%d %s %d+%d %s", x.Step, x.Index, x.Run, x.Worker,
 			x.Started.Milliseconds(), max(0, x.Ended-x.Started).Milliseconds(), x.How))
 	}
 	w.logger.WithFields(log.Fields{
-		"job": string(r.Job), "peer": string(r.Host), "call": r.Call, "result": string(r.Result), "reason": r.Reason,
+		"job": string(r.Job), "peer": string(r.Host), "call": r.Call, "result": r.Result, "reason": r.Reason,
 		"waitedMs": r.Waited.Milliseconds(), "tookMs": r.Took.Milliseconds(), "objectiveMs": r.Objective.Milliseconds(),
 		"waitingTasks": r.Waiting, "runs": runs, "omittedRuns": r.Omitted,
 	}).Info("job dispatched")
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -153,7 +153,7 @@
 	table := platform.NewTable(&http.Client{Transport: &http.Transport{DialContext: m.network.DialContext}}, storeSite+":1")
 	m.app = fleet.New(fleet.Options{
 		Settings: fleet.Settings{
-			Host: ident.Host(name), DataCentre: ident.DataCentre(zone), PeerAddress: name + ":1", Cores: 0.4,
+			Host: ident.Host(name), DataCentre: ident.DataCentre(zone), PeerAddress: name + ":1", MetricsAddress: name + ":6160", Cores: 0.4,
 			MaxLease: time.Second, FarFactor: 2, Resend: 1300 * time.Millisecond, Retention: time.Minute, ShutdownTimeout: 5 * time.Second, LogLevel: "fatal",
 		},
 		Log: io.Discard, Network: m.network, Table: table, Feed: table, Decoder: platform.Decoder{}, Workers: platform.NewWorkers(m.network.DialContext),
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -65,6 +65,24 @@
 	return t
 }
 
+// ByName returns the queue of a name, or nil. There is none as long as no configuration is known.
+func (t *Table) ByName(name work.Queue) *Queue {
+	for i := range t.queues() {
+		if q := &t.Queues[i]; q.Name == name {
+			return q
+		}
+	}
+	return nil
+}
+
+// queues returns the queues, also of a nil table.
+func (t *Table) queues() []Queue {
+	if t == nil {
+		return nil
+	}
+	return t.Queues
+}
+
 // Find returns the queue of the host with the longest prefix of path, and the
 // rest of path. It returns nil if there is none.
 func (t *Table) Find(host, path string) (*Queue, string) {
