Drop a disproved loss also at the owner that has got the job

Cause: an owner that learns from a report that a worker was not lost under a run dropped the loss and told others what was left. Owners only add losses, since others may know fewer, so an owner of another data centre that had got the job together with the loss kept it: after one crash there, a sound job was shown as failed. Older news and submissions brought the loss back, too.

Change: a disproved loss leaves a mark that names the incarnation and the run, and that goes the way of the losses. A loss with a mark is dropped wherever both are known, in either order; owners look for marks with each tick.

--- a/crash/board.go
+++ b/crash/board.go
@@ -31,7 +31,7 @@
 // NewBoard returns a Board without losses.
 func NewBoard() *Board { return &Board{byJob: index.NewRecent[work.ID, []TaskLosses](Retention)} }
 
-// Put replaces the losses under some tasks.
+// Put replaces the losses under some tasks. What is disproved stays so.
 func (b *Board) Put(now time.Time, all []TaskLosses) {
 	b.byJob.Expire(now)
 	for _, x := range all {
@@ -41,7 +41,11 @@
 		for _, k := range known {
 			if k.Task != x.Task {
 				others = append(others, k)
+				continue
 			}
+			// An owner that has got the job since may not know yet what is disproved.
+			x.Refuted = unite(k.Refuted, x.Refuted)
+			x.Losses = x.Losses.without(x.Refuted)
 		}
 		b.byJob.Put(now, id, append(others, x))
 	}
--- a/crash/crash.go
+++ b/crash/crash.go
@@ -156,10 +156,36 @@
 	return merged
 }
 
+// Refutation tells that a loss is disproved: a later incarnation of the worker has listed the run.
+type Refutation struct {
+	Life Life     `msgpack:"life"`
+	Run  work.Run `msgpack:"run"`
+}
+
+// without returns the losses that are not disproved.
+func (h History) without(refuted []Refutation) History {
+	return slices.DeleteFunc(slices.Clone(h), func(l Loss) bool {
+		return slices.Contains(refuted, Refutation{Life: l.Life, Run: l.Run})
+	})
+}
+
 // TaskLosses are the losses under one task.
 type TaskLosses struct {
 	Task   string  `msgpack:"task"`
 	Losses History `msgpack:"losses"`
+	// Refuted holds the losses that are disproved, for those who still know them.
+	Refuted []Refutation `msgpack:"refuted,omitempty"`
+}
+
+// unite returns the elements of both lists.
+func unite(a, b []Refutation) []Refutation {
+	all := slices.Clone(a)
+	for _, x := range b {
+		if !slices.Contains(all, x) {
+			all = append(all, x)
+		}
+	}
+	return all
 }
 
 // sortTasks sorts losses by task.
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,6 +25,7 @@
 
 type taskRecord struct {
 	losses  History
+	refuted []Refutation
 	changed time.Time
 }
 
@@ -32,26 +34,43 @@
 	return &Tracker{tasks: map[string]*taskRecord{}, presumed: map[Life][]string{}, changed: map[string]struct{}{}}
 }
 
-// Add adds losses under a task.
-func (t *Tracker) Add(now time.Time, x TaskLosses) {
-	if len(x.Losses) == 0 {
-		return
+// Add adds what is known of the losses under a task. It returns true if that is new.
+func (t *Tracker) Add(now time.Time, x TaskLosses) bool {
+	if len(x.Losses)+len(x.Refuted) == 0 {
+		return false
 	}
 	r := t.tasks[x.Task]
 	if r == nil {
 		r = &taskRecord{}
 		t.tasks[x.Task] = r
 	}
-	merged := r.losses.merge(x.Losses)
-	if slices.Equal(merged, r.losses) {
-		return
+	refuted := unite(r.refuted, x.Refuted)
+	merged := r.losses.merge(x.Losses.without(refuted)).without(refuted)
+	if slices.Equal(merged, r.losses) && len(refuted) == len(r.refuted) {
+		return false
 	}
+	r.refuted = refuted
 	t.set(now, x.Task, merged)
 	for _, l := range merged {
 		if l.Proof == Presumed && !slices.Contains(t.presumed[l.Life], x.Task) {
 			t.presumed[l.Life] = append(t.presumed[l.Life], x.Task)
 		}
 	}
+	return true
+}
+
+// Review drops the losses that others have disproved: known returns what they know of the tasks
+// of a job. It returns the tasks that this concerns.
+func (t *Tracker) Review(now time.Time, known func(work.ID) []TaskLosses) []string {
+	var reviewed []string
+	for _, task := range slices.Sorted(maps.Keys(t.tasks)) {
+		for _, x := range known(work.JobOfTask(task)) {
+			if x.Task == task && t.Add(now, TaskLosses{Task: task, Refuted: x.Refuted}) {
+				reviewed = append(reviewed, task)
+			}
+		}
+	}
+	return reviewed
 }
 
 func (t *Tracker) set(now time.Time, task string, h History) {
@@ -101,14 +120,13 @@
 // Refute drops the loss of an earlier incarnation of a worker under a run of a task, which the
 // incarnation l has listed as its own. It returns true if there is such a loss.
 func (t *Tracker) Refute(now time.Time, task string, run work.Run, l Life) bool {
-	refuted := func(x Loss) bool {
-		return x.Life.Worker == l.Worker && x.Life.Incarnation < l.Incarnation && x.Run == run
-	}
-	if !slices.ContainsFunc(t.Losses(task), refuted) {
-		return false
+	var refuted []Refutation
+	for _, x := range t.Losses(task) {
+		if x.Life.Worker == l.Worker && x.Life.Incarnation < l.Incarnation && x.Run == run {
+			refuted = append(refuted, Refutation{Life: x.Life, Run: run})
+		}
 	}
-	t.set(now, task, slices.DeleteFunc(slices.Clone(t.Losses(task)), refuted))
-	return true
+	return t.Add(now, TaskLosses{Task: task, Refuted: refuted})
 }
 
 // Presumed returns the workers of which it is not known whether they have crashed, in a
@@ -146,13 +164,22 @@
 	}
 	changes := make([]TaskLosses, 0, len(t.changed))
 	for task := range t.changed {
-		changes = append(changes, TaskLosses{Task: task, Losses: t.Losses(task)})
+		changes = append(changes, t.known(task))
 	}
 	clear(t.changed)
 	sortTasks(changes)
 	return changes
 }
 
+// known returns what is known of the losses under a task.
+func (t *Tracker) known(task string) TaskLosses {
+	x := TaskLosses{Task: task, Losses: t.Losses(task)}
+	if r := t.tasks[task]; r != nil {
+		x.Refuted = r.refuted
+	}
+	return x
+}
+
 // Expire drops losses after Retention. It keeps those under tasks for which isOpen returns
 // true.
 func (t *Tracker) Expire(now time.Time, isOpen func(task string) bool) {
--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -2,8 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/catkingap/catkingap/work"
@@ -71,24 +69,9 @@
 	if j == nil {
 		return nil
 	}
-	parts := strings.Split(name, ".")
-	if len(parts) != taskNameParts {
+	x, ok := work.ParseTask(name)
+	if !ok || x.Step >= len(j.stepOffsets) || x.Index >= j.spec.Steps[x.Step].Count {
 		return nil
 	}
-	step, err := strconv.Atoi(parts[taskNameParts-2])
-	if err != nil || step < 0 || step >= len(j.stepOffsets) {
-		return nil
-	}
-	i, err := strconv.Atoi(parts[taskNameParts-1])
-	if err != nil || i < 0 || i >= j.spec.Steps[step].Count {
-		return nil
-	}
-	if t := j.tasks[j.stepOffsets[step]+i]; t.id == name {
-		return t
-	}
-	return nil
+	return j.tasks[j.stepOffsets[x.Step]+x.Index]
 }
-
-// taskNameParts is the number of dot-separated parts of a task's name. The last two
-// are the number of its step and its index there.
-const taskNameParts = 4
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -228,6 +228,14 @@
 	}
 }
 
+// ReviewLosses drops the losses that the workers of other owners have disproved. Function known
+// returns what is known of the tasks of a job.
+func (m *Machine) ReviewLosses(now time.Time, known func(work.ID) []crash.TaskLosses) {
+	for _, task := range m.crashes.Review(now, known) {
+		m.applyStanding(now, task)
+	}
+}
+
 // resolveLossElsewhere finds out what became of a worker that this owner does not have, by its
 // row in another data centre.
 func (m *Machine) resolveLossElsewhere(now time.Time, l crash.Life) []string {
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -139,6 +139,7 @@
 			if x, ok := w.owners.contacts.liveCalls(w.owner.DataCentre); ok {
 				m.KeepaliveReceived(now, dispatch.Keepalive{Host: w.owners.self.Name, Boot: w.owners.self.Boot, At: x.at, Sequence: x.sequence, Calls: x.calls})
 			}
+			m.ReviewLosses(now, w.owners.contacts.lossesOf)
 			m.Tick(now)
 			w.yield(now, m)
 		})
