Get a higher token at once for a worker that has restarted

Cause: a heartbeat gives a higher token once a second.

Change: if there is no higher token for a new incarnation, the machine asks for one, and the owner writes a heartbeat at once, at most 25 a second. For 50 ms no work starts on that worker.

Tests of dispatch, fleet, crash, platform, standin, incarnation and ownership pass.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -56,7 +56,7 @@
 	if clock > 0 && v != worker.Replaced {
 		if n.clock.HasRestarted(sent, clock) {
 			n.forgetEnds()
-			n.token.Replace()
+			m.replaceToken(now, n)
 			m.assumeLongestLease(now, n)
 		}
 		n.clock = incarnation.Clock{Reading: clock, At: now}
--- a/dispatch/barred_test.go
+++ b/dispatch/barred_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -161,3 +162,37 @@
 		})
 	}
 }
+
+// TestRestartedWorkerWaitsForAToken restarts a worker when its owner has no higher token for it
+// (TWICE: a late acknowledgement had it forget an end that its owner had not seen). The owner must
+// ask for one, and start nothing there for as long as a heartbeat takes.
+func TestRestartedWorkerWaitsForAToken(t *testing.T) {
+	for name, higher := range map[string]bool{"there is a higher token": true, "there is none": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := readyMachine("w1")
+			if higher {
+				m.RaiseToken(raised)
+			}
+			m.Tick(at(100))
+			m.TakeActions()
+			w := testWorker("w1")
+			w.Life = 2
+			m.PollAnswered(at(110), at(105), worker.Poll{Order: worker.Order{Worker: "w1"}}, &worker.Report{Incarnation: 2, Clock: 30}, worker.Accepted)
+			m.SetWorkers(at(111), []worker.Worker{w})
+			is.Equal(m.TakeActions().TokenWanted, !higher)
+			s := submission("j", 1, 1)
+			s.Job.Target = time.Second
+			m.Submit(at(112), s)
+			is.Equal(len(m.TakeActions().Starts) == 1, higher)
+			if higher {
+				return
+			}
+			m.RaiseToken(raised)
+			m.Tick(at(165))
+			starts := m.TakeActions().Starts
+			is.Equal(len(starts), 1)
+			is.Equal(starts[0].Token, raised)
+		})
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -187,6 +187,8 @@
 	RunEnds []RunEnd
 	// JobEnds must be stored after all earlier RunEnds.
 	JobEnds []JobEnd
+	// TokenWanted is true if orders need a higher token, see RaiseToken.
+	TokenWanted bool
 	// Fenced is true if a worker has seen a higher token than this owner has: the ownership
 	// has ended.
 	Fenced bool
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/catkingap/catkingap/crash"
@@ -424,7 +425,7 @@
 	for _, r := range n.runs {
 		runs = append(runs, r)
 	}
-	sortRuns(runs)
+	slices.SortFunc(runs, func(a, b *run) int { return compareRunKeys(a.key, b.key) })
 	return runs
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -297,10 +297,6 @@
 	})
 }
 
-func sortRuns(runs []*run) {
-	slices.SortFunc(runs, func(a, b *run) int { return compareRunKeys(a.key, b.key) })
-}
-
 func compareRunKeys(a, b runKey) int {
 	return cmp.Or(cmp.Compare(a.task, b.task), cmp.Compare(a.run, b.run))
 }
--- a/dispatch/restart.go
+++ b/dispatch/restart.go
@@ -32,7 +32,7 @@
 	}
 	n.forgetEnds()
 	n.Life = report.Incarnation
-	n.token.Replace()
+	m.replaceToken(now, n)
 	m.generation++
 	n.pollOpen, n.clock.Reading = false, 0
 	n.leaseEnd, n.acknowledgeAt = time.Time{}, time.Time{}
@@ -42,6 +42,17 @@
 	m.markChanged(n)
 }
 
+// replaceToken has a new incarnation refuse the orders that were meant for earlier ones. If there is
+// no higher token, one is asked for. For the time that the table takes to store a heartbeat, no
+// work starts on the worker: a late acknowledgement could have it forget its ends.
+func (m *Machine) replaceToken(now time.Time, n *node) {
+	n.token.Replace()
+	if n.token.IsMissing(m.token) {
+		m.actions.TokenWanted = true
+		n.holdUntil = latest(n.holdUntil, now.Add(pollRetryDelay))
+	}
+}
+
 // stopLateStarts has a new incarnation refuse the starts that an earlier one left without an
 // answer, whose tasks may have started elsewhere since. It does not know of earlier stops.
 func (m *Machine) stopLateStarts(now time.Time, n *node, listed []runKey) {
--- a/dispatch/restartfleet_test.go
+++ b/dispatch/restartfleet_test.go
@@ -134,11 +134,7 @@
 	s.m.StoredJobsLoaded(begin)
 	s.every(500*time.Millisecond, s.readRows)
 	s.every(25*time.Millisecond, func() { s.m.Tick(s.now) })
-	s.every(time.Second, func() {
-		s.revision++
-		token := s.revision
-		s.after(s.between(time.Millisecond, 50*time.Millisecond), func() { s.m.RaiseToken(token) })
-	})
+	s.every(time.Second, s.heartbeat)
 	s.readRows()
 	return s
 }
@@ -199,6 +195,13 @@
 	s.after(down, func() { s.boot(w) })
 }
 
+// heartbeat writes a heartbeat, whose revision is a higher token.
+func (s *restartSoak) heartbeat() {
+	s.revision++
+	token := s.revision
+	s.after(s.between(time.Millisecond, 50*time.Millisecond), func() { s.m.RaiseToken(token) })
+}
+
 func (s *restartSoak) readRows() {
 	var rows []worker.Worker
 	for _, id := range s.ids {
@@ -325,6 +328,9 @@
 
 func (s *restartSoak) carryOut() {
 	a := s.m.TakeActions()
+	if a.TokenWanted {
+		s.heartbeat()
+	}
 	if a.Fenced {
 		s.fault("FENCED: the owner takes its ownership to have ended")
 	}
--- a/dispatch/restartsoak_test.go
+++ b/dispatch/restartsoak_test.go
@@ -167,7 +167,7 @@
 // (TWICE: the next incarnation of a worker forgot ends that its owner had not seen). The seeds
 // have failed before.
 func TestSoakOfLateAcknowledgements(t *testing.T) {
-	for _, seed := range soakSeeds(7, 12, 18, 31, 33, 35, 41, 54, 71, 76) {
+	for _, seed := range soakSeeds(7, 12, 18, 31, 33, 35, 41, 54, 71, 76, 747) {
 		soak(t, seed, func(s *restartSoak) { s.lateAcknowledgements = 0.3 })
 	}
 }
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -76,6 +76,8 @@
 	// heartbeats.
 	tenure tenure
 	beats  atomic.Uint64
+	// tokenWanted asks for a heartbeat at once.
+	tokenWanted signal
 	// waitingEvents is the number of events that wait to be handled.
 	waitingEvents atomic.Int64
 
@@ -99,7 +101,7 @@
 func newOwner(ctx context.Context, o *Owners, x ownership.Owner, previous worker.Token) *Owner {
 	previousWorkers, complete := o.contacts.Workers(time.Now(), x.DataCentre, previous)
 	w := &Owner{
-		owners: o, owner: x,
+		owners: o, owner: x, tokenWanted: newSignal(),
 		logger: o.logger.WithFields(log.Fields{"dataCentre": string(x.DataCentre), "token": int64(x.Token)}),
 		machine: dispatch.New(o.contacts.clock(), dispatch.Config{
 			PreviousWorkers: previousWorkers, PreviousWorkersComplete: complete,
@@ -160,9 +162,13 @@
 	}
 }
 
-// heartbeatInterval is the time between two heartbeats of an owner in the
-// platform's table.
-const heartbeatInterval = time.Second
+const (
+	// heartbeatInterval is the time between two heartbeats of an owner in the platform's table.
+	heartbeatInterval = time.Second
+	// minHeartbeatInterval is that time if a worker has restarted and needs a higher token. It
+	// bounds the writes while many workers restart.
+	minHeartbeatInterval = 40 * time.Millisecond
+)
 
 // heartbeatLoop writes the heartbeats of this owner into the platform's table.
 func (w *Owner) heartbeatLoop() {
@@ -173,7 +179,8 @@
 				w.logger.WithError(err).Warn("heartbeat not written")
 			}
 		}
-		sleep(w.ctx, heartbeatInterval)
+		sleep(w.ctx, minHeartbeatInterval)
+		w.tokenWanted.wait(w.ctx, heartbeatInterval-minHeartbeatInterval)
 	}
 }
 
@@ -244,6 +251,9 @@
 		w.logRecord(&actions.Records[i])
 	}
 	w.noteLosses(&actions)
+	if actions.TokenWanted {
+		w.tokenWanted.send()
+	}
 	if actions.Fenced {
 		w.owners.endFenced(w.owner)
 	}
--- a/incarnation/token.go
+++ b/incarnation/token.go
@@ -23,6 +23,10 @@
 	return t.inUse
 }
 
+// IsMissing returns true if orders are to carry a higher token and there is none: highest is the
+// highest that they may carry.
+func (t *Token) IsMissing(highest worker.Token) bool { return t.replaced && highest <= t.inUse }
+
 // IsReplaced returns true if orders with a higher token than x were sent: a worker that refuses
 // x may have seen that of one of them.
 func (t *Token) IsReplaced(x worker.Token) bool { return x < t.inUse }
