--- a/dispatch/restart.go
+++ b/dispatch/restart.go
@@ -1,10 +1,10 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 	"time"
 
+	"github.com/catkingap/catkingap/incarnation"
 	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -32,8 +32,9 @@
 	}
 	n.forgetEnds()
 	n.Life = report.Incarnation
+	m.replaceToken(now, n)
 	m.generation++
-	n.pollOpen, n.clock = false, 0
+	n.pollOpen, n.clock.Reading = false, 0
 	n.leaseEnd, n.acknowledgeAt = time.Time{}, time.Time{}
 	m.assumeLongestLease(now, n)
 	m.stopLateStarts(now, n, listed)
@@ -41,23 +42,22 @@
 	m.markChanged(n)
 }
 
-// lateOrderTime is for how long an order without an answer may still be carried out.
-const lateOrderTime = 10 * time.Second
-
-// noteUnanswered records a start that got no answer.
-func (n *node) noteUnanswered(now time.Time, k runKey) {
-	maps.DeleteFunc(n.unanswered, func(_ runKey, at time.Time) bool { return now.Sub(at) > lateOrderTime })
-	if n.unanswered == nil {
-		n.unanswered = map[runKey]time.Time{}
+// replaceToken has a new incarnation refuse the orders that were meant for earlier ones. If there is
+// no higher token, one is asked for. For the time that the table takes to store a heartbeat, no
+// work starts on the worker: a late acknowledgement could have it forget its ends.
+func (m *Machine) replaceToken(now time.Time, n *node) {
+	n.token.Replace()
+	if n.token.IsMissing(m.token) {
+		m.actions.TokenWanted = true
+		n.holdUntil = latest(n.holdUntil, now.Add(pollRetryDelay))
 	}
-	n.unanswered[k] = now
 }
 
 // stopLateStarts has a new incarnation refuse the starts that an earlier one left without an
 // answer, whose tasks may have started elsewhere since. It does not know of earlier stops.
 func (m *Machine) stopLateStarts(now time.Time, n *node, listed []runKey) {
-	for _, k := range slices.SortedFunc(maps.Keys(n.unanswered), compareRunKeys) {
-		if n.runs[k] == nil && !slices.Contains(listed, k) && now.Sub(n.unanswered[k]) <= lateOrderTime {
+	for _, k := range n.lateStarts.Sorted(now, compareRunKeys) {
+		if n.runs[k] == nil && !slices.Contains(listed, k) {
 			m.actions.Stops = append(m.actions.Stops, worker.Stop{Order: m.order(n), Task: k.task, Run: k.run})
 		}
 	}
@@ -95,7 +95,7 @@
 // shortens to that each lease which ends at a time on the clock of an earlier one.
 func (m *Machine) assumeLongestLease(now time.Time, n *node) {
 	if len(n.runs) > 0 {
-		n.leaseEnd = latest(n.leaseEnd, now.Add(lapseTime(m.config.MaxLease)))
+		n.leaseEnd = latest(n.leaseEnd, now.Add(incarnation.LapseTime(m.config.MaxLease)))
 	}
 }
 
