Start no task in an evacuated data centre

The operator evacuates a data centre by a row evacuate/ZONE in the table op. Nothing took that into account.

Package evacuation holds what a host knows (evacuated data centres, revision of the table), which of two states wins, when hosts tell each other, and what becomes of a job. fleet reads the state with each answer of the feed that it follows for the configuration, and gossips it on contacts while either side knows of an evacuation. An owner starts nothing in an evacuated data centre, nor before it knows any state. Jobs that have not begun go back to their hosts for other owners; those that have begun and cannot go on are interrupted once nothing of them runs; stored jobs move. Hosts avoid such an owner, and it counts as having no free capacity. A reply of an owner that no other owner continues a job is final, and a job that may have begun and is found unsuited ends instead of being submitted again without a pause.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 
 	"github.com/catkingap/catkingap/crash"
 	"github.com/catkingap/catkingap/ejection"
+	"github.com/catkingap/catkingap/evacuation"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/index"
 	"github.com/catkingap/catkingap/patience"
@@ -36,6 +37,8 @@
 	// ResendDelay is how long after the end of its connection a caller sends a job
 	// again. Zero means that callers never do.
 	ResendDelay time.Duration
+	// Access tells whether tasks may start when the ownership begins.
+	Access evacuation.Access
 }
 
 const (
@@ -150,6 +153,8 @@
 	RetryAfter time.Duration `msgpack:"retryAfter,omitempty"`
 	// DataCentre is another data centre that has workers for a job, or empty.
 	DataCentre ident.DataCentre `msgpack:"dataCentre,omitempty"`
+	// Final is true for an interrupted job that no owner continues.
+	Final bool `msgpack:"final,omitempty"`
 	// Load is the owner's load at the time of the reply.
 	Load Load `msgpack:"load"`
 }
@@ -268,6 +273,8 @@
 	// another host may own the workers. No task of a stored job starts then.
 	lastEvent          time.Time
 	ownershipUncertain bool
+	// access tells whether tasks may start.
+	access evacuation.Access
 	// stopped is true once the ownership has ended.
 	stopped bool
 }
@@ -293,6 +300,7 @@
 		keepalives:   map[ident.Host]Keepalive{},
 		detector:     ejection.NewDetector[worker.ID](c.Ejection),
 		takeoverEnd:  now.Add(lapseTime(c.MaxLease)),
+		access:       c.Access,
 	}
 	m.SetWorkers(now, nil)
 	m.listRead = false
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -149,6 +149,10 @@
 		return
 	}
 	known := m.adoptOrphans(now, j)
+	if !known && m.mustGoElsewhere(&s) {
+		m.refuse(now, s, Unsuited, ReasonEvacuated, 0)
+		return
+	}
 	if !known {
 		refusal := Refused
 		if !s.Final {
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/catkingap/catkingap/evacuation"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/relocation"
 	"github.com/catkingap/catkingap/work"
@@ -21,7 +22,7 @@
 func (m *Machine) AvailableWorkers(now time.Time) []worker.Worker {
 	var workers []worker.Worker
 	for _, n := range m.ordered {
-		if n.isAvailable(now) {
+		if m.access != evacuation.Evacuated && n.isAvailable(now) {
 			workers = append(workers, n.Worker)
 		}
 	}
@@ -33,9 +34,9 @@
 }
 
 // hasWorkersFor returns true if each of the given steps of a job has an available worker that
-// suits it.
+// suits it. An evacuated data centre has none.
 func (m *Machine) hasWorkersFor(now time.Time, j *work.Job, steps []int) bool {
-	return !slices.ContainsFunc(steps, func(i int) bool {
+	return m.access != evacuation.Evacuated && !slices.ContainsFunc(steps, func(i int) bool {
 		return !slices.ContainsFunc(m.ordered, func(n *node) bool {
 			return n.isAvailable(now) && relocation.SuitsStep(j, i, &n.Worker)
 		})
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/catkingap/catkingap/crash"
+	"github.com/catkingap/catkingap/evacuation"
 	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
@@ -24,7 +25,7 @@
 
 // isUsable returns true if a worker may get work.
 func (m *Machine) isUsable(now time.Time, n *node) bool {
-	return n.listed && n.answered && !n.isRowBehind() && !n.Draining && n.silentSince.IsZero() && !now.Before(n.holdUntil) &&
+	return m.access == evacuation.Open && n.listed && n.answered && !n.isRowBehind() && !n.Draining && n.silentSince.IsZero() && !now.Before(n.holdUntil) &&
 		m.detector.Allowed(now, n.ID, true) && !n.hasOrphans() && len(n.lapsingEnds) == 0
 }
 
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/catkingap/catkingap/evacuation"
 	"github.com/catkingap/catkingap/work"
 )
 
@@ -44,6 +45,7 @@
 		m.refuseUseless(now, j)
 	}
 	m.shed(now)
+	m.releaseEvacuated(now)
 	m.advance(now)
 }
 
@@ -59,7 +61,7 @@
 		// The size of tasks is not known yet: each worker is taken to have capacity for
 		// one.
 		for _, n := range m.ordered {
-			if n.listed {
+			if n.listed && m.access == evacuation.Open {
 				free++
 			}
 		}
--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -34,12 +34,13 @@
 // Configuration holds the queues in force on this host. It receives new versions from
 // the platform's table and from other hosts, and never returns to an older one.
 type Configuration struct {
-	links   *peer.Links
-	decoder Decoder
-	view    *storage.View
-	key     string
-	logger  log.Interface
-	table   atomic.Pointer[queue.Table]
+	links      *peer.Links
+	decoder    Decoder
+	evacuation *Evacuation
+	view       *storage.View
+	key        string
+	logger     log.Interface
+	table      atomic.Pointer[queue.Table]
 
 	mutex     sync.Mutex
 	machine   *rollout.Machine
@@ -47,10 +48,10 @@
 	fetches   chan rollout.Fetch
 }
 
-func newConfiguration(l *peer.Links, d Decoder, t storage.Table, f storage.Feed, logger log.Interface) *Configuration {
+func newConfiguration(l *peer.Links, d Decoder, e *Evacuation, t storage.Table, f storage.Feed, logger log.Interface) *Configuration {
 	_, group, key := d.Groups()
 	c := &Configuration{
-		links: l, decoder: d, view: storage.NewView(t, f, group), key: key, logger: logger,
+		links: l, decoder: d, evacuation: e, view: storage.NewView(t, f, group), key: key, logger: logger,
 		machine:   rollout.NewMachine(rollout.Config{FetchTimeout: fetchTimeout}),
 		addresses: map[ident.Host]string{},
 		fetches:   make(chan rollout.Fetch, 1),
@@ -87,7 +88,9 @@
 
 // follow reads the configuration from the platform's table.
 func (c *Configuration) follow(ctx context.Context) {
-	(&follower{view: c.view, logger: c.logger, name: "the table of the configuration"}).run(ctx, c.readRow)
+	(&follower{
+		view: c.view, logger: c.logger, name: "the table of the configuration", read: func() { c.evacuation.readView(c.view) },
+	}).run(ctx, c.readRow)
 }
 
 // readRow offers the configuration row of the view to the rollout.
--- a/fleet/contacts.go
+++ b/fleet/contacts.go
@@ -10,6 +10,7 @@
 
 	"github.com/catkingap/catkingap/crash"
 	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/evacuation"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/index"
 	"github.com/catkingap/catkingap/ownership"
@@ -53,6 +54,8 @@
 	Sent       time.Duration `msgpack:"sent,omitempty"`
 	// Owned holds the ownerships of the host.
 	Owned []ownership.Owner `msgpack:"owned,omitempty"`
+	// Evacuation is what the host knows of evacuated data centres, or nil.
+	Evacuation *evacuation.State `msgpack:"evacuation,omitempty"`
 }
 
 // keepalive tells which calls a host still waits for at one owner.
@@ -79,6 +82,8 @@
 	Version listVersion     `msgpack:"version"`
 	// Losses holds new losses of workers under tasks, by the owners of the contacted host.
 	Losses []crash.TaskLosses `msgpack:"losses,omitempty"`
+	// Evacuation is what the host knows of evacuated data centres, or nil.
+	Evacuation *evacuation.State `msgpack:"evacuation,omitempty"`
 }
 
 // listVersion identifies a version of an owner's list of workers.
@@ -95,6 +100,7 @@
 	links         *peer.Links
 	directory     *Directory
 	configuration *Configuration
+	evacuation    *Evacuation
 	clock         Clock
 	logger        log.Interface
 	// clockZero is when the clock of this process was zero.
@@ -174,9 +180,9 @@
 	heard   time.Time
 }
 
-func newContacts(self ownership.Host, s Settings, l *peer.Links, d *Directory, c *Configuration, clock Clock, logger log.Interface) *Contacts {
+func newContacts(self ownership.Host, s Settings, l *peer.Links, d *Directory, c *Configuration, e *Evacuation, clock Clock, logger log.Interface) *Contacts {
 	contacts := &Contacts{
-		self: self, settings: s, links: l, directory: d, configuration: c, clock: clock, logger: logger,
+		self: self, settings: s, links: l, directory: d, configuration: c, evacuation: e, clock: clock, logger: logger,
 		clockZero:         clock(),
 		contacts:          map[ident.Host]ownership.Contact{},
 		clocks:            map[ident.Host]hostClock{},
@@ -246,6 +252,7 @@
 	a, err := peer.Call[contactRequest, contactAnswer](call, c.links, address, kindContact, contactRequest{
 		Host: c.self, Revision: c.configuration.Revision(), Leaving: leaving,
 		Owners: tokenSum(owners), Workers: known, Keepalives: keepalives, Sent: clock, Owned: c.ownerships(),
+		Evacuation: c.evacuation.request(),
 	})
 	if err != nil {
 		return false
@@ -271,6 +278,7 @@
 	}
 	c.directory.Observe(a.Host, append(a.Owned, a.Others...))
 	c.configuration.ObserveRevision(a.Host, a.Revision)
+	c.evacuation.receive(a.Host.Name, a.Evacuation)
 	return true
 }
 
@@ -325,6 +333,7 @@
 	c.configuration.ObserveRevision(r.Host, r.Revision)
 	c.receiveKeepalives(r.Host, c.TimeAt(r.Sent), r.Keepalives)
 	a := contactAnswer{Host: c.self, Clock: c.clock().Sub(c.clockZero), Revision: c.configuration.Revision(), Leaving: leaving, Losses: losses}
+	a.Evacuation = c.evacuation.answer(r.Host.Name, r.Evacuation)
 	a.Owned, a.Loads = c.owned()
 	if workers, version := c.ownWorkers(r.Host.DataCentre); version.Token != 0 {
 		a.Version = version
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -45,6 +45,9 @@
 	Worker(r storage.Row) (worker.Worker, error)
 	// Configuration decodes the configuration row.
 	Configuration(r storage.Row) (queue.Configuration, error)
+	// EvacuatedCentre returns the data centre that the row with a key, in the group of the
+	// configuration, evacuates. It returns false for other rows.
+	EvacuatedCentre(key string) (ident.DataCentre, bool)
 }
 
 // Settings configures the daemon of one host.
@@ -69,6 +72,9 @@
 	// Resend is the time after which a caller whose connection broke resubmits its
 	// job.
 	Resend time.Duration
+	// EvacuationTime is the time within which the evacuation of a data centre must be in
+	// force. Zero means that evacuation is off.
+	EvacuationTime time.Duration
 	// Retention is how long the state of a stored job can be queried after its end.
 	Retention time.Duration
 	// RowBytes is the largest value of a row that the table stores. Zero means a default.
@@ -127,6 +133,7 @@
 			newPauseDetector,
 			newSelf,
 			newLinks,
+			newEvacuation,
 			newConfiguration,
 			newDirectory,
 			newContacts,
--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -20,6 +20,8 @@
 	// name describes the view in the log.
 	name string
 	lost bool
+	// read is called after each answer, also one without changes. Nil means none.
+	read func()
 }
 
 // run calls changed after each change until ctx ends.
@@ -57,5 +59,8 @@
 		f.lost = false
 		f.logger.WithField("revision", int64(f.view.Revision())).Info("regained " + f.name)
 	}
+	if f.read != nil {
+		f.read()
+	}
 	return changed
 }
--- a/fleet/jobmove.go
+++ b/fleet/jobmove.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/evacuation"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/relocation"
 	"github.com/catkingap/catkingap/work"
@@ -53,7 +54,7 @@
 	defer w.mutex.Unlock()
 	centres[w.owner.DataCentre] = w.machine.AvailableWorkers(w.owners.contacts.clock())
 	for d, workers := range w.machine.OtherWorkers() {
-		if _, ok := heard[d]; ok {
+		if _, ok := heard[d]; ok && w.owners.contacts.evacuation.Access(d) != evacuation.Evacuated {
 			centres[d] = slices.DeleteFunc(slices.Clone(workers), func(x worker.Worker) bool { return x.Draining })
 		}
 	}
--- a/fleet/loads.go
+++ b/fleet/loads.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/evacuation"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/index"
 	"github.com/catkingap/catkingap/throttle"
@@ -53,13 +54,13 @@
 
 // shareCapacity returns the free capacity that the owner of a data centre may use at
 // each other owner, which it shares with the remaining owners. Each reported load is
-// used once.
+// used once. An evacuated data centre has none.
 func (c *Contacts) shareCapacity(d ident.DataCentre) []capacityShare {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	var shares []capacityShare
 	for other, l := range c.loads {
-		if other == d || c.sharedOut[other] {
+		if other == d || c.sharedOut[other] || c.evacuation.Access(other) == evacuation.Evacuated {
 			continue
 		}
 		c.sharedOut[other] = true
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -104,6 +104,7 @@
 		machine: dispatch.New(o.contacts.clock(), dispatch.Config{
 			PreviousWorkers: previousWorkers, PreviousWorkersComplete: complete,
 			Token: x.Token, MaxLease: o.settings.MaxLease, FarFactor: o.settings.FarFactor, ResendDelay: o.settings.Resend,
+			Access: o.contacts.evacuation.Access(x.DataCentre),
 			Ejection: ejection.Config{
 				MaxShare: maxEjectedShare, Failures: ejectionFailures, MinProbe: minProbePause, MaxProbe: maxProbePause,
 			},
@@ -220,6 +221,13 @@
 	w.handle(eventWorkers, func(now time.Time, m *dispatch.Machine) { m.SetWorkers(now, workers) })
 }
 
+// updateAccess tells the machine whether tasks may start on its workers.
+func (w *Owner) updateAccess() {
+	w.handle(eventWorkers, func(now time.Time, m *dispatch.Machine) {
+		m.SetAccess(now, w.owners.contacts.evacuation.Access(w.owner.DataCentre))
+	})
+}
+
 func (w *Owner) setOtherWorkers(workers map[ident.DataCentre][]worker.Worker) {
 	w.handle(eventWorkers, func(_ time.Time, m *dispatch.Machine) { m.SetOtherWorkers(workers) })
 }
@@ -312,6 +320,9 @@
 
 // logRecord logs the course of a submission: each run with its task, worker and times.
 func (w *Owner) logRecord(r *dispatch.Record) {
+	if r.Reason == dispatch.ReasonEvacuated {
+		w.owners.counters.evacuatedJobs.Add(string(r.Result), 1)
+	}
 	runs := make([]string, 0, len(r.Runs))
 	for _, x := range r.Runs {
 		runs = append(runs, fmt.Sprintf("%d.%d#%d %s %d+%d %s", x.Step, x.Index, x.Run, x.Worker,
--- a/fleet/owners.go
+++ b/fleet/owners.go
@@ -104,6 +104,11 @@
 	}
 	d.OnOwnerChange(o.reconcile)
 	d.OnOwnerChange(o.wake.send)
+	c.evacuation.OnChange(func() {
+		for _, x := range o.current() {
+			x.updateAccess()
+		}
+	})
 	c.onNewProcess = o.wake.send
 	c.ownerships = o.ownerships
 	c.owned = o.ownersAndLoads
--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/evacuation"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/peer"
@@ -301,6 +302,9 @@
 		a.tried[o.DataCentre] = true
 		return reply, false
 	case dispatch.Unsuited:
+		if a.bound != "" {
+			return a.giveUp(reply.Reason), true
+		}
 		s.release(a, o.DataCentre)
 		a.unsuited[o.DataCentre] = true
 		return reply, false
@@ -309,6 +313,9 @@
 		sleep(ctx, retryPause)
 		return reply, false
 	case dispatch.Interrupted:
+		if reply.Final {
+			return reply, true
+		}
 		a.bind(ended, o)
 		return reply, false
 	case dispatch.Refused:
@@ -380,10 +387,11 @@
 		return o, true, ok && s.isHeard(now, o)
 	}
 	tasks := a.job.Steps[0].Count
+	hasOpen := s.hearsOpenCentre(now, owners)
 	var best, fallback ownership.Owner
 	bestFree, fallbackFree := 0, 0
 	for c, o := range owners {
-		if ok, decided := a.admitted[c]; (decided && !ok) || a.unsuited[c] || !s.isHeard(now, o) {
+		if ok, decided := a.admitted[c]; (decided && !ok) || a.unsuited[c] || !s.isHeard(now, o) || (hasOpen && s.isEvacuated(c)) {
 			continue
 		}
 		load, known := s.contacts.Load(c)
@@ -414,6 +422,20 @@
 	return fallback, true, fallback.Host != "" && a.refusal == nil
 }
 
+func (s *Submitter) isEvacuated(c ident.DataCentre) bool {
+	return s.contacts.evacuation.Access(c) == evacuation.Evacuated
+}
+
+// hearsOpenCentre returns true if the owner of a data centre is heard that is not evacuated.
+func (s *Submitter) hearsOpenCentre(now time.Time, owners map[ident.DataCentre]ownership.Owner) bool {
+	for c, o := range owners {
+		if !s.isEvacuated(c) && s.isHeard(now, o) {
+			return true
+		}
+	}
+	return false
+}
+
 // homeBonus makes the owner of the host's own data centre be tried first, because traffic
 // between data centres is expensive.
 const homeBonus = 1 << 20
