--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/index"
 	"github.com/catkingap/catkingap/patience"
+	"github.com/catkingap/catkingap/report"
 	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
@@ -183,16 +184,16 @@
 	Replies []Reply
 	// WorkerLosses describe workers that were lost with their runs, and LostRuns counts
 	// the runs that ended for another reason than their task, by cause.
-	WorkerLosses []WorkerLoss
+	WorkerLosses []report.WorkerLoss
 	LostRuns     map[string]int
 	// Losses holds the losses under the tasks for which they have changed, and GivenUp
 	// the jobs that were ended because of such a task.
 	Losses  []crash.TaskLosses
-	GivenUp []GivenUp
+	GivenUp []report.GivenUp
 	// SuspectStarts is the number of starts of tasks that workers were lost under.
 	SuspectStarts int
 	// Records describe submissions that have ended.
-	Records []Record
+	Records []report.Record
 	// RunEnds must be stored and then reported to EndStored.
 	RunEnds []RunEnd
 	// JobEnds must be stored after all earlier RunEnds.
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/report"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -35,7 +36,7 @@
 	// times as multiples of the expected ones.
 	doneRuns      int
 	runTimeRatios float64
-	record        Record
+	record        report.Record
 	// chainEstimate is the estimate of the longest chain of tasks, latestStart is
 	// when the job must start to meet its objective, and uselessAt is when the
 	// answer is of no more use to the caller.
@@ -97,7 +98,7 @@
 		resubmitted: s.Resubmitted,
 		pinned:      s.Pinned,
 		submitted:   now,
-		record: Record{
+		record: report.Record{
 			Job: s.Job.ID, Host: s.Host, Call: s.Call, Waited: s.Waited, Objective: s.Job.Objective(),
 		},
 		live: true,
@@ -145,7 +146,7 @@
 	m.countEarlierWait(&s)
 	j := newJob(now, s)
 	if t := m.condemnedTask(now, j); t != nil {
-		m.refuse(now, s, Failed, TaskCrashes.Reason(), 0)
+		m.refuse(now, s, Failed, report.TaskCrashes.Reason(), 0)
 		return
 	}
 	known := m.adoptOrphans(now, j)
--- a/dispatch/keepalive.go
+++ b/dispatch/keepalive.go
@@ -1,33 +1,16 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
-	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/livecalls"
 )
 
-// Sequence is a sequence number. Each submission and each keepalive of a host has a
-// higher one than all before it.
-type Sequence uint64
+// Sequence is a sequence number of a host.
+type Sequence = livecalls.Sequence
 
 // Keepalive tells which calls a host still waits for at one owner.
-type Keepalive struct {
-	Host ident.Host
-	// Boot identifies the process of the host.
-	Boot string
-	// At is the time for which the keepalive holds, as a time of the Machine.
-	At       time.Time
-	Sequence Sequence
-	// Calls lists the calls in ascending order.
-	Calls []uint64
-}
-
-// includes returns true if the keepalive lists a call.
-func (s Keepalive) includes(call uint64) bool {
-	_, found := slices.BinarySearch(s.Calls, call)
-	return found
-}
+type Keepalive = livecalls.Keepalive
 
 const (
 	// resendMargin is the time between the end of all runs of a job and the moment
@@ -77,7 +60,7 @@
 	for _, j := range m.jobsByHost[s.Host] {
 		switch {
 		case j.boot != s.Boot || j.sequence > s.Sequence:
-		case !s.includes(j.call):
+		case !s.Includes(j.call):
 			withdrawn = append(withdrawn, j)
 		default:
 			j.callerSeen = latest(j.callerSeen, at)
@@ -101,7 +84,7 @@
 // submission's call.
 func (m *Machine) isOvertaken(s Submission) bool {
 	g, ok := m.keepalives[s.Host]
-	return ok && g.Boot == s.Boot && g.Sequence > s.Sequence && !g.includes(s.Call)
+	return ok && g.Boot == s.Boot && g.Sequence > s.Sequence && !g.Includes(s.Call)
 }
 
 // isCallerSilent returns true if the last confirmation that the caller of a job
--- a/dispatch/loss.go
+++ b/dispatch/loss.go
@@ -4,38 +4,19 @@
 	"slices"
 	"time"
 
+	"github.com/catkingap/catkingap/report"
 	"github.com/catkingap/catkingap/worker"
 )
 
-// LossCause tells why a run ended without its worker having reported an end.
-type LossCause string
-
-// The causes of losses.
+// The causes of losses, see report.LossCause.
 const (
-	// LossCrashed means that another process has taken the place of the worker.
-	LossCrashed LossCause = "crashed"
-	// LossSilent means that the worker answered no order until its lease had lapsed. It
-	// may have crashed, or may be paused or cut off.
-	LossSilent LossCause = "silent"
-	// LossLeft means that the worker was draining and has left.
-	LossLeft LossCause = "left"
-	// LossUnlisted means that the worker answers and no longer lists the run.
-	LossUnlisted LossCause = "unlisted"
-	// LossRefused means that the worker refused the start.
-	LossRefused LossCause = "refused"
+	LossCrashed  = report.LossCrashed
+	LossSilent   = report.LossSilent
+	LossLeft     = report.LossLeft
+	LossUnlisted = report.LossUnlisted
+	LossRefused  = report.LossRefused
 )
 
-// WorkerLoss tells that a worker was lost with all its runs.
-type WorkerLoss struct {
-	Worker      worker.ID
-	Incarnation worker.Incarnation
-	Cause       LossCause
-	// Tasks holds the tasks that the worker ran.
-	Tasks []string
-	// Silent is for how long the worker had answered no order.
-	Silent time.Duration
-}
-
 // missingTime is for how long a silent worker is expected back at any time.
 const missingTime = 10 * time.Second
 
@@ -56,7 +37,7 @@
 }
 
 // loseRun ends a run as lost.
-func (m *Machine) loseRun(now time.Time, r *run, c LossCause) {
+func (m *Machine) loseRun(now time.Time, r *run, c report.LossCause) {
 	m.countLost(string(c))
 	r.recordEnd(now, "lost: "+string(c))
 	m.removeRun(now, r.node, r, worker.Lost)
@@ -64,7 +45,7 @@
 
 // loseWorker ends runs of a worker as lost with it. Those in open may have been lost with it
 // too.
-func (m *Machine) loseWorker(now time.Time, n *node, runs, open []*run, c LossCause) {
+func (m *Machine) loseWorker(now time.Time, n *node, runs, open []*run, c report.LossCause) {
 	if n.Draining {
 		c = LossLeft
 	}
@@ -72,7 +53,7 @@
 	if len(runs) == 0 {
 		return
 	}
-	loss := WorkerLoss{Worker: n.ID, Incarnation: n.Life, Cause: c}
+	loss := report.WorkerLoss{Worker: n.ID, Incarnation: n.Life, Cause: c}
 	if !n.silentSince.IsZero() {
 		loss.Silent = now.Sub(n.silentSince)
 	}
--- a/dispatch/loss_test.go
+++ b/dispatch/loss_test.go
@@ -6,6 +6,7 @@
 	"github.com/matryer/is"
 
 	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/report"
 	"github.com/catkingap/catkingap/worker"
 )
 
@@ -14,7 +15,7 @@
 	tests := map[string]struct {
 		draining bool
 		lose     func(m *dispatch.Machine, s worker.Start, poll worker.Poll)
-		cause    dispatch.LossCause
+		cause    report.LossCause
 		ofWorker bool
 	}{
 		"another process at its address": {
--- a/dispatch/record.go
+++ b/dispatch/record.go
@@ -3,45 +3,12 @@
 import (
 	"time"
 
-	"github.com/catkingap/catkingap/ident"
-	"github.com/catkingap/catkingap/work"
-	"github.com/catkingap/catkingap/worker"
+	"github.com/catkingap/catkingap/report"
 )
 
 // maxRecordedRuns bounds the runs in the record of one job.
 const maxRecordedRuns = 64
 
-// Record describes how a submission went, for the log.
-type Record struct {
-	Job    work.ID
-	Host   ident.Host
-	Call   uint64
-	Result Result
-	Reason string
-	// Waited is the time from the caller's request to the submission, and Took is
-	// the time from the submission to its end.
-	Waited, Took time.Duration
-	// Objective is the time after its request at which the caller expects the
-	// answer.
-	Objective time.Duration
-	// Waiting is the number of tasks that had not started at the end.
-	Waiting int
-	Runs    []RunRecord
-	// Omitted is the number of runs that are left out of Runs.
-	Omitted int
-}
-
-// RunRecord describes how one run went.
-type RunRecord struct {
-	Step, Index int
-	Run         work.Run
-	Worker      worker.ID
-	// Started and Ended are times after the submission. Ended is zero if the run
-	// had not ended when the job did.
-	Started, Ended time.Duration
-	How            string
-}
-
 // recordStart adds a run to the record of its job.
 func (j *job) recordStart(now time.Time, r *run) {
 	if len(j.record.Runs) == maxRecordedRuns {
@@ -49,7 +16,7 @@
 		return
 	}
 	r.recordIndex = len(j.record.Runs) + 1
-	j.record.Runs = append(j.record.Runs, RunRecord{
+	j.record.Runs = append(j.record.Runs, report.RunRecord{
 		Step: r.task.name.Step, Index: r.task.name.Index, Run: r.key.run, Worker: r.node.ID, Started: now.Sub(j.submitted),
 	})
 }
@@ -68,7 +35,7 @@
 
 // emitRecord emits the record of a submission that has ended.
 func (m *Machine) emitRecord(now time.Time, j *job, r Result, reason string) {
-	j.record.Result, j.record.Reason = r, reason
+	j.record.Result, j.record.Reason = string(r), reason
 	j.record.Took = now.Sub(j.submitted)
 	j.record.Waiting = len(j.waiting)
 	m.actions.Records = append(m.actions.Records, j.record)
--- a/dispatch/restart.go
+++ b/dispatch/restart.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/catkingap/catkingap/report"
 	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -108,7 +109,7 @@
 	}
 	l := *r.earlierLoss
 	l.Unconfirmed = l.Unconfirmed && r.confirmedAt.IsZero()
-	m.actions.WorkerLosses = append(m.actions.WorkerLosses, WorkerLoss{
+	m.actions.WorkerLosses = append(m.actions.WorkerLosses, report.WorkerLoss{
 		Worker: l.Life.Worker, Incarnation: l.Life.Incarnation, Cause: LossCrashed, Tasks: []string{r.key.task},
 	})
 	m.recordLoss(now, r, l)
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/catkingap/catkingap/crash"
-	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/report"
 	"github.com/catkingap/catkingap/worker"
 )
 
@@ -13,34 +13,6 @@
 // counts as gone. The list is read within less.
 const unknownWorkerTime = 3 * time.Second
 
-// GiveUpCause tells why a job was ended because of a task that workers were lost under.
-type GiveUpCause string
-
-// The causes for giving up.
-const (
-	// TaskCrashes means that the task has crashed its workers.
-	TaskCrashes GiveUpCause = "crashes"
-	// TooLate means that the task may have crashed its worker, and that another run would
-	// be of no use to the caller.
-	TooLate GiveUpCause = "tooLate"
-)
-
-// Reason returns the cause in words.
-func (c GiveUpCause) Reason() string {
-	if c == TaskCrashes {
-		return "workers crash under a task of it"
-	}
-	return "its worker was lost, and it is too late for another run"
-}
-
-// GivenUp tells that a job was ended because of a task that workers were lost under.
-type GivenUp struct {
-	Job     work.ID
-	Task    string
-	Workers []worker.ID
-	Cause   GiveUpCause
-}
-
 // refusalTime is how long after the first order without an answer a worker that has crashed
 // refuses connections. It is polled at once after such an order.
 const refusalTime = 150 * time.Millisecond
@@ -55,7 +27,7 @@
 // not lost under its tasks. If a worker was silent before it refused connections, or refused
 // none, its runs may have ended before it crashed, and starts without an answer may never have
 // reached it.
-func (m *Machine) blame(now time.Time, n *node, c LossCause, runs, open []*run) {
+func (m *Machine) blame(now time.Time, n *node, c report.LossCause, runs, open []*run) {
 	if c == LossLeft {
 		return
 	}
@@ -158,19 +130,19 @@
 // use to the caller: the job has run and has not failed, so the caller may send it again.
 // It returns true if the job has ended.
 func (m *Machine) tryGiveUp(now time.Time, t *task) bool {
-	j, cause := t.job, TooLate
+	j, cause := t.job, report.TooLate
 	switch m.standing(now, t) {
 	case crash.Clear:
 		return false
 	case crash.Condemned:
-		cause = TaskCrashes
+		cause = report.TaskCrashes
 	default:
 		if j.stored || !m.crashingQueues.Crash(now, j.spec.Queue) || m.bestCase(now, j) != useless {
 			return false
 		}
 	}
-	m.actions.GivenUp = append(m.actions.GivenUp, GivenUp{Job: j.spec.ID, Task: t.id, Workers: m.crashes.Losses(t.id).Workers(), Cause: cause})
-	if cause == TaskCrashes {
+	m.actions.GivenUp = append(m.actions.GivenUp, report.GivenUp{Job: j.spec.ID, Task: t.id, Workers: m.crashes.Losses(t.id).Workers(), Cause: cause})
+	if cause == report.TaskCrashes {
 		m.finish(now, j, Failed, cause.Reason())
 		return true
 	}
--- a/fleet/contacts.go
+++ b/fleet/contacts.go
@@ -13,6 +13,7 @@
 	"github.com/catkingap/catkingap/evacuation"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/index"
+	"github.com/catkingap/catkingap/livecalls"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/peer"
 	"github.com/catkingap/catkingap/throttle"
@@ -63,7 +64,7 @@
 	DataCentre ident.DataCentre  `msgpack:"dataCentre"`
 	Token      worker.Token      `msgpack:"token"`
 	Sequence   dispatch.Sequence `msgpack:"try"`
-	Calls      callList          `msgpack:"calls"`
+	Calls      livecalls.List    `msgpack:"calls"`
 }
 
 // contactAnswer describes the contacted host and its ownerships.
@@ -149,6 +150,13 @@
 	onNewProcess func()
 }
 
+// liveCalls holds the calls for which a host still waits at one owner, as of a time.
+type liveCalls struct {
+	calls    livecalls.List
+	sequence dispatch.Sequence
+	at       time.Time
+}
+
 // hostClock is a reading of the clock of another host's process, which showed at least
 // clock at the time at.
 type hostClock struct {
--- a/fleet/lag_test.go
+++ b/fleet/lag_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/catkingap/catkingap/dispatch"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/livecalls"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/throttle"
 	"github.com/catkingap/catkingap/work"
@@ -31,7 +32,7 @@
 			contacts: map[ident.Host]ownership.Contact{"owner": {Boot: "b", Heard: now.Add(time.Minute)}},
 		}
 		s := &Submitter{
-			self: c.self, pauses: newPauseDetector(time.Now, logger), contacts: c, calls: newCallTracker(), logger: logger,
+			self: c.self, pauses: newPauseDetector(time.Now, logger), contacts: c, calls: livecalls.NewTracker(), logger: logger,
 			directory: &Directory{owners: map[ident.DataCentre]ownership.Owner{centre: o}},
 		}
 		held := func() bool {
@@ -76,7 +77,7 @@
 		now := time.Now()
 		logger := &log.Logger{Handler: discard.New()}
 		s := &Submitter{
-			pauses: newPauseDetector(time.Now, logger), calls: newCallTracker(), logger: logger, directory: &Directory{},
+			pauses: newPauseDetector(time.Now, logger), calls: livecalls.NewTracker(), logger: logger, directory: &Directory{},
 			contacts: &Contacts{clock: time.Now},
 		}
 		s.ownerSeen.Store(now.UnixNano())
--- a/fleet/log.go
+++ b/fleet/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -11,20 +12,24 @@
 	"github.com/apex/log/handlers/json"
 	"go.uber.org/fx"
 
+	"github.com/catkingap/catkingap/logline"
 	"github.com/catkingap/catkingap/metrics"
 	"github.com/catkingap/catkingap/network"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/peer"
 )
 
+// logOutput is the destination of the log.
+type logOutput io.Writer
+
 // newLogger returns a logger that writes JSON lines and never blocks on its output.
 func newLogger(life fx.Lifecycle, o logOutput, s Settings) (log.Interface, error) {
 	level, err := log.ParseLevel(s.LogLevel)
 	if err != nil {
 		return nil, err
 	}
-	lines := newLineWriter(o)
-	runLoops(life, lines.run)
+	lines := logline.NewWriter(o)
+	runLoops(life, lines.Run)
 	logger := &log.Logger{Handler: json.New(lines), Level: level}
 	return logger.WithField("host", string(s.Host)), nil
 }
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -17,6 +17,7 @@
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/lag"
 	"github.com/catkingap/catkingap/ownership"
+	"github.com/catkingap/catkingap/report"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -319,9 +320,9 @@
 }
 
 // logRecord logs the course of a submission: each run with its task, worker and times.
-func (w *Owner) logRecord(r *dispatch.Record) {
+func (w *Owner) logRecord(r *report.Record) {
 	if r.Reason == dispatch.ReasonEvacuated {
-		w.owners.counters.evacuatedJobs.Add(string(r.Result), 1)
+		w.owners.counters.evacuatedJobs.Add(r.Result, 1)
 	}
 	runs := make([]string, 0, len(r.Runs))
 	for _, x := range r.Runs {
@@ -329,7 +330,7 @@
 			x.Started.Milliseconds(), max(0, x.Ended-x.Started).Milliseconds(), x.How))
 	}
 	w.logger.WithFields(log.Fields{
-		"job": string(r.Job), "peer": string(r.Host), "call": r.Call, "result": string(r.Result), "reason": r.Reason,
+		"job": string(r.Job), "peer": string(r.Host), "call": r.Call, "result": r.Result, "reason": r.Reason,
 		"waitedMs": r.Waited.Milliseconds(), "tookMs": r.Took.Milliseconds(), "objectiveMs": r.Objective.Milliseconds(),
 		"waitingTasks": r.Waiting, "runs": runs, "omittedRuns": r.Omitted,
 	}).Info("job dispatched")
--- a/fleet/pausedetector_test.go
+++ b/fleet/pausedetector_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/livecalls"
 )
 
 // TestAwakeAfterPause pauses the process. It must not count as awake before the detector
@@ -43,7 +44,7 @@
 		is := is.New(t)
 		logger := &log.Logger{Handler: discard.New()}
 		d := newPauseDetector(time.Now, logger)
-		s := &Submitter{pauses: d, contacts: &Contacts{clock: time.Now}, calls: newCallTracker(), logger: logger}
+		s := &Submitter{pauses: d, contacts: &Contacts{clock: time.Now}, calls: livecalls.NewTracker(), logger: logger}
 		time.Sleep(2 * time.Second)
 		ctx, leave := context.WithCancel(t.Context())
 		time.AfterFunc(10*time.Millisecond, leave)
@@ -62,7 +63,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		d := newPauseDetector(time.Now, &log.Logger{Handler: discard.New()})
-		s := &Submitter{pauses: d, contacts: &Contacts{clock: time.Now}, calls: newCallTracker()}
+		s := &Submitter{pauses: d, contacts: &Contacts{clock: time.Now}, calls: livecalls.NewTracker()}
 		d.tick(time.Now())
 		before := time.Now()
 		time.Sleep(minPause - time.Millisecond)
--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -12,6 +12,7 @@
 	"github.com/catkingap/catkingap/dispatch"
 	"github.com/catkingap/catkingap/evacuation"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/livecalls"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/peer"
 	"github.com/catkingap/catkingap/work"
@@ -45,7 +46,7 @@
 	pauses    *PauseDetector
 	counters  *Counters
 	logger    log.Interface
-	calls     *callTracker
+	calls     *livecalls.Tracker
 	open      atomic.Int64
 	// ending ends when the open calls must be answered at once.
 	ending context.Context
@@ -58,12 +59,12 @@
 
 func newSubmitter(self ownership.Host, l *peer.Links, d *Directory, c *Contacts, o *Owners, p *PauseDetector, counters *Counters, logger log.Interface) *Submitter {
 	s := &Submitter{
-		self: self, links: l, directory: d, contacts: c, owners: o, pauses: p, counters: counters, logger: logger, calls: newCallTracker(),
+		self: self, links: l, directory: d, contacts: c, owners: o, pauses: p, counters: counters, logger: logger, calls: livecalls.NewTracker(),
 	}
 	s.ending, s.end = context.WithCancel(context.Background())
 	s.ownerSeen.Store(time.Now().UnixNano())
 	c.liveCalls = s.liveCalls
-	c.hasLiveCalls = s.calls.hasCalls
+	c.hasLiveCalls = s.calls.HasCalls
 	return s
 }
 
@@ -74,7 +75,7 @@
 	if !s.pauses.IsAwake(s.contacts.clock()) {
 		return liveCalls{}, false
 	}
-	calls, sequence := s.calls.list(c)
+	calls, sequence := s.calls.List(c)
 	return liveCalls{calls: calls, sequence: sequence, at: at}, true
 }
 
@@ -155,7 +156,7 @@
 func (s *Submitter) Submit(ctx context.Context, j work.Job, arrived, deadline time.Time) dispatch.Reply {
 	defer s.trackCall()()
 	a := newAttempt(j, arrived, deadline)
-	a.call = s.calls.newCall()
+	a.call = s.calls.NewCall()
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(s.ending, cancel)()
@@ -265,7 +266,7 @@
 	now := time.Now()
 	waited, left := a.times(now, s.contacts.clock().Sub(verified))
 	sub := dispatch.Submission{
-		Job: a.job, Host: s.self.Name, Boot: s.self.Boot, Call: a.call, Sequence: s.calls.add(o.DataCentre, a.call),
+		Job: a.job, Host: s.self.Name, Boot: s.self.Boot, Call: a.call, Sequence: s.calls.Add(o.DataCentre, a.call),
 		Waited: waited, Remaining: left, Final: final, Resubmitted: a.startedBefore(o), Pinned: a.yielded, MayRefer: true,
 		Losses: s.contacts.lossesOf(a.job.ID),
 	}
@@ -276,7 +277,7 @@
 		if !errors.As(err, new(*peer.UnreachableError)) {
 			a.bind(ended, o)
 		} else if a.bound == "" {
-			s.calls.remove(o.DataCentre, a.call)
+			s.calls.Remove(o.DataCentre, a.call)
 		}
 		if ctx.Err() != nil {
 			return dispatch.Reply{Result: dispatch.Expired, Reason: "the caller has left"}, true
@@ -345,7 +346,7 @@
 // try of it may still be there.
 func (s *Submitter) release(a *attempt, c ident.DataCentre) {
 	if a.bound == "" {
-		s.calls.remove(c, a.call)
+		s.calls.Remove(c, a.call)
 	}
 }
 
@@ -482,7 +483,7 @@
 	if a.bound == "" {
 		return
 	}
-	s.calls.remove(a.bound, a.call)
+	s.calls.Remove(a.bound, a.call)
 	if o, ok := s.directory.Owners()[a.bound]; ok {
 		go s.withdraw(o, a)
 	}
