Start at the rate that cold workers sustain, and warm ones first

A worker that has started lately is slow for a while, and the operator states how many starts per second it sustains. Nothing took that into account, and the slow runs were learned as its usual speed.

Package cold decides how many starts a cold worker gets: its rate, with bursts two below the slack, so that the first start of the next owner fits in. A worker without a start left is not usable until its next one. Warm workers come first as long as they meet the objective, and run times on cold ones are not learned. The time left comes from the worker's row, else from its start and the operator's configuration. Without a rate and without workers that tell a time nothing changes.

--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -2,8 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/catkingap/catkingap/work"
@@ -67,28 +65,10 @@
 
 // findTask returns the task with the given name, or nil if its job is not known.
 func (m *Machine) findTask(name string) *task {
-	j := m.jobs[work.JobOfTask(name)]
-	if j == nil {
+	x, ok := work.ParseTask(name)
+	j := m.jobs[x.Job]
+	if !ok || j == nil || x.Step >= len(j.stepOffsets) || x.Index >= j.spec.Steps[x.Step].Count {
 		return nil
 	}
-	parts := strings.Split(name, ".")
-	if len(parts) != taskNameParts {
-		return nil
-	}
-	step, err := strconv.Atoi(parts[taskNameParts-2])
-	if err != nil || step < 0 || step >= len(j.stepOffsets) {
-		return nil
-	}
-	i, err := strconv.Atoi(parts[taskNameParts-1])
-	if err != nil || i < 0 || i >= j.spec.Steps[step].Count {
-		return nil
-	}
-	if t := j.tasks[j.stepOffsets[step]+i]; t.id == name {
-		return t
-	}
-	return nil
+	return j.tasks[j.stepOffsets[x.Step]+x.Index]
 }
-
-// taskNameParts is the number of dot-separated parts of a task's name. The last two
-// are the number of its step and its index there.
-const taskNameParts = 4
--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -76,7 +76,7 @@
 		free := n.Capacity.Minus(n.used)
 		s.freeCores = free.Cores
 		if m.meanCores > 0 {
-			s.tasks = int(float64(free.Cores) / m.meanCores)
+			s.tasks = m.cold.Free(now, &n.cold, n.Pool, int(float64(free.Cores)/m.meanCores))
 		}
 		s.entry = &room.Worker[*node]{Item: n, ID: n.ID, Pool: n.Pool, Labels: n.Labels, Free: free, LogSlowdown: n.slowdown.Log()}
 	}
@@ -186,6 +186,9 @@
 	if now.Before(n.holdUntil) {
 		at = earliest(at, n.holdUntil)
 	}
+	if m.cold.Free(now, &n.cold, n.Pool, 1) == 0 {
+		at = earliest(at, m.cold.Next(now, &n.cold, n.Pool))
+	}
 	if probe := m.detector.NextProbe(n.ID); now.Before(probe) {
 		at = earliest(at, probe)
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/catkingap/catkingap/cold"
 	"github.com/catkingap/catkingap/crash"
 	"github.com/catkingap/catkingap/ejection"
 	"github.com/catkingap/catkingap/evacuation"
@@ -110,35 +111,21 @@
 }
 
 // Result tells how a submission ended.
-type Result string
+type Result = report.Result
 
-// The results of submissions.
+// The results of submissions, see report.Result.
 const (
-	// Busy means that nothing was started and that another owner may be asked.
-	Busy Result = "busy"
-	// Unsuited means that nothing was started, and that only other data centres have
-	// workers for the job.
-	Unsuited Result = "unsuited"
-	// Completed means that all tasks are done.
-	Completed Result = "completed"
-	// Failed means that the job cannot be completed.
-	Failed Result = "failed"
-	// Interrupted means that the job did not end here. Runs of it have ended or
-	// will end before the caller sends it again.
-	Interrupted Result = "interrupted"
-	// Expired means that the caller's deadline passed after part of the job had
-	// started.
-	Expired Result = "expired"
-	// Stored means that the job is stored and that its caller does not wait.
-	Stored Result = "kept"
-	// Moved means that the host that was asked does not own the workers.
-	Moved Result = "moved"
-	// Refused means that nothing was or will be started.
-	Refused Result = "refused"
-	// Cancelled means that a job was cancelled.
-	Cancelled Result = "cancelled"
-	// Superseded means that the caller has sent the job again through another host.
-	Superseded Result = "superseded"
+	Busy        = report.Busy
+	Unsuited    = report.Unsuited
+	Completed   = report.Completed
+	Failed      = report.Failed
+	Interrupted = report.Interrupted
+	Expired     = report.Expired
+	Stored      = report.Stored
+	Moved       = report.Moved
+	Refused     = report.Refused
+	Cancelled   = report.Cancelled
+	Superseded  = report.Superseded
 )
 
 // Reply answers a submission.
@@ -192,6 +179,8 @@
 	GivenUp []report.GivenUp
 	// SuspectStarts is the number of starts of tasks that workers were lost under.
 	SuspectStarts int
+	// ColdStarts is the number of starts on cold workers.
+	ColdStarts int
 	// Records describe submissions that have ended.
 	Records []report.Record
 	// RunEnds must be stored and then reported to EndStored.
@@ -276,6 +265,8 @@
 	ownershipUncertain bool
 	// access tells whether tasks may start.
 	access evacuation.Access
+	// cold holds the limits for cold workers.
+	cold cold.Board
 	// stopped is true once the ownership has ended.
 	stopped bool
 }
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/catkingap/catkingap/cold"
 	"github.com/catkingap/catkingap/crash"
 	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/work"
@@ -121,6 +122,7 @@
 	unanswered map[runKey]time.Time
 	used       work.Size
 	slowdown   room.Slowdown
+	cold       cold.Worker
 	// changed is true if the worker has changed during this event. stale is true if
 	// that is not yet reflected in contribution, which is what the worker adds to
 	// the counts.
@@ -330,7 +332,7 @@
 			t.job.doneRuns++
 			t.job.runTimeRatios += float64(now.Sub(r.sent)) / float64(expected)
 		}
-		n.slowdown.Learn(now.Sub(r.sent), t.estimate())
+		n.learn(r, now.Sub(r.sent))
 		m.updateMeanRunTime(now.Sub(r.sent), r.size.Cores)
 	}
 	m.recordHealth(now, n, t, result)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -26,7 +26,7 @@
 // isUsable returns true if a worker may get work.
 func (m *Machine) isUsable(now time.Time, n *node) bool {
 	return m.access == evacuation.Open && n.listed && n.answered && !n.isRowBehind() && !n.Draining && n.silentSince.IsZero() && !now.Before(n.holdUntil) &&
-		m.detector.Allowed(now, n.ID, true) && !n.hasOrphans() && len(n.lapsingEnds) == 0
+		m.detector.Allowed(now, n.ID, true) && !n.hasOrphans() && len(n.lapsingEnds) == 0 && m.cold.Free(now, &n.cold, n.Pool, 1) > 0
 }
 
 // isRowBehind returns true if the worker's row is one of an earlier incarnation. The present one
@@ -179,7 +179,7 @@
 // Of the workers that meet the objective the fastest is taken: work ends sooner, and
 // estimates are too far off to spare fast workers for tasks that may need them. Among
 // equals, the one with the least free capacity is taken. Workers near the task's data
-// come first, and those on which the task has failed come last. A tardy task cannot meet
+// come first, cold ones after warm ones, and those on which the task has failed last. A tardy task cannot meet
 // its objective: it goes to the fastest worker on which its result is still of use. A
 // suspect goes to an idle worker if there is any, and an isolated task to no other one.
 func (m *Machine) chooseWorker(now time.Time, t *task, tardy bool) *node {
@@ -211,10 +211,15 @@
 			if failed && len(t.failedWorkers) == 0 && t.attempts == 0 {
 				break
 			}
-			for _, x := range searches {
-				mayShare := func(n *node) bool { return n.mayShare(standing, idle) }
-				if n := m.searchList(now, t, x.list, x.factor, tardy, failed, mayShare); n != nil {
-					return n
+			for _, isCold := range [...]bool{false, true} {
+				if isCold && !m.cold.AnyCold(now) {
+					break
+				}
+				for _, x := range searches {
+					mayShare := func(n *node) bool { return n.cold.IsCold(now) == isCold && n.mayShare(standing, idle) }
+					if n := m.searchList(now, t, x.list, x.factor, tardy, failed, mayShare); n != nil {
+						return n
+					}
 				}
 			}
 		}
@@ -289,6 +294,9 @@
 	t.job.begun = true
 	t.job.recordStart(now, r)
 	m.detector.Started(now, n.ID)
+	if m.cold.Started(now, &n.cold, n.Pool) {
+		m.actions.ColdStarts++
+	}
 	if m.meanCores == 0 {
 		m.meanCores = float64(r.size.Cores)
 	}
--- a/dispatch/straggler.go
+++ b/dispatch/straggler.go
@@ -84,7 +84,7 @@
 	rerun := scaled(m.expectedRunTime(other, r.task), r.task.job.runTimeRatio()) + restartTime
 	total := elapsed * 100 / time.Duration(percent)
 	if float64(total-elapsed) > restartGain*float64(rerun) && now.Add(rerun).Before(r.task.job.deadline) {
-		n.slowdown.Learn(total, r.task.estimate())
+		n.learn(r, total)
 		m.stop(now, r, "another worker is faster")
 	}
 }
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -65,7 +65,7 @@
 	n.rowLife = w.Life
 	w.Address, w.Life = n.Address, n.Life
 	n.Worker, n.largest = w, n.largest.Max(w.Capacity)
-	m.markChanged(n)
+	m.updateColdness(now, n)
 }
 
 // Generation returns the number of changes to the result of Workers.
--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/fx"
 
+	"github.com/catkingap/catkingap/cold"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/peer"
@@ -71,6 +72,14 @@
 // Table returns the queues in force, or nil before the first version.
 func (c *Configuration) Table() *queue.Table { return c.table.Load() }
 
+// coldLimits returns the limits for the cold workers of each pool.
+func (c *Configuration) coldLimits(slack float64) map[ident.Pool]cold.Limits {
+	if c == nil || c.Table() == nil {
+		return nil
+	}
+	return c.Table().ColdLimits(slack)
+}
+
 // Revision returns the revision of the configuration in force.
 func (c *Configuration) Revision() ident.Revision {
 	c.mutex.Lock()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"github.com/catkingap/catkingap/metrics"
 	"github.com/catkingap/catkingap/network"
 	"github.com/catkingap/catkingap/ownership"
+	"github.com/catkingap/catkingap/pause"
 	"github.com/catkingap/catkingap/peer"
 	"github.com/catkingap/catkingap/queue"
 	"github.com/catkingap/catkingap/storage"
@@ -75,6 +76,8 @@
 	// EvacuationTime is the time within which the evacuation of a data centre must be in
 	// force. Zero means that evacuation is off.
 	EvacuationTime time.Duration
+	// ColdSlack is the number of starts below which a burst on a cold worker must stay.
+	ColdSlack float64
 	// Retention is how long the state of a stored job can be queried after its end.
 	Retention time.Duration
 	// RowBytes is the largest value of a row that the table stores. Zero means a default.
@@ -130,7 +133,7 @@
 			newLogger,
 			metrics.NewSet,
 			newCounters,
-			newPauseDetector,
+			func(c Clock, l log.Interface) *pause.Detector { return pause.New(c, l) },
 			newSelf,
 			newLinks,
 			newEvacuation,
@@ -142,7 +145,8 @@
 			newSubmitter,
 			newShutdown,
 		),
-		fx.Invoke(runConfiguration, runDirectory, runContacts, runOwners, runLinks, runMetrics, runPauseDetector),
+		fx.Invoke(runConfiguration, runDirectory, runContacts, runOwners, runLinks, runMetrics),
+		fx.Invoke(func(life fx.Lifecycle, d *pause.Detector) { runLoops(life, d.Run) }),
 		fx.StopTimeout(o.Settings.ShutdownTimeout),
 		fx.Options(more...),
 	)
--- a/fleet/lag_test.go
+++ b/fleet/lag_test.go
@@ -13,6 +13,7 @@
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/livecalls"
 	"github.com/catkingap/catkingap/ownership"
+	"github.com/catkingap/catkingap/pause"
 	"github.com/catkingap/catkingap/throttle"
 	"github.com/catkingap/catkingap/work"
 )
@@ -32,7 +33,7 @@
 			contacts: map[ident.Host]ownership.Contact{"owner": {Boot: "b", Heard: now.Add(time.Minute)}},
 		}
 		s := &Submitter{
-			self: c.self, pauses: newPauseDetector(time.Now, logger), contacts: c, calls: livecalls.NewTracker(), logger: logger,
+			self: c.self, pauses: pause.New(time.Now, logger), contacts: c, calls: livecalls.NewTracker(), logger: logger,
 			directory: &Directory{owners: map[ident.DataCentre]ownership.Owner{centre: o}},
 		}
 		held := func() bool {
@@ -40,7 +41,7 @@
 			if s.isAdmitted(a, centre) {
 				return false
 			}
-			s.pauses.tick(time.Now())
+			s.pauses.Tick(time.Now())
 			began := time.Now()
 			r := s.run(t.Context(), a)
 			is.Equal(time.Since(began), time.Duration(0))
@@ -77,11 +78,11 @@
 		now := time.Now()
 		logger := &log.Logger{Handler: discard.New()}
 		s := &Submitter{
-			pauses: newPauseDetector(time.Now, logger), calls: livecalls.NewTracker(), logger: logger, directory: &Directory{},
+			pauses: pause.New(time.Now, logger), calls: livecalls.NewTracker(), logger: logger, directory: &Directory{},
 			contacts: &Contacts{clock: time.Now},
 		}
 		s.ownerSeen.Store(now.UnixNano())
-		s.pauses.tick(now)
+		s.pauses.Tick(now)
 		a := &attempt{bound: "coast-a", ownerlessSince: now, admitted: map[ident.DataCentre]bool{"coast-b": false}, deadline: now.Add(200 * time.Millisecond)}
 		r := s.run(t.Context(), a)
 		is.Equal(r.Result, dispatch.Interrupted)
--- a/fleet/log.go
+++ b/fleet/log.go
@@ -61,6 +61,8 @@
 	// evacuations counts the evacuations that began and ended in the view of this host, and
 	// evacuatedJobs the jobs that left an owner of this host because of one, by result.
 	evacuations, evacuatedJobs *expvar.Map
+	// coldStarts counts the starts on cold workers.
+	coldStarts *expvar.Int
 }
 
 // The outcomes of withdrawals: an owner of this host received one and knew the job or
@@ -81,7 +83,7 @@
 		orders: s.Counters("orders"), panics: s.Counter("ownerPanics"), pauses: s.Counter("pauses"), results: s.Counters("results"),
 		response: s.Histogram("response"), withdrawals: s.Counters("withdrawals"),
 		workersLost: s.Counters("workersLost"), runsLost: s.Counters("runsLost"),
-		evacuations: s.Counters("evacuations"), evacuatedJobs: s.Counters("evacuatedJobs"),
+		coldStarts: s.Counter("coldStarts"), evacuations: s.Counters("evacuations"), evacuatedJobs: s.Counters("evacuatedJobs"),
 		suspectStarts: s.Counter("suspectStarts"), tasksGivenUp: s.Counters("tasksGivenUp"),
 	}
 }
--- a/fleet/losses.go
+++ b/fleet/losses.go
@@ -25,6 +25,7 @@
 		}).Warn("worker lost with its runs")
 	}
 	w.owners.counters.suspectStarts.Add(int64(a.SuspectStarts))
+	w.owners.counters.coldStarts.Add(int64(a.ColdStarts))
 	for _, g := range a.GivenUp {
 		w.owners.counters.tasksGivenUp.Add(string(g.Cause), 1)
 		w.logger.WithFields(log.Fields{
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -141,6 +141,7 @@
 			if x, ok := w.owners.contacts.liveCalls(w.owner.DataCentre); ok {
 				m.KeepaliveReceived(now, dispatch.Keepalive{Host: w.owners.self.Name, Boot: w.owners.self.Boot, At: x.at, Sequence: x.sequence, Calls: x.calls})
 			}
+			m.SetColdLimits(now, w.owners.contacts.configuration.coldLimits(w.owners.settings.ColdSlack))
 			m.Tick(now)
 			w.yield(now, m)
 		})
@@ -322,7 +323,7 @@
 // logRecord logs the course of a submission: each run with its task, worker and times.
 func (w *Owner) logRecord(r *report.Record) {
 	if r.Reason == dispatch.ReasonEvacuated {
-		w.owners.counters.evacuatedJobs.Add(r.Result, 1)
+		w.owners.counters.evacuatedJobs.Add(string(r.Result), 1)
 	}
 	runs := make([]string, 0, len(r.Runs))
 	for _, x := range r.Runs {
@@ -330,7 +331,7 @@
 			x.Started.Milliseconds(), max(0, x.Ended-x.Started).Milliseconds(), x.How))
 	}
 	w.logger.WithFields(log.Fields{
-		"job": string(r.Job), "peer": string(r.Host), "call": r.Call, "result": r.Result, "reason": r.Reason,
+		"job": string(r.Job), "peer": string(r.Host), "call": r.Call, "result": string(r.Result), "reason": r.Reason,
 		"waitedMs": r.Waited.Milliseconds(), "tookMs": r.Took.Milliseconds(), "objectiveMs": r.Objective.Milliseconds(),
 		"waitingTasks": r.Waiting, "runs": runs, "omittedRuns": r.Omitted,
 	}).Info("job dispatched")
--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -14,6 +14,7 @@
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/livecalls"
 	"github.com/catkingap/catkingap/ownership"
+	"github.com/catkingap/catkingap/pause"
 	"github.com/catkingap/catkingap/peer"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
@@ -43,7 +44,7 @@
 	directory *Directory
 	contacts  *Contacts
 	owners    *Owners
-	pauses    *PauseDetector
+	pauses    *pause.Detector
 	counters  *Counters
 	logger    log.Interface
 	calls     *livecalls.Tracker
@@ -57,7 +58,7 @@
 	lastEnded atomic.Int64
 }
 
-func newSubmitter(self ownership.Host, l *peer.Links, d *Directory, c *Contacts, o *Owners, p *PauseDetector, counters *Counters, logger log.Interface) *Submitter {
+func newSubmitter(self ownership.Host, l *peer.Links, d *Directory, c *Contacts, o *Owners, p *pause.Detector, counters *Counters, logger log.Interface) *Submitter {
 	s := &Submitter{
 		self: self, links: l, directory: d, contacts: c, owners: o, pauses: p, counters: counters, logger: logger, calls: livecalls.NewTracker(),
 	}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/catkingap/catkingap/cold"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/work"
 )
@@ -47,6 +48,8 @@
 	Version Version `msgpack:"version"`
 	Queues  []Queue `msgpack:"queues"`
 	Limits  Limits  `msgpack:"limits"`
+	// Cold holds the limits for the cold workers of each pool that has any.
+	Cold map[ident.Pool]cold.Limits `msgpack:"cold,omitempty"`
 }
 
 // Table finds the queue of a request. It is immutable.
@@ -79,3 +82,14 @@
 	}
 	return best, path[len(best.Prefix):]
 }
+
+// ColdLimits returns the limits for the cold workers of each pool. Bursts of starts on one stay
+// below slack.
+func (t *Table) ColdLimits(slack float64) map[ident.Pool]cold.Limits {
+	limits := make(map[ident.Pool]cold.Limits, len(t.Cold))
+	for p, l := range t.Cold {
+		l.Slack = slack
+		limits[p] = l
+	}
+	return limits
+}
--- a/report/report.go
+++ b/report/report.go
@@ -10,12 +10,47 @@
 	"github.com/catkingap/catkingap/worker"
 )
 
+// Result tells how a submission ended.
+type Result string
+
+// The results of submissions.
+const (
+	// Busy means that nothing was started and that another owner may be asked.
+	Busy Result = "busy"
+	// Unsuited means that nothing was started, and that only other data centres have
+	// workers for the job.
+	Unsuited Result = "unsuited"
+	// Completed means that all tasks are done.
+	Completed Result = "completed"
+	// Failed means that the job cannot be completed.
+	Failed Result = "failed"
+	// Interrupted means that the job did not end here. Runs of it have ended or
+	// will end before the caller sends it again.
+	Interrupted Result = "interrupted"
+	// Expired means that the caller's deadline passed after part of the job had
+	// started.
+	Expired Result = "expired"
+	// Stored means that the job is stored and that its caller does not wait.
+	Stored Result = "kept"
+	// Moved means that the host that was asked does not own the workers.
+	Moved Result = "moved"
+	// Refused means that nothing was or will be started.
+	Refused Result = "refused"
+	// Cancelled means that a job was cancelled.
+	Cancelled Result = "cancelled"
+	// Superseded means that the caller has sent the job again through another host.
+	Superseded Result = "superseded"
+)
+
+// maxRecordedRuns bounds the runs in the record of one job.
+const maxRecordedRuns = 64
+
 // Record describes how a submission went, for the log.
 type Record struct {
 	Job    work.ID
 	Host   ident.Host
 	Call   uint64
-	Result string
+	Result Result
 	Reason string
 	// Waited is the time from the caller's request to the submission, and Took is
 	// the time from the submission to its end.
@@ -41,6 +76,29 @@
 	How            string
 }
 
+// AddRun adds a run, and returns its number in the record, or zero if the record is full.
+func (r *Record) AddRun(x RunRecord) int {
+	if len(r.Runs) == maxRecordedRuns {
+		r.Omitted++
+		return 0
+	}
+	r.Runs = append(r.Runs, x)
+	return len(r.Runs)
+}
+
+// EndRun records how the run with the given number ended, or why it is being stopped. The first
+// reason is kept.
+func (r *Record) EndRun(number int, ended time.Duration, how string) {
+	if number == 0 {
+		return
+	}
+	x := &r.Runs[number-1]
+	if x.How == "" {
+		x.How = how
+	}
+	x.Ended = ended
+}
+
 // LossCause tells why a run ended without its worker having reported an end.
 type LossCause string
 
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/catkingap/catkingap/cold"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/roster"
 	"github.com/catkingap/catkingap/storage"
@@ -31,9 +32,14 @@
 	return storage.Row{Key: string(w.ID), Value: value, Revision: revision}
 }
 
+// told returns what a row tells of a worker that stays cold for some seconds.
+func told(s int) cold.Told {
+	return cold.Told{Known: true, Remaining: time.Duration(s) * time.Second}
+}
+
 // TestUpdate checks which changes of a worker's row change the list of its data centre.
 func TestUpdate(t *testing.T) {
-	w := worker.Worker{ID: "w1", Life: 1, Address: "a:1", Pool: "pool", DataCentre: coastA, Labels: []string{"rack-1"}}
+	w := worker.Worker{ID: "w1", Life: 1, Address: "a:1", Pool: "pool", DataCentre: coastA, Labels: []string{"rack-1"}, Cold: told(5)}
 	with := func(change func(x *worker.Worker)) *worker.Worker {
 		x := w
 		change(&x)
@@ -47,13 +53,15 @@
 		changed bool
 		listed  bool
 	}{
-		"the same again":      {next: &w, listed: true},
-		"it drains":           {next: with(func(x *worker.Worker) { x.Draining = true }), changed: true, listed: true},
-		"another incarnation": {next: with(func(x *worker.Worker) { x.Life = 2 }), changed: true, listed: true},
-		"other labels":        {next: with(func(x *worker.Worker) { x.Labels = []string{"rack-2"} }), changed: true, listed: true},
-		"another data centre": {next: with(func(x *worker.Worker) { x.DataCentre = coastB }), changed: true},
-		"its row is removed":  {listed: true},
-		"its row stays away":  {after: 3 * time.Second, changed: true},
+		"the same again":                   {next: &w, listed: true},
+		"it drains":                        {next: with(func(x *worker.Worker) { x.Draining = true }), changed: true, listed: true},
+		"its time as a cold worker passes": {next: with(func(x *worker.Worker) { x.Cold = told(4) }), listed: true},
+		"it is warm":                       {next: with(func(x *worker.Worker) { x.Cold = told(0) }), changed: true, listed: true},
+		"another incarnation":              {next: with(func(x *worker.Worker) { x.Life = 2 }), changed: true, listed: true},
+		"other labels":                     {next: with(func(x *worker.Worker) { x.Labels = []string{"rack-2"} }), changed: true, listed: true},
+		"another data centre":              {next: with(func(x *worker.Worker) { x.DataCentre = coastB }), changed: true},
+		"its row is removed":               {listed: true},
+		"its row stays away":               {after: 3 * time.Second, changed: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/work/work.go
+++ b/work/work.go
@@ -243,5 +243,21 @@
 	return ID(id)
 }
 
+// taskNameParts is the number of dot-separated parts of a task's name. The last two
+// are the number of its step and its index there.
+const taskNameParts = 4
+
+// ParseTask returns the task with the given name, and false for a text that names none.
+func ParseTask(name string) (Task, bool) {
+	parts := strings.Split(name, ".")
+	if len(parts) != taskNameParts {
+		return Task{}, false
+	}
+	step, stepErr := strconv.Atoi(parts[taskNameParts-2])
+	index, indexErr := strconv.Atoi(parts[taskNameParts-1])
+	t := Task{Job: JobOfTask(name), Step: step, Index: index}
+	return t, stepErr == nil && indexErr == nil && step >= 0 && index >= 0 && t.String() == name
+}
+
 // Run numbers the starts of a task, from 1.
 type Run int
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/catkingap/catkingap/cold"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/work"
 )
@@ -40,12 +41,15 @@
 	Labels     []string
 	// Draining is true if the worker has announced that it will leave.
 	Draining bool
+	// Cold is what the worker tells of the time for which it is slow after its start.
+	Cold cold.Told
 }
 
-// Equal returns true if two entries describe the same state of a worker.
+// Equal returns true if two entries describe the same state of a worker, whatever time lies
+// between them.
 func (w Worker) Equal(x Worker) bool {
 	return w.ID == x.ID && w.Life == x.Life && w.Address == x.Address && w.Pool == x.Pool &&
-		w.Capacity == x.Capacity && w.Draining == x.Draining && slices.Equal(w.Labels, x.Labels)
+		w.Capacity == x.Capacity && w.Draining == x.Draining && w.Cold.IsAlike(x.Cold) && slices.Equal(w.Labels, x.Labels)
 }
 
 // IsOfKind returns true if a worker is of a pool and has a label. Empty means any label.
