--- a/fleet/evacuation_test.go
+++ b/fleet/evacuation_test.go
@@ -18,10 +18,10 @@
 const evacuatedZone = "coast-a"
 
 // evacuate has the operator request the evacuation of a data centre.
-func (w *world) evacuate(zone string) { w.store.Put("op", "evacuate/"+zone, struct{}{}) }
+func (w *world) evacuate(zone string) { w.store.Evacuate(zone) }
 
 // endEvacuation has the operator withdraw the request.
-func (w *world) endEvacuation(zone string) { w.store.Remove("op", "evacuate/"+zone) }
+func (w *world) endEvacuation(zone string) { w.store.EndEvacuation(zone) }
 
 // startsIn returns the times of the starts in a data centre from a time on, in order.
 func (w *world) startsIn(zone string, from time.Time) []time.Time {
--- a/standin/rowstore.go
+++ b/standin/rowstore.go
@@ -79,6 +79,18 @@
 	s.apply(StoredRow{Table: table, Key: key, Ver: s.version, Removed: true})
 }
 
+// The table of the operator's rows, and the prefix of the keys of requests to evacuate.
+const (
+	operatorTable    = "op"
+	evacuationPrefix = "evacuate/"
+)
+
+// Evacuate writes the row by which the operator requests the evacuation of a data centre.
+func (s *RowStore) Evacuate(zone string) { s.Put(operatorTable, evacuationPrefix+zone, struct{}{}) }
+
+// EndEvacuation deletes that row.
+func (s *RowStore) EndEvacuation(zone string) { s.Remove(operatorTable, evacuationPrefix+zone) }
+
 // History returns the changes that were not forgotten.
 func (s *RowStore) History() []StoredRow {
 	s.mutex.Lock()
