--- a/fleet/evacuation_test.go
+++ b/fleet/evacuation_test.go
@@ -104,6 +104,14 @@
 			},
 			bound: 50 * time.Millisecond, back: time.Second, served: 0.98,
 		},
+		"the table is slow": {
+			before: func(w *world) { w.store.Faults.Set(standin.Faults{Delay: 400 * time.Millisecond}) },
+			bound:  time.Second, back: 1500 * time.Millisecond, served: 0.99,
+		},
+		"the table loses answers": {
+			before: func(w *world) { w.loseAnswers(3 * time.Second) },
+			bound:  time.Second, back: 500 * time.Millisecond, served: 0.99,
+		},
 		"the table loses its history": {
 			during: func(w *world) { w.store.Forget() },
 			bound:  50 * time.Millisecond, back: 500 * time.Millisecond, served: 0.99,
