--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -154,7 +154,7 @@
 	m.app = fleet.New(fleet.Options{
 		Settings: fleet.Settings{
 			Host: ident.Host(name), DataCentre: ident.DataCentre(zone), PeerAddress: name + ":1", Cores: 0.4,
-			MaxLease: time.Second, FarFactor: 2, Resend: 1300 * time.Millisecond, Retention: time.Minute, EvacuationTime: 5 * time.Second, ShutdownTimeout: 5 * time.Second, LogLevel: "fatal",
+			MaxLease: time.Second, FarFactor: 2, Resend: 1300 * time.Millisecond, Retention: time.Minute, EvacuationTime: 5 * time.Second, ColdSlack: 5, ShutdownTimeout: 5 * time.Second, LogLevel: "fatal",
 		},
 		Log: io.Discard, Network: m.network, Table: table, Feed: table, Decoder: platform.Decoder{}, Workers: platform.NewWorkers(m.network.DialContext),
 	}, fx.Populate(&m.submitter, &m.configuration, &m.shutdown))
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -100,6 +100,13 @@
 	return w.entry(service, address, zone, "ready", w.config.Cores)
 }
 
+// ColdEntry returns the row that the worker writes while it stays cold for the given time.
+func (w *Worker) ColdEntry(service, address, zone string, remaining time.Duration) any {
+	entry := w.entry(service, address, zone, "ready", w.config.Cores)
+	entry["ColdRemainingMs"] = remaining.Milliseconds()
+	return entry
+}
+
 // ShrunkenEntry returns the row that the worker writes while its capacity is cores.
 func (w *Worker) ShrunkenEntry(service, address, zone string, cores int) any {
 	return w.entry(service, address, zone, "ready", cores)
@@ -124,7 +131,7 @@
 	return w.firstOrder
 }
 
-func (w *Worker) entry(service, address, zone, state string, cores int) any {
+func (w *Worker) entry(service, address, zone, state string, cores int) map[string]any {
 	return map[string]any{
 		"Service": service, "Address": address, "Zone": zone, "State": state, "born": w.Incarnation(),
 		"Capacity": map[string]int{"Cpu": cores, "MemMb": 1 << 20, "Gpu": 0}, "Labels": append([]string{"a"}, w.config.Labels...),
