--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -65,12 +65,9 @@
 
 // findTask returns the task with the given name, or nil if its job is not known.
 func (m *Machine) findTask(name string) *task {
-	j := m.jobs[work.JobOfTask(name)]
-	if j == nil {
-		return nil
-	}
 	x, ok := work.ParseTask(name)
-	if !ok || x.Step >= len(j.stepOffsets) || x.Index >= j.spec.Steps[x.Step].Count {
+	j := m.jobs[x.Job]
+	if !ok || j == nil || x.Step >= len(j.stepOffsets) || x.Index >= j.spec.Steps[x.Step].Count {
 		return nil
 	}
 	return j.tasks[j.stepOffsets[x.Step]+x.Index]
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,12 +7,15 @@
 import (
 	"time"
 
+	"github.com/catkingap/catkingap/cold"
 	"github.com/catkingap/catkingap/crash"
 	"github.com/catkingap/catkingap/ejection"
+	"github.com/catkingap/catkingap/evacuation"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/incarnation"
 	"github.com/catkingap/catkingap/index"
 	"github.com/catkingap/catkingap/patience"
+	"github.com/catkingap/catkingap/report"
 	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
@@ -37,6 +40,8 @@
 	// ResendDelay is how long after the end of its connection a caller sends a job
 	// again. Zero means that callers never do.
 	ResendDelay time.Duration
+	// Access tells whether tasks may start when the ownership begins.
+	Access evacuation.Access
 }
 
 const (
@@ -101,35 +106,21 @@
 }
 
 // Result tells how a submission ended.
-type Result string
+type Result = report.Result
 
-// The results of submissions.
+// The results of submissions, see report.Result.
 const (
-	// Busy means that nothing was started and that another owner may be asked.
-	Busy Result = "busy"
-	// Unsuited means that nothing was started, and that only other data centres have
-	// workers for the job.
-	Unsuited Result = "unsuited"
-	// Completed means that all tasks are done.
-	Completed Result = "completed"
-	// Failed means that the job cannot be completed.
-	Failed Result = "failed"
-	// Interrupted means that the job did not end here. Runs of it have ended or
-	// will end before the caller sends it again.
-	Interrupted Result = "interrupted"
-	// Expired means that the caller's deadline passed after part of the job had
-	// started.
-	Expired Result = "expired"
-	// Stored means that the job is stored and that its caller does not wait.
-	Stored Result = "kept"
-	// Moved means that the host that was asked does not own the workers.
-	Moved Result = "moved"
-	// Refused means that nothing was or will be started.
-	Refused Result = "refused"
-	// Cancelled means that a job was cancelled.
-	Cancelled Result = "cancelled"
-	// Superseded means that the caller has sent the job again through another host.
-	Superseded Result = "superseded"
+	Busy        = report.Busy
+	Unsuited    = report.Unsuited
+	Completed   = report.Completed
+	Failed      = report.Failed
+	Interrupted = report.Interrupted
+	Expired     = report.Expired
+	Stored      = report.Stored
+	Moved       = report.Moved
+	Refused     = report.Refused
+	Cancelled   = report.Cancelled
+	Superseded  = report.Superseded
 )
 
 // Reply answers a submission.
@@ -145,6 +136,8 @@
 	RetryAfter time.Duration `msgpack:"retryAfter,omitempty"`
 	// DataCentre is another data centre that has workers for a job, or empty.
 	DataCentre ident.DataCentre `msgpack:"dataCentre,omitempty"`
+	// Final is true for an interrupted job that no owner continues.
+	Final bool `msgpack:"final,omitempty"`
 	// Load is the owner's load at the time of the reply.
 	Load Load `msgpack:"load"`
 }
@@ -173,16 +166,18 @@
 	Replies []Reply
 	// WorkerLosses describe workers that were lost with their runs, and LostRuns counts
 	// the runs that ended for another reason than their task, by cause.
-	WorkerLosses []WorkerLoss
+	WorkerLosses []report.WorkerLoss
 	LostRuns     map[string]int
 	// Losses holds the losses under the tasks for which they have changed, and GivenUp
 	// the jobs that were ended because of such a task.
 	Losses  []crash.TaskLosses
-	GivenUp []GivenUp
+	GivenUp []report.GivenUp
 	// SuspectStarts is the number of starts of tasks that workers were lost under.
 	SuspectStarts int
+	// ColdStarts is the number of starts on cold workers.
+	ColdStarts int
 	// Records describe submissions that have ended.
-	Records []Record
+	Records []report.Record
 	// RunEnds must be stored and then reported to EndStored.
 	RunEnds []RunEnd
 	// JobEnds must be stored after all earlier RunEnds.
@@ -270,6 +265,10 @@
 	// another host may own the workers. No task of a stored job starts then.
 	lastEvent          time.Time
 	ownershipUncertain bool
+	// access tells whether tasks may start.
+	access evacuation.Access
+	// cold holds the limits for cold workers.
+	cold cold.Board
 	// stopped is true once the ownership has ended.
 	stopped bool
 }
@@ -296,6 +295,7 @@
 		keepalives:   map[ident.Host]Keepalive{},
 		detector:     ejection.NewDetector[worker.ID](c.Ejection),
 		takeoverEnd:  now.Add(incarnation.LapseTime(c.MaxLease)),
+		access:       c.Access,
 	}
 	m.SetWorkers(now, nil)
 	m.listRead = false
--- a/fleet/log.go
+++ b/fleet/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -11,20 +12,24 @@
 	"github.com/apex/log/handlers/json"
 	"go.uber.org/fx"
 
+	"github.com/catkingap/catkingap/logline"
 	"github.com/catkingap/catkingap/metrics"
 	"github.com/catkingap/catkingap/network"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/peer"
 )
 
+// logOutput is the destination of the log.
+type logOutput io.Writer
+
 // newLogger returns a logger that writes JSON lines and never blocks on its output.
 func newLogger(life fx.Lifecycle, o logOutput, s Settings) (log.Interface, error) {
 	level, err := log.ParseLevel(s.LogLevel)
 	if err != nil {
 		return nil, err
 	}
-	lines := newLineWriter(o)
-	runLoops(life, lines.run)
+	lines := logline.NewWriter(o)
+	runLoops(life, lines.Run)
 	logger := &log.Logger{Handler: json.New(lines), Level: level}
 	return logger.WithField("host", string(s.Host)), nil
 }
@@ -53,6 +58,11 @@
 	tasksGivenUp  *expvar.Map
 	// withdrawals counts the withdrawals of jobs whose callers have left, by outcome.
 	withdrawals *expvar.Map
+	// evacuations counts the evacuations that began and ended in the view of this host, and
+	// evacuatedJobs the jobs that left an owner of this host because of one, by result.
+	evacuations, evacuatedJobs *expvar.Map
+	// coldStarts counts the starts on cold workers.
+	coldStarts *expvar.Int
 }
 
 // The outcomes of withdrawals: an owner of this host received one and knew the job or
@@ -73,6 +83,7 @@
 		orders: s.Counters("orders"), panics: s.Counter("ownerPanics"), pauses: s.Counter("pauses"), results: s.Counters("results"),
 		response: s.Histogram("response"), withdrawals: s.Counters("withdrawals"),
 		workersLost: s.Counters("workersLost"), runsLost: s.Counters("runsLost"),
+		coldStarts: s.Counter("coldStarts"), evacuations: s.Counters("evacuations"), evacuatedJobs: s.Counters("evacuatedJobs"),
 		suspectStarts: s.Counter("suspectStarts"), tasksGivenUp: s.Counters("tasksGivenUp"),
 	}
 }
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -17,6 +17,7 @@
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/lag"
 	"github.com/catkingap/catkingap/ownership"
+	"github.com/catkingap/catkingap/report"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -106,6 +107,7 @@
 		machine: dispatch.New(o.contacts.clock(), dispatch.Config{
 			PreviousWorkers: previousWorkers, PreviousWorkersComplete: complete,
 			Token: x.Token, MaxLease: o.settings.MaxLease, FarFactor: o.settings.FarFactor, ResendDelay: o.settings.Resend,
+			Access: o.contacts.evacuation.Access(x.DataCentre),
 			Ejection: ejection.Config{
 				MaxShare: maxEjectedShare, Failures: ejectionFailures, MinProbe: minProbePause, MaxProbe: maxProbePause,
 			},
@@ -142,6 +144,7 @@
 				m.KeepaliveReceived(now, dispatch.Keepalive{Host: w.owners.self.Name, Boot: w.owners.self.Boot, At: x.at, Sequence: x.sequence, Calls: x.calls})
 			}
 			m.ReviewLosses(now, w.owners.contacts.lossesOf)
+			m.SetColdLimits(now, w.owners.contacts.configuration.coldLimits(w.owners.settings.ColdSlack))
 			m.Tick(now)
 			w.yield(now, m)
 		})
@@ -229,6 +232,13 @@
 	w.handle(eventWorkers, func(now time.Time, m *dispatch.Machine) { m.SetWorkers(now, workers) })
 }
 
+// updateAccess tells the machine whether tasks may start on its workers.
+func (w *Owner) updateAccess() {
+	w.handle(eventWorkers, func(now time.Time, m *dispatch.Machine) {
+		m.SetAccess(now, w.owners.contacts.evacuation.Access(w.owner.DataCentre))
+	})
+}
+
 func (w *Owner) setOtherWorkers(workers map[ident.DataCentre][]worker.Worker) {
 	w.handle(eventWorkers, func(_ time.Time, m *dispatch.Machine) { m.SetOtherWorkers(workers) })
 }
@@ -326,7 +336,10 @@
 }
 
 // logRecord logs the course of a submission: each run with its task, worker and times.
-func (w *Owner) logRecord(r *dispatch.Record) {
+func (w *Owner) logRecord(r *report.Record) {
+	if r.Reason == dispatch.ReasonEvacuated {
+		w.owners.counters.evacuatedJobs.Add(string(r.Result), 1)
+	}
 	runs := make([]string, 0, len(r.Runs))
 	for _, x := range r.Runs {
 		runs = append(runs, fmt.Sprintf("%d.%d#%d %s %d+%d %s", x.Step, x.Index, x.Run, x.Worker,
--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -10,8 +10,11 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/evacuation"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/livecalls"
 	"github.com/catkingap/catkingap/ownership"
+	"github.com/catkingap/catkingap/pause"
 	"github.com/catkingap/catkingap/peer"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
@@ -41,10 +44,10 @@
 	directory *Directory
 	contacts  *Contacts
 	owners    *Owners
-	pauses    *PauseDetector
+	pauses    *pause.Detector
 	counters  *Counters
 	logger    log.Interface
-	calls     *callTracker
+	calls     *livecalls.Tracker
 	open      atomic.Int64
 	// ending ends when the open calls must be answered at once.
 	ending context.Context
@@ -55,14 +58,14 @@
 	lastEnded atomic.Int64
 }
 
-func newSubmitter(self ownership.Host, l *peer.Links, d *Directory, c *Contacts, o *Owners, p *PauseDetector, counters *Counters, logger log.Interface) *Submitter {
+func newSubmitter(self ownership.Host, l *peer.Links, d *Directory, c *Contacts, o *Owners, p *pause.Detector, counters *Counters, logger log.Interface) *Submitter {
 	s := &Submitter{
-		self: self, links: l, directory: d, contacts: c, owners: o, pauses: p, counters: counters, logger: logger, calls: newCallTracker(),
+		self: self, links: l, directory: d, contacts: c, owners: o, pauses: p, counters: counters, logger: logger, calls: livecalls.NewTracker(),
 	}
 	s.ending, s.end = context.WithCancel(context.Background())
 	s.ownerSeen.Store(time.Now().UnixNano())
 	c.liveCalls = s.liveCalls
-	c.hasLiveCalls = s.calls.hasCalls
+	c.hasLiveCalls = s.calls.HasCalls
 	return s
 }
 
@@ -73,7 +76,7 @@
 	if !s.pauses.IsAwake(s.contacts.clock()) {
 		return liveCalls{}, false
 	}
-	calls, sequence := s.calls.list(c)
+	calls, sequence := s.calls.List(c)
 	return liveCalls{calls: calls, sequence: sequence, at: at}, true
 }
 
@@ -154,7 +157,7 @@
 func (s *Submitter) Submit(ctx context.Context, j work.Job, arrived, deadline time.Time) dispatch.Reply {
 	defer s.trackCall()()
 	a := newAttempt(j, arrived, deadline)
-	a.call = s.calls.newCall()
+	a.call = s.calls.NewCall()
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(s.ending, cancel)()
@@ -264,7 +267,7 @@
 	now := time.Now()
 	waited, left := a.times(now, s.contacts.clock().Sub(verified))
 	sub := dispatch.Submission{
-		Job: a.job, Host: s.self.Name, Boot: s.self.Boot, Call: a.call, Sequence: s.calls.add(o.DataCentre, a.call),
+		Job: a.job, Host: s.self.Name, Boot: s.self.Boot, Call: a.call, Sequence: s.calls.Add(o.DataCentre, a.call),
 		Waited: waited, Remaining: left, Final: final, Resubmitted: a.startedBefore(o), Pinned: a.yielded, MayRefer: true,
 		Losses: s.contacts.lossesOf(a.job.ID),
 	}
@@ -275,7 +278,7 @@
 		if !errors.As(err, new(*peer.UnreachableError)) {
 			a.bind(ended, o)
 		} else if a.bound == "" {
-			s.calls.remove(o.DataCentre, a.call)
+			s.calls.Remove(o.DataCentre, a.call)
 		}
 		if ctx.Err() != nil {
 			return dispatch.Reply{Result: dispatch.Expired, Reason: "the caller has left"}, true
@@ -301,6 +304,9 @@
 		a.tried[o.DataCentre] = true
 		return reply, false
 	case dispatch.Unsuited:
+		if a.bound != "" {
+			return a.giveUp(reply.Reason), true
+		}
 		s.release(a, o.DataCentre)
 		a.unsuited[o.DataCentre] = true
 		return reply, false
@@ -309,6 +315,9 @@
 		sleep(ctx, retryPause)
 		return reply, false
 	case dispatch.Interrupted:
+		if reply.Final {
+			return reply, true
+		}
 		a.bind(ended, o)
 		return reply, false
 	case dispatch.Refused:
@@ -338,7 +347,7 @@
 // try of it may still be there.
 func (s *Submitter) release(a *attempt, c ident.DataCentre) {
 	if a.bound == "" {
-		s.calls.remove(c, a.call)
+		s.calls.Remove(c, a.call)
 	}
 }
 
@@ -380,10 +389,11 @@
 		return o, true, ok && s.isHeard(now, o)
 	}
 	tasks := a.job.Steps[0].Count
+	hasOpen := s.hearsOpenCentre(now, owners)
 	var best, fallback ownership.Owner
 	bestFree, fallbackFree := 0, 0
 	for c, o := range owners {
-		if ok, decided := a.admitted[c]; (decided && !ok) || a.unsuited[c] || !s.isHeard(now, o) {
+		if ok, decided := a.admitted[c]; (decided && !ok) || a.unsuited[c] || !s.isHeard(now, o) || (hasOpen && s.isEvacuated(c)) {
 			continue
 		}
 		load, known := s.contacts.Load(c)
@@ -414,6 +424,20 @@
 	return fallback, true, fallback.Host != "" && a.refusal == nil
 }
 
+func (s *Submitter) isEvacuated(c ident.DataCentre) bool {
+	return s.contacts.evacuation.Access(c) == evacuation.Evacuated
+}
+
+// hearsOpenCentre returns true if the owner of a data centre is heard that is not evacuated.
+func (s *Submitter) hearsOpenCentre(now time.Time, owners map[ident.DataCentre]ownership.Owner) bool {
+	for c, o := range owners {
+		if !s.isEvacuated(c) && s.isHeard(now, o) {
+			return true
+		}
+	}
+	return false
+}
+
 // homeBonus makes the owner of the host's own data centre be tried first, because traffic
 // between data centres is expensive.
 const homeBonus = 1 << 20
@@ -460,7 +484,7 @@
 	if a.bound == "" {
 		return
 	}
-	s.calls.remove(a.bound, a.call)
+	s.calls.Remove(a.bound, a.call)
 	if o, ok := s.directory.Owners()[a.bound]; ok {
 		go s.withdraw(o, a)
 	}
