--- a/fleet/evacuation_test.go
+++ b/fleet/evacuation_test.go
@@ -61,7 +61,7 @@
 		// instead of the end of the evacuation.
 		before, during, atEnd func(w *world)
 		// bound is when the evacuation must be in force after the request, and back the time
-		// from its end to the next start in the data centre.
+		// from its end to a job that must start in the data centre.
 		bound, back time.Duration
 		served      float64
 	}{
@@ -182,6 +182,7 @@
 				w := newWorld(t)
 				time.Sleep(startTime)
 				var requested, ended time.Time
+				back := newJob("back", 1, 60*time.Millisecond)
 				go func() {
 					time.Sleep(time.Second)
 					if test.before != nil {
@@ -200,16 +201,19 @@
 					} else {
 						test.atEnd(w)
 					}
+					time.Sleep(ended.Add(test.back).Sub(time.Now()))
+					m := w.owner(evacuatedZone)
+					m.submitter.Submit(m.ctx, back, time.Now(), time.Now().Add(rest))
 				}()
 				w.load(20, 2*time.Second+lasts+rest)
-				inForce, back := requested.Add(test.bound), false
-				for _, at := range w.startsIn(evacuatedZone, inForce) {
+				for _, at := range w.startsIn(evacuatedZone, requested.Add(test.bound)) {
 					if at.Before(ended) {
 						t.Fatalf("start %s after the request", at.Sub(requested))
 					}
-					back = back || at.Before(ended.Add(test.back))
 				}
-				is.True(back)
+				runs := w.recorder.Runs()[work.Task{Job: back.ID}.String()]
+				is.Equal(len(runs), 1)
+				is.Equal(zoneOf(runs[0].Worker), evacuatedZone)
 				is.True(w.completedShare() >= test.served)
 				_, _, doubled := w.recorder.Summary()
 				is.Equal(doubled, nil)
--- a/integration/evacuation_test.go
+++ b/integration/evacuation_test.go
@@ -40,6 +40,15 @@
 			},
 			served: 0.95,
 		},
+		"the owner is frozen for a while": {
+			begin: func(f *serveFleet) {
+				o := f.owner(zone)
+				o.signal(syscall.SIGSTOP)
+				f.store.Evacuate(zone)
+				time.AfterFunc(1500*time.Millisecond, func() { o.signal(syscall.SIGCONT) })
+			},
+			served: 0.95,
+		},
 		"the table is away as it ends": {
 			end: func(f *serveFleet) {
 				f.store.Faults.Set(standin.Faults{Mode: standin.Refuse})
