Learn worker speeds by comparing the tasks of a job, and recognise slow phases

Cause: a worker's speed was learned from the estimates of jobs only, which are off by 0.4, with weight 0.12. In the simulation with 30 % of the workers 4 times slower for 6 s it took 7 to 9 runs (1.5 to 2.3 s) until a worker counted as twice as slow, and 23 to 58 of 105 workers were not used as before within 4 s of their recovery, since they got no work.

Change: package estimate replaces room.Slowdown. The runs of a job on other workers tell how far its estimate is off; usual speeds are learned from whole jobs. Odds of a slow phase are kept per worker, from ends and overdue runs. A slow worker without a further slow run is tried after 1.5 s, with one task at a time, and used as before 1 s later. A run is overdue by what was expected at its start. Runs on a worker that has become slow are checked at once.

--- a/dispatch/burst_test.go
+++ b/dispatch/burst_test.go
@@ -25,10 +25,15 @@
 // simulateBurstWith simulates a burst like simulateBurst, after preparing each
 // simulation.
 func simulateBurstWith(x float64, prepare func(*loadSim)) simulations {
+	return simulateWith(burst(x), prepare)
+}
+
+// simulateWith simulates a load with several seeds, after preparing each simulation.
+func simulateWith(factor func(second float64) float64, prepare func(*loadSim)) simulations {
 	const seeds = 3
 	var all simulations
 	for seed := range uint64(seeds) {
-		l := newLoadSim(seed, burst(x))
+		l := newLoadSim(seed, factor)
 		prepare(l)
 		l.run()
 		all = append(all, l)
--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -195,6 +195,9 @@
 	if len(n.lapsingEnds) > 0 {
 		at = earliest(at, justAfter(latest(n.leaseEnd, now)))
 	}
+	if change := n.slowdown.NextChange(); !change.IsZero() {
+		at = earliest(at, latest(change, now))
+	}
 	for _, r := range n.runs {
 		switch {
 		case r.state == stopping && r.stopAccepted.IsZero():
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/catkingap/catkingap/estimate"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
@@ -31,11 +32,9 @@
 	// carried one out.
 	begun, ran bool
 	submitted  time.Time
-	// doneRuns counts the completed runs, and runTimeRatios is the sum of their run
-	// times as multiples of the expected ones.
-	doneRuns      int
-	runTimeRatios float64
-	record        Record
+	// observed is what the runs of the job have shown of its estimates.
+	observed estimate.Job
+	record   Record
 	// chainEstimate is the estimate of the longest chain of tasks, latestStart is
 	// when the job must start to meet its objective, and uselessAt is when the
 	// answer is of no more use to the caller.
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -73,7 +73,8 @@
 	return x
 }
 
-// simulatedRun is a run on a simulated worker.
+// simulatedRun is a run on a simulated worker. It takes took unless the worker has a slow
+// phase, and ends at ends unless one begins or ends before.
 type simulatedRun struct {
 	took time.Duration
 	ends time.Time
@@ -93,6 +94,8 @@
 	polls    int
 	// down is true once the worker has crashed.
 	down bool
+	// slow is how many times longer runs take than usual.
+	slow float64
 }
 
 // callerAnswer is the answer to a caller of a simulated load.
@@ -131,6 +134,11 @@
 	cost    func(visits, orders int) time.Duration
 	// lag is how late the last ticks were handled.
 	lag time.Duration
+	// tail returns how many times longer the tasks of the next job take than its estimate
+	// says. Nil means once.
+	tail func() float64
+	// phases measures how slow phases are recognised, or is nil.
+	phases *recognition
 	// unanswered counts the starts that were given up because the owner lagged
 	// behind.
 	unanswered int
@@ -155,7 +163,7 @@
 	l.m = New(origin, l.config)
 	l.m.StoredJobsLoaded(origin)
 	for i := range loadWorkers {
-		x := &simulatedWorker{id: worker.ID(fmt.Sprintf("w%04d", i)), speed: 1.2, runs: map[runKey]*simulatedRun{}}
+		x := &simulatedWorker{id: worker.ID(fmt.Sprintf("w%04d", i)), speed: 1.2, slow: 1, runs: map[runKey]*simulatedRun{}}
 		if i%4 == 0 {
 			x.speed = 0.55
 		}
@@ -235,6 +243,10 @@
 func (l *loadSim) submit(k jobKind) {
 	runTime := time.Duration(min(l.logNormal(spread), 4) * float64(k.runTime))
 	size := work.Size{Cores: int(min(l.logNormal(0.2)*32_000, 48_000)), Memory: 64}
+	estimated := runTime
+	if l.tail != nil {
+		runTime = scaled(runTime, l.tail())
+	}
 	j := &simulatedJob{callerAnswer: callerAnswer{
 		kind: k.name, submitted: l.now, objective: time.Duration(1.6*float64(runTime)) + 60*time.Millisecond,
 	}}
@@ -244,7 +256,7 @@
 	}
 	spec := work.Job{
 		ID: work.ID(fmt.Sprintf("%s-%06d", k.name, len(l.jobs))), Queue: work.Queue(k.name), Pool: "pool", Priority: k.priority, Attempts: 3, Stretch: 1.6, Target: 60 * time.Millisecond,
-		Steps: []work.Step{{Count: count, Size: size, Estimate: time.Duration(l.logNormal(spread) * float64(runTime))}},
+		Steps: []work.Step{{Count: count, Size: size, Estimate: time.Duration(l.logNormal(spread) * float64(estimated))}},
 	}
 	l.jobs[spec.ID] = j
 	s := Submission{
@@ -324,8 +336,9 @@
 	}
 	took := time.Duration(float64(l.jobs[s.Task.Job].runTimes[s.Task.Index]) / w.speed)
 	key := runKey{task: s.Task.String(), run: s.Run}
-	w.runs[key] = &simulatedRun{took: took, ends: l.now.Add(took)}
-	l.after(took, func() { l.end(w, key, worker.Done) })
+	r := &simulatedRun{took: took}
+	w.runs[key] = r
+	l.endAfter(w, key, r, scaled(took, w.slow))
 	handled := false
 	respond := func(v worker.Verdict) {
 		l.deliver(func() {
@@ -404,7 +417,7 @@
 func (l *loadSim) report(w *simulatedWorker, sent time.Time, x worker.Poll) {
 	r := &worker.Report{Incarnation: 1, Clock: l.clock(), Ended: append([]worker.Ended(nil), w.ended...)}
 	for k, x := range w.runs {
-		done := 1 - float64(x.ends.Sub(l.now))/float64(x.took)
+		done := 1 - float64(x.ends.Sub(l.now))/(float64(x.took)*w.slow)
 		r.Running = append(r.Running, worker.Running{Task: k.task, Run: k.run, Percent: int(100 * done)})
 	}
 	slices.SortFunc(r.Running, func(a, b worker.Running) int { return cmp.Compare(a.Task, b.Task) })
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/catkingap/catkingap/crash"
-	"github.com/catkingap/catkingap/room"
+	"github.com/catkingap/catkingap/estimate"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -57,6 +57,8 @@
 	// nextCheck is when the worker is next asked for the progress of the run,
 	// because it should have ended.
 	nextCheck time.Time
+	// expected is the run time that was expected at the start, or zero.
+	expected time.Duration
 	// suspect is true for the run of a suspect, beside which no other suspect is started,
 	// and exclusive for one beside which nothing is.
 	suspect, exclusive bool
@@ -120,7 +122,7 @@
 	// unanswered holds the starts that got no answer, by the time at which they were given up.
 	unanswered map[runKey]time.Time
 	used       work.Size
-	slowdown   room.Slowdown
+	slowdown   estimate.Worker
 	// changed is true if the worker has changed during this event. stale is true if
 	// that is not yet reflected in contribution, which is what the worker adds to
 	// the counts.
@@ -326,12 +328,7 @@
 		m.markRan(t.job)
 	}
 	if result == worker.Done {
-		if expected := m.expectedRunTime(n, t); expected > 0 {
-			t.job.doneRuns++
-			t.job.runTimeRatios += float64(now.Sub(r.sent)) / float64(expected)
-		}
-		n.slowdown.Learn(now.Sub(r.sent), t.estimate())
-		m.updateMeanRunTime(now.Sub(r.sent), r.size.Cores)
+		m.learnEnd(now, r)
 	}
 	m.recordHealth(now, n, t, result)
 	if t.run == r {
@@ -422,6 +419,7 @@
 
 func (m *Machine) tickNode(now time.Time, n *node) {
 	m.forgetLapsedEnds(now, n)
+	m.noteSpeed(now, n, n.slowdown.Advance(now))
 	if !n.silentSince.IsZero() && len(n.runs) > 0 && now.After(n.leaseEnd) {
 		n.lapseChecked = now
 		m.loseLapsedRuns(now, n)
@@ -436,6 +434,7 @@
 			m.stop(now, r, "")
 		case r.state == running && r.task != nil && m.isOverdue(now, n, r):
 			r.nextCheck = now.Add(checkInterval)
+			m.learnOverdue(now, r)
 			check = true
 		}
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -88,7 +88,12 @@
 
 // expectedRunTime returns the expected run time of a task on a worker.
 func (m *Machine) expectedRunTime(n *node, t *task) time.Duration {
-	d := n.slowdown.Scale(t.estimate())
+	return n.slowdown.Scale(m.estimateOn(n, t))
+}
+
+// estimateOn returns the estimate of a task on a worker that is neither fast nor slow.
+func (m *Machine) estimateOn(n *node, t *task) time.Duration {
+	d := t.estimate()
 	if rack := t.step().Rack; rack != "" && !slices.Contains(n.Labels, rack) {
 		d = scaled(d, m.config.FarFactor)
 	}
@@ -258,8 +263,11 @@
 }
 
 // withinWorkerLimit returns true if the limit of tasks of one step per worker
-// allows one more task.
+// allows one more task. A worker on trial runs one task at a time.
 func (m *Machine) withinWorkerLimit(n *node, t *task) bool {
+	if n.slowdown.OnTrial() && len(n.runs) > 0 {
+		return false
+	}
 	bound := t.step().PerWorker
 	if bound == 0 {
 		return true
@@ -276,7 +284,7 @@
 func (m *Machine) start(now time.Time, t *task, n *node) {
 	lease := m.maxLease(now, n, t.job)
 	t.lastRun = max(t.lastRun, m.highestPreviousRun(t)) + 1
-	r := &run{key: runKey{task: t.id, run: t.lastRun}, node: n, task: t, size: t.step().Size, state: startSent, sent: now, incarnation: n.Life}
+	r := &run{key: runKey{task: t.id, run: t.lastRun}, node: n, task: t, size: t.step().Size, state: startSent, sent: now, incarnation: n.Life, expected: m.expectedRunTime(n, t)}
 	if m.standing(now, t) != crash.Clear {
 		r.suspect, r.exclusive = true, len(n.runs) == 0
 		m.actions.SuspectStarts++
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/catkingap/catkingap/estimate"
 	"github.com/catkingap/catkingap/index"
-	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/work"
 )
 
@@ -251,7 +251,7 @@
 // fastestRunTime returns the expected run time of a job on the fastest worker of
 // its pool.
 func (m *Machine) fastestRunTime(j *job) time.Duration {
-	return room.Scale(j.chainEstimate, m.freeIndex.LowestLogSlowdown(j.spec.Pool))
+	return estimate.Scale(j.chainEstimate, m.freeIndex.LowestLogSlowdown(j.spec.Pool))
 }
 
 // meetsDeadline returns true if a run with the expected run time d ends before the
--- a/dispatch/restart.go
+++ b/dispatch/restart.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/catkingap/catkingap/room"
+	"github.com/catkingap/catkingap/estimate"
 	"github.com/catkingap/catkingap/worker"
 )
 
@@ -37,7 +37,7 @@
 	n.leaseEnd, n.acknowledgeAt = time.Time{}, time.Time{}
 	m.assumeLongestLease(now, n)
 	m.stopLateStarts(now, n, listed)
-	n.slowdown = room.Slowdown{}
+	n.slowdown = estimate.Worker{}
 	m.markChanged(n)
 }
 
--- a/dispatch/straggler.go
+++ b/dispatch/straggler.go
@@ -1,17 +1,13 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/catkingap/catkingap/estimate"
+	"github.com/catkingap/catkingap/worker"
+)
 
 const (
-	// overdueFactor and overdueMargin bound how much longer than expected a run may
-	// take before its worker is asked for its progress: estimates are off by some
-	// 40 %, and tasks of one job by some 15 %.
-	overdueFactor = 1.6
-	overdueMargin = 30 * time.Millisecond
-	// lossyFactor and lossyMargin replace them while answers get lost, since the
-	// poll that was to report the end may be among the lost ones.
-	lossyFactor = 1.2
-	lossyMargin = 10 * time.Millisecond
 	// lossyPeriod is how long after an unanswered order more lost answers are
 	// expected.
 	lossyPeriod = 5 * time.Second
@@ -19,13 +15,6 @@
 	checkInterval = 100 * time.Millisecond
 	// restartTime is how long it takes to stop a run and start it elsewhere.
 	restartTime = 40 * time.Millisecond
-	// defaultRunTimeRatio is how many times its expected time a task is assumed to
-	// take as long as no other task of its job has shown how far the estimate is
-	// off.
-	defaultRunTimeRatio = 2
-	// restartGain is how many times sooner than the present run a new one must be
-	// done, since the work done so far is lost.
-	restartGain = 1.5
 )
 
 // isOverdue returns true if a run should have ended and its worker was not asked
@@ -37,34 +26,74 @@
 // checkAfter returns how long a run may take before its worker is asked for its
 // progress.
 func (m *Machine) checkAfter(now time.Time, n *node, r *run) time.Duration {
-	if now.Before(m.lossyUntil) {
-		return scaled(m.expectedRunTime(n, r.task), lossyFactor) + lossyMargin
+	if n.slowdown.IsSlow() && r.sent.Before(n.slowdown.SlowSince()) {
+		return 0
 	}
-	return m.stragglerLimit(n, r)
+	return estimate.CheckAfter(m.expectedAtStart(r), now.Before(m.lossyUntil))
 }
 
-// stragglerLimit returns how long a run may take before it counts as a straggler.
-func (m *Machine) stragglerLimit(n *node, r *run) time.Duration {
-	return scaled(m.expectedRunTime(n, r.task), overdueFactor) + overdueMargin
-}
-
-// runTimeRatio returns how many times their expected time the tasks of a job take.
-func (j *job) runTimeRatio() float64 {
-	if j.doneRuns == 0 {
-		return defaultRunTimeRatio
+// expectedAtStart returns the run time that was expected when a run was started. It does not
+// change when the worker becomes slow: the run is overdue all the same.
+func (m *Machine) expectedAtStart(r *run) time.Duration {
+	if r.expected == 0 {
+		return m.expectedRunTime(r.node, r.task)
 	}
-	return max(1, j.runTimeRatios/float64(j.doneRuns))
+	return r.expected
 }
 
 // scaled returns d times x.
 func scaled(d time.Duration, x float64) time.Duration { return time.Duration(x * float64(d)) }
 
+// estimated returns a run for the estimator.
+func (m *Machine) estimated(r *run) estimate.Run {
+	return estimate.Run{Worker: r.node.ID, Sent: r.sent, Estimate: m.estimateOn(r.node, r.task)}
+}
+
+// learnEnd learns from the run time of a run that is done. Runs of the same job that are late
+// in comparison show that their workers are slow.
+func (m *Machine) learnEnd(now time.Time, r *run) {
+	j := r.task.job
+	m.noteSpeed(now, r.node, j.observed.Ended(now, &r.node.slowdown, m.estimated(r)))
+	m.updateMeanRunTime(now.Sub(r.sent), r.size.Cores)
+	if j.left <= 1 {
+		j.observed.Learn(now, func(id worker.ID) {
+			if n := m.nodes[id]; n != nil {
+				m.markChanged(n)
+			}
+		})
+	}
+	for _, t := range j.tasks {
+		if x := t.run; x != nil && x != r && x.state == running && now.Sub(x.sent) > estimate.StragglerLimit(m.expectedAtStart(x)) {
+			m.learnOverdue(now, x)
+		}
+	}
+}
+
+// learnOverdue learns from a run that should have ended.
+func (m *Machine) learnOverdue(now time.Time, r *run) {
+	for _, t := range r.task.job.tasks {
+		if x := t.run; x != nil && x != r && x.state == running {
+			r.task.job.observed.Open(now, &x.node.slowdown, m.estimated(x))
+		}
+	}
+	m.noteSpeed(now, r.node, r.task.job.observed.Overdue(now, &r.node.slowdown, m.estimated(r)))
+}
+
+// noteSpeed handles a change of what a worker is believed to be. The runs of a worker that has
+// become slow are checked at once.
+func (m *Machine) noteSpeed(now time.Time, n *node, change estimate.Change) {
+	m.markChanged(n)
+	if change == estimate.Slowed {
+		m.pollAtOnce(now, n)
+	}
+}
+
 // checkProgress stops an overdue run that has not begun to work, or whose task a
 // free worker would complete much sooner. A worker that hangs or has slowed down
 // would otherwise hold up a job whose other tasks run elsewhere.
 func (m *Machine) checkProgress(now time.Time, n *node, r *run, percent int) {
-	elapsed := now.Sub(r.sent)
-	if elapsed <= m.stragglerLimit(n, r) {
+	elapsed, slowed := now.Sub(r.sent), r.sent.Before(n.slowdown.SlowSince())
+	if overdue := elapsed > estimate.StragglerLimit(m.expectedAtStart(r)); !overdue && (!slowed || percent <= 0) {
 		return
 	}
 	if percent <= 0 {
@@ -74,17 +103,20 @@
 		}
 		return
 	}
-	if !m.queue.isEmpty() {
+	if !m.queue.isEmpty() && !slowed {
 		return
 	}
-	other := m.chooseWorker(now, r.task, true)
+	other := m.chooseWorker(now, r.task, m.queue.isEmpty())
 	if other == nil {
 		return
 	}
-	rerun := scaled(m.expectedRunTime(other, r.task), r.task.job.runTimeRatio()) + restartTime
-	total := elapsed * 100 / time.Duration(percent)
-	if float64(total-elapsed) > restartGain*float64(rerun) && now.Add(rerun).Before(r.task.job.deadline) {
-		n.slowdown.Learn(total, r.task.estimate())
+	rerun := scaled(m.expectedRunTime(other, r.task), r.task.job.observed.Ratio(slowed)) + restartTime
+	var expected time.Duration
+	if slowed {
+		expected = m.expectedRunTime(n, r.task)
+	}
+	if estimate.IsSooner(rerun, elapsed, percent, expected) && now.Add(rerun).Before(r.task.job.deadline) {
+		m.learnOverdue(now, r)
 		m.stop(now, r, "another worker is faster")
 	}
 }
