Choose the owner of a job in package spill, and log slow workers

Cause: the choice of owner was part of fleet.Submitter and not tested by itself, and an owner offered waiting jobs by reports of free capacity of any age. Nothing showed which workers count as slow.

Change: package spill picks the owner and keeps a host's view of free capacity. A report older than 0.5 s counts as none. dispatch reports which workers have become slow or have recovered; fleet counts them (workerSpeeds) and logs at most 10 lines a second for each owner, by golang.org/x/time/rate.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -9,8 +9,10 @@
 
 	"github.com/catkingap/catkingap/crash"
 	"github.com/catkingap/catkingap/ejection"
+	"github.com/catkingap/catkingap/estimate"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/index"
+	"github.com/catkingap/catkingap/keepalive"
 	"github.com/catkingap/catkingap/patience"
 	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/work"
@@ -186,6 +188,8 @@
 	GivenUp []GivenUp
 	// SuspectStarts is the number of starts of tasks that workers were lost under.
 	SuspectStarts int
+	// SpeedChanges tell which workers have become slow or are well again.
+	SpeedChanges []estimate.SpeedChange
 	// Records describe submissions that have ended.
 	Records []Record
 	// RunEnds must be stored and then reported to EndStored.
@@ -240,7 +244,7 @@
 	// previousRuns holds the runs that earlier submissions of jobs left behind.
 	previousRuns map[work.ID]*previousRuns
 	// keepalives holds the newest keepalive of each host.
-	keepalives map[ident.Host]Keepalive
+	keepalives keepalive.Board
 	detector   *ejection.Detector[worker.ID]
 	// takeoverEnd is the time from which no run that an earlier owner started can
 	// be running unknown to this one.
@@ -290,7 +294,7 @@
 		orphans:      map[string]*run{},
 		orphansDone:  index.NewRecent[string, struct{}](outcomeRetention),
 		previousRuns: map[work.ID]*previousRuns{},
-		keepalives:   map[ident.Host]Keepalive{},
+		keepalives:   keepalive.Board{},
 		detector:     ejection.NewDetector[worker.ID](c.Ejection),
 		takeoverEnd:  now.Add(lapseTime(c.MaxLease)),
 	}
--- a/dispatch/keepalive.go
+++ b/dispatch/keepalive.go
@@ -1,33 +1,16 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
-	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/keepalive"
 )
 
-// Sequence is a sequence number. Each submission and each keepalive of a host has a
-// higher one than all before it.
-type Sequence uint64
+// Sequence is the number of a message of a host.
+type Sequence = keepalive.Sequence
 
-// Keepalive tells which calls a host still waits for at one owner.
-type Keepalive struct {
-	Host ident.Host
-	// Boot identifies the process of the host.
-	Boot string
-	// At is the time for which the keepalive holds, as a time of the Machine.
-	At       time.Time
-	Sequence Sequence
-	// Calls lists the calls in ascending order.
-	Calls []uint64
-}
-
-// includes returns true if the keepalive lists a call.
-func (s Keepalive) includes(call uint64) bool {
-	_, found := slices.BinarySearch(s.Calls, call)
-	return found
-}
+// Keepalive tells which calls a host still waits for.
+type Keepalive = keepalive.Keepalive
 
 const (
 	// resendMargin is the time between the end of all runs of a job and the moment
@@ -45,9 +28,6 @@
 	// maxClockAge is how old the reading of a worker's clock may get. A clock that
 	// is 2 % slow then shortens a lease by 0.2 s.
 	maxClockAge = 10 * time.Second
-	// keepaliveRetention is how long a keepalive is kept for submissions that it
-	// has overtaken. Links that went silent may deliver them some seconds later.
-	keepaliveRetention = 30 * time.Second
 )
 
 // sentAt returns when a submission was sent, which is never after now.
@@ -62,13 +42,9 @@
 // earlier for calls not listed in it are withdrawn. Keepalives may overtake each
 // other.
 func (m *Machine) KeepaliveReceived(now time.Time, s Keepalive) {
-	if m.stopped {
-		return
-	}
-	if old, ok := m.keepalives[s.Host]; ok && old.Boot == s.Boot && old.Sequence >= s.Sequence {
+	if m.stopped || !m.keepalives.Put(s) {
 		return
 	}
-	m.keepalives[s.Host] = s
 	at := s.At
 	if at.After(now) {
 		at = now
@@ -77,7 +53,7 @@
 	for _, j := range m.jobsByHost[s.Host] {
 		switch {
 		case j.boot != s.Boot || j.sequence > s.Sequence:
-		case !s.includes(j.call):
+		case !s.Includes(j.call):
 			withdrawn = append(withdrawn, j)
 		default:
 			j.callerSeen = latest(j.callerSeen, at)
@@ -100,8 +76,7 @@
 // isOvertaken returns true if a later keepalive of the host does not list the
 // submission's call.
 func (m *Machine) isOvertaken(s Submission) bool {
-	g, ok := m.keepalives[s.Host]
-	return ok && g.Boot == s.Boot && g.Sequence > s.Sequence && !g.includes(s.Call)
+	return m.keepalives.HasOvertaken(s.Host, s.Boot, s.Sequence, s.Call)
 }
 
 // isCallerSilent returns true if the last confirmation that the caller of a job
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -337,18 +337,6 @@
 	}
 }
 
-// runTimeWeight is the weight of a task of mean size in the mean run time.
-const runTimeWeight = 0.02
-
-// updateMeanRunTime adds a run time to the mean.
-func (m *Machine) updateMeanRunTime(took time.Duration, cores int) {
-	if m.meanRunTime == 0 || m.meanCores == 0 {
-		m.meanRunTime = took
-		return
-	}
-	m.meanRunTime += time.Duration(min(1, runTimeWeight*float64(cores)/m.meanCores) * float64(took-m.meanRunTime))
-}
-
 // isSuspect returns true if the last two runs of different jobs on a worker have
 // failed. The worker is then taken to be at fault.
 func (n *node) isSuspect() bool { return n.failures > 1 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/catkingap/catkingap/crash"
+	"github.com/catkingap/catkingap/estimate"
 	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
@@ -18,8 +19,6 @@
 	// uselessFactor is how many times the objective may pass before the answer is
 	// of no use to the caller.
 	uselessFactor = 3
-	// coresWeight is the weight of a new task in the mean number of cores.
-	coresWeight = 0.05
 )
 
 // isUsable returns true if a worker may get work.
@@ -296,10 +295,7 @@
 	t.job.begun = true
 	t.job.recordStart(now, r)
 	m.detector.Started(now, n.ID)
-	if m.meanCores == 0 {
-		m.meanCores = float64(r.size.Cores)
-	}
-	m.meanCores += coresWeight * (float64(r.size.Cores) - m.meanCores)
+	m.meanCores = estimate.MeanCores(m.meanCores, r.size.Cores)
 	m.actions.Starts = append(m.actions.Starts, worker.Start{
 		Order: m.order(n), Task: t.name, Run: t.lastRun, Payload: t.job.spec.Payload, Until: n.extendLease(now, lease),
 	})
--- a/dispatch/straggler.go
+++ b/dispatch/straggler.go
@@ -44,8 +44,7 @@
 // scaled returns d times x.
 func scaled(d time.Duration, x float64) time.Duration { return time.Duration(x * float64(d)) }
 
-// estimated returns a run for the estimator.
-func (m *Machine) estimated(r *run) estimate.Run {
+func (m *Machine) observation(r *run) estimate.Run {
 	return estimate.Run{Worker: r.node.ID, Sent: r.sent, Estimate: m.estimateOn(r.node, r.task)}
 }
 
@@ -53,8 +52,8 @@
 // in comparison show that their workers are slow.
 func (m *Machine) learnEnd(now time.Time, r *run) {
 	j := r.task.job
-	m.noteSpeed(now, r.node, j.observed.Ended(now, &r.node.slowdown, m.estimated(r)))
-	m.updateMeanRunTime(now.Sub(r.sent), r.size.Cores)
+	m.noteSpeed(now, r.node, j.observed.Ended(now, &r.node.slowdown, m.observation(r)))
+	m.meanRunTime = estimate.MeanRunTime(m.meanRunTime, now.Sub(r.sent), r.size.Cores, m.meanCores)
 	if j.left <= 1 {
 		j.observed.Learn(now, func(id worker.ID) {
 			if n := m.nodes[id]; n != nil {
@@ -73,16 +72,20 @@
 func (m *Machine) learnOverdue(now time.Time, r *run) {
 	for _, t := range r.task.job.tasks {
 		if x := t.run; x != nil && x != r && x.state == running {
-			r.task.job.observed.Open(now, &x.node.slowdown, m.estimated(x))
+			r.task.job.observed.Open(now, &x.node.slowdown, m.observation(x))
 		}
 	}
-	m.noteSpeed(now, r.node, r.task.job.observed.Overdue(now, &r.node.slowdown, m.estimated(r)))
+	m.noteSpeed(now, r.node, r.task.job.observed.Overdue(now, &r.node.slowdown, m.observation(r)))
 }
 
 // noteSpeed handles a change of what a worker is believed to be. The runs of a worker that has
 // become slow are checked at once.
 func (m *Machine) noteSpeed(now time.Time, n *node, change estimate.Change) {
 	m.markChanged(n)
+	if change == estimate.Unchanged {
+		return
+	}
+	m.actions.SpeedChanges = append(m.actions.SpeedChanges, estimate.SpeedChange{Worker: n.ID, Change: change, Factor: n.slowdown.Factor(), Runs: len(n.runs)})
 	if change == estimate.Slowed {
 		m.pollAtOnce(now, n)
 	}
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -22,11 +22,7 @@
 		m.end(now, j, Interrupted, "the caller's host was silent")
 		m.drop(now, j)
 	}
-	for h, s := range m.keepalives {
-		if now.Sub(s.At) > keepaliveRetention {
-			delete(m.keepalives, h)
-		}
-	}
+	m.keepalives.Expire(now)
 	m.outcomes.Expire(now)
 	m.orphansDone.Expire(now)
 	for id, p := range m.previousRuns {
--- a/dispatch/yield.go
+++ b/dispatch/yield.go
@@ -3,12 +3,9 @@
 import (
 	"slices"
 	"time"
-)
 
-// yieldDelay is how long a job waits before it is offered to another owner.
-// Capacity that is freed within this time is nearer than another data centre, which
-// is a few milliseconds away and whose load is known with a delay of up to 150 ms.
-const yieldDelay = 50 * time.Millisecond
+	"github.com/catkingap/catkingap/spill"
+)
 
 // Yield answers Busy to waiting jobs, for as many tasks as can start at other
 // owners, and returns the number of those tasks. It picks only jobs that have not
@@ -39,5 +36,5 @@
 // moving.
 func (m *Machine) mayYield(now time.Time, j *job) bool {
 	return !j.begun && !j.stored && !j.resubmitted && !j.pinned &&
-		now.Sub(j.submitted) >= yieldDelay && !m.canStartAtOnce(now, j)
+		now.Sub(j.submitted) >= spill.YieldDelay && !m.canStartAtOnce(now, j)
 }
--- a/estimate/worker.go
+++ b/estimate/worker.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/catkingap/catkingap/worker"
 )
 
 const (
@@ -60,18 +62,28 @@
 )
 
 // Change tells how an observation or the time has changed what a worker is believed to be.
-type Change int
+type Change string
 
 // The changes of a worker.
 const (
 	// Unchanged means that the worker is believed to be what it was before.
-	Unchanged Change = iota
+	Unchanged Change = ""
 	// Slowed means that the worker counts as slow from now on.
-	Slowed
+	Slowed Change = "slowed"
 	// Recovered means that the worker counts as usual from now on.
-	Recovered
+	Recovered Change = "recovered"
 )
 
+// SpeedChange tells how a worker has changed, for the log.
+type SpeedChange struct {
+	Worker worker.ID
+	Change Change
+	// Factor is how many times slower than usual it is taken to be, and Runs is the number of
+	// its runs.
+	Factor float64
+	Runs   int
+}
+
 // Worker is what is known of the speed of one worker. Its zero value is a worker of unknown
 // speed, which is taken to run tasks as estimated.
 type Worker struct {
@@ -101,6 +113,9 @@
 // Scale returns the expected run time of a task with the given estimate.
 func (w *Worker) Scale(estimate time.Duration) time.Duration { return Scale(estimate, w.Log()) }
 
+// Factor returns how many times slower than usual the worker is taken to be.
+func (w *Worker) Factor() float64 { return math.Exp(w.extra) }
+
 // IsSlow returns true if the worker counts as slow.
 func (w *Worker) IsSlow() bool { return w.phase == slow }
 
--- a/fleet/contacts.go
+++ b/fleet/contacts.go
@@ -14,6 +14,7 @@
 	"github.com/catkingap/catkingap/index"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/peer"
+	"github.com/catkingap/catkingap/spill"
 	"github.com/catkingap/catkingap/throttle"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
@@ -113,10 +114,9 @@
 	ownersHeard map[ident.DataCentre]ownership.Answer
 	// verifyUntil is until when this host contacts all hosts of its data centre often.
 	verifyUntil time.Time
-	// sharedOut holds the data centres whose last known free capacity shareCapacity has
-	// returned already.
-	sharedOut map[ident.DataCentre]bool
-	gates     map[ident.DataCentre]*throttle.Gate
+	// view holds the free capacity of the owners.
+	view  spill.View
+	gates map[ident.DataCentre]*throttle.Gate
 	// workers is the last list of workers received from the owner of this data centre.
 	workers knownWorkers
 	// losses holds the losses of workers under tasks that this host knows of.
@@ -184,7 +184,6 @@
 		firstMissed:       map[ident.Host]time.Time{},
 		loads:             map[ident.DataCentre]dispatch.Load{},
 		ownersHeard:       map[ident.DataCentre]ownership.Answer{},
-		sharedOut:         map[ident.DataCentre]bool{},
 		gates:             map[ident.DataCentre]*throttle.Gate{},
 		losses:            crash.NewBoard(),
 		runningSince:      time.Now(),
@@ -257,7 +256,7 @@
 	c.losses.Put(sent, a.Losses)
 	for i, o := range a.Owned {
 		if i < len(a.Loads) {
-			c.setLoad(o.DataCentre, a.Loads[i])
+			c.setLoad(sent, o.DataCentre, a.Loads[i])
 			c.ownersHeard[o.DataCentre] = ownership.Answer{Token: o.Token, Heard: sent, Unconfirmed: a.Loads[i].Unconfirmed}
 		}
 		if o.DataCentre == c.self.DataCentre && o.Token >= c.workers.version.Token {
--- a/fleet/loads.go
+++ b/fleet/loads.go
@@ -1,13 +1,12 @@
 package fleet
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/catkingap/catkingap/dispatch"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/index"
+	"github.com/catkingap/catkingap/spill"
 	"github.com/catkingap/catkingap/throttle"
 )
 
@@ -23,13 +22,14 @@
 func (c *Contacts) SetLoad(d ident.DataCentre, l dispatch.Load) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.setLoad(d, l)
+	c.setLoad(time.Now(), d, l)
 }
 
-// setLoad records a load. The caller holds the mutex.
-func (c *Contacts) setLoad(d ident.DataCentre, l dispatch.Load) {
+// setLoad records a load in the answer to a message that was sent at the given time. The
+// caller holds the mutex.
+func (c *Contacts) setLoad(sent time.Time, d ident.DataCentre, l dispatch.Load) {
 	c.loads[d] = l
-	delete(c.sharedOut, d)
+	c.view.Report(sent, d, l.FreeTasks)
 	c.gate(d).ObserveLag(time.Now(), l.Lag)
 }
 
@@ -44,29 +44,17 @@
 	return c.gate(d).Allow()
 }
 
-// capacityShare is the part of another data centre's free capacity that one owner's jobs
-// may use.
-type capacityShare struct {
-	dataCentre ident.DataCentre
-	capacity   int
+// freeTasks returns the known number of tasks that the owner of a data centre can start at once.
+func (c *Contacts) freeTasks(now time.Time, d ident.DataCentre) (int, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.view.Free(now, d)
 }
 
 // shareCapacity returns the free capacity that the owner of a data centre may use at
-// each other owner, which it shares with the remaining owners. Each reported load is
-// used once.
-func (c *Contacts) shareCapacity(d ident.DataCentre) []capacityShare {
+// each other owner.
+func (c *Contacts) shareCapacity(now time.Time, d ident.DataCentre) []spill.Share {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	var shares []capacityShare
-	for other, l := range c.loads {
-		if other == d || c.sharedOut[other] {
-			continue
-		}
-		c.sharedOut[other] = true
-		if capacity := l.FreeTasks / max(1, len(c.loads)-1); capacity > 0 {
-			shares = append(shares, capacityShare{dataCentre: other, capacity: capacity})
-		}
-	}
-	slices.SortFunc(shares, func(a, b capacityShare) int { return cmp.Compare(a.dataCentre, b.dataCentre) })
-	return shares
+	return c.view.Shares(now, d)
 }
--- a/fleet/log.go
+++ b/fleet/log.go
@@ -47,6 +47,8 @@
 	// workersLost counts the workers that were lost with their runs, and runsLost the runs
 	// that ended for another reason than their task, by cause.
 	workersLost, runsLost *expvar.Map
+	// workerSpeeds counts the workers that have become slow and those that have recovered.
+	workerSpeeds *expvar.Map
 	// suspectStarts counts the starts of tasks that workers were lost under, and
 	// tasksGivenUp the jobs that were ended because of such a task, by cause.
 	suspectStarts *expvar.Int
@@ -72,7 +74,7 @@
 		owner:  ownerCounters{events: s.Counters("ownerEvents"), busy: s.Counters("ownerBusyUs"), lag: s.Histogram("ownerLag")},
 		orders: s.Counters("orders"), panics: s.Counter("ownerPanics"), pauses: s.Counter("pauses"), results: s.Counters("results"),
 		response: s.Histogram("response"), withdrawals: s.Counters("withdrawals"),
-		workersLost: s.Counters("workersLost"), runsLost: s.Counters("runsLost"),
+		workersLost: s.Counters("workersLost"), runsLost: s.Counters("runsLost"), workerSpeeds: s.Counters("workerSpeeds"),
 		suspectStarts: s.Counter("suspectStarts"), tasksGivenUp: s.Counters("tasksGivenUp"),
 	}
 }
--- a/fleet/losses.go
+++ b/fleet/losses.go
@@ -36,6 +36,20 @@
 	}
 }
 
+// maxSpeedLines is how many changes of the speeds of workers an owner logs in a second. In a
+// fault many workers become slow at once. The others are only counted.
+const maxSpeedLines = 10
+
+// noteSpeeds counts and logs which workers have become slow and which have recovered.
+func (w *Owner) noteSpeeds(a *dispatch.Actions) {
+	for _, c := range a.SpeedChanges {
+		w.owners.counters.workerSpeeds.Add(string(c.Change), 1)
+		if w.speedLines.Allow() {
+			w.logger.WithFields(log.Fields{"worker": string(c.Worker), "factor": c.Factor, "runs": c.Runs}).Info("worker has " + string(c.Change))
+		}
+	}
+}
+
 // orderFailures counts the orders that each worker has not accepted in a row.
 type orderFailures struct {
 	mutex  sync.Mutex
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -11,6 +11,7 @@
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/catkingap/catkingap/dispatch"
 	"github.com/catkingap/catkingap/ejection"
@@ -72,6 +73,8 @@
 	lag      lag.Meter
 	// failures counts the orders that workers have not accepted.
 	failures orderFailures
+	// speedLines bounds the logged changes of the speeds of workers.
+	speedLines rate.Limiter
 	// tenure tells how long this owner may rely on its ownership, and beats counts its
 	// heartbeats.
 	tenure tenure
@@ -111,6 +114,8 @@
 		waiting: map[submissionKey]chan dispatch.Reply{},
 		hosts:   map[ident.Host]string{},
 	}
+	w.speedLines.SetLimit(maxSpeedLines)
+	w.speedLines.SetBurst(maxSpeedLines)
 	w.ctx, w.cancel = context.WithCancel(ctx)
 	w.jobStore = newJobStore(w, o.directory.table, o.directory.feed, x)
 	go w.tickLoop()
@@ -152,9 +157,9 @@
 	if _, queued := m.Jobs(); queued == 0 {
 		return
 	}
-	for _, x := range w.owners.contacts.shareCapacity(w.owner.DataCentre) {
-		if tasks := m.Yield(now, x.capacity); tasks > 0 {
-			w.logger.WithFields(log.Fields{"to": string(x.dataCentre), "tasks": tasks}).Info("waiting jobs returned for other owners")
+	for _, x := range w.owners.contacts.shareCapacity(now, w.owner.DataCentre) {
+		if tasks := m.Yield(now, x.Tasks); tasks > 0 {
+			w.logger.WithFields(log.Fields{"to": string(x.DataCentre), "tasks": tasks}).Info("waiting jobs returned for other owners")
 		}
 	}
 }
@@ -242,6 +247,7 @@
 		w.logRecord(&actions.Records[i])
 	}
 	w.noteLosses(&actions)
+	w.noteSpeeds(&actions)
 	if w.ctx.Err() != nil {
 		return nil
 	}
--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -13,6 +13,7 @@
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/peer"
+	"github.com/catkingap/catkingap/spill"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -380,53 +381,19 @@
 		return o, true, ok && s.isHeard(now, o)
 	}
 	tasks := a.job.Steps[0].Count
-	var best, fallback ownership.Owner
-	bestFree, fallbackFree := 0, 0
+	var candidates []spill.Owner
 	for c, o := range owners {
 		if ok, decided := a.admitted[c]; (decided && !ok) || a.unsuited[c] || !s.isHeard(now, o) {
 			continue
 		}
-		load, known := s.contacts.Load(c)
-		free := load.FreeTasks
+		free, known := s.contacts.freeTasks(now, c)
 		if !known {
 			free = tasks
 		}
-		home := c == s.self.DataCentre
-		if a.refusal != nil && free < tasks {
-			continue
-		}
-		if fallback.Host == "" || spillScore(free, home) > spillScore(fallbackFree, fallback.DataCentre == s.self.DataCentre) {
-			fallback, fallbackFree = o, free
-		}
-		if a.tried[c] || (!home && free < tasks) {
-			continue
-		}
-		if home {
-			free += homeBonus
-		}
-		if best.Host == "" || free > bestFree {
-			best, bestFree = o, free
-		}
-	}
-	if best.Host != "" && len(a.tried)+len(a.unsuited) < len(owners) {
-		return best, false, true
-	}
-	return fallback, true, fallback.Host != "" && a.refusal == nil
-}
-
-// homeBonus makes the owner of the host's own data centre be tried first, because traffic
-// between data centres is expensive.
-const homeBonus = 1 << 20
-
-// homeSpill is how many more waiting tasks than another data centre the host's own one
-// may have before a job that no owner can start at once goes to the other one.
-const homeSpill = 6
-
-func spillScore(freeTasks int, home bool) int {
-	if home {
-		return freeTasks + homeSpill
+		candidates = append(candidates, spill.Owner{DataCentre: c, Free: free, Home: c == s.self.DataCentre, Tried: a.tried[c]})
 	}
-	return freeTasks
+	picked, final, ok := spill.Pick(candidates, tasks, a.refusal != nil)
+	return owners[picked.DataCentre], final, ok
 }
 
 // isHeard returns true if an owner is this process or has answered it within
