--- a/dispatch/slowphase_test.go
+++ b/dispatch/slowphase_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"os"
@@ -18,6 +19,8 @@
 	// slowFrom and slowTo are the seconds between which some workers are slowFactor times
 	// slower than usual.
 	slowFrom, slowTo, slowFactor = 4, 10, 4
+	// stalled is a factor with which runs stand still.
+	stalled = 1e4
 	// tailShare is the share of jobs whose tasks take tailFactor times longer than estimated.
 	tailShare, tailFactor = 0.03, 7
 )
@@ -180,6 +183,8 @@
 type slowPhaseTest struct {
 	load, share float64
 	tail        bool
+	// factor is how many times slower the workers become. Zero means slowFactor.
+	factor float64
 }
 
 // run simulates the load with several seeds.
@@ -194,7 +199,7 @@
 		if x.tail {
 			l.addTail()
 		}
-		l.phases = l.slowPhases(x.share, slowFactor)
+		l.phases = l.slowPhases(x.share, cmp.Or(x.factor, slowFactor))
 	})
 	for _, l := range p {
 		r := l.phases
@@ -260,16 +265,20 @@
 		t.Skip("shows figures only")
 	}
 	for _, test := range []slowPhaseTest{
-		{1, 0, false},
-		{2, 0, false},
-		{1, 0, true},
-		{2, 0, true},
-		{1, 0.3, false},
-		{1.5, 0.3, false},
-		{2, 0.3, false},
-		{1, 0.3, true},
-		{1.5, 0.3, true},
-		{2, 0.3, true},
+		{load: 1},
+		{load: 2},
+		{load: 1, tail: true},
+		{load: 2, tail: true},
+		{load: 1, share: 0.3},
+		{load: 1.5, share: 0.3},
+		{load: 2, share: 0.3},
+		{load: 1, share: 0.3, tail: true},
+		{load: 1.5, share: 0.3, tail: true},
+		{load: 2, share: 0.3, tail: true},
+		{load: 1, share: 0.3, tail: true, factor: 8},
+		{load: 1.5, share: 0.3, tail: true, factor: 8},
+		{load: 1, share: 0.3, tail: true, factor: stalled},
+		{load: 1.5, share: 0.3, tail: true, factor: stalled},
 	} {
 		p, all := test.run()
 		runs, worstRuns := meanOf(all.runs)
