Compare all open runs of a job at once

Cause: a run that was overdue when another task of its job ended went through all tasks of the job by itself, so that the end of a run cost the square of the number of tasks while many were overdue.

Change: the open runs of a job are added once, and then those that are overdue are weighed.

--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -422,7 +422,7 @@
 			m.stop(now, r, "")
 		case r.state == running && r.task != nil && m.isOverdue(now, n, r):
 			r.nextCheck = now.Add(checkInterval)
-			m.learnOverdue(now, r)
+			m.learnOverdue(now, r.task.job)
 			check = true
 		}
 	}
--- a/dispatch/straggler.go
+++ b/dispatch/straggler.go
@@ -61,21 +61,23 @@
 			}
 		})
 	}
-	for _, t := range j.tasks {
-		if x := t.run; x != nil && x != r && x.state == running && now.Sub(x.sent) > estimate.StragglerLimit(m.expectedAtStart(x)) {
-			m.learnOverdue(now, x)
-		}
-	}
+	m.learnOverdue(now, j)
 }
 
-// learnOverdue learns from a run that should have ended.
-func (m *Machine) learnOverdue(now time.Time, r *run) {
-	for _, t := range r.task.job.tasks {
-		if x := t.run; x != nil && x != r && x.state == running {
-			r.task.job.observed.Open(now, &x.node.slowdown, m.observation(x))
+// learnOverdue learns from the runs of a job that should have ended.
+func (m *Machine) learnOverdue(now time.Time, j *job) {
+	var overdue []*run
+	for _, t := range j.tasks {
+		if r := t.run; r != nil && r.state == running && r.node.runs[r.key] == r {
+			j.observed.Open(now, &r.node.slowdown, m.observation(r))
+			if now.Sub(r.sent) > estimate.StragglerLimit(m.expectedAtStart(r)) {
+				overdue = append(overdue, r)
+			}
 		}
 	}
-	m.noteSpeed(now, r.node, r.task.job.observed.Overdue(now, &r.node.slowdown, m.observation(r)))
+	for _, r := range overdue {
+		m.noteSpeed(now, r.node, j.observed.Overdue(now, &r.node.slowdown, m.observation(r)))
+	}
 }
 
 // noteSpeed handles a change of what a worker is believed to be. The runs of a worker that has
@@ -114,12 +116,8 @@
 		return
 	}
 	rerun := scaled(m.expectedRunTime(other, r.task), r.task.job.observed.Ratio(slowed)) + restartTime
-	var expected time.Duration
-	if slowed {
-		expected = m.expectedRunTime(n, r.task)
-	}
-	if estimate.IsSooner(rerun, elapsed, percent, expected) && now.Add(rerun).Before(r.task.job.deadline) {
-		m.learnOverdue(now, r)
+	if estimate.IsSooner(rerun, elapsed, percent, slowed, m.expectedRunTime(n, r.task)) && now.Add(rerun).Before(r.task.job.deadline) {
+		m.learnOverdue(now, r.task.job)
 		m.stop(now, r, "another worker is faster")
 	}
 }
--- a/estimate/estimate_test.go
+++ b/estimate/estimate_test.go
@@ -255,3 +255,23 @@
 		})
 	}
 }
+
+// BenchmarkJob measures the cost of a run of a job with 32 tasks on as many workers.
+func BenchmarkJob(b *testing.B) {
+	const tasks = 32
+	f := newFleet(1, tasks)
+	for b.Loop() {
+		var j estimate.Job
+		now := f.now.Add(runTime)
+		for i := range tasks {
+			r := estimate.Run{Worker: id(i), Sent: f.now, Estimate: runTime}
+			j.Ended(now, f.workers[i], r)
+			for k := i + 1; k < tasks; k++ {
+				j.Open(now, f.workers[k], estimate.Run{Worker: r.Worker, Sent: f.now, Estimate: runTime})
+			}
+		}
+		j.Learn(now, func(worker.ID) {})
+		f.now = now
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/tasks, "ns/run")
+}
--- a/estimate/job.go
+++ b/estimate/job.go
@@ -170,7 +170,7 @@
 }
 
 // estimateWithout returns what the runs on all workers but one show of the estimate. It
-// combines the means of the workers, sorted, as given.
+// combines the means of the workers as given.
 func (j *Job) estimateWithout(id worker.ID, combine func([]float64) float64) belief {
 	b := belief{tail: tailShare, means: [2]float64{0, tailMean}, variances: [2]float64{jobVariance, jobVariance}}
 	var means, open []float64
@@ -189,7 +189,6 @@
 		b.addOpen(open)
 		return b
 	}
-	slices.Sort(means)
 	seen := combine(means)
 	variance /= float64(len(means) * ((len(means) + 1) / 2))
 	usual := (1 - tailShare) * density(seen, 0, jobVariance+variance)
@@ -211,7 +210,6 @@
 	if len(open) == 0 {
 		return
 	}
-	slices.Sort(open)
 	seen := lowerMedian(open)
 	usual, tail := (1-tailShare)*survival(seen, 0, jobVariance), tailShare*survival(seen, tailMean, jobVariance)
 	if usual+tail > 0 {
@@ -223,7 +221,10 @@
 
 // lowerMedian ignores that some workers are slower than is known: in a fault, several become
 // slow at once.
-func lowerMedian(sorted []float64) float64 { return sorted[(len(sorted)-1)/2] }
+func lowerMedian(all []float64) float64 {
+	slices.Sort(all)
+	return all[(len(all)-1)/2]
+}
 
 // mean does not favour either side, so that the usual speeds do not drift.
 func mean(all []float64) float64 {
--- a/estimate/straggler.go
+++ b/estimate/straggler.go
@@ -49,11 +49,13 @@
 }
 
 // IsSooner returns true if a new run that takes rerun is done much sooner than a run that
-// has made the given progress, in per cent, within elapsed. On a worker that has become
-// slow, expected is the present run time of the whole task. Otherwise it is zero.
-func IsSooner(rerun, elapsed time.Duration, percent int, expected time.Duration) bool {
+// has made the given progress, in per cent, within elapsed. If slowed is true, its worker has
+// become slow since, and the whole task now takes the expected time there.
+func IsSooner(rerun, elapsed time.Duration, percent int, slowed bool, expected time.Duration) bool {
 	left := elapsed*100/time.Duration(percent) - elapsed
-	left = max(left, expected*time.Duration(100-percent)/100)
+	if slowed {
+		left = max(left, expected*time.Duration(100-percent)/100)
+	}
 	return float64(left) > restartGain*float64(rerun)
 }
 
