--- a/dispatch/straggler.go
+++ b/dispatch/straggler.go
@@ -67,7 +67,7 @@
 // learnOverdue learns from the runs of a job that should have ended.
 func (m *Machine) learnOverdue(now time.Time, j *job) {
 	var overdue []*run
-	for _, t := range j.tasks {
+	for _, t := range j.tasks[:min(len(j.tasks), estimate.MaxCompared)] {
 		if r := t.run; r != nil && r.state == running && r.node.runs[r.key] == r {
 			j.observed.Open(now, &r.node.slowdown, m.observation(r))
 			if now.Sub(r.sent) > estimate.StragglerLimit(m.expectedAtStart(r)) {
--- a/estimate/estimate_test.go
+++ b/estimate/estimate_test.go
@@ -256,6 +256,25 @@
 	}
 }
 
+// TestLargeJobIsBounded ends thousands of tasks of a job on as many workers. All but the first
+// ones are compared with those only.
+func TestLargeJobIsBounded(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, estimate.MaxCompared+1)
+	var j estimate.Job
+	r := estimate.Run{Sent: f.now, Estimate: runTime}
+	now := f.now.Add(runTime)
+	for i := range 3000 {
+		r.Worker = worker.ID(fmt.Sprint("x", i))
+		j.Ended(now, f.workers[0], r)
+	}
+	r.Worker = id(estimate.MaxCompared)
+	is.Equal(j.Ended(now.Add(4*runTime), f.workers[estimate.MaxCompared], r), estimate.Slowed)
+	learned := 0
+	j.Learn(now, func(worker.ID) { learned++ })
+	is.Equal(learned, estimate.MaxCompared)
+}
+
 // BenchmarkJob measures the cost of a run of a job with 32 tasks on as many workers.
 func BenchmarkJob(b *testing.B) {
 	const tasks = 32
--- a/estimate/job.go
+++ b/estimate/job.go
@@ -34,6 +34,9 @@
 	// minEvidence and maxEvidence bound what the runs of one job say of a worker: the
 	// assumptions above are rough.
 	minEvidence, maxEvidence = -3.0, 5.0
+	// MaxCompared is how many tasks and workers of one job are compared with each other. It
+	// bounds the cost of an event of a job with thousands of tasks.
+	MaxCompared = 64
 )
 
 // Job is what the runs of one job have shown. It tells an estimate that is wrong from a
@@ -158,6 +161,9 @@
 			return &j.workers[i]
 		}
 	}
+	if len(j.workers) == MaxCompared {
+		return &jobWorker{id: id}
+	}
 	j.workers = append(j.workers, jobWorker{id: id})
 	return &j.workers[len(j.workers)-1]
 }
