--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -334,6 +334,9 @@
 		})
 		return
 	}
+	if l.phases != nil {
+		l.phases.noteStart(s)
+	}
 	took := time.Duration(float64(l.jobs[s.Task.Job].runTimes[s.Task.Index]) / w.speed)
 	key := runKey{task: s.Task.String(), run: s.Run}
 	r := &simulatedRun{took: took}
--- a/dispatch/slowphase_test.go
+++ b/dispatch/slowphase_test.go
@@ -74,11 +74,14 @@
 	never, unrecovered int
 	// wrong is the number of seconds for which workers that were not slow counted as slow.
 	wrong float64
+	// starts counts the starts of each kind during the slow phases, and onSlow those on
+	// workers that count as slow.
+	starts, onSlow map[string]int
 }
 
 // slowPhases makes a share of the workers slow between slowFrom and slowTo.
 func (l *loadSim) slowPhases(share, factor float64) *recognition {
-	x := &recognition{l: l, usual: map[worker.ID]float64{}}
+	x := &recognition{l: l, usual: map[worker.ID]float64{}, starts: map[string]int{}, onSlow: map[string]int{}}
 	slow := map[worker.ID]bool{}
 	for i, w := range l.list {
 		if math.Mod(float64(i)*share, 1)+share >= 1 {
@@ -111,6 +114,17 @@
 	return x.l.m.nodes[id].slowdown.Log() > x.usual[id]+math.Ln2
 }
 
+func (x *recognition) noteStart(s worker.Start) {
+	if second := x.l.now.Sub(origin).Seconds(); second < slowFrom || second >= slowTo {
+		return
+	}
+	kind := x.l.jobs[s.Task.Job].kind
+	x.starts[kind]++
+	if x.l.m.nodes[s.Worker].slowdown.IsSlow() {
+		x.onSlow[kind]++
+	}
+}
+
 const watchInterval = time.Millisecond
 
 func (x *recognition) watch(id worker.ID) {
@@ -189,7 +203,7 @@
 
 // run simulates the load with several seeds.
 func (x slowPhaseTest) run() (simulations, recognition) {
-	var all recognition
+	all := recognition{starts: map[string]int{}, onSlow: map[string]int{}}
 	p := simulateWith(func(second float64) float64 {
 		if second >= slowFrom && second < slowTo {
 			return x.load
@@ -204,6 +218,10 @@
 	for _, l := range p {
 		r := l.phases
 		all.runs, all.known, all.recovered = append(all.runs, r.runs...), append(all.known, r.known...), append(all.recovered, r.recovered...)
+		for kind, starts := range r.starts {
+			all.starts[kind] += starts
+			all.onSlow[kind] += r.onSlow[kind]
+		}
 		all.never, all.unrecovered, all.wrong = all.never+r.never, all.unrecovered+r.unrecovered, all.wrong+r.wrong/float64(len(p))
 	}
 	return p, all
@@ -211,7 +229,8 @@
 
 // TestSlowPhases makes 30 % of the workers 4 times slower for 6 s. They must be known as slow
 // within a few runs (it took 7 to 9 on the mean), and be used as before soon after (workers that
-// count as slow get hardly any work that would show it, and many were never used as before).
+// count as slow get hardly any work that would show it, and many were never used as before). Long
+// tasks must be kept off them, and short ones may use them.
 // Jobs whose tasks all take 7 times longer than estimated must not make workers count as slow.
 func TestSlowPhases(t *testing.T) {
 	const (
@@ -219,6 +238,9 @@
 		// worstRecovery is the time after which a worker is tried, that for which it is on
 		// trial, and 0.5 s in which a long run may show it to be slow once more.
 		worstRecovery = estimate.ConfirmTime + estimate.TrialTime + 500*time.Millisecond
+		// maxLongOnSlow is the largest share of the tasks of long jobs that start on workers
+		// which count as slow.
+		maxLongOnSlow = 0.04
 		// maxWrong is the number of seconds for which workers may count as slow wrongly, of
 		// 1,170 worker-seconds.
 		maxWrong = 12
@@ -247,6 +269,9 @@
 			if test.share == 0 {
 				return
 			}
+			t.Logf("starts %v, on slow workers %v", r.starts, r.onSlow)
+			long, short := float64(r.onSlow["long"])/float64(r.starts["long"]), float64(r.onSlow["short"])/float64(r.starts["short"])
+			is.True(long <= maxLongOnSlow && long < short)
 			runs, most := meanOf(r.runs)
 			recovered, longest := meanOf(r.recovered)
 			t.Logf("known after %.1f runs, worst %.0f, never %d; recovered after %.0f ms, worst %.0f, never %d; wrong for %.1f s",
