--- a/dispatch/coldstart.go
+++ b/dispatch/coldstart.go
@@ -23,10 +23,3 @@
 	m.cold.Update(now, &n.cold, n.Pool, time.UnixMilli(int64(n.rowLife)), n.Cold)
 	m.markChanged(n)
 }
-
-// learn learns the run time of a run, unless its worker was cold.
-func (n *node) learn(r *run, took time.Duration) {
-	if !n.cold.IsCold(r.sent) {
-		n.slowdown.Learn(took, r.task.estimate())
-	}
-}
--- a/dispatch/keepalive.go
+++ b/dispatch/keepalive.go
@@ -4,14 +4,14 @@
 	"time"
 
 	"github.com/catkingap/catkingap/incarnation"
-	"github.com/catkingap/catkingap/livecalls"
+	"github.com/catkingap/catkingap/keepalive"
 )
 
-// Sequence is a sequence number of a host.
-type Sequence = livecalls.Sequence
+// Sequence is the number of a message of a host.
+type Sequence = keepalive.Sequence
 
-// Keepalive tells which calls a host still waits for at one owner.
-type Keepalive = livecalls.Keepalive
+// Keepalive tells which calls a host still waits for.
+type Keepalive = keepalive.Keepalive
 
 const (
 	// resendMargin is the time between the end of all runs of a job and the moment
@@ -29,9 +29,6 @@
 	// maxClockAge is how old the reading of a worker's clock may get. A clock that
 	// is 2 % slow then shortens a lease by 0.2 s.
 	maxClockAge = 10 * time.Second
-	// keepaliveRetention is how long a keepalive is kept for submissions that it
-	// has overtaken. Links that went silent may deliver them some seconds later.
-	keepaliveRetention = 30 * time.Second
 )
 
 // sentAt returns when a submission was sent, which is never after now.
@@ -46,13 +43,9 @@
 // earlier for calls not listed in it are withdrawn. Keepalives may overtake each
 // other.
 func (m *Machine) KeepaliveReceived(now time.Time, s Keepalive) {
-	if m.stopped {
+	if m.stopped || !m.keepalives.Put(s) {
 		return
 	}
-	if old, ok := m.keepalives[s.Host]; ok && old.Boot == s.Boot && old.Sequence >= s.Sequence {
-		return
-	}
-	m.keepalives[s.Host] = s
 	at := s.At
 	if at.After(now) {
 		at = now
@@ -84,8 +77,7 @@
 // isOvertaken returns true if a later keepalive of the host does not list the
 // submission's call.
 func (m *Machine) isOvertaken(s Submission) bool {
-	g, ok := m.keepalives[s.Host]
-	return ok && g.Boot == s.Boot && g.Sequence > s.Sequence && !g.Includes(s.Call)
+	return m.keepalives.HasOvertaken(s.Host, s.Boot, s.Sequence, s.Call)
 }
 
 // isCallerSilent returns true if the last confirmation that the caller of a job
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -6,8 +6,8 @@
 
 	"github.com/catkingap/catkingap/cold"
 	"github.com/catkingap/catkingap/crash"
+	"github.com/catkingap/catkingap/estimate"
 	"github.com/catkingap/catkingap/incarnation"
-	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -60,6 +60,8 @@
 	// nextCheck is when the worker is next asked for the progress of the run,
 	// because it should have ended.
 	nextCheck time.Time
+	// expected is the run time that was expected at the start, or zero.
+	expected time.Duration
 	// suspect is true for the run of a suspect, beside which no other suspect is started,
 	// and exclusive for one beside which nothing is.
 	suspect, exclusive bool
@@ -123,7 +125,7 @@
 	// lateStarts holds the starts that got no answer.
 	lateStarts incarnation.Late[runKey]
 	used       work.Size
-	slowdown   room.Slowdown
+	slowdown   estimate.Worker
 	cold       cold.Worker
 	// changed is true if the worker has changed during this event. stale is true if
 	// that is not yet reflected in contribution, which is what the worker adds to
@@ -337,12 +339,7 @@
 		m.markRan(t.job)
 	}
 	if result == worker.Done {
-		if expected := m.expectedRunTime(n, t); expected > 0 {
-			t.job.doneRuns++
-			t.job.runTimeRatios += float64(now.Sub(r.sent)) / float64(expected)
-		}
-		n.learn(r, now.Sub(r.sent))
-		m.updateMeanRunTime(now.Sub(r.sent), r.size.Cores)
+		m.learnEnd(now, r)
 	}
 	m.recordHealth(now, n, t, result)
 	if t.run == r {
@@ -351,18 +348,6 @@
 	}
 }
 
-// runTimeWeight is the weight of a task of mean size in the mean run time.
-const runTimeWeight = 0.02
-
-// updateMeanRunTime adds a run time to the mean.
-func (m *Machine) updateMeanRunTime(took time.Duration, cores int) {
-	if m.meanRunTime == 0 || m.meanCores == 0 {
-		m.meanRunTime = took
-		return
-	}
-	m.meanRunTime += time.Duration(min(1, runTimeWeight*float64(cores)/m.meanCores) * float64(took-m.meanRunTime))
-}
-
 // isSuspect returns true if the last two runs of different jobs on a worker have
 // failed. The worker is then taken to be at fault.
 func (n *node) isSuspect() bool { return n.failures > 1 }
@@ -433,6 +418,7 @@
 
 func (m *Machine) tickNode(now time.Time, n *node) {
 	m.forgetLapsedEnds(now, n)
+	m.noteSpeed(now, n, n.slowdown.Advance(now))
 	if !n.silentSince.IsZero() && len(n.runs) > 0 && now.After(n.leaseEnd) {
 		n.lapseChecked = now
 		m.loseLapsedRuns(now, n)
@@ -447,6 +433,7 @@
 			m.stop(now, r, "")
 		case r.state == running && r.task != nil && m.isOverdue(now, n, r):
 			r.nextCheck = now.Add(checkInterval)
+			m.learnOverdue(now, r.task.job)
 			check = true
 		}
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/catkingap/catkingap/crash"
+	"github.com/catkingap/catkingap/estimate"
 	"github.com/catkingap/catkingap/evacuation"
 	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/work"
@@ -19,8 +20,6 @@
 	// uselessFactor is how many times the objective may pass before the answer is
 	// of no use to the caller.
 	uselessFactor = 3
-	// coresWeight is the weight of a new task in the mean number of cores.
-	coresWeight = 0.05
 )
 
 // isUsable returns true if a worker may get work.
@@ -89,7 +88,12 @@
 
 // expectedRunTime returns the expected run time of a task on a worker.
 func (m *Machine) expectedRunTime(n *node, t *task) time.Duration {
-	d := n.slowdown.Scale(t.estimate())
+	return n.slowdown.Scale(m.estimateOn(n, t))
+}
+
+// estimateOn returns the estimate of a task on a worker that is neither fast nor slow.
+func (m *Machine) estimateOn(n *node, t *task) time.Duration {
+	d := t.estimate()
 	if rack := t.step().Rack; rack != "" && !slices.Contains(n.Labels, rack) {
 		d = scaled(d, m.config.FarFactor)
 	}
@@ -264,8 +268,11 @@
 }
 
 // withinWorkerLimit returns true if the limit of tasks of one step per worker
-// allows one more task.
+// allows one more task. A worker on trial runs one task at a time.
 func (m *Machine) withinWorkerLimit(n *node, t *task) bool {
+	if n.slowdown.OnTrial() && len(n.runs) > 0 {
+		return false
+	}
 	bound := t.step().PerWorker
 	if bound == 0 {
 		return true
@@ -282,7 +289,7 @@
 func (m *Machine) start(now time.Time, t *task, n *node) {
 	lease := m.maxLease(now, n, t.job)
 	t.lastRun = max(t.lastRun, m.highestPreviousRun(t)) + 1
-	r := &run{key: runKey{task: t.id, run: t.lastRun}, node: n, task: t, size: t.step().Size, state: startSent, sent: now, incarnation: n.Life}
+	r := &run{key: runKey{task: t.id, run: t.lastRun}, node: n, task: t, size: t.step().Size, state: startSent, sent: now, incarnation: n.Life, expected: m.expectedRunTime(n, t)}
 	if m.standing(now, t) != crash.Clear {
 		r.suspect, r.exclusive = true, len(n.runs) == 0
 		m.actions.SuspectStarts++
@@ -297,10 +304,7 @@
 	if m.cold.Started(now, &n.cold, n.Pool) {
 		m.actions.ColdStarts++
 	}
-	if m.meanCores == 0 {
-		m.meanCores = float64(r.size.Cores)
-	}
-	m.meanCores += coresWeight * (float64(r.size.Cores) - m.meanCores)
+	m.meanCores = estimate.MeanCores(m.meanCores, r.size.Cores)
 	m.actions.Starts = append(m.actions.Starts, worker.Start{
 		Order: m.order(n), Task: t.name, Run: t.lastRun, Payload: t.job.spec.Payload, Until: n.extendLease(now, lease),
 	})
--- a/dispatch/restart.go
+++ b/dispatch/restart.go
@@ -4,9 +4,9 @@
 	"slices"
 	"time"
 
+	"github.com/catkingap/catkingap/estimate"
 	"github.com/catkingap/catkingap/incarnation"
 	"github.com/catkingap/catkingap/report"
-	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/worker"
 )
 
@@ -39,7 +39,7 @@
 	n.leaseEnd, n.acknowledgeAt = time.Time{}, time.Time{}
 	m.assumeLongestLease(now, n)
 	m.stopLateStarts(now, n, listed)
-	n.slowdown = room.Slowdown{}
+	n.slowdown = estimate.Worker{}
 	m.markChanged(n)
 }
 
--- a/fleet/evacuatedowner_test.go
+++ b/fleet/evacuatedowner_test.go
@@ -10,6 +10,7 @@
 	"github.com/catkingap/catkingap/evacuation"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/ownership"
+	"github.com/catkingap/catkingap/spill"
 	"github.com/catkingap/catkingap/throttle"
 	"github.com/catkingap/catkingap/work"
 )
@@ -64,11 +65,11 @@
 	e := &Evacuation{enabled: true}
 	e.tracker.Observe(time.Now(), evacuation.NewState(1, "coast-b"))
 	c := &Contacts{
-		evacuation: e, loads: map[ident.DataCentre]dispatch.Load{}, sharedOut: map[ident.DataCentre]bool{}, gates: map[ident.DataCentre]*throttle.Gate{},
+		evacuation: e, loads: map[ident.DataCentre]dispatch.Load{}, gates: map[ident.DataCentre]*throttle.Gate{},
 	}
 	c.SetLoad("coast-b", dispatch.Load{FreeTasks: 9})
 	c.SetLoad("coast-c", dispatch.Load{FreeTasks: 9})
-	is.Equal(c.shareCapacity("coast-a"), []capacityShare{{dataCentre: "coast-c", capacity: 9}})
+	is.Equal(c.shareCapacity(time.Now(), "coast-a"), []spill.Share{{DataCentre: "coast-c", Tasks: 9}})
 	e.tracker.Observe(time.Now(), evacuation.NewState(2))
-	is.Equal(c.shareCapacity("coast-a"), []capacityShare{{dataCentre: "coast-b", capacity: 9}})
+	is.Equal(c.shareCapacity(time.Now(), "coast-a"), []spill.Share{{DataCentre: "coast-b", Tasks: 9}})
 }
--- a/livecalls/livecalls.go
+++ b/livecalls/livecalls.go
@@ -6,35 +6,13 @@
 	"maps"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/keepalive"
 )
 
-// Sequence is a sequence number. Each submission and each keepalive of a host has a
-// higher one than all before it.
-type Sequence uint64
-
-// Keepalive tells which calls a host still waits for at one owner.
-type Keepalive struct {
-	Host ident.Host
-	// Boot identifies the process of the host.
-	Boot string
-	// At is the time for which the keepalive holds, as a time of the receiver.
-	At       time.Time
-	Sequence Sequence
-	// Calls lists the calls in ascending order.
-	Calls []uint64
-}
-
-// Includes returns true if the keepalive lists a call.
-func (s Keepalive) Includes(call uint64) bool {
-	_, found := slices.BinarySearch(s.Calls, call)
-	return found
-}
-
 // List holds calls in ascending order. It is encoded as their differences, which are
 // small, because hosts send these lists several times a second.
 type List []uint64
@@ -77,7 +55,7 @@
 // centre.
 type Tracker struct {
 	mutex sync.Mutex
-	last  Sequence
+	last  keepalive.Sequence
 	calls map[ident.DataCentre]map[uint64]struct{}
 }
 
@@ -95,7 +73,7 @@
 }
 
 // Add records that a call is submitted to the owner of a data centre.
-func (t *Tracker) Add(c ident.DataCentre, call uint64) Sequence {
+func (t *Tracker) Add(c ident.DataCentre, call uint64) keepalive.Sequence {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.calls[c] == nil {
@@ -122,7 +100,7 @@
 
 // List returns the calls that may be at the owner of a data centre in ascending order, and
 // the sequence number of the list.
-func (t *Tracker) List(c ident.DataCentre) ([]uint64, Sequence) {
+func (t *Tracker) List(c ident.DataCentre) ([]uint64, keepalive.Sequence) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.last++
