--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -77,7 +78,13 @@
 // start starts the binary and reads both output streams line by line.
 func start(t testing.TB, args ...string) *process {
 	t.Helper()
-	p := &process{t: t, command: exec.Command(binary, args...), lines: make(chan string, 4096), exited: make(chan struct{})}
+	return startProgram(t, binary, args...)
+}
+
+// startProgram is start for another program.
+func startProgram(t testing.TB, program string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, command: exec.Command(program, args...), lines: make(chan string, 4096), exited: make(chan struct{})}
 	reader, writer := io.Pipe()
 	p.command.Stdout, p.command.Stderr = writer, writer
 	if err := p.command.Start(); err != nil {
@@ -194,6 +201,8 @@
 	slots    int
 	// settings is appended to the settings file of each host.
 	settings string
+	// program starts the hosts. Empty means the binary under test.
+	program string
 }
 
 // cluster is a platform, entry hosts and backend servers, each a process.
@@ -255,7 +264,7 @@
 		"platform: {table: '%s', objects: '%s/objects', membership: '%s/members'}\nunreadyTime: 200ms\n%s",
 		name, centre, base, base, base, c.settings)
 	k.is.NoErr(os.WriteFile(file, []byte(text), 0o600))
-	h.process = start(k.t, "entry", "--settings", file)
+	h.process = startProgram(k.t, cmp.Or(c.program, binary), "entry", "--settings", file)
 	var listening struct {
 		Fields struct{ API, Peer string }
 	}
