Bound the memory and the connections of callers of serve

Cause: each body had a limit, all of them together had none, and connections had no limit at all. A crowd of legal bodies, whole or stopping short of their end, took the process past the memory of its machine.

Change: package intake decides, without a network: a budget of a quarter of the host's memory for bodies as they grow and for what is decoded from them; over it, the unfinished body with the highest product of bytes and time is shed, and then a request is refused as not run. Connections are a share of MaxFds; at the limit, the one that has been receiving for longest is closed for the new one, else the longest idle one. Package httplimit applies that to an HTTP server, bounds the header, the time of a body and each write of an answer.

--- a/cmd/servecmd.go
+++ b/cmd/servecmd.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"os"
@@ -9,11 +10,15 @@
 	"syscall"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 	"go.uber.org/fx"
 
 	"github.com/catkingap/catkingap/fleet"
+	"github.com/catkingap/catkingap/httplimit"
+	"github.com/catkingap/catkingap/intake"
+	"github.com/catkingap/catkingap/metrics"
 	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/steady"
 )
@@ -34,6 +39,8 @@
 	// memoryLimitShare is the share of the host's memory that is set as the soft
 	// memory limit. Close to it, the garbage collector works harder.
 	memoryLimitShare = 0.6
+	// defaultMemory is the memory of a host whose settings name none.
+	defaultMemory = 512 << 20
 )
 
 func (c *Config) newServeCmd() *cobra.Command {
@@ -75,7 +82,9 @@
 	var shutdown *fleet.Shutdown
 	var submitter *fleet.Submitter
 	var configuration *fleet.Configuration
-	app := fleet.New(c.fleetOptions(s), fx.Populate(&shutdown, &submitter, &configuration))
+	var set *metrics.Set
+	var logger log.Interface
+	app := fleet.New(c.fleetOptions(s), fx.Populate(&shutdown, &submitter, &configuration, &set, &logger))
 	if err := app.Err(); err != nil {
 		return err
 	}
@@ -86,12 +95,20 @@
 		Dispatcher: submitter, Queues: configuration.Table,
 		Ready: shutdown.Ready, CloseConnections: shutdown.Closing, MustRefuse: shutdown.MustRefuse, Rejected: submitter.Rejected,
 	})
-	callers, err := c.serveHTTP(s.CallerAddress, ingress.Handler())
-	if err != nil {
+	memory := intake.Bytes(cmp.Or(s.Memory, defaultMemory))
+	allotment := intake.Allot(s.Descriptors, memory)
+	callers := httplimit.New(httplimit.Config{
+		Handler: ingress.Handler(), Logger: logger, Budget: intake.NewBudget(memory), Connections: allotment.Callers,
+		HeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
+	})
+	callers.Publish(set)
+	if err := c.serveHTTP(s.CallerAddress, callers); err != nil {
 		return errors.Wrap(err, "address for callers")
 	}
-	readiness, err := c.serveHTTP(s.ReadyAddress, ingress.ReadyHandler())
-	if err != nil {
+	readiness := httplimit.New(httplimit.Config{
+		Handler: ingress.ReadyHandler(), Connections: allotment.Readiness, HeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
+	})
+	if err := c.serveHTTP(s.ReadyAddress, readiness); err != nil {
 		return errors.Wrap(err, "address for the balancer")
 	}
 	<-signals
@@ -119,13 +136,12 @@
 	}
 }
 
-// serveHTTP serves a handler at an address.
-func (c *Config) serveHTTP(address string, h http.Handler) (*http.Server, error) {
+// serveHTTP serves the connections to an address.
+func (c *Config) serveHTTP(address string, s *httplimit.Server) error {
 	listener, err := c.network.Listen(address)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
-	go func() { _ = server.Serve(listener) }()
-	return server, nil
+	go func() { _ = s.Serve(listener) }()
+	return nil
 }
