Bound the memory and the connections of callers of entry

Change: entry serves its API by httplimit, with a budget from limits.memoryMb (or GOMEMLIMIT) and connections from limits.descriptors (or the process limit). A refusal under overload has the code busy and a Retry-After; of a submission whose body was not read it is of the kind unknown, as it may be a resubmission. Such refusals are counted, and logged at debug only. The metrics callerBytes, callerConnections and callersShed are new for both daemons; TestMetricsPage of fleet publishes them too.

--- a/cmd/servecmd.go
+++ b/cmd/servecmd.go
@@ -1,12 +1,10 @@
 package cmd
 
 import (
-	"cmp"
 	"context"
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -36,11 +34,6 @@
 	tableIdleConnections = 4
 	// finalAnswerTimeout bounds the time to send the last answers at shutdown.
 	finalAnswerTimeout = 200 * time.Millisecond
-	// memoryLimitShare is the share of the host's memory that is set as the soft
-	// memory limit. Close to it, the garbage collector works harder.
-	memoryLimitShare = 0.6
-	// defaultMemory is the memory of a host whose settings name none.
-	defaultMemory = 512 << 20
 )
 
 func (c *Config) newServeCmd() *cobra.Command {
@@ -71,9 +64,7 @@
 		return err
 	}
 	s.Fleet.AdvertisedAddress = advertised
-	if s.Memory > 0 {
-		debug.SetMemoryLimit(int64(float64(s.Memory) * memoryLimitShare))
-	}
+	memory := httplimit.SetMemory(s.Memory)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	// SIGHUP announces a changed settings file, but the settings of a host do not
@@ -95,10 +86,9 @@
 		Dispatcher: submitter, Queues: configuration.Table,
 		Ready: shutdown.Ready, CloseConnections: shutdown.Closing, MustRefuse: shutdown.MustRefuse, Rejected: submitter.Rejected,
 	})
-	memory := intake.Bytes(cmp.Or(s.Memory, defaultMemory))
-	allotment := intake.Allot(s.Descriptors, memory)
+	allotment := intake.Allot(httplimit.Descriptors(s.Descriptors), memory)
 	callers := httplimit.New(httplimit.Config{
-		Handler: ingress.Handler(), Logger: logger, Budget: intake.NewBudget(memory), Connections: allotment.Callers,
+		Handler: ingress.Handler(), Logger: logger, Budget: intake.NewBudget(memory, platform.MaxBodyBytes), Connections: allotment.Callers,
 		HeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
 	})
 	callers.Publish(set)
--- a/entry/api.go
+++ b/entry/api.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -9,7 +8,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
 
+	"github.com/catkingap/catkingap/httplimit"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/intake"
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/resource"
 	"github.com/catkingap/catkingap/settings"
@@ -79,18 +80,24 @@
 	c.JSON(e.Status(), answer)
 }
 
-// readBody reads the whole body of a request or rejects the request.
-func (a *API) readBody(c *gin.Context) ([]byte, bool) {
+// readBody reads the whole body of a request or rejects the request. What is decoded from it
+// is held until the request is answered, and takes what weigh returns.
+func (a *API) readBody(c *gin.Context, weigh func([]byte) intake.Bytes) ([]byte, bool) {
 	limit := a.settings.Limits.BodyBytes
-	data, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, limit))
+	data, err := httplimit.ReadBody(c.Writer, c.Request, httplimit.BodyConfig{Limit: limit, Weigh: weigh})
 	if err == nil {
 		return data, true
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		refuse(c, outcome.New(outcome.NotRun, outcome.TooLarge, "the body is larger than %d bytes", limit))
-		return nil, false
+	refusal := outcome.New(outcome.NotRun, outcome.Invalid, "the body was cut: %v", err)
+	if errors.As(err, new(*http.MaxBytesError)) {
+		refusal = outcome.New(outcome.NotRun, outcome.TooLarge, "the body is larger than %d bytes", limit)
+	} else if errors.As(err, new(*httplimit.OverloadedError)) {
+		refusal = outcome.New(outcome.NotRun, outcome.Busy, "%v", err).WithRetryAfter(storeRetryDelay)
+		if c.FullPath() == pathJobs {
+			// The body may be that of a resubmission, an earlier attempt of which has run.
+			refusal.Kind = outcome.Unknown
+		}
 	}
-	refuse(c, outcome.New(outcome.NotRun, outcome.Invalid, "the body was cut: %v", err))
+	refuse(c, refusal)
 	return nil, false
 }
--- a/entry/apijobs.go
+++ b/entry/apijobs.go
@@ -30,7 +30,7 @@
 }
 
 func (a *API) submit(c *gin.Context) {
-	data, ok := a.readBody(c)
+	data, ok := a.readBody(c, job.Weigh)
 	if !ok {
 		return
 	}
--- a/entry/apiresources.go
+++ b/entry/apiresources.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
 
+	"github.com/catkingap/catkingap/httplimit"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/resource"
@@ -158,7 +159,7 @@
 // readObject decodes the body of a write.
 func (a *API) readObject(c *gin.Context, kind resource.Kind) (resource.Object, bool) {
 	var o resource.Object
-	data, ok := a.readBody(c)
+	data, ok := a.readBody(c, httplimit.WeighCopy)
 	if !ok {
 		return o, false
 	}
--- a/entry/apiservices.go
+++ b/entry/apiservices.go
@@ -7,6 +7,7 @@
 
 	"github.com/gin-gonic/gin"
 
+	"github.com/catkingap/catkingap/httplimit"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/outcome"
 )
@@ -41,7 +42,7 @@
 		return
 	}
 	var ok bool
-	if call.Body, ok = a.readBody(c); !ok {
+	if call.Body, ok = a.readBody(c, httplimit.WeighCopy); !ok {
 		return
 	}
 	answer, failure := a.services.Do(c.Request.Context(), call)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,8 +45,12 @@
 	// entry hosts together may send to the table.
 	tableWritesPerSecond = 300
 	headerReadTimeout    = 10 * time.Second
-	storeRetryDelay      = time.Second
-	settleReadInterval   = 100 * time.Millisecond
+	// bodyReadTimeout bounds the time to receive the body of a request.
+	bodyReadTimeout = 30 * time.Second
+	// callerIdleTimeout is longer than callers keep idle connections.
+	callerIdleTimeout  = 2 * time.Minute
+	storeRetryDelay    = time.Second
+	settleReadInterval = 100 * time.Millisecond
 
 	// serverIdleTimeout is the idle time after which a connection to a backend
 	// server is not used again.
--- a/entry/log.go
+++ b/entry/log.go
@@ -129,11 +129,11 @@
 	switch {
 	case e == nil:
 		return log.DebugLevel
-	case e.Kind == outcome.Unknown:
-		return log.WarnLevel
 	case e.Code == outcome.Busy, e.Code == outcome.QueueFull, e.Code == outcome.QuotaExceeded:
 		// Overload must not flood the log; the metrics count these requests.
 		return log.DebugLevel
+	case e.Kind == outcome.Unknown:
+		return log.WarnLevel
 	}
 	return log.InfoLevel
 }
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -12,6 +11,8 @@
 	"go.uber.org/fx"
 
 	"github.com/catkingap/catkingap/drain"
+	"github.com/catkingap/catkingap/httplimit"
+	"github.com/catkingap/catkingap/intake"
 	"github.com/catkingap/catkingap/outcome"
 	"github.com/catkingap/catkingap/settings"
 	"github.com/catkingap/catkingap/timeline"
@@ -58,7 +59,7 @@
 
 // run executes the steps of a shutdown. It returns an *outcome.Error if open
 // requests were cut.
-func (s *Shutdown) run(server *http.Server, l Listeners, jobs *Jobs) error {
+func (s *Shutdown) run(server *httplimit.Server, l Listeners, jobs *Jobs) error {
 	now := time.Now()
 	s.ring.Add(now, timeline.Event{Kind: timeline.ShutdownBegun})
 	machine := drain.NewShutdown(now, drain.ShutdownConfig{
@@ -120,12 +121,12 @@
 }
 
 // close closes the connections once they carry no more requests.
-func (s *Shutdown) close(server *http.Server) {
+func (s *Shutdown) close(server *httplimit.Server) {
 	s.cut(errCut)
 	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
 	defer cancel()
 	if server.Shutdown(ctx) != nil {
-		server.Close()
+		_ = server.Close()
 	}
 }
 
@@ -139,7 +140,7 @@
 // middleware counts open work, and asks callers to open new connections while
 // the host shuts down.
 func (s *Shutdown) middleware(c *gin.Context) {
-	c.Writer = &closingWriter{ResponseWriter: c.Writer, unready: &s.unready}
+	c.Writer = httplimit.NewClosingWriter(c.Writer, s.unready.Load)
 	if c.FullPath() != pathJobs && c.FullPath() != pathCall {
 		ctx, cancel := context.WithCancel(c.Request.Context())
 		defer cancel()
@@ -162,52 +163,17 @@
 	return outcome.New(outcome.NotRun, outcome.Shutdown, "the entry host shuts down").WithRetryAfter(shutdownRetryDelay)
 }
 
-// closingWriter writes responses with "Connection: close" while the host shuts
-// down. Closing idle connections instead would cut off requests that are already
-// in transit.
-type closingWriter struct {
-	gin.ResponseWriter
-	unready *atomic.Bool
-}
-
-func (w *closingWriter) setConnectionHeader() {
-	if w.unready.Load() && !w.Written() {
-		w.Header().Set("Connection", "close")
-	}
-}
-
-// Write implements http.ResponseWriter.
-func (w *closingWriter) Write(data []byte) (int, error) {
-	w.setConnectionHeader()
-	return w.ResponseWriter.Write(data)
-}
-
-// WriteString implements gin.ResponseWriter.
-func (w *closingWriter) WriteString(text string) (int, error) {
-	w.setConnectionHeader()
-	return w.ResponseWriter.WriteString(text)
-}
-
-// WriteHeaderNow implements gin.ResponseWriter.
-func (w *closingWriter) WriteHeaderNow() {
-	w.setConnectionHeader()
-	w.ResponseWriter.WriteHeaderNow()
-}
-
-// Flush implements http.Flusher.
-func (w *closingWriter) Flush() {
-	w.setConnectionHeader()
-	w.ResponseWriter.Flush()
-}
-
 // runAPI serves the API and shuts it down gracefully.
 func runAPI(lc fx.Lifecycle, l Listeners, api *API, jobs *Jobs, shutdown *Shutdown) {
 	shutdown.handover.register(api.services)
-	server := &http.Server{
-		Handler:           api.Handler(),
-		ReadHeaderTimeout: headerReadTimeout,
-		BaseContext:       func(net.Listener) context.Context { return shutdown.base },
-	}
+	memory := httplimit.SetMemory(intake.Bytes(api.settings.Limits.MemoryMB) << 20)
+	server := httplimit.New(httplimit.Config{
+		Handler: api.Handler(), Logger: shutdown.logger, HeaderTimeout: headerReadTimeout, BodyTimeout: bodyReadTimeout, IdleTimeout: callerIdleTimeout,
+		Budget:      intake.NewBudget(memory, intake.Bytes(api.settings.Limits.BodyBytes)),
+		Connections: intake.Allot(httplimit.Descriptors(intake.Descriptors(api.settings.Limits.Descriptors)), memory).Callers,
+		BaseContext: func(net.Listener) context.Context { return shutdown.base },
+	})
+	server.Publish(api.metrics.set)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			shutdown.ring.Add(time.Now(), timeline.Event{Kind: timeline.Started})
--- a/fleet/metrics_test.go
+++ b/fleet/metrics_test.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 
+	"github.com/catkingap/catkingap/httplimit"
 	"github.com/catkingap/catkingap/metrics"
 	"github.com/catkingap/catkingap/network"
 )
@@ -21,6 +22,7 @@
 	is := is.New(t)
 	set := metrics.NewSet()
 	newCounters(set, newLinks(&log.Logger{Handler: discard.New()}, network.Real{}))
+	httplimit.New(httplimit.Config{}).Publish(set)
 	response := httptest.NewRecorder()
 	set.Handler().ServeHTTP(response, httptest.NewRequest("GET", "/metrics", nil))
 	var shown map[string]json.RawMessage
--- a/httplimit/body.go
+++ b/httplimit/body.go
@@ -37,6 +37,9 @@
 	Weigh func(body []byte) intake.Bytes
 }
 
+// WeighCopy returns the memory of a decoded body that holds a copy of it.
+func WeighCopy(body []byte) intake.Bytes { return intake.Bytes(len(body)) }
+
 // smallBytes is the length below which a body is read into one buffer of its length. Most
 // bodies are smaller.
 const smallBytes = 4 << 10
--- /dev/null
+++ b/httplimit/descriptors_other.go
@@ -0,0 +1,8 @@
+//go:build !unix
+
+package httplimit
+
+import "github.com/catkingap/catkingap/intake"
+
+// processDescriptors returns the limit of the process.
+func processDescriptors() intake.Descriptors { return defaultDescriptors }
--- a/httplimit/httplimit_test.go
+++ b/httplimit/httplimit_test.go
@@ -89,7 +89,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			b := intake.NewBudget(memory)
+			b := intake.NewBudget(memory, 1)
 			address := serve(t, httplimit.Config{Budget: b, Connections: 4, BodyTimeout: 200 * time.Millisecond}, 60_000, func(*http.Request) {
 				if row.panics {
 					panic(http.ErrAbortHandler)
@@ -118,7 +118,7 @@
 // request needs: its client is refused, the other one is served.
 func TestStalledBodyIsShed(t *testing.T) {
 	is := is.New(t)
-	b := intake.NewBudget(memory)
+	b := intake.NewBudget(memory, 1)
 	address := serve(t, httplimit.Config{Budget: b, Connections: 4, BodyTimeout: time.Minute}, 90_000, func(*http.Request) {})
 	stalled := post(t, address, "Content-Length: 80001", strings.Repeat("a", 80_000))
 	for b.Used() < 80_000 {
@@ -137,7 +137,7 @@
 	is := is.New(t)
 	done := make(chan struct{})
 	address := serve(t, httplimit.Config{
-		Budget: intake.NewBudget(memory), Connections: 4, BodyTimeout: 50 * time.Millisecond, WriteTimeout: 50 * time.Millisecond,
+		Budget: intake.NewBudget(memory, 1), Connections: 4, BodyTimeout: 50 * time.Millisecond, WriteTimeout: 50 * time.Millisecond,
 	}, 100, func(r *http.Request) {
 		select {
 		case <-done:
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -42,9 +42,15 @@
 	unfinished map[*Claim]struct{}
 }
 
-// NewBudget returns the budget of a host with the given memory.
-func NewBudget(memory Bytes) *Budget {
-	return &Budget{limit: memory / budgetParts, unfinished: map[*Claim]struct{}{}}
+// bodiesInBudget is the number of the largest bodies that the budget holds at least: one
+// that is joined takes twice its length, and what is decoded from it about as much again.
+// A quarter of the budget is reserved for others.
+const bodiesInBudget = 4
+
+// NewBudget returns the budget of a host with the given memory, which allows bodies up to
+// largest.
+func NewBudget(memory, largest Bytes) *Budget {
+	return &Budget{limit: max(memory/budgetParts, bodiesInBudget*largest), unfinished: map[*Claim]struct{}{}}
 }
 
 // Used returns the memory that is charged.
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -37,7 +37,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			b := intake.NewBudget(smallestMemory)
+			b := intake.NewBudget(smallestMemory, bodyBytes)
 			for range row.callers {
 				c := b.Open(start, func() { t.Error("a legal request was shed") })
 				is.True(c.Grow(start, copies*row.size+decodedStep*row.steps))
@@ -52,7 +52,7 @@
 // others: they are shed, the ones that have held most for longest first.
 func TestStalledBodiesMakeRoom(t *testing.T) {
 	is := is.New(t)
-	b := intake.NewBudget(smallestMemory)
+	b := intake.NewBudget(smallestMemory, bodyBytes)
 	var shed []int
 	claims := map[int]*intake.Claim{}
 	for i := range int(budget / bodyBytes) {
@@ -86,7 +86,7 @@
 // out the small ones.
 func TestLargeRequestsLeaveRoomForSmall(t *testing.T) {
 	is := is.New(t)
-	b := intake.NewBudget(smallestMemory)
+	b := intake.NewBudget(smallestMemory, bodyBytes)
 	large := 0
 	for ; ; large++ {
 		c := b.Open(start, ignore)
@@ -106,7 +106,7 @@
 // give back what they hold.
 func TestShedRequestsThatDoNotEnd(t *testing.T) {
 	is := is.New(t)
-	b := intake.NewBudget(smallestMemory)
+	b := intake.NewBudget(smallestMemory, bodyBytes)
 	for i := range 10_000 {
 		b.Open(start.Add(time.Duration(i)*time.Second), ignore).Grow(start.Add(time.Duration(i+1)*time.Second), bodyBytes)
 	}
--- /dev/null
+++ b/job/weigh.go
@@ -0,0 +1,22 @@
+package job
+
+import (
+	"bytes"
+
+	"github.com/catkingap/catkingap/intake"
+)
+
+const (
+	// decodedTaskBytes is above the memory of a Task, of 48 bytes, in a list that the decoder
+	// grows.
+	decodedTaskBytes = 128
+	// queuedTaskBytes is the memory of a task that waits. CAPACITY.md has 967 bytes.
+	queuedTaskBytes = 1000
+)
+
+// Weigh returns an upper bound of the memory that a submission takes beside its texts, which
+// are not longer than its body, until it is answered. It counts the objects in the body.
+func Weigh(body []byte) intake.Bytes {
+	objects := bytes.Count(body, []byte("{"))
+	return intake.Bytes(decodedTaskBytes*objects + queuedTaskBytes*min(objects, MaxTasks) + len(body))
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -56,6 +56,12 @@
 	TimelineEvents int `yaml:"timelineEvents" validate:"min=100,max=1000000"`
 	// Connections bounds the connections to one backend server.
 	Connections int `yaml:"connections" validate:"min=1,max=1000"`
+	// MemoryMB is the memory of the host in MiB, of which a quarter may hold the bodies
+	// of requests. Zero derives it from GOMEMLIMIT.
+	MemoryMB int64 `yaml:"memoryMb" validate:"min=0,max=1048576"`
+	// Descriptors is the number of open files and sockets, of which callers get a share.
+	// Zero means the limit of the process.
+	Descriptors int `yaml:"descriptors" validate:"min=0,max=1048576"`
 }
 
 // Settings are the settings of one entry host.
