Bound the links of other hosts, their large jobs and the metrics address

Accepted links had no bound, a frame that has begun could stay open for ever, a link could open any number of calls, and an owner held the large jobs of all hosts' callers without a bound. The metrics address had no idle timeout and no bound of connections.

Change: accepted links are bounded; connections that have sent no frame are closed for new ones, working links never. The rest of a frame must arrive within 10 s; frames that are buffered whole set no deadline. A link has at most 20,000 open calls. An owner refuses, as not run, jobs above 64 KiB of memory that would together take over an eighth of its host. The metrics address is served by httplimit. Answers of workers and of the table were bounded already, at 4 MiB each, and are left as they are.

--- a/cmd/servecmd.go
+++ b/cmd/servecmd.go
@@ -64,7 +64,8 @@
 		return err
 	}
 	s.Fleet.AdvertisedAddress = advertised
-	memory := httplimit.SetMemory(s.Memory)
+	s.Fleet.Memory = httplimit.SetMemory(s.Memory)
+	s.Fleet.Connections = intake.Allot(httplimit.Descriptors(s.Descriptors), s.Fleet.Memory)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	// SIGHUP announces a changed settings file, but the settings of a host do not
@@ -86,9 +87,8 @@
 		Dispatcher: submitter, Queues: configuration.Table,
 		Ready: shutdown.Ready, CloseConnections: shutdown.Closing, MustRefuse: shutdown.MustRefuse, Rejected: submitter.Rejected,
 	})
-	allotment := intake.Allot(httplimit.Descriptors(s.Descriptors), memory)
 	callers := httplimit.New(httplimit.Config{
-		Handler: ingress.Handler(), Logger: logger, Budget: intake.NewBudget(memory, platform.MaxBodyBytes), Connections: allotment.Callers,
+		Handler: ingress.Handler(), Logger: logger, Budget: intake.NewBudget(s.Fleet.Memory, platform.MaxBodyBytes), Connections: s.Fleet.Connections.Callers,
 		HeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
 	})
 	callers.Publish(set)
@@ -96,7 +96,7 @@
 		return errors.Wrap(err, "address for callers")
 	}
 	readiness := httplimit.New(httplimit.Config{
-		Handler: ingress.ReadyHandler(), Connections: allotment.Readiness, HeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
+		Handler: ingress.ReadyHandler(), Connections: s.Fleet.Connections.Readiness, HeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
 	})
 	if err := c.serveHTTP(s.ReadyAddress, readiness); err != nil {
 		return errors.Wrap(err, "address for the balancer")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,7 +16,9 @@
 
 	"github.com/catkingap/catkingap/backend"
 	"github.com/catkingap/catkingap/commit"
+	"github.com/catkingap/catkingap/httplimit"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/intake"
 	"github.com/catkingap/catkingap/job"
 	"github.com/catkingap/catkingap/network"
 	"github.com/catkingap/catkingap/peer"
@@ -217,8 +219,15 @@
 	m.register(metricSources{batcher: b, dispatcher: d, jobs: j, links: l, ring: r, sender: client, store: store})
 }
 
+// allotment returns how many connections this host accepts.
+func allotment(s settings.Settings) intake.Allotment {
+	memory := httplimit.SetMemory(intake.Bytes(s.Limits.MemoryMB) << 20)
+	return intake.Allot(httplimit.Descriptors(intake.Descriptors(s.Limits.Descriptors)), memory)
+}
+
 // runPeer serves the connections from other entry hosts.
-func runPeer(lc fx.Lifecycle, l Listeners, links *peer.Links, jobs *Jobs, timelines *Timelines, p *Prober, r *Rollout) {
+func runPeer(lc fx.Lifecycle, s settings.Settings, l Listeners, links *peer.Links, jobs *Jobs, timelines *Timelines, p *Prober, r *Rollout) {
+	links.LimitAccepted(allotment(s).Peers)
 	jobs.register(links)
 	p.register(links)
 	r.register(links)
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -170,7 +170,7 @@
 	server := httplimit.New(httplimit.Config{
 		Handler: api.Handler(), Logger: shutdown.logger, HeaderTimeout: headerReadTimeout, BodyTimeout: bodyReadTimeout, IdleTimeout: callerIdleTimeout,
 		Budget:      intake.NewBudget(memory, intake.Bytes(api.settings.Limits.BodyBytes)),
-		Connections: intake.Allot(httplimit.Descriptors(intake.Descriptors(api.settings.Limits.Descriptors)), memory).Callers,
+		Connections: allotment(api.settings).Callers,
 		BaseContext: func(net.Listener) context.Context { return shutdown.base },
 	})
 	server.Publish(api.metrics.set)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -17,6 +17,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/intake"
 	"github.com/catkingap/catkingap/metrics"
 	"github.com/catkingap/catkingap/network"
 	"github.com/catkingap/catkingap/ownership"
@@ -75,6 +76,10 @@
 	RowBytes int
 	// ShutdownTimeout bounds a graceful shutdown.
 	ShutdownTimeout time.Duration
+	// Connections holds the connections that are accepted. Zero means no bound.
+	Connections intake.Allotment
+	// Memory is the memory of the host. Zero means that jobs of other hosts are not bounded.
+	Memory intake.Bytes
 	// MetricsAddress is the address that serves the metrics. Empty disables them.
 	MetricsAddress string
 	LogLevel       string
@@ -163,6 +168,7 @@
 			if listener, err = n.Listen(s.PeerAddress); err != nil {
 				return errors.Wrap(err, "address for other hosts")
 			}
+			links.LimitAccepted(s.Connections.Peers)
 			go func() { _ = links.Serve(listener) }()
 			return nil
 		},
--- a/fleet/log.go
+++ b/fleet/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -11,20 +12,25 @@
 	"github.com/apex/log/handlers/json"
 	"go.uber.org/fx"
 
+	"github.com/catkingap/catkingap/httplimit"
+	"github.com/catkingap/catkingap/linewriter"
 	"github.com/catkingap/catkingap/metrics"
 	"github.com/catkingap/catkingap/network"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/peer"
 )
 
+// logOutput is the destination of the log.
+type logOutput io.Writer
+
 // newLogger returns a logger that writes JSON lines and never blocks on its output.
 func newLogger(life fx.Lifecycle, o logOutput, s Settings) (log.Interface, error) {
 	level, err := log.ParseLevel(s.LogLevel)
 	if err != nil {
 		return nil, err
 	}
-	lines := newLineWriter(o)
-	runLoops(life, lines.run)
+	lines := linewriter.New(o)
+	runLoops(life, lines.Run)
 	logger := &log.Logger{Handler: json.New(lines), Level: level}
 	return logger.WithField("host", string(s.Host)), nil
 }
@@ -51,6 +57,8 @@
 	// tasksGivenUp the jobs that were ended because of such a task, by cause.
 	suspectStarts *expvar.Int
 	tasksGivenUp  *expvar.Map
+	// jobsWithoutMemory counts the jobs of other hosts that owners refused for want of memory.
+	jobsWithoutMemory *expvar.Int
 	// withdrawals counts the withdrawals of jobs whose callers have left, by outcome.
 	withdrawals *expvar.Map
 }
@@ -68,12 +76,13 @@
 	s.Func("peerReceivedBytes", func() any { return l.Statistics.ReceivedBytes.Load() })
 	s.Func("peerPanics", func() any { return l.Statistics.Panics.Load() })
 	s.Func("peerSilentLinks", func() any { return l.Statistics.Silent.Load() })
+	s.Func("peerShedLinks", func() any { return l.Statistics.Shed.Load() })
 	return &Counters{
 		owner:  ownerCounters{events: s.Counters("ownerEvents"), busy: s.Counters("ownerBusyUs"), lag: s.Histogram("ownerLag")},
 		orders: s.Counters("orders"), panics: s.Counter("ownerPanics"), pauses: s.Counter("pauses"), results: s.Counters("results"),
 		response: s.Histogram("response"), withdrawals: s.Counters("withdrawals"),
 		workersLost: s.Counters("workersLost"), runsLost: s.Counters("runsLost"),
-		suspectStarts: s.Counter("suspectStarts"), tasksGivenUp: s.Counters("tasksGivenUp"),
+		jobsWithoutMemory: s.Counter("jobsWithoutMemory"), suspectStarts: s.Counter("suspectStarts"), tasksGivenUp: s.Counters("tasksGivenUp"),
 	}
 }
 
@@ -84,7 +93,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", set.Handler())
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	server := httplimit.New(httplimit.Config{
+		Handler: mux, Connections: s.Connections.Metrics, HeaderTimeout: time.Second, IdleTimeout: time.Minute,
+	})
 	var listener net.Listener
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/fleet/owners.go
+++ b/fleet/owners.go
@@ -13,6 +13,7 @@
 
 	"github.com/catkingap/catkingap/dispatch"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/intake"
 	"github.com/catkingap/catkingap/lag"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/peer"
@@ -114,6 +115,7 @@
 		return nil, listVersion{}
 	}
 	c.receiveKeepalives = o.receiveKeepalives
+	memory := intake.NewJobBudget(s.Memory)
 	peer.Handle(l, kindSubmit, func(ctx context.Context, r submitRequest) (dispatch.Reply, error) {
 		if x := o.get(r.DataCentre); x != nil && x.owner.Token != r.Token {
 			return dispatch.Reply{Host: r.Submission.Host, Call: r.Submission.Call, Job: r.Submission.Job.ID, Result: dispatch.Moved}, nil
@@ -123,6 +125,15 @@
 				Host: r.Submission.Host, Call: r.Submission.Call, Job: r.Submission.Job.ID, Result: dispatch.Failed, Reason: err.Error(),
 			}, nil
 		}
+		release, ok := memory.Admit(time.Now(), r.Submission.Job.Weight())
+		if !ok {
+			counters.jobsWithoutMemory.Add(1)
+			return dispatch.Reply{
+				Host: r.Submission.Host, Call: r.Submission.Call, Job: r.Submission.Job.ID, Result: dispatch.Refused,
+				Reason: "the owner has no memory for this job now", RetryAfter: refusalRetryAfter,
+			}, nil
+		}
+		defer release()
 		r.Submission.CallerSeen = c.TimeAt(r.Submission.Sent)
 		return o.Submit(ctx, r.DataCentre, r.Submission)
 	})
--- a/intake/connections.go
+++ b/intake/connections.go
@@ -48,7 +48,8 @@
 	since time.Time
 }
 
-// NewConnections returns Connections that keep at most limit connections open.
+// NewConnections returns Connections that keep at most limit connections open. Zero
+// means no bound.
 func NewConnections[C comparable](limit int) *Connections[C] {
 	return &Connections[C]{limit: limit, open: map[C]state{}}
 }
@@ -67,7 +68,7 @@
 func (s *Connections[C]) Add(now time.Time, c C) (victim C, found bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if len(s.open) >= s.limit {
+	if s.limit > 0 && len(s.open) >= s.limit {
 		if victim, found = s.victim(now); !found {
 			return c, true
 		}
@@ -99,7 +100,7 @@
 	if !ok || x.phase == p {
 		return ok
 	}
-	if p == Serving && s.serving >= s.limit-s.limit/servingParts {
+	if s.limit > 0 && p == Serving && s.serving >= s.limit-s.limit/servingParts {
 		return false
 	}
 	s.count(x.phase, -1)
@@ -142,6 +143,8 @@
 	fileParts       = 4
 	callerParts     = 4
 	peerParts       = 8
+	// minPeers is the least number of links of other hosts.
+	minPeers = 64
 	// controlConnections is the number of connections for readiness and for metrics, each at
 	// most one of controlParts.
 	controlConnections = 32
@@ -155,7 +158,7 @@
 	control := max(minControl, min(controlConnections, sockets/controlParts))
 	return Allotment{
 		Callers:   max(minConnections, min(sockets/callerParts, int(memory/connectionParts/connectionBytes))),
-		Peers:     sockets / peerParts,
+		Peers:     max(minPeers, sockets/peerParts),
 		Readiness: control,
 		Metrics:   control,
 	}
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -3,6 +3,7 @@
 package peer
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/binary"
 	"fmt"
@@ -88,3 +89,12 @@
 	}
 	return &f, nil
 }
+
+// isBuffered returns true if r has buffered the next frame whole.
+func isBuffered(r *bufio.Reader) bool {
+	if r.Buffered() < headerBytes {
+		return false
+	}
+	header, err := r.Peek(headerBytes)
+	return err == nil && int64(r.Buffered()) >= headerBytes+int64(binary.BigEndian.Uint32(header))
+}
--- a/peer/hostile_test.go
+++ b/peer/hostile_test.go
@@ -1,9 +1,11 @@
 package peer
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -61,3 +63,60 @@
 	is.Equal(l.Statistics.Panics.Load(), int64(2))
 	is.True(strings.Contains(output.text(), "index out of range"))
 }
+
+// TestCrowdOfLinks guards against connections that hold all accepted links: those that have
+// sent nothing are closed for new ones, and links that work stay.
+func TestCrowdOfLinks(t *testing.T) {
+	const limit = 8
+	is := is.New(t)
+	server, _, _ := newTestLinks(t)
+	server.LimitAccepted(limit)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	go func() { _ = server.Serve(listener) }()
+	address := listener.Addr().String()
+	client, _, _ := newTestLinks(t)
+	answer, err := Call[string, string](t.Context(), client, address, "echo", "before")
+	is.NoErr(err)
+	is.Equal(answer, "before")
+	sent := client.Statistics.SentFrames.Load()
+	for range 5 * limit {
+		c, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		defer c.Close()
+	}
+	answer, err = Call[string, string](t.Context(), client, address, "echo", "after")
+	is.NoErr(err)
+	is.Equal(answer, "after")
+	is.Equal(client.Statistics.SentFrames.Load(), sent+1)
+	other, _, _ := newTestLinks(t)
+	answer, err = Call[string, string](t.Context(), other, address, "echo", "new")
+	is.NoErr(err)
+	is.Equal(answer, "new")
+	is.True(server.Statistics.Shed.Load() >= 4*limit)
+}
+
+// TestBufferedFrames checks which frames are read without a deadline: only those that have
+// arrived whole.
+func TestBufferedFrames(t *testing.T) {
+	whole := nestedFrame(3)
+	for name, row := range map[string]struct {
+		data []byte
+		want bool
+	}{
+		"nothing":        {},
+		"half a header":  {data: whole[:headerBytes-1]},
+		"header":         {data: whole[:headerBytes]},
+		"all but a byte": {data: whole[:len(whole)-1]},
+		"whole":          {data: whole, want: true},
+		"and more":       {data: append(bytes.Clone(whole), 1), want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := bufio.NewReader(bytes.NewReader(row.data))
+			_, _ = r.Peek(1)
+			is.Equal(isBuffered(r), row.want)
+		})
+	}
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/catkingap/catkingap/intake"
 	"github.com/catkingap/catkingap/network"
 )
 
@@ -27,6 +28,9 @@
 	SentFrames    atomic.Int64
 	// Silent counts the links that were closed because nothing was received in time.
 	Silent atomic.Int64
+	// Shed counts the accepted links that were closed because there were too many, or
+	// because a frame or the answers to too many calls were outstanding.
+	Shed atomic.Int64
 	// Bad counts the links that were closed because of an invalid frame.
 	Bad atomic.Int64
 	// Panics counts the messages whose handler panicked.
@@ -74,6 +78,15 @@
 	SilenceTimeout time.Duration
 }
 
+const (
+	// frameTimeout bounds the time to receive the rest of a frame that has begun. Its sender
+	// has Config.WriteTimeout, of 1 or 2 s, to write it.
+	frameTimeout = 10 * time.Second
+	// maxOpenCalls bounds the received calls of one link that are not answered yet. A host
+	// submits some hundred jobs a second, each of which waits for some seconds.
+	maxOpenCalls = 20_000
+)
+
 // Links holds the links of a process to its peers and accepts links from them.
 type Links struct {
 	Statistics Statistics
@@ -84,6 +97,8 @@
 	mutex    sync.Mutex
 	dialed   map[string]*link
 	open     map[*link]struct{}
+	// accepted bounds the accepted links. It is nil if there is no bound.
+	accepted *intake.Connections[net.Conn]
 	closed   bool
 	// stopWatch ends the loop that closes silent links. It is nil if there are no
 	// links.
@@ -95,6 +110,13 @@
 	return &Links{config: c, handlers: map[Kind]handler{}, casts: map[Kind]castHandler{}, dialed: map[string]*link{}, open: map[*link]struct{}{}}
 }
 
+// LimitAccepted bounds the accepted links. Three quarters of them may be links that have
+// received a frame, which are never closed for others. Zero means no bound. It must not be
+// called after Serve.
+func (l *Links) LimitAccepted(n int) {
+	l.accepted = intake.NewConnections[net.Conn](n)
+}
+
 // Handle registers the handler for the calls of one kind. It must not be called
 // after Serve or Call.
 func Handle[Request, Response any](l *Links, k Kind, h func(context.Context, Request) (Response, error)) {
@@ -135,10 +157,26 @@
 		if err != nil {
 			return err
 		}
-		l.attach(connection, "")
+		if l.admit(connection) {
+			l.attach(connection, "")
+		}
 	}
 }
 
+// admit closes a connection if there are too many, which may be the new one. It returns
+// false in that case.
+func (l *Links) admit(c net.Conn) bool {
+	if l.accepted == nil {
+		return true
+	}
+	victim, found := l.accepted.Add(time.Now(), c)
+	if found {
+		l.Statistics.Shed.Add(1)
+		victim.Close()
+	}
+	return !found || victim != c
+}
+
 // Close closes all links.
 func (l *Links) Close() {
 	l.mutex.Lock()
@@ -213,6 +251,8 @@
 	done       chan struct{}
 	// lastReceived is when the last byte was received, in nanoseconds since 1970.
 	lastReceived atomic.Int64
+	// openCalls is the number of received calls that are not answered yet.
+	openCalls atomic.Int64
 	// silence is used only by the loop that closes silent links.
 	silence silence
 
@@ -272,12 +312,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	reader := bufio.NewReader(&countingReader{connection: k.connection, count: &k.links.Statistics.ReceivedBytes, lastReceived: &k.lastReceived})
-	for {
-		f, err := readFrame(reader)
+	for first := true; ; first = false {
+		f, err := k.readFrame(reader)
 		if err != nil {
 			k.close(err)
 			return
 		}
+		if first && k.address == "" && k.links.accepted != nil {
+			k.links.accepted.Set(time.Now(), k.connection, intake.Serving)
+		}
 		if f.Answer {
 			k.deliver(f)
 			continue
@@ -289,10 +332,32 @@
 			}
 			continue
 		}
+		if k.openCalls.Add(1) > maxOpenCalls {
+			k.links.Statistics.Shed.Add(1)
+			k.close(&FrameError{Reason: fmt.Sprintf("more than %d calls are open", maxOpenCalls)})
+			return
+		}
 		go k.answer(ctx, f)
 	}
 }
 
+// readFrame reads the next frame. It waits for its first byte without a bound, and for the
+// rest up to frameTimeout.
+func (k *link) readFrame(r *bufio.Reader) (*frame, error) {
+	if !isBuffered(r) {
+		if _, err := r.Peek(1); err != nil {
+			return nil, err
+		}
+		if !isBuffered(r) {
+			if err := k.connection.SetReadDeadline(time.Now().Add(frameTimeout)); err != nil {
+				return nil, err
+			}
+			defer func() { _ = k.connection.SetReadDeadline(time.Time{}) }()
+		}
+	}
+	return readFrame(r)
+}
+
 // deliver passes an answer to the call that waits for it.
 func (k *link) deliver(f *frame) {
 	k.mutex.Lock()
@@ -306,6 +371,7 @@
 
 // answer runs the handler of a call and sends the answer.
 func (k *link) answer(ctx context.Context, f *frame) {
+	defer k.openCalls.Add(-1)
 	answer := &frame{Call: f.Call, Answer: true, Kind: f.Kind}
 	h := k.links.handlers[f.Kind]
 	if h == nil {
@@ -338,6 +404,9 @@
 // close ends the link and its waiting calls.
 func (k *link) close(cause error) {
 	k.links.detach(k)
+	if k.links.accepted != nil {
+		k.links.accepted.Remove(k.connection)
+	}
 	k.connection.Close()
 	close(k.done)
 	var bad *FrameError
