--- a/httplimit/body.go
+++ b/httplimit/body.go
@@ -44,13 +44,20 @@
 // bodies are smaller.
 const smallBytes = 4 << 10
 
+// bodyReader reads one body.
+type bodyReader struct {
+	// conn is nil if the server has no limits, as in tests. claim is nil if it has no budget.
+	conn  *conn
+	claim *intake.Claim
+}
+
 // ReadBody reads the body of a request. Its memory, and then that of what is decoded from
 // it, is charged to the budget of the server until the handler returns. If ReadBody
 // fails, the connection is to be closed after the answer.
 func ReadBody(w http.ResponseWriter, r *http.Request, c BodyConfig) ([]byte, error) {
-	x, _ := r.Context().Value(contextKey{}).(*request)
-	if x == nil {
-		x = &request{}
+	x := bodyReader{}
+	x.conn, _ = r.Context().Value(contextKey{}).(*conn)
+	if x.conn == nil {
 		controller := http.NewResponseController(w)
 		// Only the response writers of tests do not support deadlines.
 		_ = controller.SetReadDeadline(time.Now().Add(DefaultBodyTimeout))
@@ -58,9 +65,12 @@
 	}
 	data, err := x.read(w, r, c)
 	if err != nil {
-		x.release()
 		w.Header().Set("Connection", "close")
-		return nil, x.explain(err)
+		err = x.explain(err)
+		if x.claim != nil {
+			x.claim.Release()
+		}
+		return nil, err
 	}
 	if x.conn != nil {
 		// The server goes on reading the connection to detect that the caller disconnects.
@@ -69,13 +79,14 @@
 	return data, nil
 }
 
-func (x *request) read(w http.ResponseWriter, r *http.Request, c BodyConfig) ([]byte, error) {
+func (x *bodyReader) read(w http.ResponseWriter, r *http.Request, c BodyConfig) ([]byte, error) {
 	if r.ContentLength > c.Limit {
 		return nil, &http.MaxBytesError{Limit: c.Limit}
 	}
 	if x.conn != nil && x.conn.server.config.Budget != nil {
 		now := time.Now()
 		x.claim = x.conn.server.config.Budget.Open(now, func() { _ = x.conn.SetReadDeadline(now) })
+		x.conn.claim = x.claim
 	}
 	reader := http.MaxBytesReader(w, r.Body, c.Limit)
 	if r.ContentLength >= 0 && r.ContentLength < smallBytes {
@@ -85,7 +96,7 @@
 }
 
 // readSmall reads a body of n bytes.
-func (x *request) readSmall(r io.Reader, n int64, c BodyConfig) ([]byte, error) {
+func (x *bodyReader) readSmall(r io.Reader, n int64, c BodyConfig) ([]byte, error) {
 	if !x.grow(intake.Bytes(n)) {
 		return nil, errNoMemory
 	}
@@ -104,7 +115,7 @@
 
 // readBlocks reads a body of unknown or large size. It is charged as it arrives, whatever
 // size it claims.
-func (x *request) readBlocks(r io.Reader, c BodyConfig) ([]byte, error) {
+func (x *bodyReader) readBlocks(r io.Reader, c BodyConfig) ([]byte, error) {
 	var full []*block
 	defer func() {
 		for _, b := range full {
@@ -159,12 +170,12 @@
 var errNoMemory = &OverloadedError{Reason: "the host has no memory for this body now"}
 
 // grow charges n bytes, and returns false if they do not fit.
-func (x *request) grow(n intake.Bytes) bool {
+func (x *bodyReader) grow(n intake.Bytes) bool {
 	return x.claim == nil || x.claim.Grow(time.Now(), n)
 }
 
 // finish charges what the body decodes to, and marks the request as received.
-func (x *request) finish(data []byte, c BodyConfig) error {
+func (x *bodyReader) finish(data []byte, c BodyConfig) error {
 	if x.conn == nil {
 		return nil
 	}
@@ -179,7 +190,7 @@
 }
 
 // explain counts a body that could not be read, and returns its error for the handler.
-func (x *request) explain(err error) error {
+func (x *bodyReader) explain(err error) error {
 	count := func(r reason) {
 		if x.conn != nil {
 			x.conn.server.shed(r)
--- a/httplimit/conn.go
+++ b/httplimit/conn.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/catkingap/catkingap/intake"
 )
 
 // conn is a connection of a client. Each write to it is bounded in time.
@@ -11,6 +13,17 @@
 	net.Conn
 	server *Server
 	once   sync.Once
+	// claim is the memory of the request that is handled, or nil. Only its handler uses it.
+	claim *intake.Claim
+}
+
+// release gives back what the request that was handled holds, however its handler has
+// ended.
+func (c *conn) release() {
+	if c.claim != nil {
+		c.claim.Release()
+		c.claim = nil
+	}
 }
 
 // Write implements net.Conn. A client that does not read its answers can not hold the
--- a/httplimit/httplimit.go
+++ b/httplimit/httplimit.go
@@ -145,35 +145,21 @@
 	}).Warn("callers shed")
 }
 
-// contextKey is the key of the connection, and then of the request, in a context.
+// contextKey is the key of the connection in the context of its requests.
 type contextKey struct{}
 
-// request is the state of one request.
-type request struct {
-	conn  *conn
-	claim *intake.Claim
-}
-
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	c, ok := r.Context().Value(contextKey{}).(*conn)
 	if !ok {
 		s.config.Handler.ServeHTTP(w, r)
 		return
 	}
-	x := &request{conn: c}
-	defer x.release()
+	defer c.release()
 	if r.Body == nil || r.Body == http.NoBody {
 		s.connections.Set(time.Now(), c, intake.Serving)
 	} else {
 		// It bounds also the discarding of a body that the handler does not read.
 		_ = c.SetReadDeadline(time.Now().Add(s.config.BodyTimeout))
 	}
-	s.config.Handler.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), contextKey{}, x)))
-}
-
-// release gives back what the request holds, however its handler has ended.
-func (x *request) release() {
-	if x.claim != nil {
-		x.claim.Release()
-	}
+	s.config.Handler.ServeHTTP(w, r)
 }
--- a/job/weigh.go
+++ b/job/weigh.go
@@ -1,10 +1,6 @@
 package job
 
-import (
-	"bytes"
-
-	"github.com/catkingap/catkingap/intake"
-)
+import "github.com/catkingap/catkingap/intake"
 
 const (
 	// decodedTaskBytes is above the memory of a Task, of 48 bytes, in a list that the decoder
@@ -15,8 +11,8 @@
 )
 
 // Weigh returns an upper bound of the memory that a submission takes beside its texts, which
-// are not longer than its body, until it is answered. It counts the objects in the body.
+// are not longer than its body, until it is answered.
 func Weigh(body []byte) intake.Bytes {
-	objects := bytes.Count(body, []byte("{"))
-	return intake.Bytes(decodedTaskBytes*objects + queuedTaskBytes*min(objects, MaxTasks) + len(body))
+	tasks, _ := intake.CountItems(body)
+	return intake.Bytes(decodedTaskBytes*tasks + queuedTaskBytes*min(tasks, MaxTasks) + len(body))
 }
