--- a/fleet/log.go
+++ b/fleet/log.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log/handlers/json"
 	"go.uber.org/fx"
 
+	"github.com/catkingap/catkingap/httplimit"
 	"github.com/catkingap/catkingap/logline"
 	"github.com/catkingap/catkingap/metrics"
 	"github.com/catkingap/catkingap/network"
@@ -58,6 +59,8 @@
 	// tasksGivenUp the jobs that were ended because of such a task, by cause.
 	suspectStarts *expvar.Int
 	tasksGivenUp  *expvar.Map
+	// jobsWithoutMemory counts the jobs of other hosts that owners refused for want of memory.
+	jobsWithoutMemory *expvar.Int
 	// withdrawals counts the withdrawals of jobs whose callers have left, by outcome.
 	withdrawals *expvar.Map
 	// evacuations counts the evacuations that began and ended in the view of this host, and
@@ -80,13 +83,14 @@
 	s.Func("peerReceivedBytes", func() any { return l.Statistics.ReceivedBytes.Load() })
 	s.Func("peerPanics", func() any { return l.Statistics.Panics.Load() })
 	s.Func("peerSilentLinks", func() any { return l.Statistics.Silent.Load() })
+	s.Func("peerShedLinks", func() any { return l.Statistics.Shed.Load() })
 	return &Counters{
 		owner:  ownerCounters{events: s.Counters("ownerEvents"), busy: s.Counters("ownerBusyUs"), lag: s.Histogram("ownerLag")},
 		orders: s.Counters("orders"), panics: s.Counter("ownerPanics"), pauses: s.Counter("pauses"), results: s.Counters("results"),
 		response: s.Histogram("response"), withdrawals: s.Counters("withdrawals"),
 		coldStarts: s.Counter("coldStarts"), evacuations: s.Counters("evacuations"), evacuatedJobs: s.Counters("evacuatedJobs"),
 		workersLost: s.Counters("workersLost"), runsLost: s.Counters("runsLost"), workerSpeeds: s.Counters("workerSpeeds"),
-		suspectStarts: s.Counter("suspectStarts"), tasksGivenUp: s.Counters("tasksGivenUp"),
+		jobsWithoutMemory: s.Counter("jobsWithoutMemory"), suspectStarts: s.Counter("suspectStarts"), tasksGivenUp: s.Counters("tasksGivenUp"),
 	}
 }
 
@@ -97,7 +101,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", set.Handler())
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	server := httplimit.New(httplimit.Config{
+		Handler: mux, Connections: s.Connections.Metrics, HeaderTimeout: time.Second, IdleTimeout: time.Minute,
+	})
 	var listener net.Listener
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
