Simulate overload by kind of job, with slow and silent workers

The simulation of one owner's load knew only one factor for all kinds of jobs. The figures are printed on demand.

--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -114,9 +114,14 @@
 	order   int
 	workers map[worker.ID]*simulatedWorker
 	// factor returns the load at a second as a multiple of the usual load.
-	factor  func(second float64) float64
-	jobs    map[work.ID]*simulatedJob
-	answers []callerAnswer
+	factor func(second float64) float64
+	// kindFactor returns the same for one kind of jobs, beside factor.
+	kindFactor func(kind string, second float64) float64
+	// usedCores is the core-time in core-seconds that runs take between burstFrom and
+	// burstTo.
+	usedCores float64
+	jobs      map[work.ID]*simulatedJob
+	answers   []callerAnswer
 	// open holds the submissions that are not answered, and sequence numbers them.
 	open     map[work.ID]Submission
 	sequence Sequence
@@ -141,12 +146,14 @@
 type simulatedJob struct {
 	callerAnswer
 	runTimes []time.Duration
+	cores    int
 }
 
 func newLoadSim(seed uint64, factor func(second float64) float64) *loadSim {
 	l := &loadSim{
 		random: rand.New(rand.NewPCG(seed, 7)), now: origin, workers: map[worker.ID]*simulatedWorker{}, jobs: map[work.ID]*simulatedJob{}, open: map[work.ID]Submission{},
 		factor: factor, cost: func(int, int) time.Duration { return 0 },
+		kindFactor: func(string, float64) float64 { return 1 },
 	}
 	l.config = Config{
 		Token: 1, MaxLease: time.Second, FarFactor: 2,
@@ -225,7 +232,7 @@
 // submitRepeatedly submits jobs of a kind for ever.
 func (l *loadSim) submitRepeatedly(k jobKind) {
 	second := l.now.Sub(origin).Seconds()
-	pause := time.Duration(l.random.ExpFloat64() / (k.rate * l.factor(second)) * float64(time.Second))
+	pause := time.Duration(l.random.ExpFloat64() / (k.rate * l.factor(second) * l.kindFactor(k.name, second)) * float64(time.Second))
 	l.after(pause, func() {
 		l.submit(k)
 		l.submitRepeatedly(k)
@@ -235,7 +242,7 @@
 func (l *loadSim) submit(k jobKind) {
 	runTime := time.Duration(min(l.logNormal(spread), 4) * float64(k.runTime))
 	size := work.Size{Cores: int(min(l.logNormal(0.2)*32_000, 48_000)), Memory: 64}
-	j := &simulatedJob{callerAnswer: callerAnswer{
+	j := &simulatedJob{cores: size.Cores, callerAnswer: callerAnswer{
 		kind: k.name, submitted: l.now, objective: time.Duration(1.6*float64(runTime)) + 60*time.Millisecond,
 	}}
 	count := max(1, int(math.Round(min(l.logNormal(spread), 4)*k.tasks)))
@@ -324,6 +331,7 @@
 	}
 	took := time.Duration(float64(l.jobs[s.Task.Job].runTimes[s.Task.Index]) / w.speed)
 	key := runKey{task: s.Task.String(), run: s.Run}
+	l.addUsed(s.Task, took)
 	w.runs[key] = &simulatedRun{took: took, ends: l.now.Add(took)}
 	l.after(took, func() { l.end(w, key, worker.Done) })
 	handled := false
@@ -347,6 +355,22 @@
 	})
 }
 
+// addUsed adds the core-time of a run.
+func (l *loadSim) addUsed(t work.Task, took time.Duration) {
+	from := max(burstFrom, l.now.Sub(origin).Seconds())
+	to := min(burstTo, l.now.Add(took).Sub(origin).Seconds())
+	l.usedCores += max(0, to-from) * float64(l.jobs[t.Job].cores)
+}
+
+// usedShare returns the share of all cores that runs take between burstFrom and burstTo.
+func (l *loadSim) usedShare() float64 {
+	cores := 0
+	for _, w := range l.list {
+		cores += w.Capacity.Cores
+	}
+	return l.usedCores / float64(cores*(burstTo-burstFrom))
+}
+
 func (l *loadSim) stop(s worker.Stop) {
 	if l.workers[s.Worker].down {
 		l.after(messageDelay, func() {
--- /dev/null
+++ b/dispatch/sharing_test.go
@@ -0,0 +1,96 @@
+package dispatch
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// overload is a simulated load above the usual one, between burstFrom and burstTo.
+type overload struct {
+	// factors are the loads of the kinds of jobs, as multiples of their usual ones. Kinds
+	// that are missing keep to their usual load.
+	factors map[string]float64
+	// slow and silent are the shares of the workers that are four times slower or silent.
+	slow, silent float64
+}
+
+// alike returns the load of all kinds at x times the usual one.
+func alike(x float64) overload {
+	return overload{factors: map[string]float64{"short": x, "medium": x, "long": x}}
+}
+
+// prepare sets up a simulation of the load.
+func (o overload) prepare(l *loadSim) {
+	l.kindFactor = func(kind string, second float64) float64 {
+		if x, ok := o.factors[kind]; ok {
+			return burst(x)(second)
+		}
+		return 1
+	}
+	l.after(burstFrom*time.Second, func() {
+		for i, w := range l.list {
+			switch x := l.workers[w.ID]; {
+			case float64(i*7%10) < 10*o.slow:
+				x.speed /= 4
+				l.after((burstTo-burstFrom)*time.Second, func() { x.speed *= 4 })
+			case float64(i*7%10) < 10*o.silent:
+				l.crash(x)
+			}
+		}
+	})
+}
+
+// simulate simulates the load with several seeds.
+func (o overload) simulate() simulations {
+	return simulateBurstWith(1, o.prepare)
+}
+
+// overloads are the loads for which docs/design/sharing.md gives figures.
+var overloads = map[string]overload{
+	"1 calm":                  alike(1),
+	"2 all 1.5":               alike(1.5),
+	"3 all 2":                 alike(2),
+	"4 all 2.5":               alike(2.5),
+	"5 all 3.5":               alike(3.5),
+	"6 short 2.5":             {factors: map[string]float64{"short": 2.5}},
+	"6 medium 2.5":            {factors: map[string]float64{"medium": 2.5}},
+	"6 long 3":                {factors: map[string]float64{"long": 3}},
+	"7 short 2.5 long 3":      {factors: map[string]float64{"short": 2.5, "long": 3}},
+	"7 short 2.5 medium 3":    {factors: map[string]float64{"short": 2.5, "medium": 3}},
+	"7 medium 2.5 long 3":     {factors: map[string]float64{"medium": 2.5, "long": 3}},
+	"8 calm slow":             {slow: 0.3},
+	"8 all 2.5 slow":          {factors: alike(2.5).factors, slow: 0.3},
+	"8 all 2.5 silent":        {factors: alike(2.5).factors, silent: 0.3},
+	"8 medium 3 silent":       {factors: map[string]float64{"medium": 3}, silent: 0.3},
+	"8 short 2.5 long 3 slow": {factors: map[string]float64{"short": 2.5, "long": 3}, slow: 0.3},
+}
+
+// TestOverloadFigures prints the figures of docs/design/sharing.md. It checks nothing and
+// runs only on demand.
+func TestOverloadFigures(t *testing.T) {
+	if os.Getenv("OVERLOAD_FIGURES") == "" {
+		t.Skip("OVERLOAD_FIGURES is not set")
+	}
+	for name, o := range overloads {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := o.simulate()
+			var b strings.Builder
+			for _, k := range jobKinds {
+				f := p.outcomes(k.name, burstFrom, burstTo)
+				n := float64(f.jobs)
+				fmt.Fprintf(&b, "  %s %.2f/%.2f/%.2f@%.2f", k.name, float64(f.inTime)/n, float64(f.late)/n,
+					float64(f.refused)/n, f.refusedAfter/max(1, float64(f.refused)))
+			}
+			var used float64
+			for _, l := range p {
+				used += l.usedShare() / float64(len(p))
+			}
+			all := p.outcomes("", burstTo+1, loadSeconds-2)
+			t.Logf("%-24s%s  used %.3f after %.3f", name, b.String(), used, float64(all.inTime)/float64(all.jobs))
+		})
+	}
+}
