--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -33,6 +33,7 @@
 func (m *Machine) attach(now time.Time, r *run, t *task) {
 	r.task, r.size, r.orphanUntil = t, t.step().Size, time.Time{}
 	r.node.used = r.node.used.Plus(r.size)
+	m.queue.countUsed(t.job, r.size.Cores)
 	m.markChanged(r.node)
 	t.run, t.lastRun = r, max(t.lastRun, r.key.run)
 	m.markRan(t.job)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"github.com/catkingap/catkingap/index"
 	"github.com/catkingap/catkingap/patience"
 	"github.com/catkingap/catkingap/room"
+	"github.com/catkingap/catkingap/sharing"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -213,7 +214,7 @@
 	capacity  capacity
 	// lateRates measures how fast late jobs start, for each pool that has
 	// some.
-	lateRates map[ident.Pool]*lateRate
+	lateRates map[ident.Pool]*sharing.LateRate
 	// began is when the ownership began.
 	began time.Time
 	// crashes keeps the losses of workers under tasks, and crashingQueues the queues that
@@ -282,7 +283,7 @@
 		queue:      newQueue(),
 		freeIndex:  room.NewIndex[*node](),
 		capacity:   capacity{pools: map[ident.Pool]*poolCapacity{}},
-		lateRates:  map[ident.Pool]*lateRate{},
+		lateRates:  map[ident.Pool]*sharing.LateRate{},
 		patience:   patience.NewTracker(c.ResendDelay),
 		began:      now, crashes: crash.NewTracker(), crashingQueues: crash.NewQueues(),
 		timers:       index.NewTimers[*node](),
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -150,6 +150,7 @@
 	}
 	known := m.adoptOrphans(now, j)
 	if !known {
+		m.queue.poolShares(j.spec.Pool).Offer(now, &j.spec)
 		refusal := Refused
 		if !s.Final {
 			refusal = Busy
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -321,6 +321,7 @@
 	if t == nil {
 		return
 	}
+	m.queue.countUsed(t.job, -r.size.Cores)
 	r.recordEnd(now, string(result))
 	if result != worker.Lost {
 		m.markRan(t.job)
@@ -331,6 +332,7 @@
 			t.job.runTimeRatios += float64(now.Sub(r.sent)) / float64(expected)
 		}
 		n.slowdown.Learn(now.Sub(r.sent), t.estimate())
+		m.queue.poolShares(t.job.spec.Pool).Ran(t.job.spec.Queue, now.Sub(r.sent))
 		m.updateMeanRunTime(now.Sub(r.sent), r.size.Cores)
 	}
 	m.recordHealth(now, n, t, result)
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -164,7 +164,7 @@
 			continue
 		}
 		if j.class == late {
-			m.lateRateOf(j.spec.Pool).started += t.step().Size.Cores
+			m.lateRateOf(j.spec.Pool).Started(t.step().Size.Cores)
 		}
 		m.start(now, t, n)
 		started = true
@@ -285,6 +285,7 @@
 	n.used = n.used.Plus(r.size)
 	m.markChanged(n)
 	t.run = r
+	m.queue.countUsed(t.job, r.size.Cores)
 	t.job.begun = true
 	t.job.recordStart(now, r)
 	m.detector.Started(now, n.ID)
@@ -316,10 +317,14 @@
 	if !final {
 		return "there is no room at once", wait
 	}
-	end := now.Add(wait + j.chainEstimate)
-	if end.After(j.uselessAt) || end.After(j.deadline) {
+	run := m.fastestRunTime(j)
+	if end := now.Add(wait + run); end.After(j.uselessAt) || end.After(j.deadline) {
 		return "the work ahead takes too long", wait
 	}
+	onTime := !now.Add(scaled(run, onTimeFactor)).After(j.objective)
+	if onTime && !j.resubmitted && m.queue.poolShares(j.spec.Pool).HasWaiting() && now.Add(wait+scaled(run, admitFactor)).After(j.objective) {
+		return "the work ahead in its queue takes too long", wait
+	}
 	return "", 0
 }
 
@@ -329,13 +334,13 @@
 	if m.queue.isFirst(j) && m.canStartAtOnce(now, j) {
 		return 0, true
 	}
-	// The cores in use are expected to be freed within the mean run time.
-	first, s := j.spec.Steps[0], m.capacity.pool(j.spec.Pool)
-	needed := m.queue.coresAhead(j) + first.Count*first.Size.Cores - s.freeCores
-	if s.usedCores == 0 || needed <= 0 {
-		return 0, false
+	m.refreshChanged(now)
+	first := j.spec.Steps[0]
+	waiting := first.Count
+	if m.mayStart(now, j) {
+		waiting -= m.freeIndex.List(j.spec.Pool, first.Label).Count(first.Size, first.Count)
 	}
-	return time.Duration(float64(needed) / float64(s.usedCores) * float64(m.meanRunTime)), false
+	return m.queue.poolShares(j.spec.Pool).WaitFor(j.spec.Queue, j.spec.Priority, j.latestStart, max(0, waiting)*first.Size.Cores), false
 }
 
 // canStartAtOnce returns true if all tasks of a job's first step can start at once.
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -5,8 +5,10 @@
 	"slices"
 	"time"
 
+	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/index"
 	"github.com/catkingap/catkingap/room"
+	"github.com/catkingap/catkingap/sharing"
 	"github.com/catkingap/catkingap/work"
 )
 
@@ -26,16 +28,16 @@
 	// begun are refused, so that their callers are told at once to come back later.
 	useless
 
-	classes = 4
+	classes class = 4
 )
 
 // queue holds the jobs with tasks that may start.
 type queue struct {
-	jobs [classes]index.Sorted[*job]
-	// tasks is the number of tasks that may start, and cores is the number of cores
-	// they need, by the period in which their jobs must start.
+	jobs [classes]*sharing.List[group, *job]
+	// shares divides the cores of each pool among its queues.
+	shares map[ident.Pool]*sharing.Shares
+	// tasks is the number of tasks that may start.
 	tasks int
-	cores map[period]int
 	// untried holds the jobs for which no start was attempted since they became
 	// able to start.
 	untried []*job
@@ -43,10 +45,18 @@
 	tryAll bool
 }
 
+// group is a queue of a pool.
+type group struct {
+	pool  ident.Pool
+	queue work.Queue
+}
+
+func (j *job) group() group { return group{pool: j.spec.Pool, queue: j.spec.Queue} }
+
 func newQueue() *queue {
-	q := &queue{cores: map[period]int{}}
+	q := &queue{shares: map[ident.Pool]*sharing.Shares{}}
 	for c := range q.jobs {
-		q.jobs[c] = index.NewSorted(compareJobs)
+		q.jobs[c] = sharing.NewList((*job).group, compareJobs)
 	}
 	return q
 }
@@ -55,34 +65,27 @@
 // to meet their objective: in a burst, short jobs have little time to spare and
 // long jobs have much.
 func compareJobs(a, b *job) int {
-	if c := cmp.Compare(a.spec.Priority, b.spec.Priority); c != 0 {
-		return c
-	}
-	if c := a.latestStart.Compare(b.latestStart); c != 0 {
-		return c
-	}
-	return cmp.Compare(a.spec.ID, b.spec.ID)
+	return cmp.Or(cmp.Compare(a.spec.Priority, b.spec.Priority), a.latestStart.Compare(b.latestStart), cmp.Compare(a.spec.ID, b.spec.ID))
 }
 
-// period is a short span of time in which jobs of one priority must start.
-type period struct {
-	priority work.Priority
-	number   int64
-}
+func (q *queue) poolShares(p ident.Pool) *sharing.Shares { return index.GetOrCreate(q.shares, p) }
 
-// periodLength is the resolution of expected waits. It is small against the
-// objective of 156 ms of the shortest jobs.
-const periodLength = 20 * time.Millisecond
+// isOver returns true if a queue uses more than its share of its pool.
+func (q *queue) isOver(g group) bool { return q.poolShares(g.pool).IsOver(g.queue) }
 
-func (j *job) period() period {
-	return period{priority: j.spec.Priority, number: j.latestStart.UnixNano() / int64(periodLength)}
+// countUsed changes the number of cores that the runs of a job's queue use.
+func (q *queue) countUsed(j *job, change int) {
+	q.poolShares(j.spec.Pool).Use(j.spec.Queue, change)
 }
 
-// addCores changes the number of cores that a job's waiting tasks need.
-func (q *queue) addCores(j *job, change int) {
-	p := j.period()
-	if q.cores[p] += change; q.cores[p] == 0 {
-		delete(q.cores, p)
+// items returns the jobs of a class in their order.
+func (q *queue) items(c class) []*job { return q.jobs[c].Items(q.isOver) }
+
+// countBacklog changes the number of cores that a job's waiting tasks need. Late jobs do
+// not count: those on time come before them.
+func (q *queue) countBacklog(j *job, c class, change int) {
+	if c <= onTime {
+		q.poolShares(j.spec.Pool).Wait(j.spec.Queue, j.spec.Priority, j.latestStart, change)
 	}
 }
 
@@ -91,7 +94,7 @@
 func (q *queue) put(j *job, c class) {
 	if j.queued {
 		q.tasks -= j.queuedTasks
-		q.addCores(j, -j.queuedCores)
+		q.countBacklog(j, j.class, -j.queuedCores)
 		if j.class != c || len(j.waiting) == 0 || !j.live {
 			q.jobs[j.class].Remove(j)
 			j.queued = false
@@ -107,7 +110,7 @@
 	}
 	j.countWaiting()
 	q.tasks += j.queuedTasks
-	q.addCores(j, j.queuedCores)
+	q.countBacklog(j, c, j.queuedCores)
 }
 
 // countWaiting counts the tasks that may start and their cores.
@@ -124,40 +127,19 @@
 
 // reclassify moves all jobs to their present classes.
 func (q *queue) reclassify(classOf func(*job) class) {
-	var moved []*job
-	for c := range q.jobs {
-		for _, j := range q.jobs[c].Items() {
-			if classOf(j) != j.class {
-				moved = append(moved, j)
+	for c := range classes {
+		for _, j := range q.items(c) {
+			if x := classOf(j); x != c {
+				q.put(j, x)
 			}
 		}
 	}
-	for _, j := range moved {
-		q.put(j, classOf(j))
-	}
-}
-
-// coresAhead returns the approximate number of cores needed by tasks that come
-// before those of a job.
-func (q *queue) coresAhead(j *job) int {
-	own := j.period()
-	cores := 0
-	for p, x := range q.cores {
-		if p.priority < own.priority || (p.priority == own.priority && p.number < own.number) {
-			cores += x
-		}
-	}
-	return cores
 }
 
-// isFirst returns true if no job comes before a job.
+// isFirst returns true if no job of its pool comes before a job.
 func (q *queue) isFirst(j *job) bool {
-	for c := range q.jobs {
-		if q.jobs[c].CountBefore(j) > 0 {
-			return false
-		}
-	}
-	return true
+	competes := func(g group) bool { return g.pool == j.spec.Pool }
+	return !slices.ContainsFunc(q.jobs[:], func(l *sharing.List[group, *job]) bool { return l.HasBefore(j, q.isOver, competes) })
 }
 
 // isEmpty returns true if no job waits.
@@ -167,17 +149,15 @@
 // most seen jobs and returns at most limit.
 func (q *queue) firstMatching(fits func(*job) bool, seen, limit int) []*job {
 	var found []*job
-	for c := range q.jobs {
-		for _, j := range q.jobs[c].Items() {
-			if seen--; seen < 0 {
-				return found
-			}
-			if !fits(j) {
-				continue
-			}
-			if found = append(found, j); len(found) == limit {
-				return found
+	for _, l := range q.jobs {
+		l.Walk(q.isOver, func(j *job) bool {
+			if seen--; seen >= 0 && fits(j) {
+				found = append(found, j)
 			}
+			return seen > 0 && len(found) < limit
+		})
+		if seen <= 0 || len(found) == limit {
+			break
 		}
 	}
 	return found
@@ -213,6 +193,9 @@
 	// some 15 %. Without it, jobs that start at the last moment of a burst would
 	// end late, and take the capacity of others that then do the same.
 	onTimeFactor = 1.6
+	// admitFactor is how many times its expected time a job may take and still be in time
+	// after the expected wait.
+	admitFactor = 1.6
 	// lateFactor is how many times its expected time a late job may take and still
 	// end before its caller gives up. Work that ends after that is wasted.
 	lateFactor = 1.4
@@ -305,10 +288,7 @@
 		}
 	}
 	slices.SortFunc(q.untried, func(a, b *job) int {
-		if c := cmp.Compare(a.class, b.class); c != 0 {
-			return c
-		}
-		return compareJobs(a, b)
+		return cmp.Or(cmp.Compare(a.class, b.class), sharing.CompareOver(q.isOver(a.group()), q.isOver(b.group())), compareJobs(a, b))
 	})
 	for _, j := range q.untried {
 		m.startWaiting(now, j)
--- a/dispatch/scan_test.go
+++ b/dispatch/scan_test.go
@@ -114,7 +114,7 @@
 	}
 	waiting := 0
 	for c := range m.queue.jobs {
-		for _, j := range m.queue.jobs[c].Items() {
+		for _, j := range m.queue.items(class(c)) {
 			is.Equal(int(j.class), c)
 			is.True(j.live && len(j.waiting) > 0)
 			waiting += len(j.waiting)
@@ -274,7 +274,7 @@
 		n := s.m.ordered[s.random.IntN(len(s.m.ordered))]
 		s.m.PollAnswered(s.now, s.now, worker.Poll{Order: worker.Order{Worker: n.ID}, Extra: true}, nil, worker.Unanswered)
 	case x < 62:
-		for _, j := range s.m.queue.jobs[onTime].Items() {
+		for _, j := range s.m.queue.items(onTime) {
 			s.m.Withdraw(s.now, j.host, j.call, j.spec.ID)
 			break
 		}
@@ -316,7 +316,7 @@
 			is.True(chosen > 100)
 			s.m.Tick(s.now)
 			for c := range s.m.queue.jobs {
-				for _, j := range s.m.queue.jobs[c].Items() {
+				for _, j := range s.m.queue.items(class(c)) {
 					if s.m.hasPreviousRuns(j.spec.ID) {
 						continue
 					}
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -38,9 +38,12 @@
 	m.crashes.Expire(now, func(task string) bool { return m.jobs[work.JobOfTask(task)] != nil })
 	m.followReservation(now)
 	m.refreshChanged(now)
+	for _, s := range m.queue.shares {
+		s.Tick(now)
+	}
 	m.queue.reclassify(func(j *job) class { return m.classOf(now, j) })
 	m.queue.tryAll = true
-	for _, j := range slices.Clone(m.queue.jobs[useless].Items()) {
+	for _, j := range m.queue.items(useless) {
 		m.refuseUseless(now, j)
 	}
 	m.shed(now)
--- a/dispatch/yield.go
+++ b/dispatch/yield.go
@@ -1,9 +1,6 @@
 package dispatch
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // yieldDelay is how long a job waits before it is offered to another owner.
 // Capacity that is freed within this time is nearer than another data centre, which
@@ -21,7 +18,7 @@
 	}
 	yielded := 0
 	for c := onTime; c <= late; c++ {
-		for _, j := range slices.Clone(m.queue.jobs[c].Items()) {
+		for _, j := range m.queue.items(c) {
 			if yielded == freeTasks {
 				return yielded
 			}
