--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -355,6 +355,9 @@
 func (m *Machine) refuseQueued(now time.Time, j *job) {
 	const reason = "it waited too long"
 	wait, _ := m.expectedWait(now, j)
+	if s := m.queue.poolShares(j.spec.Pool); s.IsShort() {
+		wait = s.RetryAfter(now, &j.spec)
+	}
 	m.emitRecord(now, j, Refused, reason)
 	m.sendReply(now, Reply{Host: j.host, Call: j.call, Sequence: j.sequence, Job: j.spec.ID, Result: Refused, Reason: reason, RetryAfter: wait})
 	m.drop(now, j)
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -101,6 +101,9 @@
 	submitted       time.Time
 	objective, took time.Duration
 	result          Result
+	// returned is true if the caller has come back, and retryAfter is when it was told to.
+	returned   bool
+	retryAfter time.Duration
 }
 
 // loadSim simulates jobs on the workers of one owner in virtual time.
@@ -117,11 +120,16 @@
 	factor func(second float64) float64
 	// kindFactor returns the same for one kind of jobs, beside factor.
 	kindFactor func(kind string, second float64) float64
-	// usedCores is the core-time in core-seconds that runs take between burstFrom and
-	// burstTo.
-	usedCores float64
-	jobs      map[work.ID]*simulatedJob
-	answers   []callerAnswer
+	// usedCores is the core-time in core-seconds that runs take between measureFrom and
+	// measureTo.
+	usedCores              float64
+	measureFrom, measureTo float64
+	// length is the length of the simulation.
+	length time.Duration
+	// comeBack is true if refused callers come back once, after the time that they were told.
+	comeBack bool
+	jobs     map[work.ID]*simulatedJob
+	answers  []callerAnswer
 	// open holds the submissions that are not answered, and sequence numbers them.
 	open     map[work.ID]Submission
 	sequence Sequence
@@ -153,7 +161,7 @@
 	l := &loadSim{
 		random: rand.New(rand.NewPCG(seed, 7)), now: origin, workers: map[worker.ID]*simulatedWorker{}, jobs: map[work.ID]*simulatedJob{}, open: map[work.ID]Submission{},
 		factor: factor, cost: func(int, int) time.Duration { return 0 },
-		kindFactor: func(string, float64) float64 { return 1 },
+		measureFrom: burstFrom, measureTo: burstTo, length: loadSeconds * time.Second, kindFactor: func(string, float64) float64 { return 1 },
 	}
 	l.config = Config{
 		Token: 1, MaxLease: time.Second, FarFactor: 2,
@@ -261,6 +269,18 @@
 	l.offer(s)
 }
 
+// submitAgain submits the job of a refused caller as a new one.
+func (l *loadSim) submitAgain(spec work.Job, old *simulatedJob) {
+	again := *old
+	again.submitted, again.returned = l.now, true
+	spec.ID += "-again"
+	l.jobs[spec.ID] = &again
+	l.offer(Submission{
+		Job: spec, Host: ident.Host(fmt.Sprint("host-", l.random.IntN(loadHosts))), Call: uint64(len(l.jobs)), Boot: "b",
+		Remaining: 1500*time.Millisecond + spec.CriticalPath(), Final: true,
+	})
+}
+
 // offer submits a job to the owner, if that is reached.
 func (l *loadSim) offer(s Submission) {
 	if l.retry != nil {
@@ -288,10 +308,15 @@
 	for _, r := range a.Replies {
 		j := l.jobs[r.Job]
 		l.after(messageDelay, func() {
+			s := l.open[r.Job]
 			delete(l.open, r.Job)
 			x := j.callerAnswer
 			x.result, x.took = r.Result, l.now.Sub(j.submitted)
+			x.retryAfter = (r.RetryAfter + time.Second - 1).Truncate(time.Second)
 			l.answers = append(l.answers, x)
+			if l.comeBack && r.Result == Refused && !j.returned {
+				l.after(x.retryAfter, func() { l.submitAgain(s.Job, j) })
+			}
 		})
 	}
 	for _, s := range a.Starts {
@@ -357,18 +382,18 @@
 
 // addUsed adds the core-time of a run.
 func (l *loadSim) addUsed(t work.Task, took time.Duration) {
-	from := max(burstFrom, l.now.Sub(origin).Seconds())
-	to := min(burstTo, l.now.Add(took).Sub(origin).Seconds())
+	from := max(l.measureFrom, l.now.Sub(origin).Seconds())
+	to := min(l.measureTo, l.now.Add(took).Sub(origin).Seconds())
 	l.usedCores += max(0, to-from) * float64(l.jobs[t.Job].cores)
 }
 
-// usedShare returns the share of all cores that runs take between burstFrom and burstTo.
+// usedShare returns the share of all cores that runs take between measureFrom and measureTo.
 func (l *loadSim) usedShare() float64 {
 	cores := 0
 	for _, w := range l.list {
 		cores += w.Capacity.Cores
 	}
-	return l.usedCores / float64(cores*(burstTo-burstFrom))
+	return l.usedCores / (float64(cores) * (l.measureTo - l.measureFrom))
 }
 
 func (l *loadSim) stop(s worker.Stop) {
@@ -437,7 +462,7 @@
 
 // run runs the simulation to its end.
 func (l *loadSim) run() {
-	end := origin.Add(loadSeconds * time.Second)
+	end := origin.Add(l.length)
 	for len(l.events) > 0 && l.events[0].at.Before(end) {
 		e := heap.Pop(&l.events).(loadEvent)
 		l.now = e.at
@@ -459,7 +484,7 @@
 	var f outcomeCounts
 	for _, a := range l.answers {
 		s := a.submitted.Sub(origin).Seconds()
-		if s < from || s >= to || (name != "" && a.kind != name) {
+		if a.returned || s < from || s >= to || (name != "" && a.kind != name) {
 			continue
 		}
 		f.jobs++
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -324,7 +324,7 @@
 	onTime := !now.Add(scaled(run, onTimeFactor)).After(j.objective)
 	if onTime && !j.resubmitted && m.queue.poolShares(j.spec.Pool).IsShort() &&
 		now.Add(wait+scaled(run, onTimeFactor)).After(j.objective) && !m.canStartAtOnce(now, j) {
-		return "the work ahead in its queue takes too long", wait
+		return "the work ahead in its queue takes too long", m.queue.poolShares(j.spec.Pool).RetryAfter(now, &j.spec)
 	}
 	return "", 0
 }
--- a/dispatch/sharing_test.go
+++ b/dispatch/sharing_test.go
@@ -8,13 +8,23 @@
 	"time"
 )
 
-// overload is a simulated load above the usual one, between burstFrom and burstTo.
+const (
+	// overloadFrom is when the load rises in simulations of overload. By then the usual
+	// demand is known. overloadSeconds is how long it stays so.
+	overloadFrom, overloadSeconds = 22, 4
+)
+
+// overload is a simulated load above the usual one.
 type overload struct {
 	// factors are the loads of the kinds of jobs, as multiples of their usual ones. Kinds
 	// that are missing keep to their usual load.
 	factors map[string]float64
 	// slow and silent are the shares of the workers that are four times slower or silent.
 	slow, silent float64
+	// seconds is how long the load stays so, or zero for overloadSeconds.
+	seconds int
+	// comeBack is true if refused callers come back.
+	comeBack bool
 }
 
 // alike returns the load of all kinds at x times the usual one.
@@ -24,18 +34,24 @@
 
 // prepare sets up a simulation of the load.
 func (o overload) prepare(l *loadSim) {
+	seconds := max(o.seconds, overloadSeconds)
+	l.measureFrom, l.measureTo = overloadFrom, float64(overloadFrom+seconds)
+	l.length, l.comeBack = time.Duration(overloadFrom+seconds+6)*time.Second, o.comeBack
+	if o.comeBack {
+		l.length += 14 * time.Second
+	}
 	l.kindFactor = func(kind string, second float64) float64 {
-		if x, ok := o.factors[kind]; ok {
-			return burst(x)(second)
+		if x, ok := o.factors[kind]; ok && second >= l.measureFrom && second < l.measureTo {
+			return x
 		}
 		return 1
 	}
-	l.after(burstFrom*time.Second, func() {
+	l.after(overloadFrom*time.Second, func() {
 		for i, w := range l.list {
 			switch x := l.workers[w.ID]; {
 			case float64(i*7%10) < 10*o.slow:
 				x.speed /= 4
-				l.after((burstTo-burstFrom)*time.Second, func() { x.speed *= 4 })
+				l.after(time.Duration(seconds)*time.Second, func() { x.speed *= 4 })
 			case float64(i*7%10) < 10*o.silent:
 				l.crash(x)
 			}
@@ -68,6 +84,45 @@
 	"8 short 2.5 long 3 slow": {factors: map[string]float64{"short": 2.5, "long": 3}, slow: 0.3},
 }
 
+// TestRetryAfterFigures prints how callers fare that come back once when they were told to.
+// It checks nothing and runs only on demand.
+func TestRetryAfterFigures(t *testing.T) {
+	if os.Getenv("OVERLOAD_FIGURES") == "" {
+		t.Skip("OVERLOAD_FIGURES is not set")
+	}
+	for name, o := range overloads {
+		for _, seconds := range [...]int{4, 8} {
+			t.Run(fmt.Sprintf("%s for %d s", name, seconds), func(t *testing.T) {
+				t.Parallel()
+				o.seconds, o.comeBack = seconds, true
+				returned, inTime, late := 0, 0, 0
+				var told time.Duration
+				p := o.simulate()
+				for _, l := range p {
+					for _, a := range l.answers {
+						if a.result == Refused && !a.returned {
+							told += a.retryAfter
+						}
+						if !a.returned {
+							continue
+						}
+						returned++
+						switch {
+						case a.result == Completed && a.took <= a.objective:
+							inTime++
+						case a.result == Completed:
+							late++
+						}
+					}
+				}
+				n := max(1, float64(returned))
+				f := p.outcomes("", overloadFrom, float64(overloadFrom+seconds))
+				t.Logf("%-24s %d s: %d came back after %.1f s, %.2f in time, %.2f late; first tries %.2f", name, seconds, returned, told.Seconds()/n, float64(inTime)/n, float64(late)/n, float64(f.inTime)/float64(f.jobs))
+			})
+		}
+	}
+}
+
 // TestOverloadFigures prints the figures of docs/design/sharing.md. It checks nothing and
 // runs only on demand.
 func TestOverloadFigures(t *testing.T) {
@@ -80,7 +135,7 @@
 			p := o.simulate()
 			var b strings.Builder
 			for _, k := range jobKinds {
-				f := p.outcomes(k.name, burstFrom, burstTo)
+				f := p.outcomes(k.name, overloadFrom, overloadFrom+overloadSeconds)
 				n := float64(f.jobs)
 				fmt.Fprintf(&b, "  %s %.2f/%.2f/%.2f@%.2f", k.name, float64(f.inTime)/n, float64(f.late)/n,
 					float64(f.refused)/n, f.refusedAfter/max(1, float64(f.refused)))
@@ -89,7 +144,7 @@
 			for _, l := range p {
 				used += l.usedShare() / float64(len(p))
 			}
-			all := p.outcomes("", burstTo+1, loadSeconds-2)
+			all := p.outcomes("", overloadFrom+overloadSeconds+1, overloadFrom+overloadSeconds+4)
 			t.Logf("%-24s%s  used %.3f after %.3f", name, b.String(), used, float64(all.inTime)/float64(all.jobs))
 		})
 	}
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -29,6 +29,9 @@
 	// changed, or zero.
 	short    bool
 	changing time.Time
+	// shortSince is when capacity became short last, and bookedUntil is until when the
+	// spare capacity is expected to be taken by refused callers that come back.
+	shortSince, bookedUntil time.Time
 }
 
 // queue is the state of one queue.
@@ -63,16 +66,21 @@
 	if q.demand.began.IsZero() {
 		q.demand = newDemand(s.began)
 	}
-	coreSeconds := 0.0
-	for _, x := range j.Steps {
-		coreSeconds += float64(x.Count*x.Size.Cores) * x.Estimate.Seconds()
-	}
-	q.demand.add(now, coreSeconds)
+	q.demand.add(now, coreSeconds(j))
 	if q.demand.complete == 0 {
 		s.weigh(q)
 	}
 }
 
+// coreSeconds returns the core-time that a job is estimated to take.
+func coreSeconds(j *work.Job) float64 {
+	sum := 0.0
+	for _, x := range j.Steps {
+		sum += float64(x.Count*x.Size.Cores) * x.Estimate.Seconds()
+	}
+	return sum
+}
+
 // weigh brings the weight of a queue up to date.
 func (s *Shares) weigh(q *queue) {
 	s.weight -= q.weight
@@ -171,6 +179,9 @@
 		s.changing = now
 	}
 	if now.Sub(s.changing) >= shortDelay {
+		if !s.short {
+			s.shortSince = s.changing
+		}
 		s.short, s.changing = !s.short, time.Time{}
 	}
 }
