Bring the weights of queues up to date when a job begins a span

The weights were computed only if a tick came first in a new second: a submission that came before it kept them as they were.

--- a/sharing/demand.go
+++ b/sharing/demand.go
@@ -26,17 +26,19 @@
 	// demand of the pool was first counted.
 	complete int
 	began    time.Time
+	// changed is true if a span has begun since the usual demand was last read.
+	changed bool
 }
 
 func newDemand(began time.Time) demand {
 	return demand{began: began, number: began.UnixNano() / int64(span)}
 }
 
-// advance begins new spans until the present one. It returns true if there is any.
-func (d *demand) advance(now time.Time) bool {
+// advance begins new spans until the present one.
+func (d *demand) advance(now time.Time) {
 	number := now.UnixNano() / int64(span)
 	if number <= d.number {
-		return false
+		return
 	}
 	passed := number - d.number
 	for i := range min(passed, spans) {
@@ -46,8 +48,7 @@
 		// The span in which counting began is not complete.
 		d.complete = int(min(number-d.began.UnixNano()/int64(span)-1, spans-1))
 	}
-	d.number = number
-	return true
+	d.number, d.changed = number, true
 }
 
 // add counts submitted work.
@@ -82,14 +83,6 @@
 	return max(median, sum/float64(len(known))*sparseShare)
 }
 
-// latest returns the demand in the last complete span.
-func (d *demand) latest() float64 {
-	if d.complete == 0 {
-		return d.usual()
-	}
-	return d.sums[((d.number-1)%spans+spans)%spans]
-}
-
 // isUnused returns true if nothing was submitted in all spans.
 func (d *demand) isUnused() bool {
 	return !slices.ContainsFunc(d.sums[:], func(x float64) bool { return x > 0 })
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -101,9 +101,13 @@
 	s.free = free
 	s.followShortage(now)
 	for name, q := range s.queues {
-		if !q.demand.began.IsZero() && !q.demand.advance(now) {
-			continue
+		if !q.demand.began.IsZero() {
+			q.demand.advance(now)
+			if !q.demand.changed {
+				continue
+			}
 		}
+		q.demand.changed = false
 		s.weigh(q)
 		if q.used == 0 && q.backlog.total == 0 && q.demand.isUnused() {
 			s.weight -= q.weight
