--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -150,12 +150,16 @@
 	}
 	known := m.adoptOrphans(now, j)
 	if !known {
-		m.queue.poolShares(j.spec.Pool).Offer(now, &j.spec)
 		refusal := Refused
 		if !s.Final {
 			refusal = Busy
 		}
-		if reason, wait := m.refusalReason(now, j, s.Final); reason != "" {
+		reason, wait := m.refusalReason(now, j, s.Final)
+		if s.Final || reason == "" {
+			// Other owners count the jobs that they take.
+			m.queue.poolShares(j.spec.Pool).Offer(now, &j.spec)
+		}
+		if reason != "" {
 			m.refuse(now, s, refusal, reason, wait)
 			return
 		}
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -269,18 +269,6 @@
 	l.offer(s)
 }
 
-// submitAgain submits the job of a refused caller as a new one.
-func (l *loadSim) submitAgain(spec work.Job, old *simulatedJob) {
-	again := *old
-	again.submitted, again.returned = l.now, true
-	spec.ID += "-again"
-	l.jobs[spec.ID] = &again
-	l.offer(Submission{
-		Job: spec, Host: ident.Host(fmt.Sprint("host-", l.random.IntN(loadHosts))), Call: uint64(len(l.jobs)), Boot: "b",
-		Remaining: 1500*time.Millisecond + spec.CriticalPath(), Final: true,
-	})
-}
-
 // offer submits a job to the owner, if that is reached.
 func (l *loadSim) offer(s Submission) {
 	if l.retry != nil {
@@ -380,22 +368,6 @@
 	})
 }
 
-// addUsed adds the core-time of a run.
-func (l *loadSim) addUsed(t work.Task, took time.Duration) {
-	from := max(l.measureFrom, l.now.Sub(origin).Seconds())
-	to := min(l.measureTo, l.now.Add(took).Sub(origin).Seconds())
-	l.usedCores += max(0, to-from) * float64(l.jobs[t.Job].cores)
-}
-
-// usedShare returns the share of all cores that runs take between measureFrom and measureTo.
-func (l *loadSim) usedShare() float64 {
-	cores := 0
-	for _, w := range l.list {
-		cores += w.Capacity.Cores
-	}
-	return l.usedCores / (float64(cores) * (l.measureTo - l.measureFrom))
-}
-
 func (l *loadSim) stop(s worker.Stop) {
 	if l.workers[s.Worker].down {
 		l.after(messageDelay, func() {
--- a/dispatch/sharing_test.go
+++ b/dispatch/sharing_test.go
@@ -3,11 +3,16 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/worker"
 )
 
 const (
@@ -61,6 +66,34 @@
 	})
 }
 
+// submitAgain submits the job of a refused caller as a new one.
+func (l *loadSim) submitAgain(spec work.Job, old *simulatedJob) {
+	again := *old
+	again.submitted, again.returned = l.now, true
+	spec.ID += "-again"
+	l.jobs[spec.ID] = &again
+	l.offer(Submission{
+		Job: spec, Host: ident.Host(fmt.Sprint("host-", l.random.IntN(loadHosts))), Call: uint64(len(l.jobs)), Boot: "b",
+		Remaining: 1500*time.Millisecond + spec.CriticalPath(), Final: true,
+	})
+}
+
+// addUsed adds the core-time of a run.
+func (l *loadSim) addUsed(t work.Task, took time.Duration) {
+	from := max(l.measureFrom, l.now.Sub(origin).Seconds())
+	to := min(l.measureTo, l.now.Add(took).Sub(origin).Seconds())
+	l.usedCores += max(0, to-from) * float64(l.jobs[t.Job].cores)
+}
+
+// usedShare returns the share of all cores that runs take between measureFrom and measureTo.
+func (l *loadSim) usedShare() float64 {
+	cores := 0
+	for _, w := range l.list {
+		cores += w.Capacity.Cores
+	}
+	return l.usedCores / (float64(cores) * (l.measureTo - l.measureFrom))
+}
+
 // simulate simulates the load with several seeds.
 func (o overload) simulate() simulations {
 	return simulateBurstWith(1, o.prepare)
@@ -163,6 +196,38 @@
 	is.True(float64(f.refused) <= refusedShare*float64(f.jobs))
 }
 
+// TestJobThatFitsIsNotRefused submits small jobs while capacity is short. A job for which cores
+// are free must start, however much waits, and one that need not be taken must be offered to other
+// owners first.
+func TestJobThatFitsIsNotRefused(t *testing.T) {
+	is := is.New(t)
+	l := newLoadSim(1, burst(1))
+	overloads["5 all 3.5"].prepare(l)
+	l.length = (overloadFrom + 2) * time.Second
+	l.run()
+	is.True(l.m.queue.poolShares("pool").IsShort())
+	small := Submission{
+		Host: "host-0", Boot: "b", Call: 1, Remaining: time.Second, Final: true,
+		Job: work.Job{
+			ID: "small", Queue: "short", Pool: "pool", Priority: 9, Attempts: 1, Stretch: 1.6, Target: 60 * time.Millisecond,
+			Steps: []work.Step{{Count: 1, Size: work.Size{Cores: 100}, Estimate: 60 * time.Millisecond}},
+		},
+	}
+	started := func() bool {
+		return slices.ContainsFunc(l.m.TakeActions().Starts, func(s worker.Start) bool { return s.Task.Job == "small" })
+	}
+	l.m.Submit(l.now, small)
+	is.True(started())
+	large := small
+	large.Job.ID, large.Call, large.Final = "large", 2, false
+	large.Job.Steps = []work.Step{{Count: 100, Size: work.Size{Cores: 48_000}, Estimate: 60 * time.Millisecond}}
+	for final, result := range map[bool]Result{false: Busy, true: Refused} {
+		large.Final = final
+		l.m.Submit(l.now, large)
+		is.Equal(l.m.TakeActions().Replies[0].Result, result)
+	}
+}
+
 // returnedCallers counts the callers that have come back, and those of them that were served in
 // time and late.
 func (p simulations) returnedCallers() (returned, inTime, late int) {
