--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -47,6 +47,8 @@
 	queued, untried                    bool
 	class                              class
 	queuedTasks, queuedCores, minCores int
+	// backlogCores is the number of cores of the waiting tasks that have not failed before.
+	backlogCores int
 	// stepOffsets holds the number of the first task of each step.
 	stepOffsets []int
 	// resubmitted is true if an earlier owner may have started part of the job.
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -94,14 +94,14 @@
 func (q *queue) put(j *job, c class) {
 	if j.queued {
 		q.tasks -= j.queuedTasks
-		q.countBacklog(j, j.class, -j.queuedCores)
+		q.countBacklog(j, j.class, -j.backlogCores)
 		if j.class != c || len(j.waiting) == 0 || !j.live {
 			q.jobs[j.class].Remove(j)
 			j.queued = false
 		}
 	}
 	if len(j.waiting) == 0 || !j.live {
-		j.queuedTasks, j.queuedCores, j.minCores = 0, 0, 0
+		j.queuedTasks, j.queuedCores, j.backlogCores, j.minCores = 0, 0, 0, 0
 		return
 	}
 	if !j.queued {
@@ -110,15 +110,19 @@
 	}
 	j.countWaiting()
 	q.tasks += j.queuedTasks
-	q.countBacklog(j, c, j.queuedCores)
+	q.countBacklog(j, c, j.backlogCores)
 }
 
 // countWaiting counts the tasks that may start and their cores.
 func (j *job) countWaiting() {
-	j.queuedTasks, j.queuedCores, j.minCores = len(j.waiting), 0, 0
+	j.queuedTasks, j.queuedCores, j.backlogCores, j.minCores = len(j.waiting), 0, 0, 0
 	for i, t := range j.waiting {
 		cores := t.step().Size.Cores
 		j.queuedCores += cores
+		if len(t.failedWorkers) == 0 {
+			// A task under which workers were lost may be held back, and takes no cores then.
+			j.backlogCores += cores
+		}
 		if i == 0 || cores < j.minCores {
 			j.minCores = cores
 		}
