--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -218,7 +218,7 @@
 
 // overtaking is how many times the work ahead of a job has started before it does: jobs
 // that must start sooner come in and overtake it, and cores that were lent come back late.
-// With 1, jobs that were refused at 2.5 times the load had waited for 0.38 to 0.53 of their
+// With 1, jobs that were refused at 2.5 times the load had waited for 0.30 to 0.53 of their
 // objective on the mean, with 2 for 0.18 to 0.29, with 3 for 0.13 to 0.20.
 const overtaking = 3
 
