Merge the sharing of pools among queues, with a guaranteed part

TestQueueOverItsShareComesLast: the wait of a queue below its guaranteed part counts the cores that the other one frees.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 	"github.com/catkingap/catkingap/patience"
 	"github.com/catkingap/catkingap/report"
 	"github.com/catkingap/catkingap/room"
+	"github.com/catkingap/catkingap/sharing"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -180,6 +181,10 @@
 	ColdStarts int
 	// SpeedChanges tell which workers have become slow or are well again.
 	SpeedChanges []estimate.SpeedChange
+	// Refusals counts the refused jobs by queue, and Shortages tell which pools have become
+	// short of capacity or no longer are.
+	Refusals  map[work.Queue]int
+	Shortages []sharing.Shortage
 	// Records describe submissions that have ended.
 	Records []report.Record
 	// RunEnds must be stored and then reported to EndStored.
@@ -214,7 +219,7 @@
 	capacity  capacity
 	// lateRates measures how fast late jobs start, for each pool that has
 	// some.
-	lateRates map[ident.Pool]*lateRate
+	lateRates map[ident.Pool]*sharing.LateRate
 	// began is when the ownership began.
 	began time.Time
 	// crashes keeps the losses of workers under tasks, and crashingQueues the queues that
@@ -288,7 +293,7 @@
 		queue:      newQueue(),
 		freeIndex:  room.NewIndex[*node](),
 		capacity:   capacity{pools: map[ident.Pool]*poolCapacity{}},
-		lateRates:  map[ident.Pool]*lateRate{},
+		lateRates:  map[ident.Pool]*sharing.LateRate{},
 		patience:   patience.NewTracker(c.ResendDelay),
 		began:      now, crashes: crash.NewTracker(), crashingQueues: crash.NewQueues(),
 		timers:       index.NewTimers[*node](),
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -47,6 +47,8 @@
 	queued, untried                    bool
 	class                              class
 	queuedTasks, queuedCores, minCores int
+	// backlogCores is the number of cores of the waiting tasks that have not failed before.
+	backlogCores int
 	// stepOffsets holds the number of the first task of each step.
 	stepOffsets []int
 	// resubmitted is true if an earlier owner may have started part of the job.
@@ -158,7 +160,12 @@
 		if !s.Final {
 			refusal = Busy
 		}
-		if reason, wait := m.refusalReason(now, j, s.Final); reason != "" {
+		reason, wait := m.refusalReason(now, j, s.Final)
+		if s.Final || reason == "" {
+			// Other owners count the jobs that they take.
+			m.queue.poolShares(j.spec.Pool).Offer(now, &j.spec)
+		}
+		if reason != "" {
 			m.refuse(now, s, refusal, reason, wait)
 			return
 		}
@@ -358,8 +365,12 @@
 func (m *Machine) refuseQueued(now time.Time, j *job) {
 	const reason = "it waited too long"
 	wait, _ := m.expectedWait(now, j)
+	if s := m.queue.poolShares(j.spec.Pool); s.IsShort() {
+		wait = s.RetryAfter(now, &j.spec)
+	}
 	m.emitRecord(now, j, Refused, reason)
 	m.sendReply(now, Reply{Host: j.host, Call: j.call, Sequence: j.sequence, Job: j.spec.ID, Result: Refused, Reason: reason, RetryAfter: wait})
+	m.countRefusal(j.spec.Queue)
 	m.drop(now, j)
 }
 
@@ -396,8 +407,18 @@
 	m.sendReply(now, Reply{Host: j.host, Call: j.call, Sequence: j.sequence, Job: j.spec.ID, Result: r, Reason: reason})
 }
 
+func (m *Machine) countRefusal(q work.Queue) {
+	if m.actions.Refusals == nil {
+		m.actions.Refusals = map[work.Queue]int{}
+	}
+	m.actions.Refusals[q]++
+}
+
 // refuse answers a submission that was not accepted.
 func (m *Machine) refuse(now time.Time, s Submission, r Result, reason string, wait time.Duration) {
+	if r == Refused {
+		m.countRefusal(s.Job.Queue)
+	}
 	m.sendReply(now, Reply{Host: s.Host, Call: s.Call, Sequence: s.Sequence, Job: s.Job.ID, Result: r, Reason: reason, RetryAfter: wait})
 }
 
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -334,11 +334,13 @@
 	if t == nil {
 		return
 	}
+	m.queue.countUsed(t.job, -r.size.Cores)
 	r.recordEnd(now, string(result))
 	if result != worker.Lost {
 		m.markRan(t.job)
 	}
 	if result == worker.Done {
+		m.queue.poolShares(t.job.spec.Pool).Ran(t.job.spec.Queue, now.Sub(r.sent))
 		m.learnEnd(now, r)
 	}
 	m.recordHealth(now, n, t, result)
--- a/dispatch/yield.go
+++ b/dispatch/yield.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"github.com/catkingap/catkingap/spill"
@@ -18,7 +17,7 @@
 	}
 	yielded := 0
 	for c := onTime; c <= late; c++ {
-		for _, j := range slices.Clone(m.queue.jobs[c].Items()) {
+		for _, j := range m.queue.items(c) {
 			if yielded == freeTasks {
 				return yielded
 			}
--- a/fleet/log.go
+++ b/fleet/log.go
@@ -18,6 +18,7 @@
 	"github.com/catkingap/catkingap/network"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/peer"
+	"github.com/catkingap/catkingap/sharing"
 )
 
 // logOutput is the destination of the log.
@@ -61,6 +62,11 @@
 	tasksGivenUp  *expvar.Map
 	// jobsWithoutMemory counts the jobs of other hosts that owners refused for want of memory.
 	jobsWithoutMemory *expvar.Int
+	// refusals counts the jobs that this host's owners have refused, by queue, and shortages
+	// how often a pool has become short of capacity. queueNames bounds the labels of refusals.
+	refusals   *expvar.Map
+	shortages  *expvar.Int
+	queueNames sharing.Names
 	// withdrawals counts the withdrawals of jobs whose callers have left, by outcome.
 	withdrawals *expvar.Map
 	// evacuations counts the evacuations that began and ended in the view of this host, and
@@ -91,6 +97,7 @@
 		coldStarts: s.Counter("coldStarts"), evacuations: s.Counters("evacuations"), evacuatedJobs: s.Counters("evacuatedJobs"),
 		workersLost: s.Counters("workersLost"), runsLost: s.Counters("runsLost"), workerSpeeds: s.Counters("workerSpeeds"),
 		jobsWithoutMemory: s.Counter("jobsWithoutMemory"), suspectStarts: s.Counter("suspectStarts"), tasksGivenUp: s.Counters("tasksGivenUp"),
+		refusals: s.Counters("refusals"), shortages: s.Counter("shortages"),
 	}
 }
 
