--- a/httplimit/host.go
+++ b/httplimit/host.go
@@ -12,8 +12,9 @@
 	// limit. Close to it, the garbage collector works harder.
 	memoryLimitShare = 0.6
 	// defaultMemory is the memory of a host if neither its settings nor the environment
-	// of the process name any.
-	defaultMemory = 512 << 20
+	// of the process name any. A quarter of it holds the 100,000 tasks that may wait by
+	// default, in jobs of 1,300 (152 MB by job.Weigh; 115 MB by CAPACITY.md).
+	defaultMemory = 1 << 30
 	// defaultDescriptors is the number of descriptors where the process limit can not be
 	// read: that of the smallest machine.
 	defaultDescriptors = 3075
