--- a/cmd/servecmd.go
+++ b/cmd/servecmd.go
@@ -5,15 +5,18 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 	"go.uber.org/fx"
 
 	"github.com/catkingap/catkingap/fleet"
+	"github.com/catkingap/catkingap/httplimit"
+	"github.com/catkingap/catkingap/intake"
+	"github.com/catkingap/catkingap/metrics"
 	"github.com/catkingap/catkingap/platform"
 	"github.com/catkingap/catkingap/steady"
 )
@@ -31,9 +34,6 @@
 	tableIdleConnections = 4
 	// finalAnswerTimeout bounds the time to send the last answers at shutdown.
 	finalAnswerTimeout = 200 * time.Millisecond
-	// memoryLimitShare is the share of the host's memory that is set as the soft
-	// memory limit. Close to it, the garbage collector works harder.
-	memoryLimitShare = 0.6
 )
 
 func (c *Config) newServeCmd() *cobra.Command {
@@ -64,9 +64,8 @@
 		return err
 	}
 	s.Fleet.AdvertisedAddress = advertised
-	if s.Memory > 0 {
-		debug.SetMemoryLimit(int64(float64(s.Memory) * memoryLimitShare))
-	}
+	s.Fleet.Memory = httplimit.SetMemory(s.Memory)
+	s.Fleet.Connections = intake.Allot(httplimit.Descriptors(s.Descriptors), s.Fleet.Memory)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	// SIGHUP announces a changed settings file, but the settings of a host do not
@@ -75,7 +74,9 @@
 	var shutdown *fleet.Shutdown
 	var submitter *fleet.Submitter
 	var configuration *fleet.Configuration
-	app := fleet.New(c.fleetOptions(s), fx.Populate(&shutdown, &submitter, &configuration))
+	var set *metrics.Set
+	var logger log.Interface
+	app := fleet.New(c.fleetOptions(s), fx.Populate(&shutdown, &submitter, &configuration, &set, &logger))
 	if err := app.Err(); err != nil {
 		return err
 	}
@@ -86,12 +87,18 @@
 		Dispatcher: submitter, Queues: configuration.Table,
 		Ready: shutdown.Ready, CloseConnections: shutdown.Closing, MustRefuse: shutdown.MustRefuse, Rejected: submitter.Rejected,
 	})
-	callers, err := c.serveHTTP(s.CallerAddress, ingress.Handler())
-	if err != nil {
+	callers := httplimit.New(httplimit.Config{
+		Handler: ingress.Handler(), Logger: logger, Budget: intake.NewBudget(s.Fleet.Memory, platform.MaxBodyBytes), Connections: s.Fleet.Connections.Callers,
+		HeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
+	})
+	callers.Publish(set)
+	if err := c.serveHTTP(s.CallerAddress, callers); err != nil {
 		return errors.Wrap(err, "address for callers")
 	}
-	readiness, err := c.serveHTTP(s.ReadyAddress, ingress.ReadyHandler())
-	if err != nil {
+	readiness := httplimit.New(httplimit.Config{
+		Handler: ingress.ReadyHandler(), Connections: s.Fleet.Connections.Readiness, HeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout,
+	})
+	if err := c.serveHTTP(s.ReadyAddress, readiness); err != nil {
 		return errors.Wrap(err, "address for the balancer")
 	}
 	<-signals
@@ -119,13 +126,12 @@
 	}
 }
 
-// serveHTTP serves a handler at an address.
-func (c *Config) serveHTTP(address string, h http.Handler) (*http.Server, error) {
+// serveHTTP serves the connections to an address.
+func (c *Config) serveHTTP(address string, s *httplimit.Server) error {
 	listener, err := c.network.Listen(address)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout}
-	go func() { _ = server.Serve(listener) }()
-	return server, nil
+	go func() { _ = s.Serve(listener) }()
+	return nil
 }
--- a/dispatch/adopt.go
+++ b/dispatch/adopt.go
@@ -2,8 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/catkingap/catkingap/work"
@@ -33,6 +31,7 @@
 func (m *Machine) attach(now time.Time, r *run, t *task) {
 	r.task, r.size, r.orphanUntil = t, t.step().Size, time.Time{}
 	r.node.used = r.node.used.Plus(r.size)
+	m.queue.countUsed(t.job, r.size.Cores)
 	m.markChanged(r.node)
 	t.run, t.lastRun = r, max(t.lastRun, r.key.run)
 	m.markRan(t.job)
@@ -67,28 +66,10 @@
 
 // findTask returns the task with the given name, or nil if its job is not known.
 func (m *Machine) findTask(name string) *task {
-	j := m.jobs[work.JobOfTask(name)]
-	if j == nil {
+	x, ok := work.ParseTask(name)
+	j := m.jobs[x.Job]
+	if !ok || j == nil || x.Step >= len(j.stepOffsets) || x.Index >= j.spec.Steps[x.Step].Count {
 		return nil
 	}
-	parts := strings.Split(name, ".")
-	if len(parts) != taskNameParts {
-		return nil
-	}
-	step, err := strconv.Atoi(parts[taskNameParts-2])
-	if err != nil || step < 0 || step >= len(j.stepOffsets) {
-		return nil
-	}
-	i, err := strconv.Atoi(parts[taskNameParts-1])
-	if err != nil || i < 0 || i >= j.spec.Steps[step].Count {
-		return nil
-	}
-	if t := j.tasks[j.stepOffsets[step]+i]; t.id == name {
-		return t
-	}
-	return nil
+	return j.tasks[j.stepOffsets[x.Step]+x.Index]
 }
-
-// taskNameParts is the number of dot-separated parts of a task's name. The last two
-// are the number of its step and its index there.
-const taskNameParts = 4
--- a/dispatch/ahead.go
+++ b/dispatch/ahead.go
@@ -57,10 +57,8 @@
 	for _, r := range n.runs {
 		var x lookahead.Run
 		if r.task != nil {
-			x = lookahead.Run{Sent: r.sent, RunTime: m.expectedRunTime(n, r.task), Percent: r.percent, PercentAt: r.percentAt}
-			if j := r.task.job; j.doneRuns > 0 {
-				x.RunTime = scaled(x.RunTime, j.runTimeRatios/float64(j.doneRuns))
-			}
+			runTime := scaled(m.expectedRunTime(n, r.task), r.task.job.observed.MeanRatio())
+			x = lookahead.Run{Sent: r.sent, RunTime: runTime, Percent: r.percent, PercentAt: r.percentAt}
 		}
 		ends = append(ends, lookahead.End{At: x.ExpectedEnd(now), Size: r.size})
 	}
@@ -85,7 +83,7 @@
 	limit, examined := lookahead.MaxReservations(len(m.ordered)), 0
 	ends := map[*node][]lookahead.End{}
 	for c := range useless {
-		for _, j := range m.queue.jobs[c].Items() {
+		for _, j := range m.queue.items(c) {
 			large := lookahead.IsLarge(j.minCores, m.meanCores) || (m.fits(j) && lookahead.IsPassedOver(now, j.submitted))
 			if !large || m.hasPreviousRuns(j.spec.ID) || !m.mayStart(now, j) {
 				continue
--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -43,7 +43,7 @@
 	if m.isUsable(now, n) && m.takesOthers(n) {
 		s.FreeCores = n.free().Cores
 		if m.meanCores > 0 {
-			s.Tasks = int(float64(s.FreeCores) / m.meanCores)
+			s.Tasks = m.cold.Free(now, &n.cold, n.Pool, int(float64(s.FreeCores)/m.meanCores))
 		}
 		s.Entry = &room.Worker[*node]{
 			Item: n, ID: n.ID, Pool: n.Pool, Labels: n.Labels, Free: m.freeForOthers(now, n), LogSlowdown: n.slowdown.Log(),
@@ -118,6 +118,9 @@
 	if now.Before(n.holdUntil) {
 		at = earliest(at, n.holdUntil)
 	}
+	if m.cold.Free(now, &n.cold, n.Pool, 1) == 0 {
+		at = earliest(at, m.cold.Next(now, &n.cold, n.Pool))
+	}
 	if probe := m.detector.NextProbe(n.ID); now.Before(probe) {
 		at = earliest(at, probe)
 	}
@@ -127,6 +130,9 @@
 	if len(n.lapsingEnds) > 0 {
 		at = earliest(at, justAfter(latest(n.leaseEnd, now)))
 	}
+	if change := n.slowdown.NextChange(); !change.IsZero() {
+		at = earliest(at, latest(change, now))
+	}
 	for _, r := range n.runs {
 		switch {
 		case r.state == stopping && r.stopAccepted.IsZero():
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,13 +7,21 @@
 import (
 	"time"
 
+	"github.com/catkingap/catkingap/cold"
 	"github.com/catkingap/catkingap/crash"
 	"github.com/catkingap/catkingap/ejection"
+	"github.com/catkingap/catkingap/estimate"
+	"github.com/catkingap/catkingap/evacuation"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/incarnation"
 	"github.com/catkingap/catkingap/index"
+	"github.com/catkingap/catkingap/keepalive"
 	"github.com/catkingap/catkingap/lookahead"
+	"github.com/catkingap/catkingap/message"
 	"github.com/catkingap/catkingap/patience"
+	"github.com/catkingap/catkingap/report"
 	"github.com/catkingap/catkingap/room"
+	"github.com/catkingap/catkingap/sharing"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -37,6 +45,8 @@
 	// ResendDelay is how long after the end of its connection a caller sends a job
 	// again. Zero means that callers never do.
 	ResendDelay time.Duration
+	// Access tells whether tasks may start when the ownership begins.
+	Access evacuation.Access
 }
 
 const (
@@ -58,12 +68,6 @@
 	// acknowledged 100 ms after it was listed, and requires four of five ends to be
 	// acknowledged within seconds.
 	acknowledgeDelay = 400 * time.Millisecond
-	// clockDrift is the share by which a worker's clock may run slower than true
-	// time.
-	clockDrift = 0.02
-	// lapseMargin is added to the time at which a lease must have lapsed. It covers
-	// the time that a worker takes to end its runs.
-	lapseMargin = 60 * time.Millisecond
 	// orphanGracePeriod is how long a run of an unknown job is kept after a
 	// takeover, so that its host can submit the job again. Hosts do so within two
 	// contacts. Until then no lease on its worker is extended.
@@ -73,104 +77,39 @@
 	outcomeRetention = 5 * time.Second
 )
 
-// Submission is a job that an entry host submits for its caller.
-type Submission struct {
-	Job work.Job `msgpack:"job"`
-	// Host is the entry host that holds the caller's connection, and Call is the
-	// host's number of the caller's request.
-	Host ident.Host `msgpack:"host"`
-	Call uint64     `msgpack:"call"`
-	// Boot identifies the process of the host. It changes with each restart.
-	Boot string `msgpack:"boot"`
-	// Sequence orders the submission relative to the keepalives of its host.
-	Sequence Sequence `msgpack:"try"`
-	// Sent is when the submission was sent, on the clock of the owner's process.
-	Sent time.Duration `msgpack:"sent"`
-	// CallerSeen is Sent as a time of the Machine. Zero means now.
-	CallerSeen time.Time `msgpack:"-"`
-	// Waited is the time since the caller's request arrived.
-	Waited time.Duration `msgpack:"waited"`
-	// Remaining is the time until the caller gives up.
-	Remaining time.Duration `msgpack:"left"`
-	// Resubmitted is true if an earlier owner of the same workers may have started
-	// part of the job.
-	Resubmitted bool `msgpack:"again,omitempty"`
-	// Final is true if no other owner has free capacity. The job is then queued if
-	// it cannot start at once.
-	Final bool `msgpack:"final"`
-	// Pinned is true if an owner has already yielded the job. It is not moved again.
-	Pinned bool `msgpack:"stays,omitempty"`
-	// MayRefer is true if the host submits an unsuited job to another owner.
-	MayRefer bool `msgpack:"mayRefer,omitempty"`
-	// Losses holds the losses of workers under tasks of the job that are known to the host.
-	Losses []crash.TaskLosses `msgpack:"losses,omitempty"`
-}
+type (
+	// Submission is a job that an entry host submits for its caller.
+	Submission = message.Submission
+	// Reply answers a submission.
+	Reply = message.Reply
+	// Load tells other hosts how much more work the workers of one owner can take.
+	Load = message.Load
+	// JobEnd is the end of a stored job.
+	JobEnd = report.JobEnd
+	// Sequence is the number of a message of a host.
+	Sequence = keepalive.Sequence
+	// Keepalive tells which calls a host still waits for.
+	Keepalive = keepalive.Keepalive
+)
 
 // Result tells how a submission ended.
-type Result string
+type Result = report.Result
 
-// The results of submissions.
+// The results of submissions, see report.Result.
 const (
-	// Busy means that nothing was started and that another owner may be asked.
-	Busy Result = "busy"
-	// Unsuited means that nothing was started, and that only other data centres have
-	// workers for the job.
-	Unsuited Result = "unsuited"
-	// Completed means that all tasks are done.
-	Completed Result = "completed"
-	// Failed means that the job cannot be completed.
-	Failed Result = "failed"
-	// Interrupted means that the job did not end here. Runs of it have ended or
-	// will end before the caller sends it again.
-	Interrupted Result = "interrupted"
-	// Expired means that the caller's deadline passed after part of the job had
-	// started.
-	Expired Result = "expired"
-	// Stored means that the job is stored and that its caller does not wait.
-	Stored Result = "kept"
-	// Moved means that the host that was asked does not own the workers.
-	Moved Result = "moved"
-	// Refused means that nothing was or will be started.
-	Refused Result = "refused"
-	// Cancelled means that a job was cancelled.
-	Cancelled Result = "cancelled"
-	// Superseded means that the caller has sent the job again through another host.
-	Superseded Result = "superseded"
+	Busy        = report.Busy
+	Unsuited    = report.Unsuited
+	Completed   = report.Completed
+	Failed      = report.Failed
+	Interrupted = report.Interrupted
+	Expired     = report.Expired
+	Stored      = report.Stored
+	Moved       = report.Moved
+	Refused     = report.Refused
+	Cancelled   = report.Cancelled
+	Superseded  = report.Superseded
 )
 
-// Reply answers a submission.
-type Reply struct {
-	Host     ident.Host `msgpack:"host"`
-	Call     uint64     `msgpack:"call"`
-	Sequence Sequence   `msgpack:"try"`
-	Job      work.ID    `msgpack:"job"`
-	Result   Result     `msgpack:"result"`
-	// Reason is a short explanation.
-	Reason string `msgpack:"reason,omitempty"`
-	// RetryAfter is when a refused caller should come back.
-	RetryAfter time.Duration `msgpack:"retryAfter,omitempty"`
-	// DataCentre is another data centre that has workers for a job, or empty.
-	DataCentre ident.DataCentre `msgpack:"dataCentre,omitempty"`
-	// Load is the owner's load at the time of the reply.
-	Load Load `msgpack:"load"`
-}
-
-// Load tells other hosts how much more work the workers of one owner can take.
-type Load struct {
-	// FreeTasks is the number of tasks of mean size that can start at once. It is
-	// negative if more tasks wait than can start.
-	FreeTasks int `msgpack:"room"`
-	// Pending is the number of stored jobs of each queue that have not begun.
-	Pending map[work.Queue]int `msgpack:"pending,omitempty"`
-	// StoredJobsLoaded is true if the owner knows the stored jobs of the previous
-	// owner.
-	StoredJobsLoaded bool `msgpack:"loaded,omitempty"`
-	// Lag is by how much the owner is late because its processor does not keep up.
-	Lag time.Duration `msgpack:"delay,omitempty"`
-	// Unconfirmed is true if the owner does not know whether it was replaced.
-	Unconfirmed bool `msgpack:"unconfirmed,omitempty"`
-}
-
 // Actions are what the caller of a Machine must carry out.
 type Actions struct {
 	Starts  []worker.Start
@@ -179,28 +118,43 @@
 	Replies []Reply
 	// WorkerLosses describe workers that were lost with their runs, and LostRuns counts
 	// the runs that ended for another reason than their task, by cause.
-	WorkerLosses []crash.WorkerLoss
+	WorkerLosses []report.WorkerLoss
 	LostRuns     map[string]int
 	// Losses holds the losses under the tasks for which they have changed, and GivenUp
 	// the jobs that were ended because of such a task.
 	Losses  []crash.TaskLosses
-	GivenUp []crash.GivenUp
+	GivenUp []report.GivenUp
 	// SuspectStarts is the number of starts of tasks that workers were lost under.
 	SuspectStarts int
+	// ColdStarts is the number of starts on cold workers.
+	ColdStarts int
+	// SpeedChanges tell which workers have become slow or are well again.
+	SpeedChanges []estimate.SpeedChange
+	// Refusals counts the refused jobs by queue, and Shortages tell which pools have become
+	// short of capacity or no longer are.
+	Refusals  map[work.Queue]int
+	Shortages []sharing.Shortage
 	// Reservations counts the reservations for large tasks, see lookahead.Plan.
 	Reservations map[string]int
 	// Records describe submissions that have ended.
-	Records []worker.Record
+	Records []report.Record
 	// RunEnds must be stored and then reported to EndStored.
 	RunEnds []worker.RunEnd
 	// JobEnds must be stored after all earlier RunEnds.
 	JobEnds []JobEnd
+	// TokenWanted is true if orders need a higher token, see RaiseToken.
+	TokenWanted bool
+	// Fenced is true if a worker has seen a higher token than this owner has: the ownership
+	// has ended.
+	Fenced bool
 }
 
 // Machine is the scheduling state of the workers that one entry host owns.
 type Machine struct {
 	config  Config
 	actions Actions
+	// token is the highest fencing token that orders may carry.
+	token   worker.Token
 	nodes   map[worker.ID]*node
 	ordered []*node
 	// generation counts the changes to the list of workers.
@@ -216,7 +170,7 @@
 	capacity  room.Totals[*node]
 	// lateRates measures how fast late jobs start, for each pool that has
 	// some.
-	lateRates map[ident.Pool]*lateRate
+	lateRates map[ident.Pool]*sharing.LateRate
 	// began is when the ownership began.
 	began time.Time
 	// crashes keeps the losses of workers under tasks, and crashingQueues the queues that
@@ -245,7 +199,7 @@
 	// previousRuns holds the runs that earlier submissions of jobs left behind.
 	previousRuns map[work.ID]*previousRuns
 	// keepalives holds the newest keepalive of each host.
-	keepalives map[ident.Host]Keepalive
+	keepalives keepalive.Board
 	detector   *ejection.Detector[worker.ID]
 	// takeoverEnd is the time from which no run that an earlier owner started can
 	// be running unknown to this one.
@@ -273,6 +227,10 @@
 	// another host may own the workers. No task of a stored job starts then.
 	lastEvent          time.Time
 	ownershipUncertain bool
+	// access tells whether tasks may start.
+	access evacuation.Access
+	// cold holds the limits for cold workers.
+	cold cold.Board
 	// stopped is true once the ownership has ended.
 	stopped bool
 }
@@ -281,12 +239,13 @@
 func New(now time.Time, c Config) *Machine {
 	m := &Machine{
 		config:     c,
+		token:      c.Token,
 		nodes:      map[worker.ID]*node{},
 		jobs:       map[work.ID]*job{},
 		jobsByHost: map[ident.Host]map[work.ID]*job{},
 		queue:      newQueue(),
 		freeIndex:  room.NewIndex[*node](),
-		lateRates:  map[ident.Pool]*lateRate{},
+		lateRates:  map[ident.Pool]*sharing.LateRate{},
 		patience:   patience.NewTracker(c.ResendDelay),
 		began:      now, crashes: crash.NewTracker(), crashingQueues: crash.NewQueues(),
 		timers:       index.NewTimers[*node](),
@@ -294,9 +253,10 @@
 		orphans:      map[string]*run{},
 		orphansDone:  index.NewRecent[string, struct{}](outcomeRetention),
 		previousRuns: map[work.ID]*previousRuns{},
-		keepalives:   map[ident.Host]Keepalive{},
+		keepalives:   keepalive.Board{},
 		detector:     ejection.NewDetector[worker.ID](c.Ejection),
-		takeoverEnd:  now.Add(lapseTime(c.MaxLease)),
+		takeoverEnd:  now.Add(incarnation.LapseTime(c.MaxLease)),
+		access:       c.Access,
 	}
 	m.capacity = room.NewTotals(m.freeIndex)
 	m.plan = lookahead.NewPlan[*node, holder](m.markChanged)
@@ -305,12 +265,6 @@
 	return m
 }
 
-// lapseTime returns the time after which a lease of d has lapsed on a worker's
-// clock, however slow that clock runs.
-func lapseTime(d time.Duration) time.Duration {
-	return time.Duration(float64(d)/(1-clockDrift)) + lapseMargin
-}
-
 // TakeActions returns the actions that events have produced since the last call.
 func (m *Machine) TakeActions() Actions {
 	a := m.actions
@@ -321,14 +275,13 @@
 
 // Started handles the answer to a start.
 func (m *Machine) Started(now time.Time, s worker.Start, a worker.Answer) {
-	n := m.nodes[s.Worker]
-	if n == nil || m.stopped {
+	n := m.answeringNode(s.Order, a.Verdict)
+	if n == nil {
 		return
 	}
-	m.markChanged(n)
 	k := runKey{task: s.Task.String(), run: s.Run}
 	if a.Verdict == worker.Unanswered {
-		n.noteUnanswered(now, k)
+		n.lateStarts.Note(now, k)
 	}
 	r := n.runs[k]
 	var sent time.Time
@@ -370,7 +323,7 @@
 		n.holdUntil = now.Add(pollRetryDelay)
 		m.pollAtOnce(now, n)
 	case worker.Replaced:
-		m.loseRun(now, r, crash.LossRefused)
+		m.loseRun(now, r, LossRefused)
 		m.handleReplaced(now, n)
 		return
 	case worker.Rejected:
@@ -379,16 +332,15 @@
 		}
 	}
 	r.recordEnd(now, "start refused: "+string(v))
-	m.loseRun(now, r, crash.LossRefused)
+	m.loseRun(now, r, LossRefused)
 }
 
 // Stopped handles the answer to a stop.
 func (m *Machine) Stopped(now time.Time, s worker.Stop, a worker.Answer) {
-	n := m.nodes[s.Worker]
-	if n == nil || m.stopped {
+	n := m.answeringNode(s.Order, a.Verdict)
+	if n == nil {
 		return
 	}
-	m.markChanged(n)
 	m.handleAnswer(now, time.Time{}, n, a.Verdict, a.Clock)
 	if r := n.runs[runKey{task: s.Task, run: s.Run}]; r != nil && r.state == stopping && r.stopAccepted.IsZero() {
 		switch a.Verdict {
--- a/dispatch/explain_test.go
+++ b/dispatch/explain_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/catkingap/catkingap/evacuation"
 	"github.com/catkingap/catkingap/explain"
+	"github.com/catkingap/catkingap/sharing"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -48,6 +50,14 @@
 			prepare: func(s *saturated, n *node) { s.setWorkers(n.ID, func(w *worker.Worker) { w.Draining = true }) },
 			step:    small, objective: time.Second, reason: "draining",
 		},
+		"evacuated": {
+			prepare: func(s *saturated, _ *node) { s.m.SetAccess(s.now, evacuation.Evacuated) },
+			step:    small, objective: time.Second, reason: ReasonEvacuated,
+		},
+		"evacuation not known": {
+			prepare: func(s *saturated, _ *node) { s.m.SetAccess(s.now, evacuation.Unknown) },
+			step:    small, objective: time.Second, reason: "it is not known yet whether the data centre is evacuated",
+		},
 		"silent": {
 			prepare: func(s *saturated, n *node) {
 				s.m.PollAnswered(s.now, s.now, worker.Poll{Order: worker.Order{Worker: n.ID}}, nil, worker.Unanswered)
@@ -66,6 +76,7 @@
 			p := s.explained(is, test.step, test.objective)
 			is.Equal(p.Workers[0].RuledOut, test.reason)
 			is.Equal(p.Worker != "", test.reason == "")
+			is.Equal(p.Refusal == ReasonEvacuated, test.reason == ReasonEvacuated)
 			is.Equal(p.Workers[0].FreeCores, n.free().Cores)
 		})
 	}
@@ -82,13 +93,13 @@
 		is.Equal(x.RuledOut == "reserved", x.ID == n.ID)
 	}
 	s = newSaturated(1, 200)
-	s.m.meanRunTime = 100 * time.Millisecond
+	s.m.queue.poolShares("pool-0").Ran("", 100*time.Millisecond)
 	p := s.explained(is, work.Step{Count: 1, Size: work.Size{Cores: 40_000, Memory: 1}, Estimate: time.Millisecond}, time.Hour)
 	is.Equal(p.Refusal, "")
 	is.Equal(p.Worker, worker.ID(""))
 	wanted, wait := s.m.refusalReason(s.now, newJob(s.now, Submission{Remaining: time.Millisecond, Final: true, Job: work.Job{
 		ID: "explain", Pool: "pool-0", Stretch: 1, Target: time.Millisecond, Steps: []work.Step{{Count: 1, Size: work.Size{Cores: 40_000}, Estimate: time.Millisecond}},
-	}}), true)
+	}}), true, (*sharing.Shares).PreviewRetryAfter)
 	is.True(wanted != "")
 	p = s.m.Explain(s.now, Submission{Remaining: time.Millisecond, Final: true, Job: work.Job{
 		ID: "explain", Pool: "pool-0", Stretch: 1, Target: time.Millisecond, Steps: []work.Step{{Count: 1, Size: work.Size{Cores: 40_000}, Estimate: time.Millisecond}},
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -4,9 +4,12 @@
 	"slices"
 	"time"
 
-	"github.com/catkingap/catkingap/crash"
+	"github.com/catkingap/catkingap/estimate"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/index"
+	"github.com/catkingap/catkingap/report"
 	"github.com/catkingap/catkingap/room"
+	"github.com/catkingap/catkingap/sharing"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -33,11 +36,9 @@
 	// carried one out.
 	begun, ran bool
 	submitted  time.Time
-	// doneRuns counts the completed runs, and runTimeRatios is the sum of their run
-	// times as multiples of the expected ones.
-	doneRuns      int
-	runTimeRatios float64
-	record        worker.Record
+	// observed is what the runs of the job have shown of its estimates.
+	observed estimate.Job
+	record   report.Record
 	// chainEstimate is the estimate of the longest chain of tasks, latestStart is
 	// when the job must start to meet its objective, and uselessAt is when the
 	// answer is of no more use to the caller.
@@ -49,6 +50,8 @@
 	queued, untried                    bool
 	class                              class
 	queuedTasks, queuedCores, minCores int
+	// backlogCores is the number of cores of the waiting tasks that have not failed before.
+	backlogCores int
 	// stepOffsets holds the number of the first task of each step.
 	stepOffsets []int
 	// resubmitted is true if an earlier owner may have started part of the job.
@@ -86,7 +89,7 @@
 func (t *task) estimate() time.Duration { return t.step().Estimate }
 
 func newJob(now time.Time, s Submission) *job {
-	sent := s.sentAt(now)
+	sent := s.SentAt(now)
 	j := &job{
 		spec:        s.Job,
 		host:        s.Host,
@@ -99,7 +102,7 @@
 		resubmitted: s.Resubmitted,
 		pinned:      s.Pinned,
 		submitted:   now,
-		record: worker.Record{
+		record: report.Record{
 			Job: s.Job.ID, Host: s.Host, Call: s.Call, Waited: s.Waited, Objective: s.Job.Objective(),
 		},
 		live: true,
@@ -147,16 +150,25 @@
 	m.countEarlierWait(&s)
 	j := newJob(now, s)
 	if t := m.condemnedTask(now, j); t != nil {
-		m.refuse(now, s, Failed, crash.TaskCrashes.Reason(), 0)
+		m.refuse(now, s, Failed, report.TaskCrashes.Reason(), 0)
 		return
 	}
 	known := m.adoptOrphans(now, j)
+	if !known && m.mustGoElsewhere(&s) {
+		m.refuse(now, s, Unsuited, ReasonEvacuated, 0)
+		return
+	}
 	if !known {
 		refusal := Refused
 		if !s.Final {
 			refusal = Busy
 		}
-		if reason, wait := m.refusalReason(now, j, s.Final); reason != "" {
+		reason, wait := m.refusalReason(now, j, s.Final, (*sharing.Shares).RetryAfter)
+		if s.Final || reason == "" {
+			// Other owners count the jobs that they take.
+			m.queue.poolShares(j.spec.Pool).Offer(now, &j.spec)
+		}
+		if reason != "" {
 			m.refuse(now, s, refusal, reason, wait)
 			return
 		}
@@ -165,7 +177,7 @@
 				m.refuse(now, s, Unsuited, "only another data centre has workers for a task", 0)
 				return
 			}
-			switch m.suitabilityFor(j) {
+			switch room.SuitabilityFor(&j.spec, len(m.ordered), func(i int) (*worker.Worker, work.Size) { return &m.ordered[i].Worker, m.ordered[i].largest }) {
 			case room.Unsuitable:
 				m.refuse(now, s, Failed, "no worker is large enough for a task", 0)
 				return
@@ -203,7 +215,7 @@
 // resubmit handles a submission of a job that is known.
 func (m *Machine) resubmit(now time.Time, j *job, s Submission) {
 	if j.host != s.Host || j.call != s.Call {
-		if s.sentAt(now).Add(m.callerLease() / 2).Before(j.callerSeen) {
+		if s.SentAt(now).Add(m.callerLease() / 2).Before(j.callerSeen) {
 			// The submission was delayed on its way. Clock readings differ by less
 			// than this.
 			m.refuse(now, s, Superseded, "the caller has sent the job again", 0)
@@ -216,7 +228,7 @@
 		return
 	}
 	delete(m.jobsByHost[j.host], j.spec.ID)
-	j.host, j.boot, j.call, j.sequence, j.callerSeen = s.Host, s.Boot, s.Call, s.Sequence, s.sentAt(now)
+	j.host, j.boot, j.call, j.sequence, j.callerSeen = s.Host, s.Boot, s.Call, s.Sequence, s.SentAt(now)
 	j.deadline = j.callerSeen.Add(s.Remaining)
 	m.addCaller(j)
 	m.markUntried(j)
@@ -356,8 +368,12 @@
 func (m *Machine) refuseQueued(now time.Time, j *job) {
 	const reason = "it waited too long"
 	wait, _ := m.expectedWait(now, j)
+	if s := m.queue.poolShares(j.spec.Pool); s.IsShort() {
+		wait = s.RetryAfter(now, &j.spec)
+	}
 	m.emitRecord(now, j, Refused, reason)
 	m.sendReply(now, Reply{Host: j.host, Call: j.call, Sequence: j.sequence, Job: j.spec.ID, Result: Refused, Reason: reason, RetryAfter: wait})
+	m.countRefusal(j.spec.Queue)
 	m.drop(now, j)
 }
 
@@ -394,8 +410,13 @@
 	m.sendReply(now, Reply{Host: j.host, Call: j.call, Sequence: j.sequence, Job: j.spec.ID, Result: r, Reason: reason})
 }
 
+func (m *Machine) countRefusal(q work.Queue) { index.Increment(&m.actions.Refusals, q) }
+
 // refuse answers a submission that was not accepted.
 func (m *Machine) refuse(now time.Time, s Submission, r Result, reason string, wait time.Duration) {
+	if r == Refused {
+		m.countRefusal(s.Job.Queue)
+	}
 	m.sendReply(now, Reply{Host: s.Host, Call: s.Call, Sequence: s.Sequence, Job: s.Job.ID, Result: r, Reason: reason, RetryAfter: wait})
 }
 
--- a/dispatch/keepalive.go
+++ b/dispatch/keepalive.go
@@ -1,34 +1,11 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
-	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/incarnation"
 )
 
-// Sequence is a sequence number. Each submission and each keepalive of a host has a
-// higher one than all before it.
-type Sequence uint64
-
-// Keepalive tells which calls a host still waits for at one owner.
-type Keepalive struct {
-	Host ident.Host
-	// Boot identifies the process of the host.
-	Boot string
-	// At is the time for which the keepalive holds, as a time of the Machine.
-	At       time.Time
-	Sequence Sequence
-	// Calls lists the calls in ascending order.
-	Calls []uint64
-}
-
-// includes returns true if the keepalive lists a call.
-func (s Keepalive) includes(call uint64) bool {
-	_, found := slices.BinarySearch(s.Calls, call)
-	return found
-}
-
 const (
 	// resendMargin is the time between the end of all runs of a job and the moment
 	// at which its caller sends the job again. It covers the time for the host to
@@ -45,30 +22,15 @@
 	// maxClockAge is how old the reading of a worker's clock may get. A clock that
 	// is 2 % slow then shortens a lease by 0.2 s.
 	maxClockAge = 10 * time.Second
-	// keepaliveRetention is how long a keepalive is kept for submissions that it
-	// has overtaken. Links that went silent may deliver them some seconds later.
-	keepaliveRetention = 30 * time.Second
 )
 
-// sentAt returns when a submission was sent, which is never after now.
-func (s Submission) sentAt(now time.Time) time.Time {
-	if s.CallerSeen.IsZero() || s.CallerSeen.After(now) {
-		return now
-	}
-	return s.CallerSeen
-}
-
 // KeepaliveReceived handles a keepalive of a host. Jobs that the host submitted
 // earlier for calls not listed in it are withdrawn. Keepalives may overtake each
 // other.
 func (m *Machine) KeepaliveReceived(now time.Time, s Keepalive) {
-	if m.stopped {
-		return
-	}
-	if old, ok := m.keepalives[s.Host]; ok && old.Boot == s.Boot && old.Sequence >= s.Sequence {
+	if m.stopped || !m.keepalives.Put(s) {
 		return
 	}
-	m.keepalives[s.Host] = s
 	at := s.At
 	if at.After(now) {
 		at = now
@@ -77,7 +39,7 @@
 	for _, j := range m.jobsByHost[s.Host] {
 		switch {
 		case j.boot != s.Boot || j.sequence > s.Sequence:
-		case !s.includes(j.call):
+		case !s.Includes(j.call):
 			withdrawn = append(withdrawn, j)
 		default:
 			j.callerSeen = latest(j.callerSeen, at)
@@ -100,8 +62,7 @@
 // isOvertaken returns true if a later keepalive of the host does not list the
 // submission's call.
 func (m *Machine) isOvertaken(s Submission) bool {
-	g, ok := m.keepalives[s.Host]
-	return ok && g.Boot == s.Boot && g.Sequence > s.Sequence && !g.includes(s.Call)
+	return m.keepalives.HasOvertaken(s.Host, s.Boot, s.Sequence, s.Call)
 }
 
 // isCallerSilent returns true if the last confirmation that the caller of a job
@@ -126,8 +87,8 @@
 	bound := func(j *job) {
 		if j != nil && !j.stored {
 			// The worker's clock may have run slow since it was read.
-			remaining := j.callerSeen.Add(m.callerLease() - lapseMargin).Sub(n.clockAt)
-			lease = min(lease, scaled(remaining, 1-clockDrift)-now.Sub(n.clockAt))
+			remaining := j.callerSeen.Add(m.callerLease() - incarnation.LapseMargin).Sub(n.clock.At)
+			lease = min(lease, scaled(remaining, 1-incarnation.Drift)-now.Sub(n.clock.At))
 		}
 	}
 	bound(start)
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -76,7 +76,8 @@
 	return x
 }
 
-// simulatedRun is a run on a simulated worker.
+// simulatedRun is a run on a simulated worker. It takes took unless the worker has a slow
+// phase, and ends at ends unless one begins or ends before.
 type simulatedRun struct {
 	took time.Duration
 	ends time.Time
@@ -96,6 +97,8 @@
 	polls    int
 	// down is true once the worker has crashed.
 	down bool
+	// slow is how many times longer runs take than usual.
+	slow float64
 }
 
 // callerAnswer is the answer to a caller of a simulated load.
@@ -108,6 +111,9 @@
 	// of the tasks were ordered to start, and starts counts the orders.
 	tasks, cores, starts  int
 	firstStart, lastStart time.Time
+	// returned is true if the caller has come back, and retryAfter is when it was told to.
+	returned   bool
+	retryAfter time.Duration
 }
 
 // loadSim simulates jobs on the workers of one owner in virtual time.
@@ -123,9 +129,19 @@
 	// factor returns the load at a second as a multiple of the usual load.
 	factor func(second float64) float64
 	// kinds are the kinds of jobs that are submitted.
-	kinds   []jobKind
-	jobs    map[work.ID]*simulatedJob
-	answers []callerAnswer
+	kinds []jobKind
+	// kindFactor returns the same for one kind of jobs, beside factor.
+	kindFactor func(kind string, second float64) float64
+	// usedCores is the core-time in core-seconds that runs take between measureFrom and
+	// measureTo.
+	usedCores              float64
+	measureFrom, measureTo float64
+	// length is the length of the simulation.
+	length time.Duration
+	// comeBack is true if refused callers come back once, after the time that they were told.
+	comeBack bool
+	jobs     map[work.ID]*simulatedJob
+	answers  []callerAnswer
 	// open holds the submissions that are not answered, and sequence numbers them.
 	open     map[work.ID]Submission
 	sequence Sequence
@@ -140,11 +156,14 @@
 	cost    func(visits, orders int) time.Duration
 	// lag is how late the last ticks were handled.
 	lag time.Duration
+	// tail returns how many times longer the tasks of the next job take than its estimate
+	// says. Nil means once.
+	tail func() float64
+	// phases measures how slow phases are recognised, or is nil.
+	phases *recognition
 	// unanswered counts the starts that were given up because the owner lagged
 	// behind.
 	unanswered int
-	// burstUse is the use of cores during the burst, in core-seconds.
-	burstUse float64
 	// observe is called with the actions of each event.
 	observe func(Actions)
 }
@@ -167,6 +186,7 @@
 		random: rand.New(rand.NewPCG(seed, 7)), now: origin, workers: map[worker.ID]*simulatedWorker{}, jobs: map[work.ID]*simulatedJob{}, open: map[work.ID]Submission{},
 		observe: func(Actions) {},
 		factor:  factor, cost: func(int, int) time.Duration { return 0 },
+		measureFrom: burstFrom, measureTo: burstTo, length: loadSeconds * time.Second, kindFactor: func(string, float64) float64 { return 1 },
 	}
 	l.config = Config{
 		Token: 1, MaxLease: time.Second, FarFactor: 2,
@@ -175,7 +195,7 @@
 	l.m = New(origin, l.config)
 	l.m.StoredJobsLoaded(origin)
 	for i := range loadWorkers {
-		x := &simulatedWorker{id: worker.ID(fmt.Sprintf("w%04d", i)), speed: 1.2, runs: map[runKey]*simulatedRun{}}
+		x := &simulatedWorker{id: worker.ID(fmt.Sprintf("w%04d", i)), speed: 1.2, slow: 1, runs: map[runKey]*simulatedRun{}}
 		if i%4 == 0 {
 			x.speed = 0.55
 		}
@@ -246,7 +266,7 @@
 // submitRepeatedly submits jobs of a kind for ever.
 func (l *loadSim) submitRepeatedly(k jobKind) {
 	second := l.now.Sub(origin).Seconds()
-	pause := time.Duration(l.random.ExpFloat64() / (k.rate * l.factor(second)) * float64(time.Second))
+	pause := time.Duration(l.random.ExpFloat64() / (k.rate * l.factor(second) * l.kindFactor(k.name, second)) * float64(time.Second))
 	l.after(pause, func() {
 		l.submit(k)
 		l.submitRepeatedly(k)
@@ -261,6 +281,10 @@
 	} else {
 		size.Cores = int(min(l.logNormal(0.2)*32_000, 48_000))
 	}
+	estimated := runTime
+	if l.tail != nil {
+		runTime = scaled(runTime, l.tail())
+	}
 	j := &simulatedJob{callerAnswer: callerAnswer{
 		kind: k.name, submitted: l.now, objective: time.Duration(1.6*float64(runTime)) + 60*time.Millisecond,
 	}}
@@ -271,7 +295,7 @@
 	}
 	spec := work.Job{
 		ID: work.ID(fmt.Sprintf("%s-%06d", k.name, len(l.jobs))), Queue: work.Queue(k.name), Pool: "pool", Priority: k.priority, Attempts: 3, Stretch: 1.6, Target: 60 * time.Millisecond,
-		Steps: []work.Step{{Count: count, Size: size, Estimate: time.Duration(l.logNormal(spread) * float64(runTime))}},
+		Steps: []work.Step{{Count: count, Size: size, Estimate: time.Duration(l.logNormal(spread) * float64(estimated))}},
 	}
 	l.jobs[spec.ID] = j
 	s := Submission{
@@ -308,10 +332,15 @@
 	for _, r := range a.Replies {
 		j := l.jobs[r.Job]
 		l.after(messageDelay, func() {
+			s := l.open[r.Job]
 			delete(l.open, r.Job)
 			x := j.callerAnswer
 			x.result, x.took = r.Result, l.now.Sub(j.submitted)
+			x.retryAfter = (r.RetryAfter + time.Second - 1).Truncate(time.Second)
 			l.answers = append(l.answers, x)
+			if l.comeBack && r.Result == Refused && !j.returned {
+				l.after(x.retryAfter, func() { l.submitAgain(s.Job, j) })
+			}
 		})
 	}
 	for _, s := range a.Starts {
@@ -354,11 +383,15 @@
 		})
 		return
 	}
+	if l.phases != nil {
+		l.phases.noteStart(s)
+	}
 	took := time.Duration(float64(l.jobs[s.Task.Job].runTimes[s.Task.Index]) / w.speed)
 	key := runKey{task: s.Task.String(), run: s.Run}
-	w.runs[key] = &simulatedRun{took: took, ends: l.now.Add(took)}
-	l.burstUse += float64(l.jobs[s.Task.Job].cores) / 1000 * overlap(l.now, l.now.Add(took)).Seconds()
-	l.after(took, func() { l.end(w, key, worker.Done) })
+	l.addUsed(s.Task, took)
+	r := &simulatedRun{took: took}
+	w.runs[key] = r
+	l.endAfter(w, key, r, scaled(took, w.slow))
 	handled := false
 	respond := func(v worker.Verdict) {
 		l.deliver(func() {
@@ -437,7 +470,7 @@
 func (l *loadSim) report(w *simulatedWorker, sent time.Time, x worker.Poll) {
 	r := &worker.Report{Incarnation: 1, Clock: l.clock(), Ended: append([]worker.Ended(nil), w.ended...)}
 	for k, x := range w.runs {
-		done := 1 - float64(x.ends.Sub(l.now))/float64(x.took)
+		done := 1 - float64(x.ends.Sub(l.now))/(float64(x.took)*w.slow)
 		r.Running = append(r.Running, worker.Running{Task: k.task, Run: k.run, Percent: int(100 * done)})
 	}
 	slices.SortFunc(r.Running, func(a, b worker.Running) int { return cmp.Compare(a.Task, b.Task) })
@@ -446,7 +479,7 @@
 
 // run runs the simulation to its end.
 func (l *loadSim) run() {
-	end := origin.Add(loadSeconds * time.Second)
+	end := origin.Add(l.length)
 	for len(l.events) > 0 && l.events[0].at.Before(end) {
 		e := heap.Pop(&l.events).(loadEvent)
 		l.now = e.at
@@ -468,7 +501,7 @@
 	var f outcomeCounts
 	for _, a := range l.answers {
 		s := a.submitted.Sub(origin).Seconds()
-		if s < from || s >= to || (name != "" && a.kind != name) {
+		if a.returned || s < from || s >= to || (name != "" && a.kind != name) {
 			continue
 		}
 		f.jobs++
@@ -496,9 +529,3 @@
 		return 1
 	}
 }
-
-// overlap returns how much of the time between two times is during the burst.
-func overlap(from, to time.Time) time.Duration {
-	start, end := origin.Add(burstFrom*time.Second), origin.Add(burstTo*time.Second)
-	return max(0, earliest(to, end).Sub(latest(from, start)))
-}
--- a/dispatch/loss.go
+++ b/dispatch/loss.go
@@ -4,10 +4,20 @@
 	"slices"
 	"time"
 
-	"github.com/catkingap/catkingap/crash"
+	"github.com/catkingap/catkingap/index"
+	"github.com/catkingap/catkingap/report"
 	"github.com/catkingap/catkingap/worker"
 )
 
+// The causes of losses, see report.LossCause.
+const (
+	LossCrashed  = report.LossCrashed
+	LossSilent   = report.LossSilent
+	LossLeft     = report.LossLeft
+	LossUnlisted = report.LossUnlisted
+	LossRefused  = report.LossRefused
+)
+
 // missingTime is for how long a silent worker is expected back at any time.
 const missingTime = 10 * time.Second
 
@@ -21,14 +31,11 @@
 
 // countLost counts a run that ended for another reason than its task.
 func (m *Machine) countLost(cause string) {
-	if m.actions.LostRuns == nil {
-		m.actions.LostRuns = map[string]int{}
-	}
-	m.actions.LostRuns[cause]++
+	index.Increment(&m.actions.LostRuns, cause)
 }
 
 // loseRun ends a run as lost.
-func (m *Machine) loseRun(now time.Time, r *run, c crash.LossCause) {
+func (m *Machine) loseRun(now time.Time, r *run, c report.LossCause) {
 	m.countLost(string(c))
 	r.recordEnd(now, "lost: "+string(c))
 	m.removeRun(now, r.node, r, worker.Lost)
@@ -36,15 +43,15 @@
 
 // loseWorker ends runs of a worker as lost with it. Those in open may have been lost with it
 // too.
-func (m *Machine) loseWorker(now time.Time, n *node, runs, open []*run, c crash.LossCause) {
+func (m *Machine) loseWorker(now time.Time, n *node, runs, open []*run, c report.LossCause) {
 	if n.Draining {
-		c = crash.LossLeft
+		c = LossLeft
 	}
 	m.blame(now, n, c, runs, open)
 	if len(runs) == 0 {
 		return
 	}
-	loss := crash.WorkerLoss{Worker: n.ID, Incarnation: n.Life, Cause: c}
+	loss := report.WorkerLoss{Worker: n.ID, Incarnation: n.Life, Cause: c}
 	if !n.silentSince.IsZero() {
 		loss.Silent = now.Sub(n.silentSince)
 	}
--- a/dispatch/loss_test.go
+++ b/dispatch/loss_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/matryer/is"
 
-	"github.com/catkingap/catkingap/crash"
 	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/report"
 	"github.com/catkingap/catkingap/worker"
 )
 
@@ -15,46 +15,46 @@
 	tests := map[string]struct {
 		draining bool
 		lose     func(m *dispatch.Machine, s worker.Start, poll worker.Poll)
-		cause    crash.LossCause
+		cause    report.LossCause
 		ofWorker bool
 	}{
 		"another process at its address": {
 			lose: func(m *dispatch.Machine, _ worker.Start, poll worker.Poll) {
 				m.PollAnswered(at(20), at(12), poll, nil, worker.Replaced)
 			},
-			cause: crash.LossCrashed, ofWorker: true,
+			cause: dispatch.LossCrashed, ofWorker: true,
 		},
 		"another incarnation": {
 			lose: func(m *dispatch.Machine, _ worker.Start, poll worker.Poll) {
 				m.PollAnswered(at(20), at(12), poll, &worker.Report{Incarnation: 2, Clock: 5}, worker.Accepted)
 			},
-			cause: crash.LossCrashed, ofWorker: true,
+			cause: dispatch.LossCrashed, ofWorker: true,
 		},
 		"silence": {
 			lose: func(m *dispatch.Machine, _ worker.Start, poll worker.Poll) {
 				m.PollAnswered(at(20), at(12), poll, nil, worker.Unsent)
 				m.Tick(at(1300))
 			},
-			cause: crash.LossSilent, ofWorker: true,
+			cause: dispatch.LossSilent, ofWorker: true,
 		},
 		"left after draining": {
 			draining: true,
 			lose: func(m *dispatch.Machine, _ worker.Start, poll worker.Poll) {
 				m.PollAnswered(at(20), at(12), poll, nil, worker.Replaced)
 			},
-			cause: crash.LossLeft, ofWorker: true,
+			cause: dispatch.LossLeft, ofWorker: true,
 		},
 		"not listed": {
 			lose: func(m *dispatch.Machine, _ worker.Start, poll worker.Poll) {
 				m.PollAnswered(at(20), at(12), poll, &worker.Report{Incarnation: 1, Clock: 1020}, worker.Accepted)
 			},
-			cause: crash.LossUnlisted,
+			cause: dispatch.LossUnlisted,
 		},
 		"refused": {
 			lose: func(m *dispatch.Machine, s worker.Start, _ worker.Poll) {
 				m.Started(at(20), s, worker.Answer{Verdict: worker.Full, Clock: 1020})
 			},
-			cause: crash.LossRefused,
+			cause: dispatch.LossRefused,
 		},
 		"lapsed": {
 			lose: func(m *dispatch.Machine, s worker.Start, poll worker.Poll) {
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -1,9 +1,13 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
+	"github.com/catkingap/catkingap/cold"
 	"github.com/catkingap/catkingap/crash"
+	"github.com/catkingap/catkingap/estimate"
+	"github.com/catkingap/catkingap/incarnation"
 	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
@@ -57,6 +61,8 @@
 	// nextCheck is when the worker is next asked for the progress of the run,
 	// because it should have ended.
 	nextCheck time.Time
+	// expected is the run time that was expected at the start, or zero.
+	expected time.Duration
 	// suspect is true for the run of a suspect, beside which no other suspect is started,
 	// and exclusive for one beside which nothing is.
 	suspect, exclusive bool
@@ -91,9 +97,9 @@
 	refusing bool
 	// replaced is true while another worker uses the address.
 	replaced bool
-	// clock was the worker's clock at clockAt.
-	clock   worker.Clock
-	clockAt time.Time
+	// token is the fencing token of the orders to the worker.
+	token incarnation.Token
+	clock incarnation.Clock
 	// reportClock is the worker's clock in its newest report.
 	reportClock worker.Clock
 	// leaseEnd is when all runs of the worker must have ended if no further order
@@ -120,10 +126,11 @@
 	// holdUntil is the time until which no work is started on the worker.
 	holdUntil time.Time
 	runs      map[runKey]*run
-	// unanswered holds the starts that got no answer, by the time at which they were given up.
-	unanswered map[runKey]time.Time
+	// lateStarts holds the starts that got no answer.
+	lateStarts incarnation.Late[runKey]
 	used       work.Size
-	slowdown   room.Slowdown
+	slowdown   estimate.Worker
+	cold       cold.Worker
 	// changed is true if the worker has changed during this event. stale is true if
 	// that is not yet reflected in contribution, which is what the worker adds to
 	// the counts.
@@ -138,7 +145,7 @@
 func (n *node) free() work.Size { return n.Capacity.Minus(n.used) }
 
 func (m *Machine) order(n *node) worker.Order {
-	return worker.Order{Worker: n.ID, Address: n.Address, Token: m.config.Token}
+	return worker.Order{Worker: n.ID, Address: n.Address, Token: n.token.Next(m.token)}
 }
 
 // pollAtOnce polls a worker in addition to the regular poll.
@@ -169,11 +176,10 @@
 // PollAnswered handles the answer to a poll that was sent at the time sent. The
 // report is nil unless the verdict is Accepted.
 func (m *Machine) PollAnswered(now, sent time.Time, l worker.Poll, report *worker.Report, v worker.Verdict) {
-	n := m.nodes[l.Worker]
-	if n == nil || m.stopped {
+	n := m.answeringNode(l.Order, v)
+	if n == nil {
 		return
 	}
-	m.markChanged(n)
 	if !l.Extra {
 		n.pollOpen = false
 	}
@@ -182,11 +188,19 @@
 		if v == worker.Replaced {
 			m.handleReplaced(now, n)
 		}
+		if v == worker.Fenced {
+			// An order with a higher token has overtaken it.
+			m.pollAtOnce(now, n)
+		}
 		if l.Extra {
 			m.advance(now)
 			return
 		}
 		n.pollDelay = min(max(2*n.pollDelay, pollRetryDelay), maxPollRetryDelay)
+		if !n.lateStarts.IsEmpty(now) {
+			// The next incarnation must see a poll before a start that is meant for this one.
+			n.pollDelay = pollRetryDelay
+		}
 		n.nextPoll = now.Add(n.pollDelay)
 		if len(n.runs) > 0 {
 			// A few lost polls must not let the leases of the runs lapse.
@@ -328,17 +342,14 @@
 	if t == nil {
 		return
 	}
+	m.queue.countUsed(t.job, -r.size.Cores)
 	r.recordEnd(now, string(result))
 	if result != worker.Lost {
 		m.markRan(t.job)
 	}
 	if result == worker.Done {
-		if expected := m.expectedRunTime(n, t); expected > 0 {
-			t.job.doneRuns++
-			t.job.runTimeRatios += float64(now.Sub(r.sent)) / float64(expected)
-		}
-		n.slowdown.Learn(now.Sub(r.sent), t.estimate())
-		m.updateMeanRunTime(now.Sub(r.sent), r.size.Cores)
+		m.queue.poolShares(t.job.spec.Pool).Ran(t.job.spec.Queue, now.Sub(r.sent))
+		m.learnEnd(now, r)
 	}
 	m.recordHealth(now, n, t, result)
 	if t.run == r {
@@ -347,18 +358,6 @@
 	}
 }
 
-// runTimeWeight is the weight of a task of mean size in the mean run time.
-const runTimeWeight = 0.02
-
-// updateMeanRunTime adds a run time to the mean.
-func (m *Machine) updateMeanRunTime(took time.Duration, cores int) {
-	if m.meanRunTime == 0 || m.meanCores == 0 {
-		m.meanRunTime = took
-		return
-	}
-	m.meanRunTime += time.Duration(min(1, runTimeWeight*float64(cores)/m.meanCores) * float64(took-m.meanRunTime))
-}
-
 // isSuspect returns true if the last two runs of different jobs on a worker have
 // failed. The worker is then taken to be at fault.
 func (n *node) isSuspect() bool { return n.failures > 1 }
@@ -394,7 +393,7 @@
 
 // handleReplaced ends all runs of a worker at whose address another one answers.
 func (m *Machine) handleReplaced(now time.Time, n *node) {
-	m.loseWorker(now, n, n.sortedRuns(), nil, crash.LossCrashed)
+	m.loseWorker(now, n, n.sortedRuns(), nil, LossCrashed)
 	n.answered, n.replaced, n.Address = false, true, n.rowAddress
 	n.nextPoll = now.Add(maxPollRetryDelay)
 }
@@ -414,7 +413,7 @@
 			r.state, r.confirmedAt, r.presumed = running, r.sent, true
 		}
 	}
-	m.loseWorker(now, n, lost, nil, crash.LossSilent)
+	m.loseWorker(now, n, lost, nil, LossSilent)
 }
 
 // sortedRuns returns the runs in a fixed order.
@@ -423,12 +422,13 @@
 	for _, r := range n.runs {
 		runs = append(runs, r)
 	}
-	sortRuns(runs)
+	slices.SortFunc(runs, func(a, b *run) int { return compareRunKeys(a.key, b.key) })
 	return runs
 }
 
 func (m *Machine) tickNode(now time.Time, n *node) {
 	m.forgetLapsedEnds(now, n)
+	m.noteSpeed(now, n, n.slowdown.Advance(now))
 	if !n.silentSince.IsZero() && len(n.runs) > 0 && now.After(n.leaseEnd) {
 		n.lapseChecked = now
 		m.loseLapsedRuns(now, n)
@@ -443,6 +443,7 @@
 			m.stop(now, r, "")
 		case r.state == running && r.task != nil && m.isOverdue(now, n, r):
 			r.nextCheck = now.Add(checkInterval)
+			m.learnOverdue(now, r.task.job)
 			check = true
 		}
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -6,7 +6,10 @@
 	"time"
 
 	"github.com/catkingap/catkingap/crash"
+	"github.com/catkingap/catkingap/estimate"
+	"github.com/catkingap/catkingap/evacuation"
 	"github.com/catkingap/catkingap/room"
+	"github.com/catkingap/catkingap/sharing"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -18,14 +21,12 @@
 	// uselessFactor is how many times the objective may pass before the answer is
 	// of no use to the caller.
 	uselessFactor = 3
-	// coresWeight is the weight of a new task in the mean number of cores.
-	coresWeight = 0.05
 )
 
 // isUsable returns true if a worker may get work.
 func (m *Machine) isUsable(now time.Time, n *node) bool {
-	return n.listed && n.answered && !n.isRowBehind() && !n.Draining && n.silentSince.IsZero() && !now.Before(n.holdUntil) &&
-		m.detector.Allowed(now, n.ID, true) && !n.hasOrphans() && len(n.lapsingEnds) == 0
+	return m.access == evacuation.Open && n.listed && n.answered && !n.isRowBehind() && !n.Draining && n.silentSince.IsZero() && !now.Before(n.holdUntil) &&
+		m.detector.Allowed(now, n.ID, true) && !n.hasOrphans() && len(n.lapsingEnds) == 0 && m.cold.Free(now, &n.cold, n.Pool, 1) > 0
 }
 
 // isRowBehind returns true if the worker's row is one of an earlier incarnation. The present one
@@ -52,14 +53,14 @@
 	return n.IsOfKind(t.job.spec.Pool, t.step().Label)
 }
 
-// suitabilityFor returns whether there are workers that suit all tasks of a job.
-func (m *Machine) suitabilityFor(j *job) room.Suitability {
-	return room.SuitabilityFor(&j.spec, len(m.ordered), func(i int) (*worker.Worker, work.Size) { return &m.ordered[i].Worker, m.ordered[i].largest })
-}
-
 // expectedRunTime returns the expected run time of a task on a worker.
 func (m *Machine) expectedRunTime(n *node, t *task) time.Duration {
-	d := n.slowdown.Scale(t.estimate())
+	return n.slowdown.Scale(m.estimateOn(n, t))
+}
+
+// estimateOn returns the estimate of a task on a worker that is neither fast nor slow.
+func (m *Machine) estimateOn(n *node, t *task) time.Duration {
+	d := t.estimate()
 	if rack := t.step().Rack; rack != "" && !slices.Contains(n.Labels, rack) {
 		d = scaled(d, m.config.FarFactor)
 	}
@@ -135,7 +136,7 @@
 			continue
 		}
 		if j.class == late {
-			m.lateRateOf(j.spec.Pool).started += t.step().Size.Cores
+			m.lateRateOf(j.spec.Pool).Started(t.step().Size.Cores)
 		}
 		m.start(now, t, n)
 		started = true
@@ -149,7 +150,7 @@
 // Of the workers that meet the objective the fastest is taken: work ends sooner, and
 // estimates are too far off to spare fast workers for tasks that may need them. Among
 // equals, the one with the least free capacity is taken. Workers near the task's data
-// come first, and those on which the task has failed come last. A tardy task cannot meet
+// come first, cold ones after warm ones, and those on which the task has failed last. A tardy task cannot meet
 // its objective: it goes to the fastest worker on which its result is still of use. A
 // suspect goes to an idle worker if there is any, and an isolated task to no other one.
 func (m *Machine) chooseWorker(now time.Time, t *task, tardy bool) *node {
@@ -178,12 +179,17 @@
 			if failed && len(t.failedWorkers) == 0 && t.attempts == 0 {
 				break
 			}
-			for _, x := range searches {
-				mayShare := func(n *node) bool {
-					return standing == crash.Clear || standing.MayShare(idle, len(n.runs) == 0, n.hasSuspect())
+			for _, isCold := range [...]bool{false, true} {
+				if isCold && !m.cold.AnyCold(now) {
+					break
 				}
-				if n := m.searchList(now, t, x.list, x.factor, tardy, failed, mayShare); n != nil {
-					return n
+				for _, x := range searches {
+					mayShare := func(n *node) bool {
+						return n.cold.IsCold(now) == isCold && (standing == crash.Clear || standing.MayShare(idle, len(n.runs) == 0, n.hasSuspect()))
+					}
+					if n := m.searchList(now, t, x.list, x.factor, tardy, failed, mayShare); n != nil {
+						return n
+					}
 				}
 			}
 		}
@@ -228,8 +234,11 @@
 }
 
 // withinWorkerLimit returns true if the limit of tasks of one step per worker
-// allows one more task.
+// allows one more task. A worker on trial runs one task at a time.
 func (m *Machine) withinWorkerLimit(n *node, t *task) bool {
+	if n.slowdown.OnTrial() && len(n.runs) > 0 {
+		return false
+	}
 	bound := t.step().PerWorker
 	if bound == 0 {
 		return true
@@ -246,7 +255,7 @@
 func (m *Machine) start(now time.Time, t *task, n *node) {
 	lease := m.maxLease(now, n, t.job)
 	t.lastRun = max(t.lastRun, m.highestPreviousRun(t)) + 1
-	r := &run{key: runKey{task: t.id, run: t.lastRun}, node: n, task: t, size: t.step().Size, state: startSent, sent: now, incarnation: n.Life}
+	r := &run{key: runKey{task: t.id, run: t.lastRun}, node: n, task: t, size: t.step().Size, state: startSent, sent: now, incarnation: n.Life, expected: m.expectedRunTime(n, t)}
 	if m.standing(now, t) != crash.Clear {
 		r.suspect, r.exclusive = true, len(n.runs) == 0
 		m.actions.SuspectStarts++
@@ -256,30 +265,28 @@
 	n.used = n.used.Plus(r.size)
 	m.markChanged(n)
 	t.run = r
+	m.queue.countUsed(t.job, r.size.Cores)
 	t.job.begun = true
 	t.job.recordStart(now, r)
 	m.detector.Started(now, n.ID)
-	if m.meanCores == 0 {
-		m.meanCores = float64(r.size.Cores)
+	if m.cold.Started(now, &n.cold, n.Pool) {
+		m.actions.ColdStarts++
 	}
-	m.meanCores += coresWeight * (float64(r.size.Cores) - m.meanCores)
+	m.meanCores = estimate.MeanCores(m.meanCores, r.size.Cores)
 	m.actions.Starts = append(m.actions.Starts, worker.Start{
 		Order: m.order(n), Task: t.name, Run: t.lastRun, Payload: t.job.spec.Payload, Until: n.extendLease(now, lease),
 	})
 }
 
-func sortRuns(runs []*run) {
-	slices.SortFunc(runs, func(a, b *run) int { return compareRunKeys(a.key, b.key) })
-}
-
 func compareRunKeys(a, b runKey) int {
 	return cmp.Or(cmp.Compare(a.task, b.task), cmp.Compare(a.run, b.run))
 }
 
 // refusalReason returns why a job is not accepted and when its caller should come
 // back, or an empty reason. Under a lasting overload, work that cannot end in time
-// would take the capacity of work that can.
-func (m *Machine) refusalReason(now time.Time, j *job, final bool) (string, time.Duration) {
+// would take the capacity of work that can. Function retryAfter tells while capacity is short
+// when the caller should come back.
+func (m *Machine) refusalReason(now time.Time, j *job, final bool, retryAfter func(*sharing.Shares, time.Time, *work.Job) time.Duration) (string, time.Duration) {
 	wait, atOnce := m.expectedWait(now, j)
 	if atOnce {
 		return "", 0
@@ -287,10 +294,15 @@
 	if !final {
 		return "there is no room at once", wait
 	}
-	end := now.Add(wait + j.chainEstimate)
-	if end.After(j.uselessAt) || end.After(j.deadline) {
+	run := m.fastestRunTime(j)
+	if end := now.Add(wait + run); end.After(j.uselessAt) || end.After(j.deadline) {
 		return "the work ahead takes too long", wait
 	}
+	onTime := !now.Add(scaled(run, onTimeFactor)).After(j.objective)
+	if onTime && !j.resubmitted && m.queue.poolShares(j.spec.Pool).IsShort() &&
+		now.Add(wait+scaled(run, onTimeFactor)).After(j.objective) && !m.canStartAtOnce(now, j) {
+		return "the work ahead in its queue takes too long", retryAfter(m.queue.poolShares(j.spec.Pool), now, &j.spec)
+	}
 	return "", 0
 }
 
@@ -300,13 +312,13 @@
 	if m.queue.isFirst(j) && m.canStartAtOnce(now, j) {
 		return 0, true
 	}
-	// The cores in use are expected to be freed within the mean run time.
-	first, s := j.spec.Steps[0], m.capacity.Pool(j.spec.Pool)
-	needed := m.queue.coresAhead(j) + first.Count*first.Size.Cores - s.FreeCores
-	if s.UsedCores == 0 || needed <= 0 {
-		return 0, false
+	m.refreshChanged(now)
+	first := j.spec.Steps[0]
+	waiting := first.Count
+	if m.mayStart(now, j) {
+		waiting -= m.freeIndex.List(j.spec.Pool, first.Label).Count(first.Size, first.Count)
 	}
-	return time.Duration(float64(needed) / float64(s.UsedCores) * float64(m.meanRunTime)), false
+	return m.queue.poolShares(j.spec.Pool).WaitFor(j.spec.Queue, j.spec.Priority, j.latestStart, max(0, waiting)*first.Size.Cores), false
 }
 
 // canStartAtOnce returns true if all tasks of a job's first step can start at once.
--- a/dispatch/scan_test.go
+++ b/dispatch/scan_test.go
@@ -154,13 +154,48 @@
 	}
 	waiting := 0
 	for c := range m.queue.jobs {
-		for _, j := range m.queue.jobs[c].Items() {
+		for _, j := range m.queue.items(class(c)) {
 			is.Equal(int(j.class), c)
 			is.True(j.live && len(j.waiting) > 0)
 			waiting += len(j.waiting)
 		}
 	}
 	is.Equal(m.queue.tasks, waiting)
+	checkQueuesAgainstScan(is, m)
+}
+
+// checkQueuesAgainstScan compares the order of waiting jobs and the cores of each queue with
+// those of a full scan: within a class, jobs of queues over their share come last.
+func checkQueuesAgainstScan(is *is.I, m *Machine) {
+	is.Helper()
+	used, waiting := map[group]int{}, map[group]int{}
+	for _, n := range m.ordered {
+		for _, r := range n.runs {
+			if r.task != nil {
+				used[r.task.job.group()] += r.size.Cores
+			}
+		}
+	}
+	before := func(a, b *job) int {
+		return cmp.Or(compareBool(m.queue.isOver(a.group()), m.queue.isOver(b.group())), compareJobs(a, b))
+	}
+	for c := range classes {
+		jobs := m.queue.items(c)
+		is.True(slices.IsSortedFunc(jobs, before))
+		is.Equal(m.queue.jobs[c].Len(), len(jobs))
+		for _, j := range jobs {
+			for _, t := range j.waiting {
+				if c <= onTime && len(t.failedWorkers) == 0 {
+					waiting[j.group()] += t.step().Size.Cores
+				}
+			}
+		}
+	}
+	for _, j := range m.jobs {
+		x, w := m.queue.poolShares(j.spec.Pool).Cores(j.spec.Queue)
+		is.Equal(x, used[j.group()])
+		is.Equal(w, waiting[j.group()])
+	}
 }
 
 // simulation applies random events to a Machine.
@@ -258,7 +293,8 @@
 		Final: x.IntN(3) > 0,
 		Job: work.Job{
 			ID: work.ID(fmt.Sprintf("j%05d", s.jobs)), Pool: ident.Pool(fmt.Sprint("pool-", x.IntN(poolCount))),
-			Attempts: 3, Stretch: 1.6, Target: 60 * time.Millisecond, Priority: work.Priority(x.IntN(2)), Steps: []work.Step{step},
+			Queue: work.Queue(fmt.Sprint("queue-", x.IntN(3))), Attempts: 3, Stretch: 1.6, Target: 60 * time.Millisecond,
+			Priority: work.Priority(x.IntN(2)), Steps: []work.Step{step},
 		},
 	}
 }
@@ -314,7 +350,7 @@
 		n := s.m.ordered[s.random.IntN(len(s.m.ordered))]
 		s.m.PollAnswered(s.now, s.now, worker.Poll{Order: worker.Order{Worker: n.ID}, Extra: true}, nil, worker.Unanswered)
 	case x < 62:
-		for _, j := range s.m.queue.jobs[onTime].Items() {
+		for _, j := range s.m.queue.items(onTime) {
 			s.m.Withdraw(s.now, j.host, j.call, j.spec.ID)
 			break
 		}
@@ -359,7 +395,7 @@
 			is.True(reserved > 100)
 			s.m.Tick(s.now)
 			for c := range s.m.queue.jobs {
-				for _, j := range s.m.queue.jobs[c].Items() {
+				for _, j := range s.m.queue.items(class(c)) {
 					if s.m.hasPreviousRuns(j.spec.ID) {
 						continue
 					}
--- a/dispatch/stored.go
+++ b/dispatch/stored.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/catkingap/catkingap/index"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -21,12 +22,6 @@
 	return max(p.Highest+runNumberGap, work.Run(m.config.Token)*runNumberGap)
 }
 
-// JobEnd is the end of a stored job.
-type JobEnd struct {
-	Job    work.ID
-	Result Result
-}
-
 // earlyEnd is an end that a worker listed before the stored jobs were known.
 type earlyEnd struct {
 	node        *node
@@ -206,13 +201,9 @@
 	}
 	var counts map[work.Queue]int
 	for _, j := range m.jobs {
-		if !j.stored || j.ran {
-			continue
-		}
-		if counts == nil {
-			counts = map[work.Queue]int{}
+		if j.stored && !j.ran {
+			index.Increment(&counts, j.spec.Queue)
 		}
-		counts[j.spec.Queue]++
 	}
 	m.pendingJobs, m.pendingValid = counts, true
 	return counts
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/catkingap/catkingap/crash"
+	"github.com/catkingap/catkingap/report"
+	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
 
@@ -26,12 +28,12 @@
 // not lost under its tasks. If a worker was silent before it refused connections, or refused
 // none, its runs may have ended before it crashed, and starts without an answer may never have
 // reached it.
-func (m *Machine) blame(now time.Time, n *node, c crash.LossCause, runs, open []*run) {
-	if c == crash.LossLeft {
+func (m *Machine) blame(now time.Time, n *node, c report.LossCause, runs, open []*run) {
+	if c == LossLeft {
 		return
 	}
 	proof, inTime := crash.Presumed, n.refusing
-	if c == crash.LossCrashed {
+	if c == LossCrashed {
 		proof, inTime = crash.Crashed, n.refusing || n.failedWithin(now, refusalTime)
 	}
 	blamed := slices.DeleteFunc(slices.Concat(runs, open), func(r *run) bool { return !r.stopAccepted.IsZero() })
@@ -115,19 +117,19 @@
 // use to the caller: the job has run and has not failed, so the caller may send it again.
 // It returns true if the job has ended.
 func (m *Machine) tryGiveUp(now time.Time, t *task) bool {
-	j, cause := t.job, crash.TooLate
+	j, cause := t.job, report.TooLate
 	switch m.standing(now, t) {
 	case crash.Clear:
 		return false
 	case crash.Condemned:
-		cause = crash.TaskCrashes
+		cause = report.TaskCrashes
 	default:
 		if j.stored || !m.crashingQueues.Crash(now, j.spec.Queue) || m.bestCase(now, j) != useless {
 			return false
 		}
 	}
-	m.actions.GivenUp = append(m.actions.GivenUp, crash.GivenUp{Job: j.spec.ID, Task: t.id, Workers: m.crashes.Losses(t.id).Workers(), Cause: cause})
-	if cause == crash.TaskCrashes {
+	m.actions.GivenUp = append(m.actions.GivenUp, report.GivenUp{Job: j.spec.ID, Task: t.id, Workers: m.crashes.Losses(t.id).Workers(), Cause: cause})
+	if cause == report.TaskCrashes {
 		m.finish(now, j, Failed, cause.Reason())
 		return true
 	}
@@ -185,6 +187,14 @@
 	}
 }
 
+// ReviewLosses drops the losses that the workers of other owners have disproved. Function known
+// returns what is known of the tasks of a job.
+func (m *Machine) ReviewLosses(now time.Time, known func(work.ID) []crash.TaskLosses) {
+	for _, task := range m.crashes.Review(now, known) {
+		m.applyStanding(now, task)
+	}
+}
+
 // resolveLossElsewhere finds out what became of a worker that this owner does not have, by its
 // row in another data centre.
 func (m *Machine) resolveLossElsewhere(now time.Time, l crash.Life) []string {
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/catkingap/catkingap/evacuation"
 	"github.com/catkingap/catkingap/work"
 )
 
@@ -22,11 +23,7 @@
 		m.end(now, j, Interrupted, "the caller's host was silent")
 		m.drop(now, j)
 	}
-	for h, s := range m.keepalives {
-		if now.Sub(s.At) > keepaliveRetention {
-			delete(m.keepalives, h)
-		}
-	}
+	m.keepalives.Expire(now)
 	m.outcomes.Expire(now)
 	m.orphansDone.Expire(now)
 	for id, p := range m.previousRuns {
@@ -38,12 +35,18 @@
 	m.crashes.Expire(now, func(task string) bool { return m.jobs[work.JobOfTask(task)] != nil })
 	m.followReservation(now)
 	m.refreshChanged(now)
+	for p, s := range m.queue.shares {
+		if x, ok := s.Tick(now, p, m.capacity.Pool(p).FreeCores); ok {
+			m.actions.Shortages = append(m.actions.Shortages, x)
+		}
+	}
 	m.queue.reclassify(func(j *job) class { return m.classOf(now, j) })
 	m.queue.tryAll = true
-	for _, j := range slices.Clone(m.queue.jobs[useless].Items()) {
+	for _, j := range m.queue.items(useless) {
 		m.refuseUseless(now, j)
 	}
 	m.shed(now)
+	m.releaseEvacuated(now)
 	m.advance(now)
 }
 
@@ -59,7 +62,7 @@
 		// The size of tasks is not known yet: each worker is taken to have capacity for
 		// one.
 		for _, n := range m.ordered {
-			if n.listed {
+			if n.listed && m.access == evacuation.Open {
 				free++
 			}
 		}
--- a/dispatch/width_test.go
+++ b/dispatch/width_test.go
@@ -99,14 +99,11 @@
 
 // use returns the share of the cores that were in use during the burst.
 func (p simulations) use() float64 {
-	use, capacity := 0.0, 0.0
+	share := 0.0
 	for _, l := range p {
-		use += l.burstUse
-		for _, w := range l.list {
-			capacity += float64(w.Capacity.Cores) / 1000 * (burstTo - burstFrom)
-		}
+		share += l.usedShare()
 	}
-	return use / capacity
+	return share / float64(len(p))
 }
 
 // String returns a row of the table in docs/design/lookahead.md.
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -60,12 +60,13 @@
 	}
 	if w.Life > n.Life && w.Life != n.rowLife {
 		n.answered, n.askedAt, n.nextPoll = false, now, now
+		n.token.Replace()
 		m.pollAtOnce(now, n)
 	}
 	n.rowLife = w.Life
 	w.Address, w.Life = n.Address, n.Life
 	n.Worker, n.largest = w, n.largest.Max(w.Capacity)
-	m.markChanged(n)
+	m.updateColdness(now, n)
 }
 
 // Generation returns the number of changes to the result of Workers.
--- a/fleet/configuration.go
+++ b/fleet/configuration.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/fx"
 
+	"github.com/catkingap/catkingap/cold"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/peer"
@@ -34,12 +35,13 @@
 // Configuration holds the queues in force on this host. It receives new versions from
 // the platform's table and from other hosts, and never returns to an older one.
 type Configuration struct {
-	links   *peer.Links
-	decoder Decoder
-	view    *storage.View
-	key     string
-	logger  log.Interface
-	table   atomic.Pointer[queue.Table]
+	links      *peer.Links
+	decoder    Decoder
+	evacuation *Evacuation
+	view       *storage.View
+	key        string
+	logger     log.Interface
+	table      atomic.Pointer[queue.Table]
 
 	mutex     sync.Mutex
 	machine   *rollout.Machine
@@ -47,10 +49,10 @@
 	fetches   chan rollout.Fetch
 }
 
-func newConfiguration(l *peer.Links, d Decoder, t storage.Table, f storage.Feed, logger log.Interface) *Configuration {
+func newConfiguration(l *peer.Links, d Decoder, e *Evacuation, t storage.Table, f storage.Feed, logger log.Interface) *Configuration {
 	_, group, key := d.Groups()
 	c := &Configuration{
-		links: l, decoder: d, view: storage.NewView(t, f, group), key: key, logger: logger,
+		links: l, decoder: d, evacuation: e, view: storage.NewView(t, f, group), key: key, logger: logger,
 		machine:   rollout.NewMachine(rollout.Config{FetchTimeout: fetchTimeout}),
 		addresses: map[ident.Host]string{},
 		fetches:   make(chan rollout.Fetch, 1),
@@ -70,6 +72,14 @@
 // Table returns the queues in force, or nil before the first version.
 func (c *Configuration) Table() *queue.Table { return c.table.Load() }
 
+// coldLimits returns the limits for the cold workers of each pool.
+func (c *Configuration) coldLimits(slack float64) map[ident.Pool]cold.Limits {
+	if c == nil || c.Table() == nil {
+		return nil
+	}
+	return c.Table().ColdLimits(slack)
+}
+
 // Revision returns the revision of the configuration in force.
 func (c *Configuration) Revision() ident.Revision {
 	c.mutex.Lock()
@@ -87,7 +97,9 @@
 
 // follow reads the configuration from the platform's table.
 func (c *Configuration) follow(ctx context.Context) {
-	(&follower{view: c.view, logger: c.logger, name: "the table of the configuration"}).run(ctx, c.readRow)
+	(&follower{
+		view: c.view, logger: c.logger, name: "the table of the configuration", read: func() { c.evacuation.readView(c.view) },
+	}).run(ctx, c.readRow)
 }
 
 // readRow offers the configuration row of the view to the rollout.
--- a/fleet/explain.go
+++ b/fleet/explain.go
@@ -27,6 +27,7 @@
 		contact, _ := s.contacts.Contact(o.Host)
 		x := explain.Owner{DataCentre: c, Host: o.Host, FreeTasks: load.FreeTasks, RuledOut: explain.First(
 			explain.Check{Holds: !s.isHeard(now, o), Reason: "not heard"},
+			explain.Check{Holds: s.isEvacuated(c), Reason: dispatch.ReasonEvacuated},
 			explain.Check{Holds: !known, Reason: "its load is not known"},
 			explain.Check{Holds: c != owner.DataCentre, Reason: "another one has more free capacity, or is nearer"},
 		)}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -17,9 +17,11 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/intake"
 	"github.com/catkingap/catkingap/metrics"
 	"github.com/catkingap/catkingap/network"
 	"github.com/catkingap/catkingap/ownership"
+	"github.com/catkingap/catkingap/pause"
 	"github.com/catkingap/catkingap/peer"
 	"github.com/catkingap/catkingap/queue"
 	"github.com/catkingap/catkingap/storage"
@@ -45,6 +47,9 @@
 	Worker(r storage.Row) (worker.Worker, error)
 	// Configuration decodes the configuration row.
 	Configuration(r storage.Row) (queue.Configuration, error)
+	// EvacuatedCentre returns the data centre that the row with a key, in the group of the
+	// configuration, evacuates. It returns false for other rows.
+	EvacuatedCentre(key string) (ident.DataCentre, bool)
 }
 
 // Settings configures the daemon of one host.
@@ -69,12 +74,21 @@
 	// Resend is the time after which a caller whose connection broke resubmits its
 	// job.
 	Resend time.Duration
+	// EvacuationTime is the time within which the evacuation of a data centre must be in
+	// force. Zero means that evacuation is off.
+	EvacuationTime time.Duration
+	// ColdSlack is the number of starts below which a burst on a cold worker must stay.
+	ColdSlack float64
 	// Retention is how long the state of a stored job can be queried after its end.
 	Retention time.Duration
 	// RowBytes is the largest value of a row that the table stores. Zero means a default.
 	RowBytes int
 	// ShutdownTimeout bounds a graceful shutdown.
 	ShutdownTimeout time.Duration
+	// Connections holds the connections that are accepted. Zero means no bound.
+	Connections intake.Allotment
+	// Memory is the memory of the host. Zero means that jobs of other hosts are not bounded.
+	Memory intake.Bytes
 	// MetricsAddress is the address that serves the metrics. Empty disables them.
 	MetricsAddress string
 	LogLevel       string
@@ -124,9 +138,10 @@
 			newLogger,
 			metrics.NewSet,
 			newCounters,
-			newPauseDetector,
+			func(c Clock, l log.Interface) *pause.Detector { return pause.New(c, l) },
 			newSelf,
 			newLinks,
+			newEvacuation,
 			newConfiguration,
 			newDirectory,
 			newContacts,
@@ -135,7 +150,8 @@
 			newSubmitter,
 			newShutdown,
 		),
-		fx.Invoke(runConfiguration, runDirectory, runContacts, runOwners, runLinks, runMetrics, runPauseDetector),
+		fx.Invoke(runConfiguration, runDirectory, runContacts, runOwners, runLinks, runMetrics),
+		fx.Invoke(func(life fx.Lifecycle, d *pause.Detector) { runLoops(life, d.Run) }),
 		fx.StopTimeout(o.Settings.ShutdownTimeout),
 		fx.Options(more...),
 	)
@@ -163,6 +179,7 @@
 			if listener, err = n.Listen(s.PeerAddress); err != nil {
 				return errors.Wrap(err, "address for other hosts")
 			}
+			links.LimitAccepted(s.Connections.Peers)
 			go func() { _ = links.Serve(listener) }()
 			return nil
 		},
--- a/fleet/log.go
+++ b/fleet/log.go
@@ -13,11 +13,13 @@
 	"go.uber.org/fx"
 
 	"github.com/catkingap/catkingap/explain"
-	"github.com/catkingap/catkingap/linewriter"
+	"github.com/catkingap/catkingap/httplimit"
+	"github.com/catkingap/catkingap/logline"
 	"github.com/catkingap/catkingap/metrics"
 	"github.com/catkingap/catkingap/network"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/peer"
+	"github.com/catkingap/catkingap/sharing"
 )
 
 // logOutput is the destination of the log.
@@ -29,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	lines := linewriter.New(o)
+	lines := logline.NewWriter(o)
 	runLoops(life, lines.Run)
 	logger := &log.Logger{Handler: json.New(lines), Level: level}
 	return logger.WithField("host", string(s.Host)), nil
@@ -53,12 +55,26 @@
 	// workersLost counts the workers that were lost with their runs, and runsLost the runs
 	// that ended for another reason than their task, by cause; reservations counts those for large tasks.
 	workersLost, runsLost, reservations *expvar.Map
+	// workerSpeeds counts the workers that have become slow and those that have recovered.
+	workerSpeeds *expvar.Map
 	// suspectStarts counts the starts of tasks that workers were lost under, and
 	// tasksGivenUp the jobs that were ended because of such a task, by cause.
 	suspectStarts *expvar.Int
 	tasksGivenUp  *expvar.Map
+	// jobsWithoutMemory counts the jobs of other hosts that owners refused for want of memory.
+	jobsWithoutMemory *expvar.Int
+	// refusals counts the jobs that this host's owners have refused, by queue, and shortages
+	// how often a pool has become short of capacity. queueNames bounds the labels of refusals.
+	refusals   *expvar.Map
+	shortages  *expvar.Int
+	queueNames sharing.Names
 	// withdrawals counts the withdrawals of jobs whose callers have left, by outcome.
 	withdrawals *expvar.Map
+	// evacuations counts the evacuations that began and ended in the view of this host, and
+	// evacuatedJobs the jobs that left an owner of this host because of one, by result.
+	evacuations, evacuatedJobs *expvar.Map
+	// coldStarts counts the starts on cold workers.
+	coldStarts *expvar.Int
 }
 
 // The outcomes of withdrawals: an owner of this host received one and knew the job or
@@ -74,12 +90,15 @@
 	s.Func("peerReceivedBytes", func() any { return l.Statistics.ReceivedBytes.Load() })
 	s.Func("peerPanics", func() any { return l.Statistics.Panics.Load() })
 	s.Func("peerSilentLinks", func() any { return l.Statistics.Silent.Load() })
+	s.Func("peerShedLinks", func() any { return l.Statistics.Shed.Load() })
 	return &Counters{
 		owner:  ownerCounters{events: s.Counters("ownerEvents"), busy: s.Counters("ownerBusyUs"), lag: s.Histogram("ownerLag")},
 		orders: s.Counters("orders"), panics: s.Counter("ownerPanics"), pauses: s.Counter("pauses"), results: s.Counters("results"),
 		response: s.Histogram("response"), withdrawals: s.Counters("withdrawals"),
-		workersLost: s.Counters("workersLost"), runsLost: s.Counters("runsLost"), reservations: s.Counters("reservations"),
-		suspectStarts: s.Counter("suspectStarts"), tasksGivenUp: s.Counters("tasksGivenUp"),
+		coldStarts: s.Counter("coldStarts"), evacuations: s.Counters("evacuations"), evacuatedJobs: s.Counters("evacuatedJobs"),
+		workersLost: s.Counters("workersLost"), runsLost: s.Counters("runsLost"), workerSpeeds: s.Counters("workerSpeeds"),
+		jobsWithoutMemory: s.Counter("jobsWithoutMemory"), suspectStarts: s.Counter("suspectStarts"), tasksGivenUp: s.Counters("tasksGivenUp"),
+		refusals: s.Counters("refusals"), shortages: s.Counter("shortages"), reservations: s.Counters("reservations"),
 	}
 }
 
@@ -91,7 +110,9 @@
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", set.Handler())
 	mux.Handle(explain.Path, explain.Handler(func(r explain.Request) (*explain.Answer, error) { return x.explain(c.Table(), r) }))
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	server := httplimit.New(httplimit.Config{
+		Handler: mux, Connections: s.Connections.Metrics, HeaderTimeout: time.Second, IdleTimeout: time.Minute,
+	})
 	var listener net.Listener
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/fleet/losses.go
+++ b/fleet/losses.go
@@ -13,18 +13,26 @@
 	"github.com/catkingap/catkingap/worker"
 )
 
-// noteLosses counts and logs the workers and runs that an event has lost.
+// noteLosses counts and logs the workers and runs that an event has lost, the jobs that it
+// has refused, and the pools that have become short of capacity.
 func (w *Owner) noteLosses(a *dispatch.Actions) {
 	metrics.AddAll(w.owners.counters.runsLost, a.LostRuns)
 	metrics.AddAll(w.owners.counters.reservations, a.Reservations)
+	for q, n := range a.Refusals {
+		w.owners.counters.refusals.Add(w.owners.counters.queueNames.Label(q), int64(n))
+	}
+	for _, x := range a.Shortages {
+		if !x.Ended {
+			w.owners.counters.shortages.Add(1)
+		}
+		w.logger.WithFields(log.Fields(x.Fields())).Info(x.Message())
+	}
 	for _, l := range a.WorkerLosses {
 		w.owners.counters.workersLost.Add(string(l.Cause), 1)
-		w.logger.WithFields(log.Fields{
-			"worker": string(l.Worker), "incarnation": int64(l.Incarnation), "cause": string(l.Cause), "tasks": l.Tasks,
-			"silentMs": l.Silent.Milliseconds(),
-		}).Warn("worker lost with its runs")
+		w.logger.WithFields(log.Fields(l.Fields())).Warn("worker lost with its runs")
 	}
 	w.owners.counters.suspectStarts.Add(int64(a.SuspectStarts))
+	w.owners.counters.coldStarts.Add(int64(a.ColdStarts))
 	for _, g := range a.GivenUp {
 		w.owners.counters.tasksGivenUp.Add(string(g.Cause), 1)
 		w.logger.WithFields(log.Fields{
@@ -36,6 +44,20 @@
 	}
 }
 
+// maxSpeedLines is how many changes of the speeds of workers an owner logs in a second. In a
+// fault many workers become slow at once. The others are only counted.
+const maxSpeedLines = 10
+
+// noteSpeeds counts and logs which workers have become slow and which have recovered.
+func (w *Owner) noteSpeeds(a *dispatch.Actions) {
+	for _, c := range a.SpeedChanges {
+		w.owners.counters.workerSpeeds.Add(string(c.Change), 1)
+		if w.speedLines.Allow() {
+			w.logger.WithFields(log.Fields{"worker": string(c.Worker), "factor": c.Factor, "runs": c.Runs}).Info("worker has " + string(c.Change))
+		}
+	}
+}
+
 // orderFailures counts the orders that each worker has not accepted in a row.
 type orderFailures struct {
 	mutex  sync.Mutex
@@ -74,7 +96,4 @@
 			"order": order, "verdict": string(v), "worker": string(o.Worker), "task": task, "run": int(run), "failures": failures,
 		}).Warn("order not accepted")
 	}
-	if v == worker.Fenced {
-		w.owners.endFenced(w.owner)
-	}
 }
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -11,12 +11,14 @@
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
 
 	"github.com/catkingap/catkingap/dispatch"
 	"github.com/catkingap/catkingap/ejection"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/lag"
 	"github.com/catkingap/catkingap/ownership"
+	"github.com/catkingap/catkingap/report"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -72,10 +74,14 @@
 	lag      lag.Meter
 	// failures counts the orders that workers have not accepted.
 	failures orderFailures
+	// speedLines bounds the logged changes of the speeds of workers.
+	speedLines rate.Limiter
 	// tenure tells how long this owner may rely on its ownership, and beats counts its
 	// heartbeats.
 	tenure tenure
 	beats  atomic.Uint64
+	// tokenWanted asks for a heartbeat at once.
+	tokenWanted signal
 	// waitingEvents is the number of events that wait to be handled.
 	waitingEvents atomic.Int64
 
@@ -99,11 +105,12 @@
 func newOwner(ctx context.Context, o *Owners, x ownership.Owner, previous worker.Token) *Owner {
 	previousWorkers, complete := o.contacts.Workers(time.Now(), x.DataCentre, previous)
 	w := &Owner{
-		owners: o, owner: x,
+		owners: o, owner: x, tokenWanted: newSignal(),
 		logger: o.logger.WithFields(log.Fields{"dataCentre": string(x.DataCentre), "token": int64(x.Token)}),
 		machine: dispatch.New(o.contacts.clock(), dispatch.Config{
 			PreviousWorkers: previousWorkers, PreviousWorkersComplete: complete,
 			Token: x.Token, MaxLease: o.settings.MaxLease, FarFactor: o.settings.FarFactor, ResendDelay: o.settings.Resend,
+			Access: o.contacts.evacuation.Access(x.DataCentre),
 			Ejection: ejection.Config{
 				MaxShare: maxEjectedShare, Failures: ejectionFailures, MinProbe: minProbePause, MaxProbe: maxProbePause,
 			},
@@ -111,6 +118,8 @@
 		waiting: map[submissionKey]chan dispatch.Reply{},
 		hosts:   map[ident.Host]string{},
 	}
+	w.speedLines.SetLimit(maxSpeedLines)
+	w.speedLines.SetBurst(maxSpeedLines)
 	w.ctx, w.cancel = context.WithCancel(ctx)
 	w.jobStore = newJobStore(w, o.directory.table, o.directory.feed, x)
 	go w.tickLoop()
@@ -139,6 +148,8 @@
 			if x, ok := w.owners.contacts.liveCalls(w.owner.DataCentre); ok {
 				m.KeepaliveReceived(now, dispatch.Keepalive{Host: w.owners.self.Name, Boot: w.owners.self.Boot, At: x.at, Sequence: x.sequence, Calls: x.calls})
 			}
+			m.ReviewLosses(now, w.owners.contacts.lossesOf)
+			m.SetColdLimits(now, w.owners.contacts.configuration.coldLimits(w.owners.settings.ColdSlack))
 			m.Tick(now)
 			w.yield(now, m)
 		})
@@ -152,16 +163,20 @@
 	if _, queued := m.Jobs(); queued == 0 {
 		return
 	}
-	for _, x := range w.owners.contacts.shareCapacity(w.owner.DataCentre) {
-		if tasks := m.Yield(now, x.capacity); tasks > 0 {
-			w.logger.WithFields(log.Fields{"to": string(x.dataCentre), "tasks": tasks}).Info("waiting jobs returned for other owners")
+	for _, x := range w.owners.contacts.shareCapacity(now, w.owner.DataCentre) {
+		if tasks := m.Yield(now, x.Tasks); tasks > 0 {
+			w.logger.WithFields(log.Fields{"to": string(x.DataCentre), "tasks": tasks}).Info("waiting jobs returned for other owners")
 		}
 	}
 }
 
-// heartbeatInterval is the time between two heartbeats of an owner in the
-// platform's table.
-const heartbeatInterval = time.Second
+const (
+	// heartbeatInterval is the time between two heartbeats of an owner in the platform's table.
+	heartbeatInterval = time.Second
+	// minHeartbeatInterval is that time if a worker has restarted and needs a higher token. It
+	// bounds the writes while many workers restart.
+	minHeartbeatInterval = 40 * time.Millisecond
+)
 
 // heartbeatLoop writes the heartbeats of this owner into the platform's table.
 func (w *Owner) heartbeatLoop() {
@@ -172,7 +187,8 @@
 				w.logger.WithError(err).Warn("heartbeat not written")
 			}
 		}
-		sleep(w.ctx, heartbeatInterval)
+		sleep(w.ctx, minHeartbeatInterval)
+		w.tokenWanted.wait(w.ctx, heartbeatInterval-minHeartbeatInterval)
 	}
 }
 
@@ -181,14 +197,15 @@
 	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent := w.owners.contacts.clock()
-	valid, err := w.owners.directory.WriteHeartbeat(call, w.owner, w.beats.Add(1))
+	token, err := w.owners.directory.WriteHeartbeat(call, w.owner, w.beats.Add(1))
 	switch {
 	case err != nil:
 		return err
-	case !valid:
+	case token == 0:
 		w.owners.endFenced(w.owner)
 	default:
 		w.tenure.confirm(sent)
+		w.handle(eventStore, func(_ time.Time, m *dispatch.Machine) { m.RaiseToken(token) })
 	}
 	return nil
 }
@@ -220,6 +237,13 @@
 	w.handle(eventWorkers, func(now time.Time, m *dispatch.Machine) { m.SetWorkers(now, workers) })
 }
 
+// updateAccess tells the machine whether tasks may start on its workers.
+func (w *Owner) updateAccess() {
+	w.handle(eventWorkers, func(now time.Time, m *dispatch.Machine) {
+		m.SetAccess(now, w.owners.contacts.evacuation.Access(w.owner.DataCentre))
+	})
+}
+
 func (w *Owner) setOtherWorkers(workers map[ident.DataCentre][]worker.Worker) {
 	w.handle(eventWorkers, func(_ time.Time, m *dispatch.Machine) { m.SetOtherWorkers(workers) })
 }
@@ -242,6 +266,13 @@
 		w.logRecord(&actions.Records[i])
 	}
 	w.noteLosses(&actions)
+	if actions.TokenWanted {
+		w.tokenWanted.send()
+	}
+	if actions.Fenced {
+		w.owners.endFenced(w.owner)
+	}
+	w.noteSpeeds(&actions)
 	if w.ctx.Err() != nil {
 		return nil
 	}
@@ -311,17 +342,11 @@
 }
 
 // logRecord logs the course of a submission: each run with its task, worker and times.
-func (w *Owner) logRecord(r *worker.Record) {
-	runs := make([]string, 0, len(r.Runs))
-	for _, x := range r.Runs {
-		runs = append(runs, fmt.Sprintf("%d.%d#%d %s %d+%d %s", x.Step, x.Index, x.Run, x.Worker,
-			x.Started.Milliseconds(), max(0, x.Ended-x.Started).Milliseconds(), x.How))
+func (w *Owner) logRecord(r *report.Record) {
+	if r.Reason == dispatch.ReasonEvacuated {
+		w.owners.counters.evacuatedJobs.Add(string(r.Result), 1)
 	}
-	w.logger.WithFields(log.Fields{
-		"job": string(r.Job), "peer": string(r.Host), "call": r.Call, "result": r.Result, "reason": r.Reason,
-		"waitedMs": r.Waited.Milliseconds(), "tookMs": r.Took.Milliseconds(), "objectiveMs": r.Objective.Milliseconds(),
-		"waitingTasks": r.Waiting, "runs": runs, "omittedRuns": r.Omitted,
-	}).Info("job dispatched")
+	w.logger.WithFields(log.Fields(r.Fields())).Info("job dispatched")
 }
 
 // deliver passes a reply to the submission that waits for it. The caller holds the
--- a/fleet/livecalls.go
+++ b/livecalls/livecalls.go
@@ -1,23 +1,24 @@
-package fleet
+// Package livecalls tracks which calls of a host may be at which owner, and defines the messages
+// that tell the owners.
+package livecalls
 
 import (
 	"maps"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/catkingap/catkingap/dispatch"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/keepalive"
 )
 
-// callList holds calls in ascending order. It is encoded as their differences, which are
+// List holds calls in ascending order. It is encoded as their differences, which are
 // small, because hosts send these lists several times a second.
-type callList []uint64
+type List []uint64
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
-func (c callList) EncodeMsgpack(e *msgpack.Encoder) error {
+func (c List) EncodeMsgpack(e *msgpack.Encoder) error {
 	if err := e.EncodeArrayLen(len(c)); err != nil {
 		return err
 	}
@@ -32,7 +33,7 @@
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
-func (c *callList) DecodeMsgpack(d *msgpack.Decoder) error {
+func (c *List) DecodeMsgpack(d *msgpack.Decoder) error {
 	n, err := d.DecodeArrayLen()
 	if err != nil {
 		return err
@@ -50,35 +51,29 @@
 	return nil
 }
 
-// liveCalls holds the calls for which a host still waits at one owner, as of a time.
-type liveCalls struct {
-	calls    callList
-	sequence dispatch.Sequence
-	at       time.Time
-}
-
-// callTracker tracks which live calls of this host may be at the owner of which data
+// Tracker tracks which live calls of this host may be at the owner of which data
 // centre.
-type callTracker struct {
+type Tracker struct {
 	mutex sync.Mutex
-	last  dispatch.Sequence
+	last  keepalive.Sequence
 	calls map[ident.DataCentre]map[uint64]struct{}
 }
 
-func newCallTracker() *callTracker {
-	return &callTracker{calls: map[ident.DataCentre]map[uint64]struct{}{}}
+// NewTracker returns a Tracker without calls.
+func NewTracker() *Tracker {
+	return &Tracker{calls: map[ident.DataCentre]map[uint64]struct{}{}}
 }
 
-// newCall returns the number of a new call.
-func (t *callTracker) newCall() uint64 {
+// NewCall returns the number of a new call.
+func (t *Tracker) NewCall() uint64 {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.last++
 	return uint64(t.last)
 }
 
-// add records that a call is submitted to the owner of a data centre.
-func (t *callTracker) add(c ident.DataCentre, call uint64) dispatch.Sequence {
+// Add records that a call is submitted to the owner of a data centre.
+func (t *Tracker) Add(c ident.DataCentre, call uint64) keepalive.Sequence {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if t.calls[c] == nil {
@@ -89,23 +84,23 @@
 	return t.last
 }
 
-// remove records that a call no longer waits for the owner of a data centre.
-func (t *callTracker) remove(c ident.DataCentre, call uint64) {
+// Remove records that a call no longer waits for the owner of a data centre.
+func (t *Tracker) Remove(c ident.DataCentre, call uint64) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	delete(t.calls[c], call)
 }
 
-// hasCalls returns true if a call may be at the owner of a data centre.
-func (t *callTracker) hasCalls(c ident.DataCentre) bool {
+// HasCalls returns true if a call may be at the owner of a data centre.
+func (t *Tracker) HasCalls(c ident.DataCentre) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	return len(t.calls[c]) > 0
 }
 
-// list returns the calls that may be at the owner of a data centre in ascending order, and
+// List returns the calls that may be at the owner of a data centre in ascending order, and
 // the sequence number of the list.
-func (t *callTracker) list(c ident.DataCentre) ([]uint64, dispatch.Sequence) {
+func (t *Tracker) List(c ident.DataCentre) ([]uint64, keepalive.Sequence) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.last++
--- a/linewriter/linewriter.go
+++ b/logline/logline.go
@@ -1,5 +1,5 @@
-// Package linewriter writes log lines to an output that may block, without blocking itself.
-package linewriter
+// Package logline writes log lines to an output that may block, without ever blocking the caller.
+package logline
 
 import (
 	"bytes"
@@ -28,8 +28,8 @@
 	omitted atomic.Int64
 }
 
-// New returns a writer to an output. Run must be called for it.
-func New(output io.Writer) *Writer {
+// NewWriter returns a Writer to an output. Run must be called for lines to be written.
+func NewWriter(output io.Writer) *Writer {
 	return &Writer{output: output, lines: make(chan []byte, lineBuffer)}
 }
 
--- a/linewriter/linewriter_test.go
+++ b/logline/logline_test.go
@@ -1,4 +1,4 @@
-package linewriter
+package logline
 
 import (
 	"bytes"
@@ -33,7 +33,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		o := &slowOutput{release: make(chan struct{})}
-		w := New(o)
+		w := NewWriter(o)
 		ctx, cancel := context.WithCancel(t.Context())
 		go w.Run(ctx)
 		synctest.Wait()
--- a/lookahead/plan.go
+++ b/lookahead/plan.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/catkingap/catkingap/index"
 	"github.com/catkingap/catkingap/work"
 )
 
@@ -131,12 +132,7 @@
 	}
 }
 
-func (p *Plan[W, H]) count(name string) {
-	if p.counts == nil {
-		p.counts = map[string]int{}
-	}
-	p.counts[name]++
-}
+func (p *Plan[W, H]) count(name string) { index.Increment(&p.counts, name) }
 
 // TakeCounts returns what has happened since the last call: the reservations that were made, the
 // starts beside them, and their ends by cause.
