Report changes to a view although the read after them failed

Cause: follower.next returned false whenever a read failed, also if the view had applied an answer of 100 changes or more before. The reader, for example of the configuration, then heard of them only with the next change. Found by reading in the work on evacuation. Change: next reports what View.Next has applied; a reload that fails reports nothing. TestChangesBeforeAFailedReadAreSeen failed before.

--- a/fleet/follower.go
+++ b/fleet/follower.go
@@ -43,7 +43,7 @@
 }
 
 // next waits up to wait for a change and applies it to the view. It returns true if the
-// rows may have changed.
+// rows may have changed, also if a later read of them has failed.
 func (f *follower) next(ctx context.Context, wait time.Duration) bool {
 	call, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
@@ -53,7 +53,7 @@
 			f.logger.WithError(err).Warn("lost " + f.name)
 		}
 		f.lost = true
-		return false
+		return changed
 	}
 	if f.lost {
 		f.lost = false
--- a/storage/feed.go
+++ b/storage/feed.go
@@ -57,11 +57,12 @@
 func (v *View) Revision() ident.Revision { return v.revision }
 
 // Next waits up to wait for a change and applies all changes that are available. It
-// returns true if the rows may have changed. The first call, and a call after the
+// returns true if the rows may have changed, also beside an error. The first call, and a call after the
 // history was lost, reads all rows.
 func (v *View) Next(ctx context.Context, wait time.Duration) (bool, error) {
 	if !v.loaded {
-		return true, v.reload(ctx)
+		err := v.reload(ctx)
+		return err == nil, err
 	}
 	changed := false
 	for {
@@ -70,7 +71,8 @@
 		switch {
 		case errors.As(err, new(*HistoryLostError)):
 			v.loaded = false
-			return true, v.reload(ctx)
+			err := v.reload(ctx)
+			return err == nil, err
 		case err != nil:
 			return changed, err
 		}
