--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -97,8 +97,8 @@
 	s.weight += q.weight
 }
 
-// Tick finds out whether capacity is short while a number of cores is free, brings the weights up to date, and forgets queues without demand, waiting work or
-// runs.
+// Tick finds out whether capacity is short while a number of cores is free, brings the weights
+// up to date, and forgets queues without demand, waiting work or runs.
 func (s *Shares) Tick(now time.Time, p ident.Pool, free int) (Shortage, bool) {
 	s.free = free
 	s.followShortage(now)
@@ -201,9 +201,7 @@
 }
 
 // shortWait is the wait for all waiting work from which capacity is short. It is less than
-// half of the 76 ms for which a short job can wait. Simulated bursts that fit (1.5 times
-// the load) are then served as without shares; without it, 2 % of their short jobs were
-// refused.
+// half of the 76 ms for which a job of 60 ms can wait, so that bursts that fit are no shortage.
 const shortWait = 30 * time.Millisecond
 
 // shortDelay is how long more work or less work must wait before capacity is or is no longer
@@ -241,8 +239,6 @@
 
 // overtaking is how many times the work ahead of a job has started before it does: jobs
 // that must start sooner come in and overtake it, and cores that were lent come back late.
-// With 1, jobs that were refused at 2.5 times the load had waited for 0.30 to 0.53 of their
-// objective on the mean, with 2 for 0.18 to 0.29, with 3 for 0.13 to 0.20.
 const overtaking = 3
 
 // WaitFor returns how long it takes until the waiting tasks of a queue that come before
