--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -16,6 +16,8 @@
 	"github.com/catkingap/catkingap/incarnation"
 	"github.com/catkingap/catkingap/index"
 	"github.com/catkingap/catkingap/keepalive"
+	"github.com/catkingap/catkingap/lookahead"
+	"github.com/catkingap/catkingap/message"
 	"github.com/catkingap/catkingap/patience"
 	"github.com/catkingap/catkingap/report"
 	"github.com/catkingap/catkingap/room"
@@ -33,12 +35,13 @@
 	// FarFactor is the factor by which a task takes longer on a worker outside the
 	// rack of its data.
 	FarFactor float64
+	// LookAhead is true if workers are reserved for large tasks that wait.
+	LookAhead bool
 	// Ejection configures when failing workers are ejected.
 	Ejection ejection.Config
 	// PreviousWorkers holds the workers of the previous owner, as far as they are known.
 	PreviousWorkers []worker.Worker
-	// PreviousWorkersComplete is true if the previous owner had no workers beside
-	// PreviousWorkers.
+	// PreviousWorkersComplete is true if the previous owner had no workers beside PreviousWorkers.
 	PreviousWorkersComplete bool
 	// ResendDelay is how long after the end of its connection a caller sends a job
 	// again. Zero means that callers never do.
@@ -58,8 +61,7 @@
 	// once because it lists ends that it may not forget yet. It is small against
 	// the 60 ms of the shortest tasks.
 	repeatedPollDelay = 20 * time.Millisecond
-	// maxPollRetryDelay bounds the time between polls of a worker that does not
-	// answer.
+	// maxPollRetryDelay bounds the time between polls of a worker that does not answer.
 	maxPollRetryDelay = time.Second
 	// acknowledgeDelay is how long ends may wait to be acknowledged by the poll
 	// that goes along with a next start. The documentation counts an end as
@@ -75,38 +77,20 @@
 	outcomeRetention = 5 * time.Second
 )
 
-// Submission is a job that an entry host submits for its caller.
-type Submission struct {
-	Job work.Job `msgpack:"job"`
-	// Host is the entry host that holds the caller's connection, and Call is the
-	// host's number of the caller's request.
-	Host ident.Host `msgpack:"host"`
-	Call uint64     `msgpack:"call"`
-	// Boot identifies the process of the host. It changes with each restart.
-	Boot string `msgpack:"boot"`
-	// Sequence orders the submission relative to the keepalives of its host.
-	Sequence Sequence `msgpack:"try"`
-	// Sent is when the submission was sent, on the clock of the owner's process.
-	Sent time.Duration `msgpack:"sent"`
-	// CallerSeen is Sent as a time of the Machine. Zero means now.
-	CallerSeen time.Time `msgpack:"-"`
-	// Waited is the time since the caller's request arrived.
-	Waited time.Duration `msgpack:"waited"`
-	// Remaining is the time until the caller gives up.
-	Remaining time.Duration `msgpack:"left"`
-	// Resubmitted is true if an earlier owner of the same workers may have started
-	// part of the job.
-	Resubmitted bool `msgpack:"again,omitempty"`
-	// Final is true if no other owner has free capacity. The job is then queued if
-	// it cannot start at once.
-	Final bool `msgpack:"final"`
-	// Pinned is true if an owner has already yielded the job. It is not moved again.
-	Pinned bool `msgpack:"stays,omitempty"`
-	// MayRefer is true if the host submits an unsuited job to another owner.
-	MayRefer bool `msgpack:"mayRefer,omitempty"`
-	// Losses holds the losses of workers under tasks of the job that are known to the host.
-	Losses []crash.TaskLosses `msgpack:"losses,omitempty"`
-}
+type (
+	// Submission is a job that an entry host submits for its caller.
+	Submission = message.Submission
+	// Reply answers a submission.
+	Reply = message.Reply
+	// Load tells other hosts how much more work the workers of one owner can take.
+	Load = message.Load
+	// JobEnd is the end of a stored job.
+	JobEnd = report.JobEnd
+	// Sequence is the number of a message of a host.
+	Sequence = keepalive.Sequence
+	// Keepalive tells which calls a host still waits for.
+	Keepalive = keepalive.Keepalive
+)
 
 // Result tells how a submission ended.
 type Result = report.Result
@@ -126,41 +110,6 @@
 	Superseded  = report.Superseded
 )
 
-// Reply answers a submission.
-type Reply struct {
-	Host     ident.Host `msgpack:"host"`
-	Call     uint64     `msgpack:"call"`
-	Sequence Sequence   `msgpack:"try"`
-	Job      work.ID    `msgpack:"job"`
-	Result   Result     `msgpack:"result"`
-	// Reason is a short explanation.
-	Reason string `msgpack:"reason,omitempty"`
-	// RetryAfter is when a refused caller should come back.
-	RetryAfter time.Duration `msgpack:"retryAfter,omitempty"`
-	// DataCentre is another data centre that has workers for a job, or empty.
-	DataCentre ident.DataCentre `msgpack:"dataCentre,omitempty"`
-	// Final is true for an interrupted job that no owner continues.
-	Final bool `msgpack:"final,omitempty"`
-	// Load is the owner's load at the time of the reply.
-	Load Load `msgpack:"load"`
-}
-
-// Load tells other hosts how much more work the workers of one owner can take.
-type Load struct {
-	// FreeTasks is the number of tasks of mean size that can start at once. It is
-	// negative if more tasks wait than can start.
-	FreeTasks int `msgpack:"room"`
-	// Pending is the number of stored jobs of each queue that have not begun.
-	Pending map[work.Queue]int `msgpack:"pending,omitempty"`
-	// StoredJobsLoaded is true if the owner knows the stored jobs of the previous
-	// owner.
-	StoredJobsLoaded bool `msgpack:"loaded,omitempty"`
-	// Lag is by how much the owner is late because its processor does not keep up.
-	Lag time.Duration `msgpack:"delay,omitempty"`
-	// Unconfirmed is true if the owner does not know whether it was replaced.
-	Unconfirmed bool `msgpack:"unconfirmed,omitempty"`
-}
-
 // Actions are what the caller of a Machine must carry out.
 type Actions struct {
 	Starts  []worker.Start
@@ -185,10 +134,12 @@
 	// short of capacity or no longer are.
 	Refusals  map[work.Queue]int
 	Shortages []sharing.Shortage
+	// Reservations counts the reservations for large tasks, see lookahead.Plan.
+	Reservations map[string]int
 	// Records describe submissions that have ended.
 	Records []report.Record
 	// RunEnds must be stored and then reported to EndStored.
-	RunEnds []RunEnd
+	RunEnds []worker.RunEnd
 	// JobEnds must be stored after all earlier RunEnds.
 	JobEnds []JobEnd
 	// TokenWanted is true if orders need a higher token, see RaiseToken.
@@ -216,7 +167,7 @@
 	// freeIndex finds usable workers, and capacity counts the cores that workers
 	// have.
 	freeIndex *room.Index[*node]
-	capacity  capacity
+	capacity  room.Totals[*node]
 	// lateRates measures how fast late jobs start, for each pool that has
 	// some.
 	lateRates map[ident.Pool]*sharing.LateRate
@@ -227,6 +178,8 @@
 	crashes        *crash.Tracker
 	crashingQueues *crash.Queues
 	reserved       reservation
+	// plan holds the workers that are reserved for large waiting tasks.
+	plan *lookahead.Plan[*node, holder]
 	// patience recognizes callers that come again.
 	patience *patience.Tracker
 	// timers holds the workers by the time at which they next need attention.
@@ -292,7 +245,6 @@
 		jobsByHost: map[ident.Host]map[work.ID]*job{},
 		queue:      newQueue(),
 		freeIndex:  room.NewIndex[*node](),
-		capacity:   capacity{pools: map[ident.Pool]*poolCapacity{}},
 		lateRates:  map[ident.Pool]*sharing.LateRate{},
 		patience:   patience.NewTracker(c.ResendDelay),
 		began:      now, crashes: crash.NewTracker(), crashingQueues: crash.NewQueues(),
@@ -306,6 +258,8 @@
 		takeoverEnd:  now.Add(incarnation.LapseTime(c.MaxLease)),
 		access:       c.Access,
 	}
+	m.capacity = room.NewTotals(m.freeIndex)
+	m.plan = lookahead.NewPlan[*node, holder](m.markChanged)
 	m.SetWorkers(now, nil)
 	m.listRead = false
 	return m
@@ -314,7 +268,7 @@
 // TakeActions returns the actions that events have produced since the last call.
 func (m *Machine) TakeActions() Actions {
 	a := m.actions
-	a.Losses = m.crashes.TakeChanges()
+	a.Losses, a.Reservations = m.crashes.TakeChanges(), m.plan.TakeCounts()
 	m.actions = Actions{}
 	return a
 }
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -6,7 +6,10 @@
 
 	"github.com/catkingap/catkingap/estimate"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/index"
 	"github.com/catkingap/catkingap/report"
+	"github.com/catkingap/catkingap/room"
+	"github.com/catkingap/catkingap/sharing"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -86,7 +89,7 @@
 func (t *task) estimate() time.Duration { return t.step().Estimate }
 
 func newJob(now time.Time, s Submission) *job {
-	sent := s.sentAt(now)
+	sent := s.SentAt(now)
 	j := &job{
 		spec:        s.Job,
 		host:        s.Host,
@@ -160,7 +163,7 @@
 		if !s.Final {
 			refusal = Busy
 		}
-		reason, wait := m.refusalReason(now, j, s.Final)
+		reason, wait := m.refusalReason(now, j, s.Final, (*sharing.Shares).RetryAfter)
 		if s.Final || reason == "" {
 			// Other owners count the jobs that they take.
 			m.queue.poolShares(j.spec.Pool).Offer(now, &j.spec)
@@ -174,11 +177,11 @@
 				m.refuse(now, s, Unsuited, "only another data centre has workers for a task", 0)
 				return
 			}
-			switch m.suitabilityFor(j) {
-			case unsuitable:
+			switch room.SuitabilityFor(&j.spec, len(m.ordered), func(i int) (*worker.Worker, work.Size) { return &m.ordered[i].Worker, m.ordered[i].largest }) {
+			case room.Unsuitable:
 				m.refuse(now, s, Failed, "no worker is large enough for a task", 0)
 				return
-			case shrunken:
+			case room.Shrunken:
 				m.refuse(now, s, refusal, "no worker has the capacity for a task at present", shrunkenRetryAfter)
 				return
 			}
@@ -212,7 +215,7 @@
 // resubmit handles a submission of a job that is known.
 func (m *Machine) resubmit(now time.Time, j *job, s Submission) {
 	if j.host != s.Host || j.call != s.Call {
-		if s.sentAt(now).Add(m.callerLease() / 2).Before(j.callerSeen) {
+		if s.SentAt(now).Add(m.callerLease() / 2).Before(j.callerSeen) {
 			// The submission was delayed on its way. Clock readings differ by less
 			// than this.
 			m.refuse(now, s, Superseded, "the caller has sent the job again", 0)
@@ -225,7 +228,7 @@
 		return
 	}
 	delete(m.jobsByHost[j.host], j.spec.ID)
-	j.host, j.boot, j.call, j.sequence, j.callerSeen = s.Host, s.Boot, s.Call, s.Sequence, s.sentAt(now)
+	j.host, j.boot, j.call, j.sequence, j.callerSeen = s.Host, s.Boot, s.Call, s.Sequence, s.SentAt(now)
 	j.deadline = j.callerSeen.Add(s.Remaining)
 	m.addCaller(j)
 	m.markUntried(j)
@@ -407,12 +410,7 @@
 	m.sendReply(now, Reply{Host: j.host, Call: j.call, Sequence: j.sequence, Job: j.spec.ID, Result: r, Reason: reason})
 }
 
-func (m *Machine) countRefusal(q work.Queue) {
-	if m.actions.Refusals == nil {
-		m.actions.Refusals = map[work.Queue]int{}
-	}
-	m.actions.Refusals[q]++
-}
+func (m *Machine) countRefusal(q work.Queue) { index.Increment(&m.actions.Refusals, q) }
 
 // refuse answers a submission that was not accepted.
 func (m *Machine) refuse(now time.Time, s Submission, r Result, reason string, wait time.Duration) {
--- a/dispatch/keepalive.go
+++ b/dispatch/keepalive.go
@@ -4,15 +4,8 @@
 	"time"
 
 	"github.com/catkingap/catkingap/incarnation"
-	"github.com/catkingap/catkingap/keepalive"
 )
 
-// Sequence is the number of a message of a host.
-type Sequence = keepalive.Sequence
-
-// Keepalive tells which calls a host still waits for.
-type Keepalive = keepalive.Keepalive
-
 const (
 	// resendMargin is the time between the end of all runs of a job and the moment
 	// at which its caller sends the job again. It covers the time for the host to
@@ -31,14 +24,6 @@
 	maxClockAge = 10 * time.Second
 )
 
-// sentAt returns when a submission was sent, which is never after now.
-func (s Submission) sentAt(now time.Time) time.Time {
-	if s.CallerSeen.IsZero() || s.CallerSeen.After(now) {
-		return now
-	}
-	return s.CallerSeen
-}
-
 // KeepaliveReceived handles a keepalive of a host. Jobs that the host submitted
 // earlier for calls not listed in it are withdrawn. Keepalives may overtake each
 // other.
--- a/dispatch/load_test.go
+++ b/dispatch/load_test.go
@@ -22,6 +22,9 @@
 	tasks    float64
 	runTime  time.Duration
 	priority work.Priority
+	// cores returns the cores of a job's tasks. If it is nil, they are 32 with a spread of
+	// 0.2, and at most 48.
+	cores func(l *loadSim) int
 }
 
 // jobKinds make up the load of one data centre of a fleet of 350 workers: 68 % of
@@ -104,6 +107,10 @@
 	submitted       time.Time
 	objective, took time.Duration
 	result          Result
+	// cores is the size of a task. firstStart and lastStart are when the first and the last
+	// of the tasks were ordered to start, and starts counts the orders.
+	tasks, cores, starts  int
+	firstStart, lastStart time.Time
 	// returned is true if the caller has come back, and retryAfter is when it was told to.
 	returned   bool
 	retryAfter time.Duration
@@ -121,6 +128,8 @@
 	workers map[worker.ID]*simulatedWorker
 	// factor returns the load at a second as a multiple of the usual load.
 	factor func(second float64) float64
+	// kinds are the kinds of jobs that are submitted.
+	kinds []jobKind
 	// kindFactor returns the same for one kind of jobs, beside factor.
 	kindFactor func(kind string, second float64) float64
 	// usedCores is the core-time in core-seconds that runs take between measureFrom and
@@ -155,6 +164,8 @@
 	// unanswered counts the starts that were given up because the owner lagged
 	// behind.
 	unanswered int
+	// observe is called with the actions of each event.
+	observe func(Actions)
 }
 
 // simulatedJob is a job of a simulated load, with the true run times of its tasks
@@ -162,13 +173,19 @@
 type simulatedJob struct {
 	callerAnswer
 	runTimes []time.Duration
-	cores    int
 }
 
 func newLoadSim(seed uint64, factor func(second float64) float64) *loadSim {
+	return newLoadSimOf(jobKinds, seed, factor)
+}
+
+// newLoadSimOf returns the simulation of a load that some kinds of jobs make up.
+func newLoadSimOf(kinds []jobKind, seed uint64, factor func(second float64) float64) *loadSim {
 	l := &loadSim{
+		kinds:  kinds,
 		random: rand.New(rand.NewPCG(seed, 7)), now: origin, workers: map[worker.ID]*simulatedWorker{}, jobs: map[work.ID]*simulatedJob{}, open: map[work.ID]Submission{},
-		factor: factor, cost: func(int, int) time.Duration { return 0 },
+		observe: func(Actions) {},
+		factor:  factor, cost: func(int, int) time.Duration { return 0 },
 		measureFrom: burstFrom, measureTo: burstTo, length: loadSeconds * time.Second, kindFactor: func(string, float64) float64 { return 1 },
 	}
 	l.config = Config{
@@ -191,7 +208,7 @@
 	}
 	l.deliver(func() { l.m.SetWorkers(l.now, l.list) })
 	l.tick()
-	for _, k := range jobKinds {
+	for _, k := range l.kinds {
 		l.submitRepeatedly(k)
 	}
 	return l
@@ -221,6 +238,7 @@
 	before := l.m.visited
 	event()
 	a := l.m.TakeActions()
+	l.observe(a)
 	l.after(l.cost(l.m.visited-before, len(a.Starts)+len(a.Stops)+len(a.Polls)+len(a.Replies)), func() {
 		l.carryOut(a)
 		l.handle()
@@ -257,15 +275,21 @@
 
 func (l *loadSim) submit(k jobKind) {
 	runTime := time.Duration(min(l.logNormal(spread), 4) * float64(k.runTime))
-	size := work.Size{Cores: int(min(l.logNormal(0.2)*32_000, 48_000)), Memory: 64}
+	size := work.Size{Memory: 64}
+	if k.cores != nil {
+		size.Cores = k.cores(l)
+	} else {
+		size.Cores = int(min(l.logNormal(0.2)*32_000, 48_000))
+	}
 	estimated := runTime
 	if l.tail != nil {
 		runTime = scaled(runTime, l.tail())
 	}
-	j := &simulatedJob{cores: size.Cores, callerAnswer: callerAnswer{
+	j := &simulatedJob{callerAnswer: callerAnswer{
 		kind: k.name, submitted: l.now, objective: time.Duration(1.6*float64(runTime)) + 60*time.Millisecond,
 	}}
 	count := max(1, int(math.Round(min(l.logNormal(spread), 4)*k.tasks)))
+	j.tasks, j.cores = count, size.Cores
 	for range count {
 		j.runTimes = append(j.runTimes, time.Duration(l.logNormal(0.15)*float64(runTime)))
 	}
@@ -320,6 +344,11 @@
 		})
 	}
 	for _, s := range a.Starts {
+		j := l.jobs[s.Task.Job]
+		if j.starts++; j.starts == 1 {
+			j.firstStart = l.now
+		}
+		j.lastStart = l.now
 		l.after(messageDelay, func() { l.start(s) })
 	}
 	for _, s := range a.Stops {
--- a/dispatch/loss.go
+++ b/dispatch/loss.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/catkingap/catkingap/index"
 	"github.com/catkingap/catkingap/report"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -30,10 +31,7 @@
 
 // countLost counts a run that ended for another reason than its task.
 func (m *Machine) countLost(cause string) {
-	if m.actions.LostRuns == nil {
-		m.actions.LostRuns = map[string]int{}
-	}
-	m.actions.LostRuns[cause]++
+	index.Increment(&m.actions.LostRuns, cause)
 }
 
 // loseRun ends a run as lost.
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -8,6 +8,7 @@
 	"github.com/catkingap/catkingap/crash"
 	"github.com/catkingap/catkingap/estimate"
 	"github.com/catkingap/catkingap/incarnation"
+	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -68,6 +69,9 @@
 	// recordIndex is the position of the run in the record of its job, counted from
 	// 1, or zero.
 	recordIndex int
+	// percent is the progress that the worker reported last, at percentAt.
+	percent   int
+	percentAt time.Time
 }
 
 // node is a worker and its runs.
@@ -131,12 +135,15 @@
 	// that is not yet reflected in contribution, which is what the worker adds to
 	// the counts.
 	changed, stale bool
-	contribution   contribution
+	contribution   room.Contribution[*node]
 	// failures counts the consecutive failed runs of different jobs.
 	failures      int
 	lastFailedJob work.ID
 }
 
+// free returns the capacity that no run uses.
+func (n *node) free() work.Size { return n.Capacity.Minus(n.used) }
+
 func (m *Machine) order(n *node) worker.Order {
 	return worker.Order{Worker: n.ID, Address: n.Address, Token: n.token.Next(m.token)}
 }
@@ -277,6 +284,7 @@
 		}
 		r.presumed, r.incarnation, r.earlierLoss = false, n.Life, nil
 		m.confirm(now, r)
+		r.percent, r.percentAt = x.Percent, now
 		if r.state == running && r.task != nil {
 			m.checkProgress(now, n, r, x.Percent)
 		}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -9,6 +9,7 @@
 	"github.com/catkingap/catkingap/estimate"
 	"github.com/catkingap/catkingap/evacuation"
 	"github.com/catkingap/catkingap/room"
+	"github.com/catkingap/catkingap/sharing"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -32,9 +33,12 @@
 // may be of another kind and have another capacity.
 func (n *node) isRowBehind() bool { return n.rowLife < n.Life }
 
-func (n *node) hasOrphans() bool {
+func (n *node) hasOrphans() bool { return n.hasRun(func(r *run) bool { return r.task == nil }) }
+
+// hasRun returns true if a worker has a run for which is returns true.
+func (n *node) hasRun(is func(*run) bool) bool {
 	for _, r := range n.runs {
-		if r.task == nil {
+		if is(r) {
 			return true
 		}
 	}
@@ -49,43 +53,6 @@
 	return n.IsOfKind(t.job.spec.Pool, t.step().Label)
 }
 
-// suitability tells whether there are workers that suit all tasks of a job.
-type suitability int
-
-const (
-	// unsuitable means that a task has no worker that ever had the capacity for it.
-	unsuitable suitability = iota
-	// shrunken means that a task has a worker whose capacity has become too small for it.
-	shrunken
-	// suitable means that each task has a worker, or that no workers are known yet.
-	suitable
-)
-
-// suitabilityFor returns whether there are workers that suit all tasks of a job.
-func (m *Machine) suitabilityFor(j *job) suitability {
-	lowest := suitable
-	if len(m.ordered) == 0 {
-		return lowest
-	}
-	for i, s := range j.spec.Steps {
-		t := &task{job: j, name: work.Task{Step: i}}
-		best := unsuitable
-		for _, n := range m.ordered {
-			switch {
-			case best == suitable || !n.isOfKind(t):
-			case s.Size.Fits(n.Capacity):
-				best = suitable
-			case s.Size.Fits(n.largest):
-				best = shrunken
-			}
-		}
-		if s.Count > 0 {
-			lowest = min(lowest, best)
-		}
-	}
-	return lowest
-}
-
 // expectedRunTime returns the expected run time of a task on a worker.
 func (m *Machine) expectedRunTime(n *node, t *task) time.Duration {
 	return n.slowdown.Scale(m.estimateOn(n, t))
@@ -202,10 +169,7 @@
 	}
 	searches := []search{{list: m.freeIndex.List(t.job.spec.Pool, s.Label), factor: 1}}
 	if s.Rack != "" {
-		searches = []search{
-			{list: m.freeIndex.List(t.job.spec.Pool, s.Rack), factor: 1},
-			{list: searches[0].list, factor: m.config.FarFactor},
-		}
+		searches = []search{{list: m.freeIndex.List(t.job.spec.Pool, s.Rack), factor: 1}, {list: searches[0].list, factor: m.config.FarFactor}}
 	}
 	for _, idle := range [...]bool{true, false} {
 		if idle && standing != crash.Suspect {
@@ -220,7 +184,9 @@
 					break
 				}
 				for _, x := range searches {
-					mayShare := func(n *node) bool { return n.cold.IsCold(now) == isCold && n.mayShare(standing, idle) }
+					mayShare := func(n *node) bool {
+						return n.cold.IsCold(now) == isCold && (standing == crash.Clear || standing.MayShare(idle, len(n.runs) == 0, n.hasSuspect()))
+					}
 					if n := m.searchList(now, t, x.list, x.factor, tardy, failed, mayShare); n != nil {
 						return n
 					}
@@ -228,7 +194,7 @@
 			}
 		}
 	}
-	return nil
+	return m.chooseReserved(now, t, tardy)
 }
 
 // searchList searches a list for a worker. On its workers a task takes at least
@@ -294,6 +260,7 @@
 		r.suspect, r.exclusive = true, len(n.runs) == 0
 		m.actions.SuspectStarts++
 	}
+	m.plan.Started(n, t.holder())
 	n.runs[r.key] = r
 	n.used = n.used.Plus(r.size)
 	m.markChanged(n)
@@ -317,8 +284,9 @@
 
 // refusalReason returns why a job is not accepted and when its caller should come
 // back, or an empty reason. Under a lasting overload, work that cannot end in time
-// would take the capacity of work that can.
-func (m *Machine) refusalReason(now time.Time, j *job, final bool) (string, time.Duration) {
+// would take the capacity of work that can. Function retryAfter tells while capacity is short
+// when the caller should come back.
+func (m *Machine) refusalReason(now time.Time, j *job, final bool, retryAfter func(*sharing.Shares, time.Time, *work.Job) time.Duration) (string, time.Duration) {
 	wait, atOnce := m.expectedWait(now, j)
 	if atOnce {
 		return "", 0
@@ -333,7 +301,7 @@
 	onTime := !now.Add(scaled(run, onTimeFactor)).After(j.objective)
 	if onTime && !j.resubmitted && m.queue.poolShares(j.spec.Pool).IsShort() &&
 		now.Add(wait+scaled(run, onTimeFactor)).After(j.objective) && !m.canStartAtOnce(now, j) {
-		return "the work ahead in its queue takes too long", m.queue.poolShares(j.spec.Pool).RetryAfter(now, &j.spec)
+		return "the work ahead in its queue takes too long", retryAfter(m.queue.poolShares(j.spec.Pool), now, &j.spec)
 	}
 	return "", 0
 }
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -280,6 +280,10 @@
 	seen, limit := maxSeenJobs, maxTriedJobs
 	if q.tryAll {
 		seen, limit = q.tasks, q.tasks
+		if m.config.LookAhead {
+			m.planAhead(now)
+			m.refreshChanged(now)
+		}
 	}
 	if !q.isEmpty() && (q.tryAll || m.capacityGrew) {
 		for _, j := range q.firstMatching(m.fits, seen, limit) {
@@ -303,7 +307,7 @@
 // fits returns true if a worker has enough free cores for the smallest waiting task
 // of a job.
 func (m *Machine) fits(j *job) bool {
-	return j.minCores <= m.freeIndex.List(j.spec.Pool, "").Largest()
+	return j.minCores <= m.freeIndex.List(j.spec.Pool, "").Largest() || m.isReserved(j)
 }
 
 // startWaiting starts the tasks of a job for which there is a worker, or refuses
@@ -320,6 +324,7 @@
 		return
 	}
 	if m.startJob(now, j) {
+		m.endVoidReservations(now)
 		m.queue.put(j, m.classOf(now, j))
 	}
 }
--- a/dispatch/stored.go
+++ b/dispatch/stored.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/catkingap/catkingap/index"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -21,22 +22,6 @@
 	return max(p.Highest+runNumberGap, work.Run(m.config.Token)*runNumberGap)
 }
 
-// RunEnd is the end of a run. It must be stored before the worker may forget it.
-type RunEnd struct {
-	Job work.ID
-	// Task is the index of the task over all steps of the job.
-	Task int
-	Run  work.Run
-	Done bool
-	End  worker.EndID
-}
-
-// JobEnd is the end of a stored job.
-type JobEnd struct {
-	Job    work.ID
-	Result Result
-}
-
 // earlyEnd is an end that a worker listed before the stored jobs were known.
 type earlyEnd struct {
 	node        *node
@@ -133,7 +118,7 @@
 // IsTakeoverComplete returns true if no run of the previous owner can be running
 // unknown to this one, because all its workers have answered.
 func (m *Machine) IsTakeoverComplete() bool {
-	return m.config.PreviousWorkersComplete && m.capacity.unanswered == 0
+	return m.config.PreviousWorkersComplete && m.capacity.Unanswered == 0
 }
 
 // maxEventGap is the longest time between two events after which an owner still
@@ -216,13 +201,9 @@
 	}
 	var counts map[work.Queue]int
 	for _, j := range m.jobs {
-		if !j.stored || j.ran {
-			continue
-		}
-		if counts == nil {
-			counts = map[work.Queue]int{}
+		if j.stored && !j.ran {
+			index.Increment(&counts, j.spec.Queue)
 		}
-		counts[j.spec.Queue]++
 	}
 	m.pendingJobs, m.pendingValid = counts, true
 	return counts
@@ -251,7 +232,7 @@
 	if e.Result == worker.Failed {
 		t.countFailure(e.Run)
 	}
-	m.actions.RunEnds = append(m.actions.RunEnds, RunEnd{
+	m.actions.RunEnds = append(m.actions.RunEnds, worker.RunEnd{
 		Job: t.job.spec.ID, Task: slices.Index(t.job.tasks, t), Run: e.Run, Done: e.Result == worker.Done,
 		End: worker.EndID{Worker: n.ID, Incarnation: n.Life, Number: e.Number},
 	})
--- a/dispatch/suspect.go
+++ b/dispatch/suspect.go
@@ -96,22 +96,8 @@
 	return s
 }
 
-// mayShare returns true if a task with the given standing may start beside what a worker
-// runs. Parameter idle is true for workers that run nothing.
-func (n *node) mayShare(s crash.Standing, idle bool) bool {
-	switch {
-	case s == crash.Clear:
-		return true
-	case idle || s == crash.Isolated:
-		return len(n.runs) == 0
-	}
-	for _, r := range n.runs {
-		if r.suspect {
-			return false
-		}
-	}
-	return true
-}
+// hasSuspect returns true if a worker runs a suspect.
+func (n *node) hasSuspect() bool { return n.hasRun(func(r *run) bool { return r.suspect }) }
 
 // condemnedTask returns a task of a job that has crashed its workers, or nil.
 func (m *Machine) condemnedTask(now time.Time, j *job) *task {
@@ -261,14 +247,7 @@
 }
 
 // isExclusive returns true if a worker runs a suspect, beside which nothing is started.
-func (n *node) isExclusive() bool {
-	for _, r := range n.runs {
-		if r.exclusive {
-			return true
-		}
-	}
-	return false
-}
+func (n *node) isExclusive() bool { return n.hasRun(func(r *run) bool { return r.exclusive }) }
 
 // takesOthers returns true if tasks without reservation may start on a worker.
 func (m *Machine) takesOthers(n *node) bool { return n != m.reserved.node && !n.isExclusive() }
--- a/dispatch/tick.go
+++ b/dispatch/tick.go
@@ -36,7 +36,7 @@
 	m.followReservation(now)
 	m.refreshChanged(now)
 	for p, s := range m.queue.shares {
-		if x, ok := s.Tick(now, p, m.capacity.pool(p).freeCores); ok {
+		if x, ok := s.Tick(now, p, m.capacity.Pool(p).FreeCores); ok {
 			m.actions.Shortages = append(m.actions.Shortages, x)
 		}
 	}
@@ -57,7 +57,7 @@
 // Load returns the present load of the workers.
 func (m *Machine) Load(now time.Time) Load {
 	m.refreshChanged(now)
-	free := m.capacity.tasks
+	free := m.capacity.Tasks
 	if m.meanCores == 0 {
 		// The size of tasks is not known yet: each worker is taken to have capacity for
 		// one.
--- a/estimate/straggler.go
+++ b/estimate/straggler.go
@@ -45,7 +45,16 @@
 		}
 		return defaultRunTimeRatio
 	}
-	return max(1, j.ratios/float64(j.ended))
+	return max(1, j.MeanRatio())
+}
+
+// MeanRatio returns the mean of the run times of the job's ended runs as multiples of the
+// expected ones, or 1 if none has ended.
+func (j *Job) MeanRatio() float64 {
+	if j.ended == 0 {
+		return 1
+	}
+	return j.ratios / float64(j.ended)
 }
 
 // IsSooner returns true if a new run that takes rerun is done much sooner than a run that
--- a/fleet/log.go
+++ b/fleet/log.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log/handlers/json"
 	"go.uber.org/fx"
 
+	"github.com/catkingap/catkingap/explain"
 	"github.com/catkingap/catkingap/httplimit"
 	"github.com/catkingap/catkingap/logline"
 	"github.com/catkingap/catkingap/metrics"
@@ -52,8 +53,8 @@
 	// owner counts the events of this host's owners.
 	owner ownerCounters
 	// workersLost counts the workers that were lost with their runs, and runsLost the runs
-	// that ended for another reason than their task, by cause.
-	workersLost, runsLost *expvar.Map
+	// that ended for another reason than their task, by cause; reservations counts those for large tasks.
+	workersLost, runsLost, reservations *expvar.Map
 	// workerSpeeds counts the workers that have become slow and those that have recovered.
 	workerSpeeds *expvar.Map
 	// suspectStarts counts the starts of tasks that workers were lost under, and
@@ -97,17 +98,18 @@
 		coldStarts: s.Counter("coldStarts"), evacuations: s.Counters("evacuations"), evacuatedJobs: s.Counters("evacuatedJobs"),
 		workersLost: s.Counters("workersLost"), runsLost: s.Counters("runsLost"), workerSpeeds: s.Counters("workerSpeeds"),
 		jobsWithoutMemory: s.Counter("jobsWithoutMemory"), suspectStarts: s.Counter("suspectStarts"), tasksGivenUp: s.Counters("tasksGivenUp"),
-		refusals: s.Counters("refusals"), shortages: s.Counter("shortages"),
+		refusals: s.Counters("refusals"), shortages: s.Counter("shortages"), reservations: s.Counters("reservations"),
 	}
 }
 
-// runMetrics serves the metrics.
-func runMetrics(life fx.Lifecycle, s Settings, n network.Network, set *metrics.Set, self ownership.Host, logger log.Interface) {
+// runMetrics serves the metrics, and explains where a job would go.
+func runMetrics(life fx.Lifecycle, s Settings, n network.Network, set *metrics.Set, self ownership.Host, logger log.Interface, x *Submitter, c *Configuration) {
 	if s.MetricsAddress == "" {
 		return
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", set.Handler())
+	mux.Handle(explain.Path, explain.Handler(func(r explain.Request) (*explain.Answer, error) { return x.explain(c.Table(), r) }))
 	server := httplimit.New(httplimit.Config{
 		Handler: mux, Connections: s.Connections.Metrics, HeaderTimeout: time.Second, IdleTimeout: time.Minute,
 	})
--- a/fleet/losses.go
+++ b/fleet/losses.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/metrics"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
 )
@@ -15,9 +16,8 @@
 // noteLosses counts and logs the workers and runs that an event has lost, the jobs that it
 // has refused, and the pools that have become short of capacity.
 func (w *Owner) noteLosses(a *dispatch.Actions) {
-	for cause, n := range a.LostRuns {
-		w.owners.counters.runsLost.Add(cause, int64(n))
-	}
+	metrics.AddAll(w.owners.counters.runsLost, a.LostRuns)
+	metrics.AddAll(w.owners.counters.reservations, a.Reservations)
 	for q, n := range a.Refusals {
 		w.owners.counters.refusals.Add(w.owners.counters.queueNames.Label(q), int64(n))
 	}
@@ -29,10 +29,7 @@
 	}
 	for _, l := range a.WorkerLosses {
 		w.owners.counters.workersLost.Add(string(l.Cause), 1)
-		w.logger.WithFields(log.Fields{
-			"worker": string(l.Worker), "incarnation": int64(l.Incarnation), "cause": string(l.Cause), "tasks": l.Tasks,
-			"silentMs": l.Silent.Milliseconds(),
-		}).Warn("worker lost with its runs")
+		w.logger.WithFields(log.Fields(l.Fields())).Warn("worker lost with its runs")
 	}
 	w.owners.counters.suspectStarts.Add(int64(a.SuspectStarts))
 	w.owners.counters.coldStarts.Add(int64(a.ColdStarts))
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -110,7 +110,7 @@
 		machine: dispatch.New(o.contacts.clock(), dispatch.Config{
 			PreviousWorkers: previousWorkers, PreviousWorkersComplete: complete,
 			Token: x.Token, MaxLease: o.settings.MaxLease, FarFactor: o.settings.FarFactor, ResendDelay: o.settings.Resend,
-			Access: o.contacts.evacuation.Access(x.DataCentre),
+			Access: o.contacts.evacuation.Access(x.DataCentre), LookAhead: o.settings.LookAhead,
 			Ejection: ejection.Config{
 				MaxShare: maxEjectedShare, Failures: ejectionFailures, MinProbe: minProbePause, MaxProbe: maxProbePause,
 			},
@@ -346,16 +346,7 @@
 	if r.Reason == dispatch.ReasonEvacuated {
 		w.owners.counters.evacuatedJobs.Add(string(r.Result), 1)
 	}
-	runs := make([]string, 0, len(r.Runs))
-	for _, x := range r.Runs {
-		runs = append(runs, fmt.Sprintf("%d.%d#%d %s %d+%d %s", x.Step, x.Index, x.Run, x.Worker,
-			x.Started.Milliseconds(), max(0, x.Ended-x.Started).Milliseconds(), x.How))
-	}
-	w.logger.WithFields(log.Fields{
-		"job": string(r.Job), "peer": string(r.Host), "call": r.Call, "result": string(r.Result), "reason": r.Reason,
-		"waitedMs": r.Waited.Milliseconds(), "tookMs": r.Took.Milliseconds(), "objectiveMs": r.Objective.Milliseconds(),
-		"waitingTasks": r.Waiting, "runs": runs, "omittedRuns": r.Omitted,
-	}).Info("job dispatched")
+	w.logger.WithFields(log.Fields(r.Fields())).Info("job dispatched")
 }
 
 // deliver passes a reply to the submission that waits for it. The caller holds the
--- a/report/report.go
+++ b/report/report.go
@@ -3,6 +3,7 @@
 package report
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/catkingap/catkingap/ident"
@@ -99,6 +100,26 @@
 	x.Ended = ended
 }
 
+// Fields returns the fields of the log line: each run with its task, worker and times.
+func (r *Record) Fields() map[string]any {
+	runs := make([]string, 0, len(r.Runs))
+	for _, x := range r.Runs {
+		runs = append(runs, fmt.Sprintf("%d.%d#%d %s %d+%d %s", x.Step, x.Index, x.Run, x.Worker,
+			x.Started.Milliseconds(), max(0, x.Ended-x.Started).Milliseconds(), x.How))
+	}
+	return map[string]any{
+		"job": string(r.Job), "peer": string(r.Host), "call": r.Call, "result": r.Result, "reason": r.Reason,
+		"waitedMs": r.Waited.Milliseconds(), "tookMs": r.Took.Milliseconds(), "objectiveMs": r.Objective.Milliseconds(),
+		"waitingTasks": r.Waiting, "runs": runs, "omittedRuns": r.Omitted,
+	}
+}
+
+// JobEnd is the end of a stored job.
+type JobEnd struct {
+	Job    work.ID
+	Result Result
+}
+
 // LossCause tells why a run ended without its worker having reported an end.
 type LossCause string
 
@@ -128,6 +149,14 @@
 	Silent time.Duration
 }
 
+// Fields returns the fields of the log line.
+func (l *WorkerLoss) Fields() map[string]any {
+	return map[string]any{
+		"worker": string(l.Worker), "incarnation": int64(l.Incarnation), "cause": string(l.Cause), "tasks": l.Tasks,
+		"silentMs": l.Silent.Milliseconds(),
+	}
+}
+
 // GiveUpCause tells why a job was ended because of a task that workers were lost under.
 type GiveUpCause string
 
--- a/sharing/retry.go
+++ b/sharing/retry.go
@@ -28,14 +28,8 @@
 // so that the cores that the usual demand leaves free suffice for all of them.
 func (s *Shares) RetryAfter(now time.Time, j *work.Job) time.Duration {
 	s.queue(j.Queue).refused++
-	from := now.Add(minRetryAfter)
-	if end := s.shortSince.Add(shortageLength); s.short && end.After(from) {
-		from = end
-	}
-	if s.bookedUntil.Before(from) {
-		s.bookedUntil = from
-	}
-	at := s.bookedUntil
+	at := s.nextReturn(now)
+	s.bookedUntil = at
 	cores := float64(s.used + s.free)
 	spare := max(cores*usableShare-s.weight, cores*minSpareShare)
 	if latest := now.Add(maxRetryAfter); at.After(latest) {
@@ -46,3 +40,20 @@
 	}
 	return at.Sub(now)
 }
+
+// PreviewRetryAfter returns what RetryAfter would return, and changes nothing.
+func (s *Shares) PreviewRetryAfter(now time.Time, _ *work.Job) time.Duration {
+	return min(maxRetryAfter, s.nextReturn(now).Sub(now))
+}
+
+// nextReturn returns when the next refused caller should come back.
+func (s *Shares) nextReturn(now time.Time) time.Time {
+	from := now.Add(minRetryAfter)
+	if end := s.shortSince.Add(shortageLength); s.short && end.After(from) {
+		from = end
+	}
+	if s.bookedUntil.After(from) {
+		return s.bookedUntil
+	}
+	return from
+}
--- a/sharing/sharing_test.go
+++ b/sharing/sharing_test.go
@@ -138,7 +138,9 @@
 	s, now := short()
 	last := time.Duration(0)
 	for i := range 100 {
+		preview := s.PreviewRetryAfter(now, testJob("a", 50))
 		d := s.RetryAfter(now, testJob("a", 50))
+		is.Equal(preview, d) // A preview must book nothing.
 		if i == 0 {
 			is.True(d > 5*time.Second && d <= shortageLength)
 		}
