--- a/fleet/restarted_test.go
+++ b/fleet/restarted_test.go
@@ -1,15 +1,16 @@
 package fleet_test
 
 import (
-	"fmt"
-	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/catkingap/catkingap/network"
+	"github.com/catkingap/catkingap/platform"
+	"github.com/catkingap/catkingap/work"
+	"github.com/catkingap/catkingap/worker"
 )
 
 // TestRestartedWorkerRefusesEarlierStarts restarts a worker under its id and address, while its
@@ -22,23 +23,22 @@
 		w := newWorld(t)
 		time.Sleep(startTime)
 		name := workerName("coast-a", 0)
-		var token int64
+		var token worker.Token
 		for _, r := range w.store.History() {
 			if r.Key == "owner.coast-a" {
-				token = r.Ver
+				token = worker.Token(r.Ver)
 			}
 		}
-		late := fmt.Sprintf(`{"Task":"1000mslate.0.0.0","Run":1,"Spec":"","UntilMs":60000,"FencingToken":%d}`, token)
 		is.NoErr(w.workerServers[name].Close())
 		w.workers[name].PowerOff()
 		w.addWorker("coast-a", name)
 		time.Sleep(3 * time.Second)
-		r := httptest.NewRequest(http.MethodPost, "/run-start", strings.NewReader(late))
-		r.Header.Set("X-Expect-Instance", name)
-		answer := httptest.NewRecorder()
-		w.workers[name].Handler().ServeHTTP(answer, r)
-		is.Equal(answer.Code, http.StatusConflict)
-		is.True(strings.Contains(answer.Body.String(), "fence"))
+		workers := platform.NewWorkers(network.NewSeverable(w.network.Site("late")).DialContext)
+		answer := workers.Start(t.Context(), worker.Start{
+			Order: worker.Order{Worker: worker.ID(name), Address: name + ":1", Token: token},
+			Task:  work.Task{Job: "1000mslate"}, Run: 1, Until: 60_000,
+		})
+		is.Equal(answer.Verdict, worker.Fenced)
 		is.Equal(len(w.ownerChanges()), 0)
 	})
 }
