--- a/lookahead/lookahead.go
+++ b/lookahead/lookahead.go
@@ -18,18 +18,16 @@
 	// estimate.
 	minPercent = 10
 	// largeFactor is how many times the mean number of cores a task must need to get a
-	// reservation. Others find gaps without one: reserving for all waiting tasks took capacity
-	// from them and served large ones no better.
+	// reservation. Smaller ones find gaps without one.
 	largeFactor = 1.1
 	// passedOverTime is longer than one tick, in which all waiting jobs are tried.
 	passedOverTime = 30 * time.Millisecond
 	// certaintyFactor is how many times its expected time a task may take and still meet the
 	// objective of its caller, if a worker is reserved for it: estimates are off by some 40 %.
-	// With a factor of 1, many tasks that had waited for a whole worker ended late.
 	certaintyFactor = 1.6
 	// maxReservations bounds the reservations of an owner at a time, and
-	// workersPerReservation bounds them by the number of its workers. Twice as many served
-	// tasks of 40 to 48 cores better still, and others worse by more.
+	// workersPerReservation bounds them by the number of its workers, so that most workers
+	// stay free for other tasks.
 	maxReservations, workersPerReservation = 8, 8
 )
 
