Bound the polls of a worker that are open and their frequency

What callers saw: beside 1,800 clients with jobs of very small tasks a host took 1,100 MiB of 144 and served nobody until 42 s after they had gone.

Cause, first part: an overdue run, an accepted stop, an unanswered or refused start and a worker that turns slow each polled the worker at once, in addition to all other polls, and each answer lists all runs and ends again. A worker with hundreds of runs has some of them overdue or ending at any moment.

Extra polls are merged while four are open: the next one is sent after an answer and tells as much as all of them. Polls are spaced by 0.1 ms for each row above 64 in the last answer, up to 100 ms, so that ten still fit into a lease. A worker with the usual few runs lists less, and is polled as before. The decision is package polling; `deferredPolls` counts.

--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -114,6 +114,9 @@
 // nextTimer returns when a worker next needs attention without an event.
 func (m *Machine) nextTimer(now time.Time, n *node) time.Time {
 	at := m.nextPollAt(now, n)
+	if extra, wanted := n.pace.NextExtra(); wanted {
+		at = earliest(at, extra)
+	}
 	if now.Before(n.holdUntil) {
 		at = earliest(at, n.holdUntil)
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -128,6 +128,8 @@
 	SuspectStarts int
 	// ColdStarts is the number of starts on cold workers.
 	ColdStarts int
+	// DeferredPolls is the number of polls that had to wait for earlier ones.
+	DeferredPolls int
 	// SpeedChanges tell which workers have become slow or are well again.
 	SpeedChanges []estimate.SpeedChange
 	// Refusals counts the refused jobs by queue, and Shortages tell which pools have become
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -8,6 +8,7 @@
 	"github.com/catkingap/catkingap/crash"
 	"github.com/catkingap/catkingap/estimate"
 	"github.com/catkingap/catkingap/incarnation"
+	"github.com/catkingap/catkingap/polling"
 	"github.com/catkingap/catkingap/room"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
@@ -116,8 +117,9 @@
 	lapsingEnds []worker.EndNumber
 	// lapseChecked is when the runs of the silent worker were last checked for lapsed leases.
 	lapseChecked time.Time
-	// pollOpen is true while a waiting poll is open.
+	// pollOpen is true while a waiting poll is open, and pace spaces all polls.
 	pollOpen bool
+	pace     polling.Pace
 	// silentSince is when the worker began to leave orders unanswered, or zero.
 	silentSince   time.Time
 	nextPoll      time.Time
@@ -148,9 +150,24 @@
 	return worker.Order{Worker: n.ID, Address: n.Address, Token: n.token.Next(m.token)}
 }
 
-// pollAtOnce polls a worker in addition to the regular poll.
+// pollAtOnce polls a worker in addition to the regular poll. If too many such polls are open, or
+// the worker has listed much in its last answer, the poll is sent later.
 func (m *Machine) pollAtOnce(now time.Time, n *node) {
+	n.pace.WantExtra()
+	if !m.sendExtraPoll(now, n) {
+		m.actions.DeferredPolls++
+		m.markChanged(n)
+	}
+}
+
+// sendExtraPoll sends the extra poll that is wanted, if any. It returns false if there is none or
+// it has to wait.
+func (m *Machine) sendExtraPoll(now time.Time, n *node) bool {
+	if !n.pace.TakeExtra(now) {
+		return false
+	}
 	m.sendPoll(now, n, worker.Poll{Extra: true})
+	return true
 }
 
 // sendPoll completes and sends a poll.
@@ -169,6 +186,7 @@
 		}
 	}
 	n.acknowledgeAt = time.Time{}
+	n.pace.Sent(now)
 	m.markChanged(n)
 	m.actions.Polls = append(m.actions.Polls, l)
 }
@@ -180,7 +198,9 @@
 	if n == nil {
 		return
 	}
-	if !l.Extra {
+	if l.Extra {
+		n.pace.ExtraEnded()
+	} else {
 		n.pollOpen = false
 	}
 	if report == nil {
@@ -220,6 +240,7 @@
 		m.handleNewIncarnation(now, sent, n, report)
 	}
 	n.known = true
+	n.pace.Listed(len(report.Running) + len(report.Ended))
 	m.refuteLosses(now, n, report)
 	m.handleAnswer(now, time.Time{}, n, worker.Accepted, report.Clock)
 	n.acknowledged = max(n.acknowledged, min(l.AcknowledgedEnds, n.seen))
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -29,11 +29,12 @@
 			at = earliest(at, n.acknowledgeAt)
 		}
 	}
-	return latest(at, n.nextPoll)
+	return latest(latest(at, n.nextPoll), n.pace.Next())
 }
 
 // pollIfDue polls a worker if it is time.
 func (m *Machine) pollIfDue(now time.Time, n *node) {
+	m.sendExtraPoll(now, n)
 	if now.Before(m.nextPollAt(now, n)) {
 		return
 	}
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -273,6 +273,7 @@
 		w.owners.endFenced(w.owner)
 	}
 	w.noteSpeeds(&actions)
+	w.noteLimits(&actions)
 	if w.ctx.Err() != nil {
 		return nil
 	}
