Start nothing on a worker with 500 runs and ends that are not acknowledged

Cause, second part: tasks were started on the worker with the least free capacity as long as it had any, so that one worker had hundreds of very small ones. Ends of stored jobs are held until they are stored, at the table's rate, while new ones come at the rate of the runs. Workers list 500 ends at a time: those beyond were not seen, and all others were listed with each answer.

500 is what a worker lists, so that each end is seen. No usual worker comes near: 64 tasks of one core that take 60 ms have some 130 runs and ends. From half of it ends are acknowledged without delay.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -67,7 +67,7 @@
 // numbers them anew. The next poll tells which incarnation it is.
 func (n *node) forgetEnds() {
 	n.answered = false
-	n.seen, n.acknowledged, n.reportClock, n.unstored, n.lapsingEnds = 0, 0, 0, nil, nil
+	n.seen, n.acknowledged, n.forgotten, n.reportClock, n.unstored, n.lapsingEnds = 0, 0, 0, 0, nil, nil
 }
 
 // extendLease returns the worker's clock after d, and notes that its lease may last until then.
--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -30,6 +30,7 @@
 func (m *Machine) refresh(now time.Time, n *node) {
 	n.stale = false
 	m.visited++
+	m.noteCrowded(n)
 	s := room.Contribution[*node]{Pool: n.Pool}
 	if n.listed {
 		s.UsedCores = n.used.Cores
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -130,6 +130,9 @@
 	ColdStarts int
 	// DeferredPolls is the number of polls that had to wait for earlier ones.
 	DeferredPolls int
+	// CrowdedWorkers holds the workers that get no more runs until some of theirs have ended and
+	// these ends are stored.
+	CrowdedWorkers []worker.ID
 	// SpeedChanges tell which workers have become slow or are well again.
 	SpeedChanges []estimate.SpeedChange
 	// Refusals counts the refused jobs by queue, and Shortages tell which pools have become
--- a/dispatch/node.go
+++ b/dispatch/node.go
@@ -108,7 +108,8 @@
 	leaseEnd time.Time
 	// seen is the highest end that was handled, and acknowledged is the highest
 	// that the worker was told it may forget.
-	seen, acknowledged worker.EndNumber
+	// The worker has forgotten all ends up to forgotten.
+	seen, acknowledged, forgotten worker.EndNumber
 	// unstored holds the ends that must be stored before the worker may forget
 	// them.
 	unstored map[worker.EndNumber]struct{}
@@ -137,7 +138,9 @@
 	// that is not yet reflected in contribution, which is what the worker adds to
 	// the counts.
 	changed, stale bool
-	contribution   room.Contribution[*node]
+	// crowded is true while the worker gets no run because it has too many of them.
+	crowded      bool
+	contribution room.Contribution[*node]
 	// failures counts the consecutive failed runs of different jobs.
 	failures      int
 	lastFailedJob work.ID
@@ -244,6 +247,7 @@
 	m.refuteLosses(now, n, report)
 	m.handleAnswer(now, time.Time{}, n, worker.Accepted, report.Clock)
 	n.acknowledged = max(n.acknowledged, min(l.AcknowledgedEnds, n.seen))
+	n.noteForgotten(report.Ended)
 	if !m.handleEnds(now, n, report.Ended) && n.highestForgettable() < n.seen && !l.Extra {
 		// The worker repeats ends that are not stored yet, without waiting for a
 		// new one.
@@ -269,7 +273,7 @@
 		m.noteEnd(n, e)
 		n.seen = e.Number
 		if n.acknowledgeAt.IsZero() {
-			n.acknowledgeAt = now.Add(acknowledgeDelay)
+			n.acknowledgeAt = now.Add(n.acknowledgeDelay())
 		}
 		r := n.runs[runKey{task: e.Task, run: e.Run}]
 		if e.Result == worker.Done && (r == nil || r.task == nil) {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -26,7 +26,7 @@
 // isUsable returns true if a worker may get work.
 func (m *Machine) isUsable(now time.Time, n *node) bool {
 	return m.access == evacuation.Open && n.listed && n.answered && !n.isRowBehind() && !n.Draining && n.silentSince.IsZero() && !now.Before(n.holdUntil) &&
-		m.detector.Allowed(now, n.ID, true) && !n.hasOrphans() && len(n.lapsingEnds) == 0 && m.cold.Free(now, &n.cold, n.Pool, 1) > 0
+		!n.isCrowded() && m.detector.Allowed(now, n.ID, true) && !n.hasOrphans() && len(n.lapsingEnds) == 0 && m.cold.Free(now, &n.cold, n.Pool, 1) > 0
 }
 
 // isRowBehind returns true if the worker's row is one of an earlier incarnation. The present one
--- a/dispatch/poll.go
+++ b/dispatch/poll.go
@@ -1,8 +1,11 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"github.com/catkingap/catkingap/polling"
 	"github.com/catkingap/catkingap/worker"
 )
 
@@ -55,3 +58,37 @@
 	}
 	return false
 }
+
+// rows returns the number of runs of a worker and of its ends that are not acknowledged.
+func (n *node) rows() int {
+	return len(n.runs) + int(max(0, n.seen-max(n.acknowledged, n.forgotten)))
+}
+
+// isCrowded returns true if a worker may get no further run because it would not list its end.
+func (n *node) isCrowded() bool { return n.rows() >= polling.MaxRows }
+
+// noteCrowded reports a worker that has become crowded.
+func (m *Machine) noteCrowded(n *node) {
+	if n.isCrowded() && !n.crowded {
+		m.actions.CrowdedWorkers = append(m.actions.CrowdedWorkers, n.ID)
+	}
+	n.crowded = n.isCrowded()
+}
+
+// noteForgotten records which ends the worker does not list any more.
+func (n *node) noteForgotten(listed []worker.Ended) {
+	if len(listed) == 0 {
+		return
+	}
+	lowest := slices.MinFunc(listed, func(a, b worker.Ended) int { return cmp.Compare(a.Number, b.Number) })
+	n.forgotten = max(n.forgotten, lowest.Number-1)
+}
+
+// acknowledgeDelay returns how long ends may wait to be acknowledged by the poll that goes along
+// with a next start. A worker with many runs and ends is told at once.
+func (n *node) acknowledgeDelay() time.Duration {
+	if n.rows() >= polling.CrowdedRows {
+		return 0
+	}
+	return acknowledgeDelay
+}
--- a/dispatch/smalltasks_test.go
+++ b/dispatch/smalltasks_test.go
@@ -143,3 +143,36 @@
 	is.True(w.mostOpen <= maxOpenPolls)
 	is.True(w.rows <= seconds*maxRowsPerSecond)
 }
+
+// TestUnstoredEndsHoldStartsBack lets the tasks of stored jobs end while nothing is stored: the
+// worker lists all these ends again with each answer.
+func TestUnstoredEndsHoldStartsBack(t *testing.T) {
+	const seconds = 3
+	is := is.New(t)
+	w := newSmallTaskWorker(50)
+	for i := range smallTaskJobs {
+		w.m.AddStored(at(2), smallTaskJob(i), work.Progress{}, false)
+	}
+	for ms := 2; ms < 1000*seconds; ms++ {
+		w.advance(ms)
+	}
+	t.Logf("at most %d runs and ends; %d open polls; %d rows listed", w.mostRows, w.mostOpen, w.rows)
+	is.True(w.mostRows <= maxListedRuns)
+	is.True(w.mostOpen <= maxOpenPolls)
+	is.True(w.rows <= seconds*maxRowsPerSecond)
+
+	// Once the table stores again, each task runs, and once.
+	for ms := 1000 * seconds; ms < 60_000 && len(w.starts) < smallTaskJobs*smallTasksPerJob; ms++ {
+		for _, e := range w.runEnds {
+			w.m.EndStored(at(ms), e.End)
+		}
+		w.runEnds = nil
+		w.advance(ms)
+	}
+	is.Equal(len(w.starts), smallTaskJobs*smallTasksPerJob)
+	for task, starts := range w.starts {
+		if starts != 1 {
+			t.Errorf("%s started %d times", task, starts)
+		}
+	}
+}
--- a/dispatch/stored.go
+++ b/dispatch/stored.go
@@ -265,6 +265,6 @@
 // scheduleAcknowledgement schedules the poll that lets the worker forget ends.
 func (n *node) scheduleAcknowledgement(now time.Time) {
 	if n.acknowledgeAt.IsZero() && n.acknowledged < n.seen {
-		n.acknowledgeAt = now.Add(acknowledgeDelay)
+		n.acknowledgeAt = now.Add(n.acknowledgeDelay())
 	}
 }
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -74,8 +74,9 @@
 	lag      lag.Meter
 	// failures counts the orders that workers have not accepted.
 	failures orderFailures
-	// speedLines bounds the logged changes of the speeds of workers.
-	speedLines rate.Limiter
+	// speedLines bounds the logged changes of the speeds of workers, and limitLines the lines
+	// about limits that hold work back.
+	speedLines, limitLines rate.Limiter
 	// tenure tells how long this owner may rely on its ownership, and beats counts its
 	// heartbeats.
 	tenure tenure
@@ -120,6 +121,8 @@
 	}
 	w.speedLines.SetLimit(maxSpeedLines)
 	w.speedLines.SetBurst(maxSpeedLines)
+	w.limitLines.SetLimit(maxLimitLines)
+	w.limitLines.SetBurst(maxLimitLines)
 	w.ctx, w.cancel = context.WithCancel(ctx)
 	w.jobStore = newJobStore(w, o.directory.table, o.directory.feed, x)
 	go w.tickLoop()
--- a/polling/polling.go
+++ b/polling/polling.go
@@ -1,10 +1,17 @@
-// Package polling decides when a worker may be polled, by how much it lists in its answers. The decisions depend only on their arguments and on the state
+// Package polling decides when a worker may be polled and how many runs it may have, by how
+// much it lists in its answers. The decisions depend only on their arguments and on the state
 // of this package.
 package polling
 
 import "time"
 
 const (
+	// MaxRows is the number of runs and of ends that are not acknowledged from which no
+	// further run is started on a worker. Workers list 500 ends at a time: the end of a run
+	// beyond them would not be seen.
+	MaxRows = 500
+	// CrowdedRows is the number of rows from which ends are acknowledged without delay.
+	CrowdedRows = MaxRows / 2
 	// maxExtra is the number of extra polls of one worker that may be open. Some of them may
 	// get no answer.
 	maxExtra = 4
--- a/polling/polling_test.go
+++ b/polling/polling_test.go
@@ -21,7 +21,7 @@
 		"nothing listed":           {rows: 0, want: 0},
 		"a task on each core":      {rows: 64, want: 0},
 		"a hundred more":           {rows: 164, want: 10 * time.Millisecond},
-		"all that may be listed":   {rows: 500, want: 43_600 * time.Microsecond},
+		"all that may be listed":   {rows: polling.MaxRows, want: 43_600 * time.Microsecond},
 		"the runs of other owners": {rows: 100_000, want: 100 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
