Let an event of a job with thousands of steps cost what it touches

What callers saw: beside clients that submit legal bodies of 256 KiB with some 5,000 steps, none of 20 ordinary jobs got any answer within its deadline, not even a refusal; the first was served 54 s after the clients had gone.

Cause: all events of an owner wait for each other, and those of such jobs took quadratic time. The end of a step examined all tasks of its job for those that may start; each attempt to start a job searched a worker for every step, though thousands need the same; the critical path took a pass over all steps for each one that waits for a later one; an end of a stored job searched its task in the list of all; a job that is moved examined all tasks for each step.

work.Steps counts for each step how many it waits for, and finds the ones that a finished step releases. Tasks that need the same as one that found no worker are passed over, and an attempt ends after 16 failed searches or 256 tasks; the next one goes on where it ended, so that none is left out. A job that a worker is reserved for begins with its first tasks, which the reservation is for.

--- a/dispatch/ahead.go
+++ b/dispatch/ahead.go
@@ -149,6 +149,11 @@
 	return nil
 }
 
+// hasReservation returns true if a worker is reserved for a job.
+func (m *Machine) hasReservation(j *job) bool {
+	return slices.ContainsFunc(m.plan.All(), func(r *lookahead.Reservation[*node, holder]) bool { return r.Holder.job == j })
+}
+
 // isReserved returns true if a worker with enough free cores is reserved for a job.
 func (m *Machine) isReserved(j *job) bool {
 	return slices.ContainsFunc(m.plan.All(), func(r *lookahead.Reservation[*node, holder]) bool {
--- a/dispatch/cost_test.go
+++ b/dispatch/cost_test.go
@@ -72,7 +72,13 @@
 
 // cycle ends the run that has been running for longest.
 func (s *saturated) cycle() {
-	s.now = s.now.Add(100 * time.Microsecond)
+	s.end(100 * time.Microsecond)
+	s.submit()
+}
+
+// end ends the run that has been running for longest, some time from now.
+func (s *saturated) end(after time.Duration) {
+	s.now = s.now.Add(after)
 	x := s.running[0]
 	s.running = s.running[1:]
 	n := s.m.nodes[x.Worker]
@@ -85,7 +91,6 @@
 	report.Ended = []worker.Ended{{Number: n.seen + 1, Task: x.Task.String(), Run: x.Run, Result: worker.Done}}
 	s.m.PollAnswered(s.now, s.now, worker.Poll{Order: worker.Order{Worker: x.Worker}}, report, worker.Accepted)
 	s.accept()
-	s.submit()
 }
 
 // TestEventCostsWhatItTouches checks that the number of workers and jobs that an
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -193,8 +193,8 @@
 	timers       *index.Timers[*node]
 	changed      []*node
 	capacityGrew bool
-	// visited counts the workers and jobs that events have examined.
-	visited int
+	// visited counts the workers and jobs that events have examined, and examined the tasks.
+	visited, examined int
 	// outcomes holds the results of answered jobs for callers that send them again.
 	outcomes *index.Recent[work.ID, Result]
 	// orphans and orphansDone hold runs and completed runs of unknown jobs, by
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"github.com/catkingap/catkingap/estimate"
@@ -27,11 +26,13 @@
 	// gives up.
 	objective, deadline time.Time
 	tasks               []*task
-	// waiting holds the tasks that may start.
-	waiting []*task
-	// left is the number of tasks that are not done, stepLeft that of each step.
-	left     int
-	stepLeft []int
+	// waiting holds the tasks that may start. The next attempt to start them begins with the one
+	// at firstTried.
+	waiting    []*task
+	firstTried int
+	// left is the number of tasks that are not done, and steps tells which steps may start.
+	left  int
+	steps work.Steps
 	// begun is true once a start was sent for any task, and ran once a worker is known to have
 	// carried one out.
 	begun, ran bool
@@ -86,6 +87,9 @@
 
 func (t *task) step() *work.Step { return &t.job.spec.Steps[t.name.Step] }
 
+// number returns the number of the task, counted over all steps of its job.
+func (t *task) number() int { return t.job.stepOffsets[t.name.Step] + t.name.Index }
+
 func (t *task) estimate() time.Duration { return t.step().Estimate }
 
 func newJob(now time.Time, s Submission) *job {
@@ -110,9 +114,9 @@
 	j.chainEstimate = s.Job.CriticalPath()
 	j.latestStart = j.objective.Add(-j.chainEstimate)
 	j.uselessAt = j.objective.Add(uselessTime(s.Job.Objective()))
+	j.steps = work.NewSteps(&s.Job)
 	for i, st := range s.Job.Steps {
 		j.stepOffsets = append(j.stepOffsets, j.left)
-		j.stepLeft = append(j.stepLeft, st.Count)
 		j.left += st.Count
 		for k := range st.Count {
 			name := work.Task{Job: s.Job.ID, Step: i, Index: k}
@@ -122,11 +126,6 @@
 	return j
 }
 
-// isReady returns true if the steps before step i are done.
-func (j *job) isReady(i int) bool {
-	return !slices.ContainsFunc(j.spec.Steps[i].After, func(a int) bool { return j.stepLeft[a] > 0 })
-}
-
 // Submit accepts, queues or refuses a job. A job that is known already goes on for
 // the new caller.
 func (m *Machine) Submit(now time.Time, s Submission) {
@@ -257,7 +256,7 @@
 		if _, ok := m.orphansDone.Get(t.id); ok {
 			t.done = true
 			j.left--
-			j.stepLeft[t.name.Step]--
+			j.steps.TaskDone(t.name.Step)
 			found = true
 			continue
 		}
@@ -278,17 +277,27 @@
 	return found
 }
 
-// queueReadyTasks queues the tasks that may start now.
+// queueReadyTasks queues the tasks of a new job that may start now.
 func (m *Machine) queueReadyTasks(now time.Time, j *job) {
-	j.waiting = j.waiting[:0]
-	for _, t := range j.tasks {
-		if !t.done && t.run == nil && j.isReady(t.name.Step) {
-			j.waiting = append(j.waiting, t)
+	for i := range j.spec.Steps {
+		if j.steps.IsReady(i) {
+			m.addWaiting(j, i)
 		}
 	}
 	m.enqueue(now, j)
 }
 
+// addWaiting adds the tasks of a step that may start to those that wait.
+func (m *Machine) addWaiting(j *job, step int) {
+	first := j.stepOffsets[step]
+	for _, t := range j.tasks[first : first+j.spec.Steps[step].Count] {
+		m.examined++
+		if !t.done && t.run == nil {
+			j.waiting = append(j.waiting, t)
+		}
+	}
+}
+
 // handleTaskEnd handles the end of a task's current run.
 func (m *Machine) handleTaskEnd(now time.Time, t *task, n *node, result worker.Result) {
 	j := t.job
@@ -328,12 +337,16 @@
 	t.done = true
 	m.crashes.Forget(t.id)
 	j.left--
-	j.stepLeft[t.name.Step]--
-	switch {
-	case j.left == 0:
+	ready := j.steps.TaskDone(t.name.Step)
+	if j.left == 0 {
 		m.finish(now, j, Completed, "")
-	case j.stepLeft[t.name.Step] == 0:
-		m.queueReadyTasks(now, j)
+		return
+	}
+	for _, step := range ready {
+		m.addWaiting(j, step)
+	}
+	if len(ready) > 0 {
+		m.enqueue(now, j)
 	}
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -108,41 +108,87 @@
 // the caller.
 func uselessTime(objective time.Duration) time.Duration { return (uselessFactor - 1) * objective }
 
+const (
+	// maxFailedSearches bounds the searches for a worker that fail in one attempt to start a job,
+	// and maxTriedTasks the tasks that are examined. The next attempt goes on with the others.
+	maxFailedSearches = 16
+	maxTriedTasks     = 256
+)
+
 // startJob starts the tasks of a job for which there is a worker, and returns true
-// if any was started. Tasks of one step are alike: if one has to wait, so do the
+// if any was started. Tasks that need the same are alike: if one has to wait, so do the
 // others.
 func (m *Machine) startJob(now time.Time, j *job) bool {
 	if m.hasPreviousRuns(j.spec.ID) || !m.mayStart(now, j) {
 		return false
 	}
 	tardy := m.bestCase(now, j) != onTime
-	remaining := j.waiting[:0]
-	started, full := false, -1
-	for _, t := range j.waiting {
+	var full *task
+	started, failed := 0, 0
+	count, first := len(j.waiting), j.firstTried
+	if m.hasReservation(j) {
+		// Workers are reserved for the first tasks that wait.
+		first = 0
+	}
+	j.firstTried = 0
+	for k := range count {
+		i := (first + k) % count
+		if failed == maxFailedSearches || k-started == maxTriedTasks {
+			j.firstTried = i
+			break
+		}
+		t := j.waiting[i]
+		m.examined++
 		standing := m.standing(now, t)
-		if standing >= crash.Held || (standing == crash.Clear && t.name.Step == full) {
-			remaining = append(remaining, t)
+		if standing >= crash.Held || (standing == crash.Clear && full != nil && t.isLike(full) && m.plan.Count(t.holder()) == 0) {
 			continue
 		}
 		n := m.chooseWorker(now, t, tardy)
 		if n == nil {
+			failed++
 			if standing == crash.Isolated {
 				m.reserve(now, t)
 			}
 			if standing == crash.Clear {
-				full = t.name.Step
+				full = t
 			}
-			remaining = append(remaining, t)
 			continue
 		}
 		if j.class == late {
 			m.lateRateOf(j.spec.Pool).Started(t.step().Size.Cores)
 		}
 		m.start(now, t, n)
-		started = true
+		started++
+	}
+	if started > 0 {
+		j.removeStarted()
+	}
+	return started > 0
+}
+
+// isLike returns true if a task waits as long as another one of its job does.
+func (t *task) isLike(x *task) bool {
+	if t.name.Step == x.name.Step {
+		return true
+	}
+	a, b := t.step(), x.step()
+	return a.Size == b.Size && a.Label == b.Label && a.Rack == b.Rack && a.Estimate == b.Estimate && a.PerWorker == 0 && b.PerWorker == 0
+}
+
+// removeStarted removes the tasks that have a run from those that wait.
+func (j *job) removeStarted() {
+	kept := j.waiting[:0]
+	firstTried := 0
+	for i, t := range j.waiting {
+		if i == j.firstTried {
+			firstTried = len(kept)
+		}
+		if t.run == nil {
+			kept = append(kept, t)
+		}
 	}
-	j.waiting = remaining
-	return started
+	clear(j.waiting[len(kept):])
+	j.waiting, j.firstTried = kept, firstTried
 }
 
 // chooseWorker returns the worker for a task, or nil if the task has to wait. A
--- a/dispatch/stored.go
+++ b/dispatch/stored.go
@@ -46,7 +46,7 @@
 		t := k.tasks[number]
 		t.done = true
 		k.left--
-		k.stepLeft[t.name.Step]--
+		k.steps.TaskDone(t.name.Step)
 	}
 	for number, runs := range p.Failed {
 		if number < 0 || number >= len(k.tasks) {
@@ -233,7 +233,7 @@
 		t.countFailure(e.Run)
 	}
 	m.actions.RunEnds = append(m.actions.RunEnds, worker.RunEnd{
-		Job: t.job.spec.ID, Task: slices.Index(t.job.tasks, t), Run: e.Run, Done: e.Result == worker.Done,
+		Job: t.job.spec.ID, Task: t.number(), Run: e.Run, Done: e.Result == worker.Done,
 		End: worker.EndID{Worker: n.ID, Incarnation: n.Life, Number: e.Number},
 	})
 }
--- a/work/work.go
+++ b/work/work.go
@@ -160,17 +160,23 @@
 // OpenSteps returns the steps that are not done and may start, and all steps that are not
 // done, given the numbers of the tasks that are done, counted over all steps.
 func (j *Job) OpenSteps(done []int) (ready, left []int) {
-	open := make([]int, len(j.Steps))
+	open, offsets := make([]int, len(j.Steps)), make([]int, len(j.Steps))
 	first := 0
 	for i, s := range j.Steps {
-		open[i] = s.Count
-		for _, number := range done {
-			if number >= first && number < first+s.Count {
-				open[i]--
-			}
-		}
+		open[i], offsets[i] = s.Count, first
 		first += s.Count
 	}
+	for _, number := range done {
+		if number < 0 || number >= first {
+			continue
+		}
+		// The last step that begins at the number or before it.
+		i, found := slices.BinarySearch(offsets, number)
+		if !found {
+			i--
+		}
+		open[i]--
+	}
 	for i, s := range j.Steps {
 		if open[i] <= 0 {
 			continue
@@ -187,33 +193,6 @@
 // chain of dependent steps.
 func (j *Job) CriticalPath() time.Duration { return max(0, j.criticalPath()) }
 
-// criticalPath is CriticalPath, but negative if the steps depend on each other in a
-// cycle.
-func (j *Job) criticalPath() time.Duration {
-	ends := make([]time.Duration, len(j.Steps))
-	ordered := make([]bool, len(j.Steps))
-	longest := time.Duration(0)
-	for left := len(j.Steps); left > 0; {
-		before := left
-		for i, s := range j.Steps {
-			if ordered[i] || slices.ContainsFunc(s.After, func(a int) bool { return !ordered[a] }) {
-				continue
-			}
-			for _, a := range s.After {
-				ends[i] = max(ends[i], ends[a])
-			}
-			ends[i] += s.Estimate
-			longest = max(longest, ends[i])
-			ordered[i] = true
-			left--
-		}
-		if left == before {
-			return -1
-		}
-	}
-	return longest
-}
-
 // maxObjective bounds objectives, so that sums of times with them cannot overflow.
 const maxObjective = 1 << 60 * time.Nanosecond
 
