Charge all jobs to the memory of their owner

Cause: only large jobs of other hosts' callers were charged. Small jobs, jobs of the host's own callers, stored jobs and the states of ended ones, which are kept for two minutes, had no bound; a body of 100 bytes can hold 10,000 tasks.

Each job is charged when it comes to an owner, whoever sends it, by a weight that is above what is kept. Stored jobs are charged together, and what they take is determined anew four times a second; they leave a quarter of the budget to others. The budget stays an eighth of the memory. What does not fit is refused as not run, before anything of it is kept. `jobBytes`, `jobsWithoutMemory` and a line at most once a second tell of it.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -148,6 +148,7 @@
 			newDirectory,
 			newContacts,
 			newRoster,
+			newJobBudget,
 			newOwners,
 			newSubmitter,
 			newShutdown,
--- a/fleet/jobstore.go
+++ b/fleet/jobstore.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/intake"
 	"github.com/catkingap/catkingap/ledger"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/storage"
@@ -33,6 +34,9 @@
 	// recheck is true if they have to be read again.
 	recheck atomic.Bool
 
+	// memory is charged with the jobs of the ledger.
+	memory intake.StoredJobs
+
 	mutex  sync.Mutex
 	ledger *ledger.Store
 	// cancelled holds the jobs that have a cancellation row.
@@ -51,12 +55,13 @@
 			DataCentre: x.DataCentre, OwnerKey: ownerKey(x.DataCentre), Token: x.Token, Retention: w.owners.settings.Retention,
 			RowBytes: w.owners.settings.RowBytes,
 		}),
-		waiting: map[work.ID][]chan dispatch.Reply{},
+		waiting: map[work.ID][]chan dispatch.Reply{}, memory: w.owners.memory.OpenStored(time.Now()),
 	}
 }
 
 // run loads the stored jobs, and then writes changes until ctx ends.
 func (s *jobStore) run(ctx context.Context) {
+	defer s.memory.Close()
 	inbox := s.owner.owners.directory.InboxRevision(s.owner.owner.DataCentre)
 	for {
 		err := s.load(ctx)
@@ -83,6 +88,7 @@
 		case <-timer.C:
 			s.mutex.Lock()
 			s.ledger.Expire(time.Now())
+			s.memory.Set(s.ledger.Weight())
 			s.mutex.Unlock()
 			s.moveStranded()
 		}
@@ -238,6 +244,14 @@
 		s.mutex.Unlock()
 		return dispatch.Reply{Job: j.ID, Result: dispatch.Moved, Reason: "the owner does not know its jobs yet"}
 	}
+	if !s.ledger.IsKnown(j.ID) && !s.memory.TryAdd(time.Now(), ledger.WeightOf(&j)) {
+		s.mutex.Unlock()
+		if s.owner.ctx.Err() != nil {
+			return dispatch.Reply{Job: j.ID, Result: dispatch.Moved, Reason: "the owner was replaced"}
+		}
+		s.owner.noteWithoutMemory()
+		return dispatch.Reply{Job: j.ID, Result: dispatch.Refused, Reason: reasonWithoutMemory, RetryAfter: refusalRetryAfter}
+	}
 	known, err := s.ledger.Accept(j)
 	if err != nil {
 		s.mutex.Unlock()
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -4,8 +4,17 @@
 	"github.com/apex/log"
 
 	"github.com/catkingap/catkingap/dispatch"
+	"github.com/catkingap/catkingap/intake"
+	"github.com/catkingap/catkingap/metrics"
 )
 
+// newJobBudget returns the memory for the jobs at the ownerships of a host.
+func newJobBudget(s Settings, set *metrics.Set) intake.JobBudget {
+	b := intake.NewJobBudget(s.Memory)
+	set.Func("jobBytes", func() any { return b.Used() })
+	return b
+}
+
 // maxLimitLines is how many lines an owner logs in a second about work that a limit holds back.
 const maxLimitLines = 1
 
@@ -19,3 +28,16 @@
 		}).Warn("worker has too many runs and ends that are not acknowledged")
 	}
 }
+
+// reasonWithoutMemory is why a job is refused for which the budget of jobs has no memory.
+const reasonWithoutMemory = "the owner has no memory for this job now"
+
+// noteWithoutMemory counts and logs a job that is refused for want of memory.
+func (w *Owner) noteWithoutMemory() {
+	w.owners.counters.jobsWithoutMemory.Add(1)
+	if w.limitLines.Allow() {
+		w.logger.WithFields(log.Fields{
+			"bytes": int64(w.owners.memory.Used()), "total": w.owners.counters.jobsWithoutMemory.Value(),
+		}).Warn("jobs refused for want of memory")
+	}
+}
--- a/fleet/log.go
+++ b/fleet/log.go
@@ -61,7 +61,7 @@
 	// tasksGivenUp the jobs that were ended because of such a task, by cause.
 	suspectStarts *expvar.Int
 	tasksGivenUp  *expvar.Map
-	// jobsWithoutMemory counts the jobs of other hosts that owners refused for want of memory.
+	// jobsWithoutMemory counts the jobs that owners refused for want of memory.
 	jobsWithoutMemory *expvar.Int
 	// refusals counts the jobs that this host's owners have refused, by queue, and shortages
 	// how often a pool has become short of capacity. queueNames bounds the labels of refusals.
--- a/fleet/metrics_test.go
+++ b/fleet/metrics_test.go
@@ -22,6 +22,7 @@
 	is := is.New(t)
 	set := metrics.NewSet()
 	newCounters(set, newLinks(&log.Logger{Handler: discard.New()}, network.Real{}))
+	newJobBudget(Settings{}, set)
 	httplimit.New(httplimit.Config{}).Publish(set)
 	response := httptest.NewRecorder()
 	set.Handler().ServeHTTP(response, httptest.NewRequest("GET", "/metrics", nil))
--- a/fleet/owners.go
+++ b/fleet/owners.go
@@ -69,6 +69,8 @@
 	workers   Workers
 	counters  *Counters
 	logger    log.Interface
+	// memory is what the jobs of all ownerships may take.
+	memory intake.JobBudget
 
 	mutex sync.Mutex
 	owned map[ident.DataCentre]*Owner
@@ -92,9 +94,9 @@
 	wake signal
 }
 
-func newOwners(self ownership.Host, s Settings, d *Directory, c *Contacts, r *Roster, w Workers, l *peer.Links, counters *Counters, logger log.Interface) *Owners {
+func newOwners(self ownership.Host, s Settings, d *Directory, c *Contacts, r *Roster, w Workers, l *peer.Links, memory intake.JobBudget, counters *Counters, logger log.Interface) *Owners {
 	o := &Owners{
-		self: self, settings: s, directory: d, contacts: c, roster: r, workers: w, counters: counters, logger: logger,
+		self: self, settings: s, directory: d, contacts: c, roster: r, workers: w, counters: counters, logger: logger, memory: memory,
 		owned:          map[ident.DataCentre]*Owner{},
 		lostOwners:     map[ident.DataCentre]ownership.Owner{},
 		claiming:       map[ident.DataCentre]bool{},
@@ -120,7 +122,6 @@
 		return nil, listVersion{}
 	}
 	c.receiveKeepalives = o.receiveKeepalives
-	memory := intake.NewJobBudget(s.Memory)
 	peer.Handle(l, kindSubmit, func(ctx context.Context, r submitRequest) (dispatch.Reply, error) {
 		if x := o.get(r.DataCentre); x != nil && x.owner.Token != r.Token {
 			return dispatch.Reply{Host: r.Submission.Host, Call: r.Submission.Call, Job: r.Submission.Job.ID, Result: dispatch.Moved}, nil
@@ -130,15 +131,6 @@
 				Host: r.Submission.Host, Call: r.Submission.Call, Job: r.Submission.Job.ID, Result: dispatch.Failed, Reason: err.Error(),
 			}, nil
 		}
-		release, ok := memory.Admit(time.Now(), r.Submission.Job.Weight())
-		if !ok {
-			counters.jobsWithoutMemory.Add(1)
-			return dispatch.Reply{
-				Host: r.Submission.Host, Call: r.Submission.Call, Job: r.Submission.Job.ID, Result: dispatch.Refused,
-				Reason: "the owner has no memory for this job now", RetryAfter: refusalRetryAfter,
-			}, nil
-		}
-		defer release()
 		r.Submission.CallerSeen = c.TimeAt(r.Submission.Sent)
 		return o.Submit(ctx, r.DataCentre, r.Submission)
 	})
@@ -451,6 +443,15 @@
 	if x == nil {
 		return dispatch.Reply{Host: s.Host, Call: s.Call, Job: s.Job.ID, Result: dispatch.Moved}, nil
 	}
+	release, ok := o.memory.Admit(time.Now(), s.Job.Weight())
+	if !ok {
+		x.noteWithoutMemory()
+		return dispatch.Reply{
+			Host: s.Host, Call: s.Call, Sequence: s.Sequence, Job: s.Job.ID, Result: dispatch.Refused,
+			Reason: reasonWithoutMemory, RetryAfter: refusalRetryAfter, Load: x.load(),
+		}, nil
+	}
+	defer release()
 	return x.submit(ctx, s)
 }
 
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -112,6 +112,17 @@
 	return true
 }
 
+// set replaces the charge of a request that has been received, without a bound.
+func (c *Claim) set(n Bytes) {
+	b := c.budget
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if !c.gone {
+		b.used += n - c.bytes
+		c.bytes = n
+	}
+}
+
 // allowance returns the part of the budget that is open to a request of the given size.
 func (b *Budget) allowance(size Bytes) Bytes {
 	if size <= b.limit/smallParts {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -198,3 +198,28 @@
 	_, ok = intake.NewJobBudget(0).Admit(start, 1<<40)
 	is.True(ok)
 }
+
+// TestStoredJobsLeaveRoomForOthers guards against stored jobs, of which there are many, that take
+// the whole budget.
+func TestStoredJobsLeaveRoomForOthers(t *testing.T) {
+	const weight = 16 << 10
+	is := is.New(t)
+	b := intake.NewJobBudget(smallestMemory)
+	s := b.OpenStored(start)
+	stored := 0
+	for s.TryAdd(start, weight) {
+		stored++
+	}
+	is.True(stored >= 800)
+	release, ok := b.Admit(start, weight)
+	is.True(ok)
+	release()
+	s.Set(weight)
+	is.Equal(b.Used(), intake.Bytes(weight))
+	is.True(s.TryAdd(start, weight))
+	s.Set(1 << 30) // The jobs of an earlier owner are taken over whatever they take.
+	is.True(!s.TryAdd(start, weight))
+	s.Close()
+	is.Equal(b.Used(), intake.Bytes(0))
+	is.True(intake.NewJobBudget(0).OpenStored(start).TryAdd(start, 1<<40))
+}
--- a/intake/jobs.go
+++ b/intake/jobs.go
@@ -2,18 +2,12 @@
 
 import "time"
 
-const (
-	// jobParts is the inverse of the share of the host's memory that large jobs of other
-	// hosts' callers may take. With budgetParts, what lives stays under the soft memory
-	// limit.
-	jobParts = 8
-	// smallJob is the weight up to which a job is not charged: that of the usual jobs, of up
-	// to some hundred tasks.
-	smallJob = 64 << 10
-)
-
-// JobBudget is the memory that the large jobs of other hosts' callers may take together on
-// the owner of their workers. It is safe for concurrent use.
+// jobParts is the inverse of the share of the host's memory that the jobs of its ownerships may
+// take. With budgetParts, what lives stays under the soft memory limit.
+const jobParts = 8
+
+// JobBudget is the memory that all jobs at the ownerships of a host may take together. It is safe
+// for concurrent use.
 type JobBudget struct {
 	// budget is nil if there is no bound.
 	budget *Budget
@@ -27,16 +21,65 @@
 	return JobBudget{&Budget{limit: memory / jobParts, unfinished: map[*Claim]struct{}{}}}
 }
 
+// Used returns the memory that is charged.
+func (b JobBudget) Used() Bytes {
+	if b.budget == nil {
+		return 0
+	}
+	return b.budget.Used()
+}
+
 // Admit charges a job of the given weight until release is called. It returns false if the
 // job does not fit.
 func (b JobBudget) Admit(now time.Time, weight Bytes) (release func(), ok bool) {
-	if b.budget == nil || weight <= smallJob {
+	if b.budget == nil {
 		return func() {}, true
 	}
-	c := b.budget.Open(now, func() {})
-	if c.Grow(now, weight) && c.Finish() {
+	c := b.open(now)
+	if c.Grow(now, weight) {
 		return c.Release, true
 	}
 	c.Release()
 	return nil, false
 }
+
+func (b JobBudget) open(now time.Time) *Claim {
+	c := b.budget.Open(now, func() {})
+	c.Finish()
+	return c
+}
+
+// StoredJobs is the memory of the stored jobs of one ownership. They do not take the part of the
+// budget that is reserved for small requests.
+type StoredJobs struct {
+	// claim is nil if there is no bound.
+	claim *Claim
+}
+
+// OpenStored returns the memory of an ownership without stored jobs.
+func (b JobBudget) OpenStored(now time.Time) StoredJobs {
+	if b.budget == nil {
+		return StoredJobs{}
+	}
+	return StoredJobs{b.open(now)}
+}
+
+// TryAdd charges a job of the given weight. It returns false if the job does not fit.
+func (s StoredJobs) TryAdd(now time.Time, weight Bytes) bool {
+	return s.claim == nil || s.claim.Grow(now, weight)
+}
+
+// Set charges the given weight of all jobs, in place of what was charged before, whether it fits
+// or not.
+func (s StoredJobs) Set(weight Bytes) {
+	if s.claim != nil {
+		s.claim.set(weight)
+	}
+}
+
+// Close gives all memory back.
+func (s StoredJobs) Close() {
+	if s.claim != nil {
+		s.claim.Release()
+	}
+}
--- a/ledger/store.go
+++ b/ledger/store.go
@@ -9,6 +9,7 @@
 
 	"github.com/catkingap/catkingap/crash"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/intake"
 	"github.com/catkingap/catkingap/storage"
 	"github.com/catkingap/catkingap/work"
 	"github.com/catkingap/catkingap/worker"
@@ -79,7 +80,9 @@
 type entry struct {
 	id  work.ID
 	job work.Job
-	row Entry
+	// weight is that of the job, or zero once only its state is kept.
+	weight intake.Bytes
+	row    Entry
 	// specification holds the rows of the job's specification until they are stored.
 	specification []storage.Put
 	// revision is the revision of the state row, or zero if it is not stored yet.
@@ -120,7 +123,13 @@
 	if s.entries[id] != nil {
 		return false
 	}
-	s.entries[id] = &entry{id: id, job: job, row: row, revision: r, hasCancelRow: row.State == Cancelled}
+	e := &entry{id: id, job: job, row: row, revision: r, hasCancelRow: row.State == Cancelled}
+	if row.HasEnded() {
+		e.forgetJob()
+	} else {
+		e.weight = job.Weight()
+	}
+	s.entries[id] = e
 	return true
 }
 
@@ -143,7 +152,7 @@
 	if err != nil {
 		return false, err
 	}
-	e := &entry{id: job.ID, job: job, specification: specification, row: Entry{DataCentre: s.config.DataCentre, Queue: job.Queue, State: Accepted}}
+	e := &entry{id: job.ID, job: job, weight: job.Weight(), specification: specification, row: Entry{DataCentre: s.config.DataCentre, Queue: job.Queue, State: Accepted}}
 	if len(specification) > 1 {
 		e.row.Rows = len(specification)
 	}
@@ -410,8 +419,7 @@
 		return
 	}
 	if e.row.HasEnded() {
-		// Only the state of an ended job is needed.
-		e.job = work.Job{}
+		e.forgetJob()
 	}
 }
 
@@ -470,6 +478,7 @@
 	case e.revision == 0 && err == nil && row.IsTombstone():
 		// The job is cancelled: its entry takes over the tombstone.
 		e.row.State, e.row.Ended, e.revision, e.hasCancelRow, e.job = Cancelled, row.Ended, r.Revision, true, work.Job{}
+		e.weight = 0
 		o.AlreadyStored = append(o.AlreadyStored, e.id)
 		s.retry(e)
 	case e.revision == 0:
