Bound the memory for the answers of workers that are decoded together

Decoding takes some 15 times the text.

Package decoding has a gate by bytes, on the semaphore of golang.org/x/sync (new dependency): answers above 16 KiB are read, and decoded, as many at a time as a 32nd of the memory holds, in the order of their arrival. A decoder never waits for another one, so that each gets its turn.

--- a/cmd/servecmd.go
+++ b/cmd/servecmd.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 	"go.uber.org/fx"
 
+	"github.com/catkingap/catkingap/decoding"
 	"github.com/catkingap/catkingap/fleet"
 	"github.com/catkingap/catkingap/httplimit"
 	"github.com/catkingap/catkingap/intake"
@@ -79,10 +80,12 @@
 	var configuration *fleet.Configuration
 	var set *metrics.Set
 	var logger log.Interface
-	app := fleet.New(c.fleetOptions(s), fx.Populate(&shutdown, &submitter, &configuration, &set, &logger))
+	answers := decoding.NewGate(s.Fleet.Memory)
+	app := fleet.New(c.fleetOptions(s, answers), fx.Populate(&shutdown, &submitter, &configuration, &set, &logger))
 	if err := app.Err(); err != nil {
 		return err
 	}
+	answers.Publish(set, "answersWaited", logger)
 	if err := app.Start(ctx); err != nil {
 		return err
 	}
@@ -118,13 +121,13 @@
 
 // fleetOptions returns the options of the daemon, including its connections to the
 // platform.
-func (c *Config) fleetOptions(s platform.Settings) fleet.Options {
+func (c *Config) fleetOptions(s platform.Settings, g *decoding.Gate) fleet.Options {
 	table := platform.NewTable(&http.Client{Transport: &http.Transport{
 		DialContext: c.network.DialContext, MaxIdleConnsPerHost: tableIdleConnections, DisableCompression: true,
 	}}, s.TableAddress)
 	return fleet.Options{
 		Settings: s.Fleet, Log: c.stdout, Network: c.network, Table: table, Feed: table,
-		Decoder: platform.Decoder{}, Workers: platform.NewWorkers(c.network.DialContext),
+		Decoder: platform.Decoder{}, Workers: platform.NewWorkers(platform.WorkersConfig{Dial: c.network.DialContext, Gate: g}),
 		Clock: steady.Now,
 	}
 }
--- a/fleet/metrics_test.go
+++ b/fleet/metrics_test.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 
+	"github.com/catkingap/catkingap/decoding"
 	"github.com/catkingap/catkingap/httplimit"
 	"github.com/catkingap/catkingap/metrics"
 	"github.com/catkingap/catkingap/network"
@@ -23,6 +24,10 @@
 	set := metrics.NewSet()
 	newCounters(set, newLinks(&log.Logger{Handler: discard.New()}, network.Real{}))
 	newJobBudget(Settings{}, set)
+	logger := &log.Logger{Handler: discard.New()}
+	for _, name := range []string{"answersWaited"} {
+		decoding.NewGate(0).Publish(set, name, logger)
+	}
 	httplimit.New(httplimit.Config{}).Publish(set)
 	response := httptest.NewRecorder()
 	set.Handler().ServeHTTP(response, httptest.NewRequest("GET", "/metrics", nil))
--- a/fleet/restarted_test.go
+++ b/fleet/restarted_test.go
@@ -33,7 +33,7 @@
 		w.workers[name].PowerOff()
 		w.addWorker("coast-a", name)
 		time.Sleep(3 * time.Second)
-		workers := platform.NewWorkers(network.NewSeverable(w.network.Site("late")).DialContext)
+		workers := platform.NewWorkers(platform.WorkersConfig{Dial: network.NewSeverable(w.network.Site("late")).DialContext})
 		answer := workers.Start(t.Context(), worker.Start{
 			Order: worker.Order{Worker: worker.ID(name), Address: name + ":1", Token: token},
 			Task:  work.Task{Job: "1000mslate"}, Run: 1, Until: 60_000,
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -156,7 +156,7 @@
 			Host: ident.Host(name), DataCentre: ident.DataCentre(zone), PeerAddress: name + ":1", MetricsAddress: name + ":6160", Cores: 0.4,
 			MaxLease: time.Second, FarFactor: 2, Resend: 1300 * time.Millisecond, Retention: time.Minute, EvacuationTime: 5 * time.Second, ColdSlack: 5, ShutdownTimeout: 5 * time.Second, LogLevel: "fatal",
 		},
-		Log: io.Discard, Network: m.network, Table: table, Feed: table, Decoder: platform.Decoder{}, Workers: platform.NewWorkers(m.network.DialContext),
+		Log: io.Discard, Network: m.network, Table: table, Feed: table, Decoder: platform.Decoder{}, Workers: platform.NewWorkers(platform.WorkersConfig{Dial: m.network.DialContext}),
 	}, fx.Populate(&m.submitter, &m.configuration, &m.shutdown))
 	if err := m.app.Start(w.t.Context()); err != nil {
 		w.t.Fatal(err)
