Bound the memory for the calls of other hosts that are decoded together

Cause: each host offers a large job to owner after owner. Every call was decoded as it came, before it was known whether its job fits, and its text, of 300 kB, was kept until the call was answered.

A call above 16 KiB waits for its turn to be decoded, a 32nd of the memory at a time; the link reads no further, so that its peer waits too. The text is dropped before the call is handled.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/catkingap/catkingap/decoding"
 	"github.com/catkingap/catkingap/ident"
 	"github.com/catkingap/catkingap/intake"
 	"github.com/catkingap/catkingap/metrics"
@@ -149,6 +150,7 @@
 			newContacts,
 			newRoster,
 			newJobBudget,
+			newCallGate,
 			newOwners,
 			newSubmitter,
 			newShutdown,
@@ -174,7 +176,7 @@
 
 // runLinks serves the links to other hosts. The unnamed parameters make fx build
 // the components that register handlers first.
-func runLinks(life fx.Lifecycle, s Settings, n network.Network, links *peer.Links, _ *Contacts, _ *Owners, _ *Configuration, _ *Submitter) {
+func runLinks(life fx.Lifecycle, s Settings, n network.Network, links *peer.Links, calls *decoding.Gate, _ *Contacts, _ *Owners, _ *Configuration, _ *Submitter) {
 	var listener net.Listener
 	life.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -183,6 +185,7 @@
 				return errors.Wrap(err, "address for other hosts")
 			}
 			links.LimitAccepted(s.Connections.Peers)
+			links.LimitCalls(calls)
 			go func() { _ = links.Serve(listener) }()
 			return nil
 		},
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/apex/log"
 
+	"github.com/catkingap/catkingap/decoding"
 	"github.com/catkingap/catkingap/dispatch"
 	"github.com/catkingap/catkingap/intake"
 	"github.com/catkingap/catkingap/metrics"
@@ -15,6 +16,13 @@
 	return b
 }
 
+// newCallGate returns the gate for long calls of other hosts.
+func newCallGate(s Settings, set *metrics.Set, l log.Interface) *decoding.Gate {
+	g := decoding.NewGate(s.Memory)
+	g.Publish(set, "peerCallsWaited", l)
+	return g
+}
+
 // maxLimitLines is how many lines an owner logs in a second about work that a limit holds back.
 const maxLimitLines = 1
 
--- a/fleet/metrics_test.go
+++ b/fleet/metrics_test.go
@@ -25,6 +25,7 @@
 	newCounters(set, newLinks(&log.Logger{Handler: discard.New()}, network.Real{}))
 	newJobBudget(Settings{}, set)
 	logger := &log.Logger{Handler: discard.New()}
+	newCallGate(Settings{}, set, logger)
 	for _, name := range []string{"answersWaited"} {
 		decoding.NewGate(0).Publish(set, name, logger)
 	}
--- a/peer/link.go
+++ b/peer/link.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/catkingap/catkingap/decoding"
 	"github.com/catkingap/catkingap/intake"
 	"github.com/catkingap/catkingap/network"
 )
@@ -62,8 +63,8 @@
 // errLinkClosed is the error of calls that wait for an answer on a closed link.
 var errLinkClosed = errors.New("link closed")
 
-// handler answers the calls of one kind.
-type handler func(ctx context.Context, body msgpack.RawMessage) (any, error)
+// handler decodes a call of one kind and returns the function that answers it.
+type handler func(body msgpack.RawMessage) (answer func(context.Context) (any, error), err error)
 
 // Config configures Links.
 type Config struct {
@@ -99,7 +100,9 @@
 	open     map[*link]struct{}
 	// accepted bounds the accepted links. It is nil if there is no bound.
 	accepted *intake.Connections[net.Conn]
-	closed   bool
+	// calls bounds the long calls that are decoded at the same time.
+	calls  *decoding.Gate
+	closed bool
 	// stopWatch ends the loop that closes silent links. It is nil if there are no
 	// links.
 	stopWatch chan struct{}
@@ -107,7 +110,7 @@
 
 // NewLinks returns links without handlers.
 func NewLinks(c Config) *Links {
-	return &Links{config: c, handlers: map[Kind]handler{}, casts: map[Kind]castHandler{}, dialed: map[string]*link{}, open: map[*link]struct{}{}}
+	return &Links{config: c, calls: decoding.NewGate(0), handlers: map[Kind]handler{}, casts: map[Kind]castHandler{}, dialed: map[string]*link{}, open: map[*link]struct{}{}}
 }
 
 // LimitAccepted bounds the accepted links. Three quarters of them may be links that have
@@ -117,15 +120,19 @@
 	l.accepted = intake.NewConnections[net.Conn](n)
 }
 
+// LimitCalls bounds the long calls that are decoded at the same time. It must not be called after
+// Serve or Call.
+func (l *Links) LimitCalls(g *decoding.Gate) { l.calls = g }
+
 // Handle registers the handler for the calls of one kind. It must not be called
 // after Serve or Call.
 func Handle[Request, Response any](l *Links, k Kind, h func(context.Context, Request) (Response, error)) {
-	l.handlers[k] = func(ctx context.Context, body msgpack.RawMessage) (any, error) {
+	l.handlers[k] = func(body msgpack.RawMessage) (func(context.Context) (any, error), error) {
 		var request Request
 		if err := msgpack.Unmarshal(body, &request); err != nil {
 			return nil, errors.Wrapf(err, "%s", k)
 		}
-		return h(ctx, request)
+		return func(ctx context.Context) (any, error) { return h(ctx, request) }, nil
 	}
 }
 
@@ -337,7 +344,13 @@
 			k.close(&FrameError{Reason: fmt.Sprintf("more than %d calls are open", maxOpenCalls)})
 			return
 		}
-		go k.answer(ctx, f)
+		// The link waits, so that its peer sends no more long calls.
+		decoded, err := k.links.calls.Decode(ctx, intake.Bytes(len(f.Body)))
+		if err != nil {
+			k.close(err)
+			return
+		}
+		go k.answer(ctx, f, decoded)
 	}
 }
 
@@ -369,14 +382,16 @@
 	}
 }
 
-// answer runs the handler of a call and sends the answer.
-func (k *link) answer(ctx context.Context, f *frame) {
+// answer runs the handler of a call and sends the answer. It calls decoded as soon as the
+// call is decoded, and does not hold its text any longer.
+func (k *link) answer(ctx context.Context, f *frame, decoded func()) {
 	defer k.openCalls.Add(-1)
 	answer := &frame{Call: f.Call, Answer: true, Kind: f.Kind}
-	h := k.links.handlers[f.Kind]
-	if h == nil {
-		answer.Error = "unknown kind " + string(f.Kind)
-	} else if response, err := k.links.recoverPanic(f.Kind, func() (any, error) { return h(ctx, f.Body) }); err != nil {
+	handle, err := k.decode(f)
+	decoded()
+	if err != nil {
+		answer.Error = err.Error()
+	} else if response, err := k.links.recoverPanic(answer.Kind, func() (any, error) { return handle(ctx) }); err != nil {
 		answer.Error = err.Error()
 	} else if answer.Body, err = msgpack.Marshal(response); err != nil {
 		answer.Error = err.Error()
@@ -384,6 +399,20 @@
 	_ = k.write(answer)
 }
 
+// decode decodes a call and drops its text.
+func (k *link) decode(f *frame) (handle func(context.Context) (any, error), err error) {
+	h := k.links.handlers[f.Kind]
+	if h == nil {
+		return nil, errors.Newf("unknown kind %s", f.Kind)
+	}
+	_, err = k.links.recoverPanic(f.Kind, func() (any, error) {
+		handle, err = h(f.Body)
+		return nil, err
+	})
+	f.Body = nil
+	return handle, err
+}
+
 // recoverPanic runs a handler and turns a panic into an error, so that only its
 // message fails.
 func (l *Links) recoverPanic(k Kind, handle func() (any, error)) (response any, err error) {
