Decode the large bodies of callers as the memory allows

Cause: a body is charged with what is decoded from it, but the garbage of decoding is not: eight bodies of 5,000 steps decoded at the same time make that of some 20 MiB.

`bodiesWaited` counts the bodies that wait.

--- a/cmd/servecmd.go
+++ b/cmd/servecmd.go
@@ -80,18 +80,20 @@
 	var configuration *fleet.Configuration
 	var set *metrics.Set
 	var logger log.Interface
-	answers := decoding.NewGate(s.Fleet.Memory)
+	answers, bodies := decoding.NewGate(s.Fleet.Memory), decoding.NewGate(s.Fleet.Memory)
 	app := fleet.New(c.fleetOptions(s, answers), fx.Populate(&shutdown, &submitter, &configuration, &set, &logger))
 	if err := app.Err(); err != nil {
 		return err
 	}
 	answers.Publish(set, "answersWaited", logger)
+	bodies.Publish(set, "bodiesWaited", logger)
 	if err := app.Start(ctx); err != nil {
 		return err
 	}
 	ingress := platform.NewIngress(platform.IngressConfig{
 		Dispatcher: submitter, Queues: configuration.Table,
 		Ready: shutdown.Ready, CloseConnections: shutdown.Closing, MustRefuse: shutdown.MustRefuse, Rejected: submitter.Rejected,
+		Gate: bodies,
 	})
 	callers := httplimit.New(httplimit.Config{
 		Handler: ingress.Handler(), Logger: logger, Budget: intake.NewBudget(s.Fleet.Memory, platform.MaxBodyBytes), Connections: s.Fleet.Connections.Callers,
--- a/fleet/metrics_test.go
+++ b/fleet/metrics_test.go
@@ -26,7 +26,7 @@
 	newJobBudget(Settings{}, set)
 	logger := &log.Logger{Handler: discard.New()}
 	newCallGate(Settings{}, set, logger)
-	for _, name := range []string{"answersWaited"} {
+	for _, name := range []string{"answersWaited", "bodiesWaited"} {
 		decoding.NewGate(0).Publish(set, name, logger)
 	}
 	httplimit.New(httplimit.Config{}).Publish(set)
