Refuse a large job at once if no owner has memory for it

What callers saw: beside clients with large jobs, hosts were busy with sending them to owner after owner, which refused them. A request that is known not to be served should be refused at once.

Cause: a host learned only from the refusal that an owner has no memory, and forgot it.

Owners tell in each answer and contact what memory they have left for large jobs. A host offers a job above 1 MiB, of some 1,300 tasks, only to owners that have not said that it does not fit, and refuses it as not run, with a Retry-After, if there is no other. Hosts of earlier versions say nothing: they get all jobs, as before.

TestLargeJobsAreOfferedOnlyWhereTheyFit.

--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -37,8 +37,11 @@
 	}
 }
 
-// reasonWithoutMemory is why a job is refused for which the budget of jobs has no memory.
-const reasonWithoutMemory = "the owner has no memory for this job now"
+// The reasons why jobs are refused for which the owners have no memory.
+const (
+	reasonWithoutMemory = "the owner has no memory for this job now"
+	reasonNoMemory      = "no owner has memory for this job now"
+)
 
 // noteWithoutMemory counts and logs a job that is refused for want of memory.
 func (w *Owner) noteWithoutMemory() {
--- a/fleet/owner.go
+++ b/fleet/owner.go
@@ -359,7 +359,7 @@
 	k := submissionKey{host: r.Host, call: r.Call, sequence: r.Sequence, job: r.Job}
 	if c := w.waiting[k]; c != nil {
 		delete(w.waiting, k)
-		r.Load.Lag = w.lag.ReadDelay()
+		r.Load.Lag, r.Load.Memory = w.lag.ReadDelay(), w.owners.memory.Free()
 		c <- r
 	}
 }
@@ -419,7 +419,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	l := w.machine.Load(w.owners.contacts.clock())
-	l.Lag = w.lag.ReadDelay()
+	l.Lag, l.Memory = w.lag.ReadDelay(), w.owners.memory.Free()
 	l.Unconfirmed = w.tenure.isUnconfirmed()
 	return l
 }
--- a/fleet/storedjobs.go
+++ b/fleet/storedjobs.go
@@ -66,6 +66,9 @@
 			o, ok = x, true
 		}
 		referred = ""
+		if !ok && a.lacksMemory && !uncertain {
+			return a.giveUp(reasonNoMemory)
+		}
 		if !ok {
 			if !s.HasOwner(now) {
 				break
--- a/fleet/submit.go
+++ b/fleet/submit.go
@@ -12,6 +12,7 @@
 	"github.com/catkingap/catkingap/dispatch"
 	"github.com/catkingap/catkingap/evacuation"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/intake"
 	"github.com/catkingap/catkingap/livecalls"
 	"github.com/catkingap/catkingap/ownership"
 	"github.com/catkingap/catkingap/pause"
@@ -96,6 +97,7 @@
 // attempt is the state of submitting one job.
 type attempt struct {
 	job      work.Job
+	weight   intake.Bytes
 	call     uint64
 	arrived  time.Time
 	deadline time.Time
@@ -113,7 +115,9 @@
 	// admitted tells for each data centre that was picked whether its owner gets the job.
 	// It does not if its lag is too high.
 	admitted map[ident.DataCentre]bool
-	tries    int
+	// lacksMemory is true if the last pick has left out an owner that has no memory for the job.
+	lacksMemory bool
+	tries       int
 	// yielded is true if an owner had queued the job and returned it because others had
 	// free capacity.
 	yielded bool
@@ -127,7 +131,7 @@
 
 func newAttempt(j work.Job, arrived, deadline time.Time) *attempt {
 	return &attempt{
-		job: j, arrived: arrived, deadline: deadline, tried: map[ident.DataCentre]bool{}, unsuited: map[ident.DataCentre]bool{},
+		job: j, weight: j.Weight(), arrived: arrived, deadline: deadline, tried: map[ident.DataCentre]bool{}, unsuited: map[ident.DataCentre]bool{},
 		admitted: map[ident.DataCentre]bool{},
 	}
 }
@@ -233,6 +237,9 @@
 		if !ok && a.bound == "" && len(a.unsuited) > 0 {
 			return a.giveUp("no owner that answers has workers for a task")
 		}
+		if !ok && a.bound == "" && a.lacksMemory {
+			return a.giveUp(reasonNoMemory)
+		}
 		if !ok && a.bound == "" && a.isThrottled() {
 			return a.giveUp("the owners of the workers are behind")
 		}
@@ -389,6 +396,7 @@
 		o, ok := owners[a.bound]
 		return o, true, ok && s.isHeard(now, o)
 	}
+	a.lacksMemory = false
 	tasks := a.job.Steps[0].Count
 	hasOpen := s.hearsOpenCentre(now, owners)
 	var candidates []spill.Owner
@@ -396,6 +404,10 @@
 		if ok, decided := a.admitted[c]; (decided && !ok) || a.unsuited[c] || !s.isHeard(now, o) || (hasOpen && s.isEvacuated(c)) {
 			continue
 		}
+		if !s.freeMemory(c, o).Fits(a.weight) {
+			a.lacksMemory = true
+			continue
+		}
 		free, known := s.contacts.freeTasks(now, c)
 		if !known {
 			free = tasks
@@ -406,6 +418,16 @@
 	return owners[picked.DataCentre], final, ok
 }
 
+// freeMemory returns the memory that the owner of a data centre has left for large jobs, as far as
+// it is known.
+func (s *Submitter) freeMemory(c ident.DataCentre, o ownership.Owner) intake.FreeMemory {
+	if o.Host == s.self.Name {
+		return s.owners.memory.Free()
+	}
+	l, _ := s.contacts.Load(c)
+	return l.Memory
+}
+
 func (s *Submitter) isEvacuated(c ident.DataCentre) bool {
 	return s.contacts.evacuation.Access(c) == evacuation.Evacuated
 }
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -223,3 +223,26 @@
 	is.Equal(b.Used(), intake.Bytes(0))
 	is.True(intake.NewJobBudget(0).OpenStored(start).TryAdd(start, 1<<40))
 }
+
+// TestLargeJobsAreOfferedOnlyWhereTheyFit checks to which ownerships a job may be offered.
+func TestLargeJobsAreOfferedOnlyWhereTheyFit(t *testing.T) {
+	const usual, large = 16 << 10, 5 << 20
+	free := func(used intake.Bytes) intake.FreeMemory {
+		b := intake.NewJobBudget(smallestMemory)
+		b.OpenStored(start).Set(used)
+		return b.Free()
+	}
+	for name, row := range map[string]struct {
+		free   intake.FreeMemory
+		weight intake.Bytes
+		want   bool
+	}{
+		"large, in calm":             {free: free(0), weight: large, want: true},
+		"large, little is left":      {free: free(12 << 20), weight: large},
+		"large, nothing is left":     {free: free(20 << 20), weight: large},
+		"usual, nothing is left":     {free: free(20 << 20), weight: usual, want: true},
+		"large, no bound or unknown": {free: intake.NewJobBudget(0).Free(), weight: large, want: true},
+	} {
+		t.Run(name, func(t *testing.T) { is.New(t).Equal(row.free.Fits(row.weight), row.want) })
+	}
+}
--- a/intake/jobs.go
+++ b/intake/jobs.go
@@ -6,6 +6,19 @@
 // take. With budgetParts, what lives stays under the soft memory limit.
 const jobParts = 8
 
+// largeJob is the weight above which a job is offered only to an ownership that has said that it
+// has memory for it. It is that of some 1,300 tasks.
+const largeJob = 1 << 20
+
+// FreeMemory is the memory for large jobs that an ownership has left: negative if there is none,
+// and zero if that is not known or has no bound.
+type FreeMemory Bytes
+
+// Fits returns false if a job of the given weight is known not to fit.
+func (f FreeMemory) Fits(weight Bytes) bool {
+	return f == 0 || weight <= largeJob || weight <= Bytes(f)
+}
+
 // JobBudget is the memory that all jobs at the ownerships of a host may take together. It is safe
 // for concurrent use.
 type JobBudget struct {
@@ -29,6 +42,17 @@
 	return b.budget.Used()
 }
 
+// Free returns the memory that is left for large jobs.
+func (b JobBudget) Free() FreeMemory {
+	if b.budget == nil {
+		return 0
+	}
+	if free := b.budget.limit - b.budget.limit/reserveParts - b.budget.Used(); free > 0 {
+		return FreeMemory(free)
+	}
+	return -1
+}
+
 // Admit charges a job of the given weight until release is called. It returns false if the
 // job does not fit.
 func (b JobBudget) Admit(now time.Time, weight Bytes) (release func(), ok bool) {
--- a/message/message.go
+++ b/message/message.go
@@ -7,6 +7,7 @@
 
 	"github.com/catkingap/catkingap/crash"
 	"github.com/catkingap/catkingap/ident"
+	"github.com/catkingap/catkingap/intake"
 	"github.com/catkingap/catkingap/keepalive"
 	"github.com/catkingap/catkingap/report"
 	"github.com/catkingap/catkingap/work"
@@ -86,4 +87,6 @@
 	Lag time.Duration `msgpack:"delay,omitempty"`
 	// Unconfirmed is true if the owner does not know whether it was replaced.
 	Unconfirmed bool `msgpack:"unconfirmed,omitempty"`
+	// Memory is what the owner has left for large jobs.
+	Memory intake.FreeMemory `msgpack:"memory,omitempty"`
 }
