Bound the starts of an owner that are not answered

Cause: all tasks for which there is room were started at once. A crowd of very small tasks fits on many workers: an owner of 100 workers would send tens of thousands of starts together, each with two goroutines and a request that waits for a connection.

Evidence: TestStartsThatAreNotAnsweredAreBounded, 6,500 small tasks and room for all of them on 40 workers: 6,500 starts without an answer on, 512 now, and all are started.

At most 512 starts are open; the others follow as these are answered, within milliseconds. The target of 64,000 starts a second over seven data centres has some 50 open at an owner with answers after 5 ms, and 540 if each of them were lost. `heldStarts` counts, and a line is logged at most once a second.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -130,6 +130,8 @@
 	ColdStarts int
 	// DeferredPolls is the number of polls that had to wait for earlier ones.
 	DeferredPolls int
+	// HeldStarts is the number of times at which tasks had to wait for the answers to starts.
+	HeldStarts int
 	// CrowdedWorkers holds the workers that get no more runs until some of theirs have ended and
 	// these ends are stored.
 	CrowdedWorkers []worker.ID
@@ -193,6 +195,10 @@
 	timers       *index.Timers[*node]
 	changed      []*node
 	capacityGrew bool
+	// openStarts is the number of starts that are not answered, and startsHeld is true if tasks
+	// wait for that.
+	openStarts int
+	startsHeld bool
 	// visited counts the workers and jobs that events have examined, and examined the tasks.
 	visited, examined int
 	// outcomes holds the results of answered jobs for callers that send them again.
@@ -280,6 +286,7 @@
 
 // Started handles the answer to a start.
 func (m *Machine) Started(now time.Time, s worker.Start, a worker.Answer) {
+	m.startAnswered()
 	n := m.answeringNode(s.Order, a.Verdict)
 	if n == nil {
 		return
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -113,6 +113,9 @@
 	// and maxTriedTasks the tasks that are examined. The next attempt goes on with the others.
 	maxFailedSearches = 16
 	maxTriedTasks     = 256
+	// maxOpenStarts bounds the starts that are not answered yet, each of which holds a connection
+	// or waits for one. They are answered within milliseconds.
+	maxOpenStarts = 512
 )
 
 // startJob starts the tasks of a job for which there is a worker, and returns true
@@ -133,7 +136,7 @@
 	j.firstTried = 0
 	for k := range count {
 		i := (first + k) % count
-		if failed == maxFailedSearches || k-started == maxTriedTasks {
+		if failed == maxFailedSearches || k-started == maxTriedTasks || !m.mayOpenStart() {
 			j.firstTried = i
 			break
 		}
@@ -166,6 +169,24 @@
 	return started > 0
 }
 
+// mayOpenStart returns true if one more start may be sent.
+func (m *Machine) mayOpenStart() bool {
+	if m.openStarts < maxOpenStarts {
+		return true
+	}
+	m.startsHeld = true
+	return false
+}
+
+// startAnswered counts the answer to a start. Jobs that were held back are tried again.
+func (m *Machine) startAnswered() {
+	m.openStarts = max(0, m.openStarts-1)
+	if m.startsHeld {
+		m.startsHeld, m.capacityGrew = false, true
+		m.actions.HeldStarts++
+	}
+}
+
 // isLike returns true if a task waits as long as another one of its job does.
 func (t *task) isLike(x *task) bool {
 	if t.name.Step == x.name.Step {
@@ -306,6 +327,7 @@
 		r.suspect, r.exclusive = true, len(n.runs) == 0
 		m.actions.SuspectStarts++
 	}
+	m.openStarts++
 	m.plan.Started(n, t.holder())
 	n.runs[r.key] = r
 	n.used = n.used.Plus(r.size)
--- a/dispatch/smalltasks_test.go
+++ b/dispatch/smalltasks_test.go
@@ -176,3 +176,29 @@
 		}
 	}
 }
+
+// TestStartsThatAreNotAnsweredAreBounded submits more small tasks than may be started at once. All
+// workers have room for them.
+func TestStartsThatAreNotAnsweredAreBounded(t *testing.T) {
+	const workers, jobs, maxOpenStarts = 40, 5, 512
+	is := is.New(t)
+	var ids []worker.ID
+	for i := range workers {
+		ids = append(ids, worker.ID(fmt.Sprintf("w%d", i)))
+	}
+	m := readyMachine(ids...)
+	for i := range jobs {
+		j := smallTaskJob(i)
+		j.Steps[0].Count = 1300
+		m.Submit(at(2), dispatch.Submission{Host: hostA, Call: uint64(i), Remaining: time.Hour, Final: true, Job: j})
+	}
+	starts, most, ms := 0, 0, 2
+	for open := m.TakeActions().Starts; len(open) > 0; ms++ {
+		starts, most = starts+1, max(most, len(open))
+		m.Started(at(ms/100), open[0], worker.Answer{Verdict: worker.Accepted, Clock: worker.Clock(1000 + ms/100)})
+		open = append(open[1:], m.TakeActions().Starts...)
+	}
+	t.Logf("%d starts, at most %d not answered", starts, most)
+	is.True(most <= maxOpenStarts)
+	is.Equal(starts, jobs*1300)
+}
--- a/fleet/limits.go
+++ b/fleet/limits.go
@@ -26,10 +26,14 @@
 // maxLimitLines is how many lines an owner logs in a second about work that a limit holds back.
 const maxLimitLines = 1
 
-// noteLimits counts and logs what the limits on polls and runs of workers hold back.
+// noteLimits counts and logs what the limits on orders and runs of workers hold back.
 func (w *Owner) noteLimits(a *dispatch.Actions) {
 	w.owners.counters.deferredPolls.Add(int64(a.DeferredPolls))
+	w.owners.counters.heldStarts.Add(int64(a.HeldStarts))
 	w.owners.counters.crowdedWorkers.Add(int64(len(a.CrowdedWorkers)))
+	if a.HeldStarts > 0 && w.limitLines.Allow() {
+		w.logger.WithField("total", w.owners.counters.heldStarts.Value()).Warn("tasks wait for the answers to starts")
+	}
 	if len(a.CrowdedWorkers) > 0 && w.limitLines.Allow() {
 		w.logger.WithFields(log.Fields{
 			"worker": string(a.CrowdedWorkers[0]), "others": len(a.CrowdedWorkers) - 1, "total": w.owners.counters.crowdedWorkers.Value(),
--- a/fleet/log.go
+++ b/fleet/log.go
@@ -76,8 +76,9 @@
 	// coldStarts counts the starts on cold workers.
 	coldStarts *expvar.Int
 	// deferredPolls counts the polls of workers that had to wait for earlier ones, and
-	// crowdedWorkers how often a worker had too many runs and ends to get another run.
-	deferredPolls, crowdedWorkers *expvar.Int
+	// crowdedWorkers how often a worker had too many runs and ends to get another run. heldStarts
+	// counts how often tasks had to wait for the answers to other starts.
+	deferredPolls, crowdedWorkers, heldStarts *expvar.Int
 }
 
 // The outcomes of withdrawals: an owner of this host received one and knew the job or
@@ -98,7 +99,7 @@
 		owner:  ownerCounters{events: s.Counters("ownerEvents"), busy: s.Counters("ownerBusyUs"), lag: s.Histogram("ownerLag")},
 		orders: s.Counters("orders"), panics: s.Counter("ownerPanics"), pauses: s.Counter("pauses"), results: s.Counters("results"),
 		response: s.Histogram("response"), withdrawals: s.Counters("withdrawals"),
-		coldStarts: s.Counter("coldStarts"), deferredPolls: s.Counter("deferredPolls"), crowdedWorkers: s.Counter("crowdedWorkers"), evacuations: s.Counters("evacuations"), evacuatedJobs: s.Counters("evacuatedJobs"),
+		coldStarts: s.Counter("coldStarts"), deferredPolls: s.Counter("deferredPolls"), crowdedWorkers: s.Counter("crowdedWorkers"), heldStarts: s.Counter("heldStarts"), evacuations: s.Counters("evacuations"), evacuatedJobs: s.Counters("evacuatedJobs"),
 		workersLost: s.Counters("workersLost"), runsLost: s.Counters("runsLost"), workerSpeeds: s.Counters("workerSpeeds"),
 		jobsWithoutMemory: s.Counter("jobsWithoutMemory"), suspectStarts: s.Counter("suspectStarts"), tasksGivenUp: s.Counters("tasksGivenUp"),
 		refusals: s.Counters("refusals"), shortages: s.Counter("shortages"), reservations: s.Counters("reservations"),
