Release the steps after a finished one once

Cause: a task that is counted as done twice, as by a row of the table that names it twice, would have released the steps that wait for it a second time, and so a step before all that it waits for are done (ORDER). Found by reading; no row like that has been seen, and Progress.Record does not write one.

Evidence: TestSteps, row "done twice", fails without this. The other rows of the test hold the order of steps, the critical path and circles.

--- a/work/steps.go
+++ b/work/steps.go
@@ -33,7 +33,7 @@
 // TaskDone records that a task of step i is done. It returns the steps that may start now and
 // could not before.
 func (s *Steps) TaskDone(i int) (ready []int) {
-	if s.left[i]--; s.left[i] > 0 || s.dependents == nil {
+	if s.left[i]--; s.left[i] != 0 || s.dependents == nil {
 		return nil
 	}
 	for _, d := range s.dependents[i] {
