Test crowds that cancel and ask for unknown jobs, and tell closed from silent

Two rows of TestOverloadOfFleet, with crowd and bounds as before: 1,800 clients that cancel, or ask for the state of, jobs that nobody submitted.

A job whose connection was closed counts neither as answered nor as without an answer; it counted as the latter. The check is as before.

--- a/integration/overload_fleet_test.go
+++ b/integration/overload_fleet_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -15,6 +17,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/catkingap/catkingap/standin"
@@ -83,8 +86,9 @@
 		t.Skip(overloadVariable + " is not set")
 	}
 	rows := map[string]struct {
-		body    string
-		trouble fleetTrouble
+		// method is POST if it is empty. Without a body, the requests name unknown jobs.
+		method, body string
+		trouble      fleetTrouble
 	}{
 		"stored jobs of small tasks":                            {body: smallTasks("")},
 		"best-effort jobs of small tasks":                       {body: smallTasks(bestEffort)},
@@ -94,11 +98,13 @@
 		"stored jobs of small tasks while the table is away":    {body: smallTasks(""), trouble: tableAway},
 		"stored jobs of small tasks while workers answer late":  {body: smallTasks(""), trouble: workersLate},
 		"best-effort jobs of many steps while hosts are paused": {body: manySteps(bestEffort), trouble: hostsPaused},
+		"cancellations of unknown jobs":                         {method: http.MethodDelete},
+		"questions for unknown jobs":                            {method: http.MethodGet},
 	}
 	for name, row := range rows {
 		t.Run(name, func(t *testing.T) {
 			f := newOverloadFleet(t)
-			f.play([]byte(row.body), row.trouble)
+			f.play(cmp.Or(row.method, http.MethodPost), []byte(row.body), row.trouble)
 		})
 	}
 }
@@ -145,9 +151,9 @@
 	numbers  atomic.Int64
 	// refused holds the jobs of the crowd that were refused as not run.
 	refused sync.Map
-	// answered and silent count the ordinary jobs beside the crowd by whether they got any
-	// answer, and served those of them that were run.
-	answered, silent, served atomic.Int64
+	// answered counts the ordinary jobs beside the crowd that got an answer, served those of
+	// them that were run, closed those whose connection was closed, and silent the others.
+	answered, served, closed, silent atomic.Int64
 }
 
 // fleetSettings is the settings file of a host of an overloadFleet.
@@ -184,13 +190,7 @@
 	r.store = standin.NewRowStore(standin.RowStoreConfig{WriteTime: rigWriteTime})
 	r.reserveNetwork()
 	table := r.serve(r.store.Handler())
-	r.store.Put("op", "config", map[string]any{
-		"Version": 1,
-		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": crowdBodyBytes, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-		"Routes": []any{map[string]any{
-			"Name": "q", "Host": rigCaller, "Prefix": rigPrefix, "Service": rigService, "MaxAttempts": 3, "Stretch": 3, "TargetLatencyMs": 200,
-		}},
-	})
+	putOverloadConfiguration(r.store)
 	f := &overloadFleet{t: t, store: r.store, recorder: r.recorder}
 	for i, zone := range fleetZones {
 		for k := range fleetWorkers {
@@ -221,10 +221,13 @@
 	return f
 }
 
-// post submits a job to a host and returns the status of its answer, or zero if none came
-// within the deadline.
-func (f *overloadFleet) post(c *http.Client, h *overloadHost, id string, body []byte, deadline time.Duration) int {
-	request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s%s%s", h.target.address, rigPrefix, id), bytes.NewReader(body))
+// statusClosed stands for the status of an answer if the connection was closed instead.
+const statusClosed = -1
+
+// send sends a request about a job to a host and returns the status of its answer, or zero if none
+// came within the deadline.
+func (f *overloadFleet) send(c *http.Client, h *overloadHost, method, id string, body []byte, deadline time.Duration) int {
+	request, err := http.NewRequest(method, fmt.Sprintf("http://%s%s%s", h.target.address, rigPrefix, id), bytes.NewReader(body))
 	if err != nil {
 		f.t.Error(err)
 		return 0
@@ -233,7 +236,10 @@
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	answer, err := c.Do(request)
 	if err != nil {
-		return 0
+		if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
+			return 0
+		}
+		return statusClosed
 	}
 	defer answer.Body.Close()
 	_, _ = io.Copy(io.Discard, answer.Body)
@@ -244,11 +250,11 @@
 func (f *overloadFleet) ordinary(h *overloadHost) int {
 	c := &http.Client{Timeout: ordinaryDeadline, Transport: &http.Transport{DisableKeepAlives: true}}
 	body := fmt.Appendf(nil, `{"BestEffort":true,"Steps":[{"Count":8,"Cpu":%d,"EstimatedMs":%d}]}`, fleetCores/8, smallTaskTime.Milliseconds())
-	return f.post(c, h, fmt.Sprintf("%016x", f.numbers.Add(1)), body, ordinaryDeadline)
+	return f.send(c, h, http.MethodPost, fmt.Sprintf("%016x", f.numbers.Add(1)), body, ordinaryDeadline)
 }
 
-// play lets a crowd submit jobs to all hosts and checks them.
-func (f *overloadFleet) play(body []byte, trouble fleetTrouble) {
+// play lets a crowd send requests to all hosts and checks them.
+func (f *overloadFleet) play(method string, body []byte, trouble fleetTrouble) {
 	for _, h := range f.hosts {
 		h.eventuallyAnswered("calm")
 	}
@@ -266,7 +272,7 @@
 				f.t.Errorf("a host had %d descriptors open, at most %d are allowed", most.Load(), fleetDescriptors)
 			}
 		}()
-		f.attack(h, body, stopped, &clients)
+		f.attack(h, method, body, stopped, &clients)
 	}
 	var troubled sync.WaitGroup
 	if trouble != nil {
@@ -279,7 +285,8 @@
 	troubled.Wait()
 	close(stopped)
 	clients.Wait()
-	f.t.Logf("ordinary jobs beside the crowd: %d answered, %d of them served, %d without an answer", f.answered.Load(), f.served.Load(), f.silent.Load())
+	f.t.Logf("ordinary jobs beside the crowd: %d answered, %d of them served; %d closed, %d without an answer",
+		f.answered.Load(), f.served.Load(), f.closed.Load(), f.silent.Load())
 	if f.answered.Load() == 0 {
 		f.t.Error("no ordinary job got an answer beside the crowd")
 	}
@@ -319,9 +326,9 @@
 	}
 }
 
-// attack starts the crowd of one host. Each client submits one job after the other until
+// attack starts the crowd of one host. Each client sends one request after the other until
 // stopped is closed, and then closes its connection.
-func (f *overloadFleet) attack(h *overloadHost, body []byte, stopped chan struct{}, clients *sync.WaitGroup) {
+func (f *overloadFleet) attack(h *overloadHost, method string, body []byte, stopped chan struct{}, clients *sync.WaitGroup) {
 	const deadline = 20 * time.Second
 	transport := &http.Transport{MaxIdleConnsPerHost: fleetCrowd}
 	client := &http.Client{Transport: transport}
@@ -335,7 +342,7 @@
 				default:
 				}
 				id, answers := fmt.Sprintf("c%015x", f.numbers.Add(1)), make(chan int, 1)
-				go func() { answers <- f.post(client, h, id, body, deadline) }()
+				go func() { answers <- f.send(client, h, method, id, body, deadline) }()
 				select {
 				case <-stopped:
 					return
@@ -367,6 +374,8 @@
 			switch f.ordinary(f.hosts[i%len(f.hosts)]) {
 			case 0:
 				f.silent.Add(1)
+			case statusClosed:
+				f.closed.Add(1)
 			case http.StatusOK:
 				f.served.Add(1)
 				f.answered.Add(1)
--- a/integration/overload_test.go
+++ b/integration/overload_test.go
@@ -213,19 +213,25 @@
 	overloadStep  = `{"Count":1,"Cpu":32000,"EstimatedMs":200}`
 )
 
-// newOverloadServe starts `catkingap serve` with one worker.
-func newOverloadServe(t *testing.T) *overloadHost {
-	r := &rig{t: t, is: is.New(t), began: time.Now(), recorder: standin.NewRunRecorder(), folder: t.TempDir()}
-	r.store = standin.NewRowStore(standin.RowStoreConfig{WriteTime: rigWriteTime})
-	r.reserveNetwork()
-	table := r.serve(r.store.Handler())
-	r.store.Put("op", "config", map[string]any{
+// putOverloadConfiguration writes the operator's configuration, with the limits of the users'
+// settings.
+func putOverloadConfiguration(s *standin.RowStore) {
+	s.Put("op", "config", map[string]any{
 		"Version": 1,
 		"Limits":  map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": crowdBodyBytes, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 		"Routes": []any{map[string]any{
 			"Name": "q", "Host": rigCaller, "Prefix": rigPrefix, "Service": rigService, "MaxAttempts": 3, "Stretch": 3, "TargetLatencyMs": 200,
 		}},
 	})
+}
+
+// newOverloadServe starts `catkingap serve` with one worker.
+func newOverloadServe(t *testing.T) *overloadHost {
+	r := &rig{t: t, is: is.New(t), began: time.Now(), recorder: standin.NewRunRecorder(), folder: t.TempDir()}
+	r.store = standin.NewRowStore(standin.RowStoreConfig{WriteTime: rigWriteTime})
+	r.reserveNetwork()
+	table := r.serve(r.store.Handler())
+	putOverloadConfiguration(r.store)
 	w := standin.NewWorker(standin.WorkerConfig{
 		ID: "worker-1", Cores: rigCores, Speed: 1, Recorder: r.recorder, MaxLease: rigLease,
 		RunTime: func(task string) (time.Duration, int) {
