--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -12,7 +12,7 @@
 var errBroken = errors.New("the rule was broken")
 
 func main() {
-	cases := map[string]func(folder string) error{"wide": wide, "flood": flood}
+	cases := map[string]func(folder string) error{"wide": wide, "flood": flood, "large": large}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: rig3 CASE FOLDER")
 		os.Exit(2)
