--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -14,7 +14,7 @@
 // step is a step of a job on the wire, and how long its tasks work.
 type step struct {
 	Count        int
-	Cpu          int
+	CPU          int `json:"Cpu"`
 	MemMb        int
 	EstimatedMs  int
 	After        []int  `json:",omitempty"`
--- a/review/rig3/flood.go
+++ b/review/rig3/flood.go
@@ -71,7 +71,7 @@
 	began := time.Now()
 	for n := 0; time.Since(began) < d; n++ {
 		open.Go(func() {
-			j := &jobInfo{id: newID(), spec: spec, steps: []step{{Count: 1, Cpu: cpu, MemMb: 8, EstimatedMs: int(work.Milliseconds()), work: work}}}
+			j := &jobInfo{id: newID(), spec: spec, steps: []step{{Count: 1, CPU: cpu, MemMb: 8, EstimatedMs: int(work.Milliseconds()), work: work}}}
 			if c.submit(j, append(append([]*host{}, w.hosts[n%len(w.hosts):]...), w.hosts[:n%len(w.hosts)]...), 5*time.Second) {
 				yes.Add(1)
 			} else {
--- a/review/rig3/large.go
+++ b/review/rig3/large.go
@@ -7,7 +7,7 @@
 
 // largeJob returns a job of 1,300 tasks that are each as large as an ordinary one.
 func largeJob() *jobInfo {
-	return &jobInfo{id: newID(), spec: "tide survey", steps: []step{{Count: 1300, Cpu: 27000, MemMb: 64, EstimatedMs: 900, work: 900 * time.Millisecond}}}
+	return &jobInfo{id: newID(), spec: "tide survey", steps: []step{{Count: 1300, CPU: 27000, MemMb: 64, EstimatedMs: 900, work: 900 * time.Millisecond}}}
 }
 
 // large sends one large job beside ordinary traffic in all zones.
--- a/review/rig3/runner.go
+++ b/review/rig3/runner.go
@@ -68,7 +68,7 @@
 		return taskInfo{}, false
 	}
 	x := j.steps[step]
-	return taskInfo{size: size{x.Cpu, x.MemMb}, work: x.work, fails: x.fails}, true
+	return taskInfo{size: size{x.CPU, x.MemMb}, work: x.work, fails: x.fails}, true
 }
 
 // runner is one machine and its present life.
--- a/review/rig3/wide.go
+++ b/review/rig3/wide.go
@@ -8,12 +8,12 @@
 
 // smallJob returns a job of two tasks, like the most frequent ones of the site.
 func smallJob() *jobInfo {
-	return &jobInfo{id: newID(), spec: "stone trace", steps: []step{{Count: 2, Cpu: 27000, MemMb: 64, EstimatedMs: 200, work: 200 * time.Millisecond}}}
+	return &jobInfo{id: newID(), spec: "stone trace", steps: []step{{Count: 2, CPU: 27000, MemMb: 64, EstimatedMs: 200, work: 200 * time.Millisecond}}}
 }
 
 // wideJob returns a job of 1,300 tasks.
 func wideJob(work time.Duration) *jobInfo {
-	return &jobInfo{id: newID(), spec: "tide survey", steps: []step{{Count: 1300, Cpu: 400, MemMb: 8, EstimatedMs: int(work.Milliseconds()), work: work}}}
+	return &jobInfo{id: newID(), spec: "tide survey", steps: []step{{Count: 1300, CPU: 400, MemMb: 8, EstimatedMs: int(work.Milliseconds()), work: work}}}
 }
 
 // wide crashes the runners of one rack under a job of 1,300 tasks.
